--- /dev/null
+++ b/src/admin.rs
@@ -0,0 +1,59 @@
+//! The admin listener: `/healthz`, `/readyz` and `/metrics`.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+use ntex::server::Server;
+use ntex::web;
+use ntex::web::App;
+use ntex::web::HttpResponse;
+use ntex::web::HttpServer;
+
+use crate::metrics::Meters;
+
+/// What the admin listener shows.
+#[derive(Clone)]
+pub(crate) struct Shown {
+    pub(crate) meters: Meters,
+    pub(crate) ready: Arc<AtomicBool>,
+}
+
+/// Starts the admin listener.
+///
+/// # Errors
+///
+/// The address can't be listened on.
+pub(crate) fn serve(address: SocketAddr, shown: Shown) -> io::Result<Server> {
+    let server = HttpServer::new(async move || {
+        App::new()
+            .state(shown.clone())
+            .route("/healthz", web::get().to(healthz))
+            .route("/readyz", web::get().to(readyz))
+            .route("/metrics", web::get().to(metrics))
+    })
+    .workers(1)
+    .disable_signals()
+    .bind(address)?
+    .run();
+    Ok(server)
+}
+
+async fn healthz() -> &'static str {
+    "ok\n"
+}
+
+async fn readyz(shown: web::types::State<Shown>) -> HttpResponse {
+    if shown.ready.load(Ordering::Relaxed) {
+        return HttpResponse::Ok().body("ready\n");
+    }
+    HttpResponse::ServiceUnavailable().body("not ready: no live lease or no leader\n")
+}
+
+async fn metrics(shown: web::types::State<Shown>) -> HttpResponse {
+    HttpResponse::Ok()
+        .content_type("text/plain; version=0.0.4")
+        .body(shown.meters.render())
+}
--- /dev/null
+++ b/src/bin/daisyquay-state.rs
@@ -0,0 +1,26 @@
+//! The state daemon.
+
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use daisyquay::cli;
+use daisyquay::clock::System;
+use daisyquay::replica;
+use daisyquay::runtime;
+
+fn main() -> ExitCode {
+    let matches = cli::state::command().get_matches();
+    cli::start_log(&matches);
+    let cfg = cli::state::config(&matches);
+    let ended = runtime::block_on(
+        "daisyquay-state",
+        replica::run(cfg, Arc::new(System::new())),
+    );
+    match ended {
+        Ok(()) => cli::ExitCode::Done.into(),
+        Err(e) => {
+            eprintln!("daisyquay-state: {e}");
+            cli::ExitCode::Storage.into()
+        }
+    }
+}
--- /dev/null
+++ b/src/config/mod.rs
@@ -0,0 +1,17 @@
+//! What operators load, checked: the inventory and its rules.
+
+mod check;
+mod inventory;
+mod key;
+
+pub use self::check::parse;
+pub use self::inventory::Inventory;
+pub use self::inventory::Model;
+pub use self::inventory::Organisation;
+pub use self::inventory::Rules;
+pub use self::inventory::Service;
+pub use self::inventory::UpstreamKey;
+pub use self::inventory::Version;
+pub use self::inventory::VersionName;
+pub use self::inventory::VersionState;
+pub use self::key::KeyHash;
--- /dev/null
+++ b/src/dev.rs
@@ -0,0 +1,182 @@
+//! All of daisyquay in one process on loopback, with stand-ins and a sample inventory.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::agreement::Settings;
+use crate::clock::System;
+use crate::config;
+use crate::config::KeyHash;
+use crate::entry;
+use crate::peer::Client;
+use crate::peer::Operation;
+use crate::peer::Reply;
+use crate::peer::Request;
+use crate::replica;
+use crate::standin;
+use crate::state::command::Change;
+
+/// The inventory that is loaded.
+const SAMPLE: &str = include_str!("../examples/inventory.toml");
+
+/// Keys of the sample inventory, for use on loopback only.
+const PEER_KEY: &str = "dev-peer-key";
+const OPERATOR_KEY: &str = "dev-operator-key";
+const UPSTREAM_KEY: &str = "dev-upstream-key";
+const CALLER_KEY: &str = "dev-lagon-key";
+
+/// Time in which the sample inventory must be in force.
+const APPLY_LIMIT: Duration = Duration::from_secs(20);
+
+/// What `daisyquay-dev` is started with.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Where callers connect.
+    pub listen: SocketAddr,
+}
+
+/// Runs everything until the process is told to stop.
+///
+/// # Errors
+///
+/// What could not be started, for the person at the prompt.
+pub async fn run(cfg: Config) -> Result<(), String> {
+    let state_address = free_address()?;
+    let data = std::env::temp_dir().join(format!("daisyquay-dev-{}", std::process::id()));
+    let replica = replica::Config {
+        listen: state_address,
+        admin_listen: free_address()?,
+        replicas: vec![state_address],
+        data: data.clone(),
+        peer_key: PEER_KEY.to_owned(),
+        operators: vec![("dev".into(), KeyHash::of(OPERATOR_KEY))],
+        snapshot_every: 20_000,
+        settings: Settings::default(),
+    };
+    let rater = start_standin(
+        &cfg,
+        "rater",
+        None,
+        &[],
+        &[("notes@small", 0.7), ("notes@large", 0.9)],
+    )?;
+    let entry = entry::Config {
+        listen: cfg.listen,
+        advertise: None,
+        admin_listen: free_address()?,
+        vm: "dev".into(),
+        data_centre: "dc1".into(),
+        state: vec![state_address],
+        peer_key: PEER_KEY.to_owned(),
+        rater: Some(rater),
+        rating_cost: 0.0,
+        workers: 2,
+        connections: 1024,
+        body_limit: 4 << 20,
+        address_valid: Duration::ZERO,
+    };
+    let admin = entry.admin_listen;
+    let running = tokio::task::spawn_local(entry::run(entry, Arc::new(System::new())));
+    let state = tokio::task::spawn_local(replica::run(replica, Arc::new(System::new())));
+    apply(state_address).await?;
+    for (id, versions) in [
+        ("runner-1", &["notes@small"][..]),
+        ("runner-2", &["notes@small", "notes@large"]),
+    ] {
+        start_standin(&cfg, id, None, versions, &[])?;
+    }
+    start_standin(&cfg, "app-1", Some("previews"), &[], &[])?;
+    print_help(&cfg, admin, state_address);
+    let ended = running.await;
+    state.abort();
+    let _ = std::fs::remove_dir_all(&data);
+    match ended {
+        Ok(Ok(())) => Ok(()),
+        Ok(Err(e)) => Err(e.to_string()),
+        Err(e) => Err(e.to_string()),
+    }
+}
+
+fn free_address() -> Result<SocketAddr, String> {
+    std::net::TcpListener::bind("127.0.0.1:0")
+        .and_then(|listener| listener.local_addr())
+        .map_err(|e| format!("no port is free on loopback: {e}"))
+}
+
+fn start_standin(
+    cfg: &Config,
+    id: &str,
+    service: Option<&str>,
+    versions: &[&str],
+    quality: &[(&str, f64)],
+) -> Result<SocketAddr, String> {
+    let announces = service.is_some() || !versions.is_empty();
+    let standin = standin::Config {
+        listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+        entries: if announces {
+            vec![cfg.listen]
+        } else {
+            Vec::new()
+        },
+        upstream_key: UPSTREAM_KEY.to_owned(),
+        id: id.into(),
+        count: 1,
+        data_centre: "dc1".into(),
+        versions: versions
+            .iter()
+            .filter_map(|name| name.parse().ok())
+            .collect(),
+        service: service.map(Into::into),
+        slots: 8,
+        first: Duration::from_millis(20),
+        token: Duration::from_millis(5),
+        report: Duration::from_millis(500),
+        quality: quality
+            .iter()
+            .filter_map(|(name, quality)| Some((name.parse().ok()?, *quality)))
+            .collect(),
+    };
+    let (address, _, _) = standin::start(standin).map_err(|e| format!("stand-in {id}: {e}"))?;
+    Ok(address)
+}
+
+async fn apply(state: SocketAddr) -> Result<(), String> {
+    let inventory = config::parse(SAMPLE)?;
+    let client = Client::new(OPERATOR_KEY);
+    let operation = Operation {
+        change_id: "dev-sample".into(),
+        expect: None,
+        change: Change::Apply(Arc::new(inventory)),
+        wait_ms: 10_000,
+    };
+    let apply = async {
+        loop {
+            let request = Request::Operate(operation.clone());
+            let reply = client.call(state, &request, APPLY_LIMIT).await;
+            if let Ok(Reply::Operate(reply)) = reply
+                && reply.in_force == Some(true)
+            {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    };
+    tokio::time::timeout(APPLY_LIMIT, apply)
+        .await
+        .map_err(|_| "the sample inventory did not come in force".to_owned())
+}
+
+fn print_help(cfg: &Config, admin: SocketAddr, state: SocketAddr) {
+    println!(
+        "daisyquay listens on http://{}; metrics on http://{admin}/metrics",
+        cfg.listen
+    );
+    println!("try:");
+    println!(
+        "  curl -s http://{}/v1/chat/completions -H 'Authorization: Bearer {CALLER_KEY}' -d \
+         '{{\"model\":\"notes\",\"messages\":[{{\"role\":\"user\",\"content\":\"hello\"}}]}}'",
+        cfg.listen
+    );
+    println!("  daisyquay --state {state} --operator-key {OPERATOR_KEY} show status");
+}
--- /dev/null
+++ b/src/entry/link.rs
@@ -0,0 +1,288 @@
+//! The link to the state: renewals of the lease, which carry all control news both ways, and calls
+//! to the leader.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::oneshot;
+
+use super::Shared;
+use super::ledger::Batcher;
+use super::view::View;
+use crate::lease::RENEWAL;
+use crate::log::event;
+use crate::peer::Client;
+use crate::peer::Grant;
+use crate::peer::Renewal;
+use crate::peer::Reply;
+use crate::peer::Request;
+use crate::state::command::LedgerOp;
+use crate::state::command::LedgerOutcome;
+
+/// Time in which a replica must answer one call.
+const CALL_LIMIT: Duration = Duration::from_millis(800);
+
+/// Pause before another replica is tried while there is no leader.
+const PAUSE: Duration = Duration::from_millis(40);
+
+/// Time between sendings of steps that nobody waits for.
+const FLUSH: Duration = Duration::from_millis(50);
+
+/// What workers ask of the link.
+pub(crate) enum Ask {
+    /// A call to the leader, repeated until `limit` has passed.
+    Call {
+        request: Request,
+        limit: Duration,
+        tx: oneshot::Sender<Reply>,
+    },
+    /// A step of the ledger.
+    Ledger(LedgerOp, Option<oneshot::Sender<LedgerOutcome>>),
+}
+
+/// Finds the leader and calls it.
+#[derive(Clone)]
+pub(super) struct Link {
+    client: Client,
+    replicas: Rc<[SocketAddr]>,
+    leader: Rc<Cell<SocketAddr>>,
+}
+
+impl Link {
+    fn new(shared: &Shared) -> Self {
+        let replicas: Rc<[SocketAddr]> = shared.cfg.state.clone().into();
+        let start = fastrand::usize(..replicas.len());
+        Self {
+            client: Client::new(&shared.cfg.peer_key),
+            leader: Rc::new(Cell::new(replicas[start])),
+            replicas,
+        }
+    }
+
+    /// Calls the replica believed to lead; `None` where another must be tried.
+    pub(super) async fn call_leader(&self, request: &Request) -> Option<Reply> {
+        let leader = self.leader.get();
+        match self.client.call(leader, request, CALL_LIMIT).await {
+            Ok(Reply::NotLeader { leader: known }) => {
+                match known.filter(|address| self.replicas.contains(address)) {
+                    Some(address) => self.leader.set(address),
+                    None => self.rotate(leader),
+                }
+                None
+            }
+            Ok(Reply::Unknown) => None,
+            Ok(reply) => Some(reply),
+            Err(e) => {
+                event!(Debug, "call_failed", error = e);
+                self.rotate(leader);
+                None
+            }
+        }
+    }
+
+    /// Tries the next replica, unless another call has found a leader meanwhile.
+    fn rotate(&self, tried: SocketAddr) {
+        if self.leader.get() != tried {
+            return;
+        }
+        let at = self.replicas.iter().position(|&address| address == tried);
+        let next = at.map_or(0, |at| (at + 1) % self.replicas.len());
+        self.leader.set(self.replicas[next]);
+    }
+
+    pub(super) async fn pause(&self) {
+        tokio::time::sleep(PAUSE).await;
+    }
+
+    async fn call_until(&self, request: Request, limit: Duration) -> Option<Reply> {
+        let repeat = async {
+            loop {
+                if let Some(reply) = self.call_leader(&request).await {
+                    return reply;
+                }
+                self.pause().await;
+            }
+        };
+        tokio::time::timeout(limit, repeat).await.ok()
+    }
+}
+
+/// Runs the link until the entry is released and everything is settled.
+pub(super) async fn run(
+    shared: Arc<Shared>,
+    mut asks: UnboundedReceiver<Ask>,
+    released: Arc<AtomicBool>,
+) {
+    let link = Link::new(&shared);
+    let batcher = Batcher::default();
+    let renewing = tokio::task::spawn_local(renew(shared.clone(), link.clone()));
+    let mut flush = tokio::time::interval(FLUSH);
+    loop {
+        tokio::select! {
+            ask = asks.recv() => match ask {
+                Some(Ask::Ledger(op, tx)) => batcher.push(&link, (op, tx)),
+                Some(Ask::Call { request, limit, tx }) => {
+                    let link = link.clone();
+                    tokio::task::spawn_local(async move {
+                        if let Some(reply) = link.call_until(request, limit).await {
+                            let _ = tx.send(reply);
+                        }
+                    });
+                }
+                None => break,
+            },
+            _ = flush.tick() => {
+                batcher.flush(&link);
+                if released.load(Ordering::Relaxed) && batcher.is_idle() && asks.is_empty() {
+                    break;
+                }
+            }
+        }
+    }
+    renewing.abort();
+    let mut last = Renewer::default().renewal(&shared);
+    last.release = true;
+    let _ = link
+        .call_until(Request::Renew(Box::new(last)), 3 * RENEWAL)
+        .await;
+}
+
+/// Renews the lease for ever.
+async fn renew(shared: Arc<Shared>, link: Link) {
+    let mut renewer = Renewer::default();
+    loop {
+        let sent_at = shared.now();
+        let renewal = renewer.renewal(&shared);
+        let reply = link.call_leader(&Request::Renew(Box::new(renewal))).await;
+        let granted = match reply {
+            Some(Reply::Grant(grant)) => {
+                renewer.take(&shared, *grant, sent_at);
+                true
+            }
+            _ => false,
+        };
+        let live = shared.lease_is_live();
+        renewer.follow_lease(&shared, live);
+        shared
+            .ready
+            .store(live && !shared.is_leaving(), Ordering::Relaxed);
+        if !granted {
+            link.pause().await;
+            continue;
+        }
+        let passed = shared.now().saturating_sub(sent_at);
+        tokio::time::sleep(RENEWAL.saturating_sub(passed)).await;
+    }
+}
+
+/// What the next renewal has to say.
+#[derive(Default)]
+struct Renewer {
+    term: u64,
+    introduced: bool,
+    directory: u64,
+    loads_seen: u64,
+    entries_seen: u64,
+    quality_seen: u64,
+    was_live: bool,
+}
+
+impl Renewer {
+    fn renewal(&self, shared: &Shared) -> Renewal {
+        let now = shared.now();
+        let (acked, revision) = {
+            let mut lease = shared.lease.lock();
+            (lease.acked(now), lease.revision())
+        };
+        Renewal {
+            entry: shared.entry,
+            info: (!self.introduced).then(|| shared.info.clone()),
+            acked,
+            revision,
+            term: self.term,
+            directory: self.directory,
+            loads_seen: self.loads_seen,
+            entries_seen: self.entries_seen,
+            quality_seen: self.quality_seen,
+            loads: shared.take_news(),
+            demand: shared.pools.lock().demand(),
+            leaving: shared.is_leaving(),
+            release: false,
+        }
+    }
+
+    fn take(&mut self, shared: &Shared, grant: Grant, sent_at: Duration) {
+        self.term = grant.term;
+        self.introduced = !grant.introduce;
+        self.directory = grant.directory;
+        self.loads_seen = grant.loads_seen;
+        self.entries_seen = grant.entries_seen;
+        let now = shared.now();
+        let mut view: View = (*shared.view()).clone();
+        let mut changed = false;
+        if !grant.upstreams.is_empty() {
+            let mut directory = (*view.directory).clone();
+            directory.merge(grant.upstreams);
+            view = view.with_directory(directory);
+            changed = true;
+        }
+        if let Some(quality) = grant.quality {
+            self.quality_seen = quality.total();
+            view.quality = Arc::from(quality);
+            changed = true;
+        }
+        if let Some(entries) = grant.entries {
+            view.entries = Arc::new(entries);
+            changed = true;
+        }
+        let config = grant.config.filter(|config| {
+            let known = view.config.revision;
+            config.revision > known
+        });
+        if let Some(config) = config {
+            let revision = config.revision;
+            view.config = Arc::from(config);
+            shared.set_view(view);
+            shared.lease.lock().take(revision, now);
+            shared.meters.set("daisyquay_revision", revision as f64);
+            event!(Info, "config_taken", revision = revision);
+        } else if changed {
+            shared.set_view(view);
+        }
+        self.take_loads(shared, &grant.loads, now);
+        shared.pools.lock().resize(&grant.shares);
+        // The lease is live only once all that came with it is in place.
+        shared.lease.lock().granted(sent_at);
+    }
+
+    fn take_loads(&self, shared: &Shared, rows: &[crate::peer::LoadRow], now: Duration) {
+        let view = shared.view();
+        let mut runners = shared.runners.lock();
+        for row in rows {
+            if let Some(level) = row.level {
+                runners.set_level(&row.id, row.incarnation, level, now);
+            }
+        }
+        runners.retain(|id| view.directory.get(id).is_some());
+    }
+
+    fn follow_lease(&mut self, shared: &Shared, live: bool) {
+        shared
+            .meters
+            .set("daisyquay_lease_live", f64::from(u8::from(live)));
+        if live != self.was_live {
+            self.was_live = live;
+            if live {
+                event!(Info, "lease_live", vm = shared.cfg.vm);
+            } else {
+                event!(Warn, "lease_lost", vm = shared.cfg.vm);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/runners.rs
@@ -0,0 +1,131 @@
+//! What an entry knows of each upstream's load and behaviour.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::Shared;
+use crate::collections::HashMap;
+use crate::collections::Name;
+use crate::policy::choice::Candidate;
+use crate::upstream::Announcement;
+use crate::upstream::Health;
+use crate::upstream::Level;
+use crate::upstream::Loads;
+
+#[derive(Debug, Default)]
+struct Runner {
+    health: Health,
+    in_flight: u32,
+    in_flight_then: u32,
+}
+
+/// The table of upstreams.
+#[derive(Debug, Default)]
+pub(crate) struct Runners {
+    loads: Loads,
+    rows: HashMap<Name, Runner>,
+}
+
+impl Runners {
+    /// Takes a reported level.
+    pub(crate) fn set_level(&mut self, id: &Name, incarnation: u64, level: Level, now: Duration) {
+        self.loads.set(id, incarnation, level, now);
+        if let Some(row) = self.rows.get_mut(id) {
+            row.in_flight_then = row.in_flight;
+        }
+    }
+
+    /// Forgets upstreams that `keep` refuses and that nothing runs on.
+    pub(crate) fn retain(&mut self, keep: impl Fn(&Name) -> bool) {
+        self.rows.retain(|id, row| row.in_flight > 0 || keep(id));
+        self.loads.retain(keep);
+    }
+
+    /// An upstream as the choice sees it.
+    pub(crate) fn candidate(
+        &self,
+        announced: &Announcement,
+        data_centre: &Name,
+        now: Duration,
+    ) -> Candidate {
+        let row = self.rows.get(&announced.id);
+        let reported = self
+            .loads
+            .get(&announced.id)
+            .map(|(level, at)| (level.share(), now.saturating_sub(at)));
+        Candidate {
+            id: announced.id.clone(),
+            slots: announced.slots,
+            reported,
+            in_flight: row.map_or(0, |row| row.in_flight),
+            in_flight_then: row.map_or(0, |row| row.in_flight_then),
+            near: announced.data_centre == *data_centre,
+            circuit: row.map_or(crate::upstream::Circuit::Closed, |row| {
+                row.health.circuit(now)
+            }),
+            first_s: row.and_then(|row| row.health.first_s()),
+        }
+    }
+
+    fn row(&mut self, id: &Name) -> &mut Runner {
+        self.rows.entry(id.clone()).or_default()
+    }
+}
+
+/// A request of this entry's that runs on an upstream. Dropping it without a result counts as
+/// neither success nor failure.
+pub(crate) struct InFlight {
+    shared: Arc<Shared>,
+    pub(crate) upstream: Arc<Announcement>,
+    started: Duration,
+    told: bool,
+}
+
+impl InFlight {
+    pub(crate) fn start(shared: &Arc<Shared>, upstream: Arc<Announcement>) -> Self {
+        let started = shared.now();
+        let mut runners = shared.runners.lock();
+        let row = runners.row(&upstream.id);
+        row.in_flight += 1;
+        row.health.started();
+        drop(runners);
+        Self {
+            shared: shared.clone(),
+            upstream,
+            started,
+            told: false,
+        }
+    }
+
+    /// The first token or byte has come.
+    pub(crate) fn succeeded(&mut self) -> Duration {
+        let first = self.shared.now().saturating_sub(self.started);
+        if !self.told {
+            self.told = true;
+            let mut runners = self.shared.runners.lock();
+            runners.row(&self.upstream.id).health.succeeded(first);
+        }
+        first
+    }
+
+    /// The attempt failed by the upstream's fault.
+    pub(crate) fn failed(&mut self) {
+        self.told = true;
+        let now = self.shared.now();
+        let mut runners = self.shared.runners.lock();
+        runners.row(&self.upstream.id).health.failed(now);
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        let now = self.shared.now();
+        let mut runners = self.shared.runners.lock();
+        let row = runners.row(&self.upstream.id);
+        row.in_flight = row.in_flight.saturating_sub(1);
+        if !self.told {
+            row.health.waiting(now.saturating_sub(self.started));
+            row.health.abandoned();
+        }
+    }
+}
--- /dev/null
+++ b/src/metrics/mod.rs
@@ -0,0 +1,140 @@
+//! Metrics by `opentelemetry`, shown as Prometheus text.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Gauge;
+use opentelemetry::metrics::Histogram;
+use opentelemetry::metrics::Meter;
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+use crate::collections::HashMap;
+
+/// Upper bounds of the buckets of times, in seconds.
+const TIME_BUCKETS: [f64; 14] = [
+    0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.46, 1.0, 2.5, 5.0, 10.0,
+];
+
+/// A label: its name and its value.
+pub(crate) type Label<'a> = (&'static str, &'a str);
+
+#[derive(Default)]
+struct Instruments {
+    gauges: HashMap<&'static str, Gauge<f64>>,
+    counters: HashMap<&'static str, Counter<u64>>,
+    times: HashMap<&'static str, Histogram<f64>>,
+}
+
+struct Inner {
+    registry: Registry,
+    meter: Meter,
+    instruments: Mutex<Instruments>,
+    // Dropping the provider would stop the meter.
+    _provider: SdkMeterProvider,
+}
+
+/// The process's instruments; clones share them.
+#[derive(Clone)]
+pub(crate) struct Meters(Arc<Inner>);
+
+impl Meters {
+    /// Instruments with a registry of their own.
+    pub(crate) fn new() -> Self {
+        let registry = Registry::new();
+        let builder = SdkMeterProvider::builder();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .build();
+        let provider = match exporter {
+            Ok(exporter) => builder.with_reader(exporter).build(),
+            // Without an exporter the figures go nowhere; the process works all the same.
+            Err(_) => builder.build(),
+        };
+        Self(Arc::new(Inner {
+            meter: provider.meter("daisyquay"),
+            registry,
+            instruments: Mutex::default(),
+            _provider: provider,
+        }))
+    }
+
+    /// Sets a gauge.
+    pub(crate) fn set(&self, name: &'static str, value: f64) {
+        self.set_labelled(name, value, &[]);
+    }
+
+    /// Sets a labelled gauge.
+    pub(crate) fn set_labelled(&self, name: &'static str, value: f64, labels: &[Label<'_>]) {
+        let gauge = self.instrument(|instruments, meter| {
+            let gauges = &mut instruments.gauges;
+            let gauge = gauges
+                .entry(name)
+                .or_insert_with(|| meter.f64_gauge(name).build());
+            gauge.clone()
+        });
+        gauge.record(value, &pairs(labels));
+    }
+
+    /// Adds to a counter.
+    pub(crate) fn count(&self, name: &'static str, n: u64, labels: &[Label<'_>]) {
+        let counter = self.instrument(|instruments, meter| {
+            let counters = &mut instruments.counters;
+            let counter = counters
+                .entry(name)
+                .or_insert_with(|| meter.u64_counter(name).build());
+            counter.clone()
+        });
+        counter.add(n, &pairs(labels));
+    }
+
+    /// Records a time in seconds.
+    pub(crate) fn time(&self, name: &'static str, seconds: f64, labels: &[Label<'_>]) {
+        let histogram = self.instrument(|instruments, meter| {
+            let times = &mut instruments.times;
+            let histogram = times.entry(name).or_insert_with(|| {
+                meter
+                    .f64_histogram(name)
+                    .with_boundaries(TIME_BUCKETS.to_vec())
+                    .build()
+            });
+            histogram.clone()
+        });
+        histogram.record(seconds, &pairs(labels));
+    }
+
+    /// All figures as Prometheus text.
+    pub(crate) fn render(&self) -> String {
+        TextEncoder::new()
+            .encode_to_string(&self.0.registry.gather())
+            .unwrap_or_default()
+    }
+
+    fn instrument<T>(&self, get: impl FnOnce(&mut Instruments, &Meter) -> T) -> T {
+        let mut instruments = self
+            .0
+            .instruments
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        get(&mut instruments, &self.0.meter)
+    }
+}
+
+impl Default for Meters {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn pairs(labels: &[Label<'_>]) -> Vec<KeyValue> {
+    labels
+        .iter()
+        .map(|(key, value)| KeyValue::new(*key, (*value).to_owned()))
+        .collect()
+}
--- /dev/null
+++ b/src/peer/message.rs
@@ -0,0 +1,267 @@
+//! The messages.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::agreement::Index;
+use crate::agreement::Message;
+use crate::agreement::ReplicaId;
+use crate::collections::Name;
+use crate::config::Inventory;
+use crate::config::VersionName;
+use crate::policy::quality::Quality;
+use crate::state::Target;
+use crate::state::command::Change;
+use crate::state::command::ChangeOutcome;
+use crate::state::command::LedgerOp;
+use crate::state::command::LedgerOutcome;
+use crate::state::command::PinOutcome;
+use crate::state::command::PinRequest;
+use crate::state::query::Query;
+use crate::state::query::Report;
+use crate::upstream::AnnounceOutcome;
+use crate::upstream::Announcement;
+use crate::upstream::Level;
+use crate::upstream::Upstream;
+
+/// A request to a state replica.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum Request {
+    /// Messages of the log; they have no answer of their own.
+    Agreement(Vec<Message>),
+    /// Asks an address whether it belongs to a log already.
+    Formation,
+    /// Asks the leader to take in the replica at this address as a learner.
+    Join {
+        /// Identity of its disk.
+        id: ReplicaId,
+        /// Its peer listener.
+        address: SocketAddr,
+    },
+    /// An entry renews its lease and exchanges news.
+    Renew(Box<Renewal>),
+    /// Steps of the ledger.
+    Ledger(Vec<LedgerOp>),
+    /// Pins a session.
+    Pin(PinRequest),
+    /// An upstream announced itself to the sender.
+    Announce(Announcement),
+    /// An upstream leaves.
+    Leave {
+        /// Upstream.
+        id: Name,
+        /// Its incarnation.
+        incarnation: u64,
+    },
+    /// An operator's command.
+    Operate(Operation),
+    /// An operator's question.
+    Ask(Query),
+}
+
+/// The answer to a request.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum Reply {
+    /// Nothing to say.
+    Done,
+    /// To `Formation`.
+    Formation(Formation),
+    /// To `Renew`.
+    Grant(Box<Grant>),
+    /// To `Ledger`.
+    Ledger(Vec<LedgerOutcome>),
+    /// To `Pin`.
+    Pin(PinOutcome),
+    /// To `Announce`.
+    Announce(AnnounceOutcome),
+    /// To `Operate`.
+    Operate(OperationReply),
+    /// To `Ask`.
+    Report(Box<Report>),
+    /// This replica does not lead, or can't be sure that it does.
+    NotLeader {
+        /// Whom to ask instead, where known.
+        leader: Option<SocketAddr>,
+    },
+    /// The outcome is unknown: the leader lost its office while the request was under way.
+    Unknown,
+    /// The sender may not ask this, or asked nonsense.
+    Refused(Name),
+}
+
+/// Whether a replica belongs to a log.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Formation {
+    /// Identity of its disk.
+    pub id: ReplicaId,
+    /// Whether it knows members of a log.
+    pub formed: bool,
+}
+
+/// What an entry sends with each renewal of its lease.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Renewal {
+    /// Lease holder: one run of an entry.
+    pub entry: u64,
+    /// What it is, once; the leader asks again with [`Grant::introduce`].
+    pub info: Option<EntryInfo>,
+    /// Revision that it acknowledges.
+    pub acked: u64,
+    /// Revision that it has.
+    pub revision: u64,
+    /// Term of the leader whose numbers follow; another leader starts them anew.
+    pub term: u64,
+    /// Directory that it has.
+    pub directory: Index,
+    /// Loads that it has, by the leader's count.
+    pub loads_seen: u64,
+    /// Entries that it knows, by the leader's count.
+    pub entries_seen: u64,
+    /// Quality that it has, by scores taken.
+    pub quality_seen: u64,
+    /// Loads reported to it since the last renewal, and upstreams heard.
+    pub loads: Vec<LoadRow>,
+    /// Requests that run or wait, by target.
+    pub demand: Vec<Share>,
+    /// Whether it is about to stop: it leaves the address answer.
+    pub leaving: bool,
+    /// Whether it gives the lease back.
+    pub release: bool,
+}
+
+/// An entry as callers see it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EntryInfo {
+    /// Its VM's name.
+    pub vm: Name,
+    /// Where callers reach it.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub data_centre: Name,
+}
+
+/// A level of one upstream.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LoadRow {
+    /// Upstream.
+    pub id: Name,
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// Its level; `None` where it was heard and the level is unchanged.
+    pub level: Option<Level>,
+}
+
+/// A number of requests for one target: a demand, or the slots granted for it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Share {
+    /// Target.
+    pub target: Target,
+    /// Requests.
+    pub count: u32,
+}
+
+/// What the leader answers to a renewal.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Grant {
+    /// The leader's term.
+    pub term: u64,
+    /// Whether the leader wants [`Renewal::info`] next time.
+    pub introduce: bool,
+    /// Configuration, where it is newer than the entry's.
+    pub config: Option<Box<ConfigView>>,
+    /// Upstreams that changed.
+    pub upstreams: Vec<Upstream>,
+    /// Directory that the entry has now.
+    pub directory: Index,
+    /// Levels that changed, of the entry's data centre.
+    pub loads: Vec<LoadRow>,
+    /// Count for [`Renewal::loads_seen`].
+    pub loads_seen: u64,
+    /// All entries, where they changed.
+    pub entries: Option<Vec<EntryInfo>>,
+    /// Count for [`Renewal::entries_seen`].
+    pub entries_seen: u64,
+    /// Quality, where enough has changed.
+    pub quality: Option<Box<Quality>>,
+    /// Slots that the entry may use, by target.
+    pub shares: Vec<Share>,
+}
+
+/// The configuration as entries need it.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct ConfigView {
+    /// Revision.
+    pub revision: u64,
+    /// Inventory and rules.
+    pub inventory: Arc<Inventory>,
+    /// Withdrawn versions.
+    pub withdrawn: BTreeSet<VersionName>,
+    /// Entry VMs that are being emptied.
+    pub draining: BTreeSet<Name>,
+    /// Roll-outs by model.
+    pub rollouts: BTreeMap<Name, RolloutView>,
+}
+
+/// A roll-out as entries need it.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct RolloutView {
+    /// New version.
+    pub version: VersionName,
+    /// Its share of new sessions.
+    pub share: f64,
+}
+
+impl ConfigView {
+    /// Whether `name` exists and may take new work in general.
+    pub fn takes_work(&self, name: &VersionName) -> bool {
+        crate::state::takes_work(&self.inventory, &self.withdrawn, name)
+    }
+}
+
+/// An operator's command.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Operation {
+    /// Id by which a resend is known.
+    pub change_id: Name,
+    /// Revision that the operator had seen.
+    pub expect: Option<u64>,
+    /// The change.
+    pub change: Change,
+    /// How long to wait until it is in force, in milliseconds; 0 does not wait.
+    pub wait_ms: u64,
+}
+
+/// What became of an operator's command.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct OperationReply {
+    /// Outcome.
+    pub outcome: ChangeOutcome,
+    /// Whether it is in force everywhere; `None` where nobody waited.
+    pub in_force: Option<bool>,
+    /// Entry VMs that may still work under an older revision.
+    pub lagging: Vec<Name>,
+}
+
+impl Grant {
+    /// A grant with no news.
+    pub(crate) fn empty(term: u64) -> Self {
+        Self {
+            term,
+            introduce: false,
+            config: None,
+            upstreams: Vec::new(),
+            directory: 0,
+            loads: Vec::new(),
+            loads_seen: 0,
+            entries: None,
+            entries_seen: 0,
+            quality: None,
+            shares: Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/src/peer/mod.rs
@@ -0,0 +1,24 @@
+//! What our own processes say to each other: `bincode` messages, one per `h2` stream, behind a key.
+
+mod client;
+mod message;
+mod server;
+
+pub use self::client::CallError;
+pub use self::client::Client;
+pub use self::message::ConfigView;
+pub use self::message::EntryInfo;
+pub use self::message::Formation;
+pub use self::message::Grant;
+pub use self::message::LoadRow;
+pub use self::message::Operation;
+pub use self::message::OperationReply;
+pub use self::message::Renewal;
+pub use self::message::Reply;
+pub use self::message::Request;
+pub use self::message::RolloutView;
+pub use self::message::Share;
+pub use self::server::Caller;
+pub use self::server::Handler;
+pub use self::server::Keys;
+pub use self::server::serve;
--- /dev/null
+++ b/src/replica/control.rs
@@ -0,0 +1,305 @@
+//! What the leader keeps for the entries: leases, loads, demand and who is there. All of it is
+//! rebuilt from the entries' renewals after a failover.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::core::Core;
+use crate::agreement::ReplicaId;
+use crate::collections::HashMap;
+use crate::collections::Name;
+use crate::lease::Grantor;
+use crate::lease::TTL;
+use crate::peer::ConfigView;
+use crate::peer::EntryInfo;
+use crate::peer::Grant;
+use crate::peer::LoadRow;
+use crate::peer::Renewal;
+use crate::peer::RolloutView;
+use crate::peer::Share;
+use crate::state::State;
+use crate::state::Target;
+use crate::upstream::Loads;
+use crate::upstream::Presence;
+use crate::upstream::Serves;
+use crate::upstream::Silence;
+
+/// Share of newly taken scores at which the quality table is sent again.
+const QUALITY_GROWTH: f64 = 0.02;
+
+/// Least time between two sendings of the quality table to one entry.
+const QUALITY_INTERVAL: Duration = Duration::from_secs(2);
+
+#[derive(Debug)]
+struct Known {
+    info: Option<EntryInfo>,
+    leaving: bool,
+    demand: Vec<Share>,
+    quality_sent: Option<Duration>,
+}
+
+/// The leader's soft state.
+#[derive(Debug)]
+pub(super) struct Control {
+    pub(super) grantor: Grantor,
+    pub(super) silence: Silence,
+    pub(super) since: Duration,
+    loads: Loads,
+    entries: HashMap<u64, Known>,
+    entries_changes: u64,
+    demand: HashMap<Target, u64>,
+    addresses: BTreeMap<ReplicaId, SocketAddr>,
+}
+
+impl Control {
+    pub(super) fn new(now: Duration) -> Self {
+        Self {
+            grantor: Grantor::new(now),
+            silence: Silence::default(),
+            since: now,
+            loads: Loads::default(),
+            entries: HashMap::default(),
+            entries_changes: 1,
+            demand: HashMap::default(),
+            addresses: BTreeMap::new(),
+        }
+    }
+
+    /// Where a replica that is no member yet can be reached.
+    pub(super) fn address_of(&self, id: ReplicaId) -> Option<SocketAddr> {
+        self.addresses.get(&id).copied()
+    }
+
+    /// Entries that callers may be sent to.
+    pub(super) fn entries(&self, state: &State) -> Vec<EntryInfo> {
+        let mut entries: Vec<EntryInfo> = self
+            .entries
+            .values()
+            .filter(|known| !known.leaving)
+            .filter_map(|known| known.info.clone())
+            .filter(|info| !state.draining.contains(&info.vm))
+            .collect();
+        entries.sort_by(|a, b| (&a.data_centre, a.address).cmp(&(&b.data_centre, b.address)));
+        entries
+    }
+
+    /// Drops entries whose lease has run out.
+    pub(super) fn expire(&mut self, now: Duration) {
+        for entry in self.grantor.expire(now) {
+            self.forget(entry);
+        }
+    }
+
+    fn forget(&mut self, entry: u64) {
+        if let Some(known) = self.entries.remove(&entry) {
+            self.entries_changes += 1;
+            self.add_demand(&known.demand, false);
+        }
+    }
+
+    fn add_demand(&mut self, shares: &[Share], add: bool) {
+        for share in shares {
+            let total = self.demand.entry(share.target.clone()).or_default();
+            *total = if add {
+                *total + u64::from(share.count)
+            } else {
+                total.saturating_sub(u64::from(share.count))
+            };
+        }
+        self.demand.retain(|_, total| *total > 0);
+    }
+
+    fn take(&mut self, renewal: &Renewal, now: Duration) {
+        let known = self.entries.entry(renewal.entry).or_insert_with(|| Known {
+            info: None,
+            leaving: false,
+            demand: Vec::new(),
+            quality_sent: None,
+        });
+        let introduced = renewal.info.is_some() && known.info != renewal.info;
+        if introduced {
+            known.info = renewal.info.clone();
+        }
+        if introduced || known.leaving != renewal.leaving {
+            known.leaving = renewal.leaving;
+            self.entries_changes += 1;
+        }
+        let before = std::mem::replace(&mut known.demand, renewal.demand.clone());
+        self.add_demand(&before, false);
+        self.add_demand(&renewal.demand, true);
+        for row in &renewal.loads {
+            self.silence.heard(&row.id, row.incarnation, now);
+            if let Some(level) = row.level {
+                self.loads.set(&row.id, row.incarnation, level, now);
+            }
+        }
+    }
+
+    /// Levels of one data centre that changed after `seen`.
+    fn loads_for(&self, data_centre: &str, seen: u64, state: &State) -> Vec<LoadRow> {
+        self.loads
+            .changed_after(seen)
+            .filter(|(id, _, _)| {
+                state
+                    .directory
+                    .get(id)
+                    .is_some_and(|row| &*row.announced.data_centre == data_centre)
+            })
+            .map(|(id, incarnation, level)| LoadRow {
+                id: id.clone(),
+                incarnation,
+                level: Some(level),
+            })
+            .collect()
+    }
+
+    /// Slots that an entry may use, by its part of the demand. An entry always gets one at least:
+    /// together they may exceed the pool by one request an entry.
+    fn shares(&self, demand: &[Share], state: &State) -> Vec<Share> {
+        let slots = slots_by_target(state);
+        let entries = self.entries.len().max(1) as u64;
+        slots
+            .into_iter()
+            .map(|(target, slots)| {
+                let total = self.demand.get(&target).copied().unwrap_or(0);
+                let own = demand
+                    .iter()
+                    .find(|share| share.target == target)
+                    .map_or(0, |share| u64::from(share.count));
+                // Half is given evenly, so that a burst at a quiet entry need not wait a renewal.
+                let even = slots / entries;
+                let by_demand = (slots - slots / 2) * own;
+                let count = by_demand
+                    .checked_div(total)
+                    .map_or(even, |part| even / 2 + part);
+                let count = u32::try_from(count.max(1)).unwrap_or(u32::MAX);
+                Share { target, count }
+            })
+            .collect()
+    }
+}
+
+fn slots_by_target(state: &State) -> BTreeMap<Target, u64> {
+    let mut slots = BTreeMap::new();
+    for announced in state.directory.live() {
+        let targets = match &announced.serves {
+            Serves::Versions(versions) => versions.iter().cloned().map(Target::Version).collect(),
+            Serves::Service(service) => vec![Target::Service(service.clone())],
+        };
+        for target in targets {
+            *slots.entry(target).or_default() += u64::from(announced.slots);
+        }
+    }
+    slots
+}
+
+fn config_view(state: &State) -> ConfigView {
+    let rollouts = state
+        .rollouts
+        .iter()
+        .filter(|(_, rollout)| rollout.is_open())
+        .map(|(model, rollout)| {
+            let view = RolloutView {
+                version: rollout.version.clone(),
+                share: rollout.share(),
+            };
+            (model.clone(), view)
+        })
+        .collect();
+    ConfigView {
+        revision: state.revision,
+        inventory: state.inventory.clone(),
+        withdrawn: state.withdrawn.clone(),
+        draining: state.draining.clone(),
+        rollouts,
+    }
+}
+
+impl Core {
+    /// Renews an entry's lease; the caller has made sure that this replica may.
+    pub(super) fn renew(&mut self, renewal: &Renewal) -> Grant {
+        let now = self.now();
+        let term = self.node.term();
+        if renewal.release {
+            self.control.grantor.release(renewal.entry);
+            self.control.forget(renewal.entry);
+            return Grant::empty(term);
+        }
+        self.control.take(renewal, now);
+        // Counts of another leader mean nothing here.
+        let same_leader = renewal.term == term;
+        let seen = |count: u64| if same_leader { count } else { 0 };
+        let info = self
+            .control
+            .entries
+            .get(&renewal.entry)
+            .and_then(|known| known.info.clone());
+        let (vm, data_centre): (Name, Name) =
+            info.as_ref().map_or(("?".into(), "".into()), |info| {
+                (info.vm.clone(), info.data_centre.clone())
+            });
+        let grantor = &mut self.control.grantor;
+        grantor.grant(renewal.entry, &vm, renewal.acked, now);
+        let mut grant = Grant::empty(term);
+        grant.introduce = info.is_none();
+        if renewal.revision < self.state.revision {
+            grant.config = Some(Box::new(config_view(&self.state)));
+        }
+        grant.upstreams = self.state.directory.changed_after(renewal.directory);
+        grant.directory = self.state.applied;
+        let control = &self.control;
+        grant.loads = control.loads_for(&data_centre, seen(renewal.loads_seen), &self.state);
+        grant.loads_seen = control.loads.changes();
+        grant.entries_seen = control.entries_changes;
+        // A new leader hears of entries one by one; callers keep the old answer until it knows all.
+        let settled = now >= control.since + TTL;
+        if settled && seen(renewal.entries_seen) != control.entries_changes {
+            grant.entries = Some(control.entries(&self.state));
+        }
+        if !settled {
+            grant.entries_seen = 0;
+        }
+        grant.shares = control.shares(&renewal.demand, &self.state);
+        self.add_quality(renewal, &mut grant, now);
+        grant
+    }
+
+    fn add_quality(&mut self, renewal: &Renewal, grant: &mut Grant, now: Duration) {
+        let total = self.state.quality.total();
+        let grown = total as f64 >= renewal.quality_seen as f64 * (1.0 + QUALITY_GROWTH)
+            && total > renewal.quality_seen;
+        let Some(known) = self.control.entries.get_mut(&renewal.entry) else {
+            return;
+        };
+        let due = known
+            .quality_sent
+            .is_none_or(|sent| now >= sent + QUALITY_INTERVAL);
+        if grown && due {
+            known.quality_sent = Some(now);
+            grant.quality = Some(Box::new(self.state.quality.clone()));
+        }
+    }
+
+    /// Upstreams that are live but presumably dead.
+    pub(super) fn dead_upstreams(&mut self) -> Vec<(Name, u64)> {
+        let now = self.now();
+        let mut centres: BTreeMap<&Name, Vec<(&Name, u64)>> = BTreeMap::new();
+        for row in self.state.directory.iter() {
+            if row.presence == Presence::Live {
+                let announced = &row.announced;
+                centres
+                    .entry(&announced.data_centre)
+                    .or_default()
+                    .push((&announced.id, announced.incarnation));
+            }
+        }
+        let mut dead = Vec::new();
+        for live in centres.values() {
+            for (id, incarnation) in self.control.silence.dead(live, now) {
+                dead.push((id.clone(), incarnation));
+            }
+        }
+        dead
+    }
+}
--- /dev/null
+++ b/src/replica/handler.rs
@@ -0,0 +1,241 @@
+//! Answers requests of peers, entries and operators.
+
+use std::cell::RefCell;
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+
+use super::core::Core;
+use crate::collections::Name;
+use crate::lease::Lagging;
+use crate::log::event;
+use crate::peer::Caller;
+use crate::peer::Formation;
+use crate::peer::Handler;
+use crate::peer::Operation;
+use crate::peer::OperationReply;
+use crate::peer::Reply;
+use crate::peer::Request;
+use crate::state::command::ChangeOutcome;
+use crate::state::command::ChangeRequest;
+use crate::state::command::Op;
+use crate::state::command::Outcome;
+use crate::state::query::Query;
+use crate::state::query::Report;
+
+/// Time between looks at whether a revision is in force.
+const IN_FORCE_POLL: Duration = Duration::from_millis(20);
+
+/// Longest time that an operator may wait.
+const WAIT_LIMIT: Duration = Duration::from_secs(60);
+
+/// The replica as its peer listener sees it.
+pub(super) struct ReplicaHandler {
+    core: Rc<RefCell<Core>>,
+}
+
+impl ReplicaHandler {
+    pub(super) fn new(core: Rc<RefCell<Core>>) -> Self {
+        Self { core }
+    }
+}
+
+impl Handler for ReplicaHandler {
+    fn call(&self, caller: Caller, request: Request) -> Pin<Box<dyn Future<Output = Reply>>> {
+        let core = self.core.clone();
+        Box::pin(async move {
+            match caller {
+                Caller::Peer => answer_peer(core, request).await,
+                Caller::Operator(who) => answer_operator(core, who, request).await,
+            }
+        })
+    }
+}
+
+async fn answer_peer(core: Rc<RefCell<Core>>, request: Request) -> Reply {
+    match request {
+        Request::Agreement(messages) => {
+            let mut core = core.borrow_mut();
+            for message in messages {
+                core.receive(message);
+            }
+            Reply::Done
+        }
+        Request::Formation => {
+            let core = core.borrow();
+            Reply::Formation(Formation {
+                id: core.node.id(),
+                formed: !core.node.membership().members.is_empty(),
+            })
+        }
+        Request::Join { id, address } => {
+            let mut core = core.borrow_mut();
+            if !core.serves() {
+                return not_leader(&core);
+            }
+            core.joins.insert(address, id);
+            Reply::Done
+        }
+        Request::Renew(renewal) => {
+            let mut core = core.borrow_mut();
+            if !core.serves() {
+                return not_leader(&core);
+            }
+            Reply::Grant(Box::new(core.renew(&renewal)))
+        }
+        Request::Ledger(ops) => propose(&core, Op::Ledger(ops)).await,
+        Request::Pin(pin) => propose(&core, Op::Pin(pin)).await,
+        Request::Announce(announcement) => propose(&core, Op::Announce(announcement)).await,
+        Request::Leave { id, incarnation } => propose(&core, Op::Leave { id, incarnation }).await,
+        Request::Operate(_) | Request::Ask(_) => {
+            Reply::Refused("this needs an operator's key; give --operator-key".into())
+        }
+    }
+}
+
+async fn answer_operator(core: Rc<RefCell<Core>>, who: Name, request: Request) -> Reply {
+    match request {
+        Request::Operate(operation) => operate(core, who, operation).await,
+        Request::Ask(query) => ask(&core.borrow(), &query),
+        _ => Reply::Refused("this needs the peer key".into()),
+    }
+}
+
+fn not_leader(core: &Core) -> Reply {
+    Reply::NotLeader {
+        leader: core
+            .leader_address()
+            .filter(|&leader| leader != core.listen),
+    }
+}
+
+fn submit(core: &Rc<RefCell<Core>>, op: Op) -> Result<oneshot::Receiver<Outcome>, Reply> {
+    let mut core = core.borrow_mut();
+    match core.propose(op) {
+        Some(rx) => Ok(rx),
+        None => Err(not_leader(&core)),
+    }
+}
+
+async fn propose(core: &Rc<RefCell<Core>>, op: Op) -> Reply {
+    let rx = match submit(core, op) {
+        Ok(rx) => rx,
+        Err(reply) => return reply,
+    };
+    match rx.await {
+        Ok(Outcome::Ledger(each)) => Reply::Ledger(each),
+        Ok(Outcome::Pin(outcome)) => Reply::Pin(outcome),
+        Ok(Outcome::Announce(outcome)) => Reply::Announce(outcome),
+        Ok(Outcome::Change(_) | Outcome::Done) => Reply::Done,
+        Err(_) => Reply::Unknown,
+    }
+}
+
+async fn operate(core: Rc<RefCell<Core>>, who: Name, operation: Operation) -> Reply {
+    let wait = Duration::from_millis(operation.wait_ms).min(WAIT_LIMIT);
+    let change_id = operation.change_id.clone();
+    let request = ChangeRequest {
+        change_id: operation.change_id,
+        who: who.clone(),
+        expect: operation.expect,
+        change: operation.change,
+    };
+    let rx = match submit(&core, Op::Change(request)) {
+        Ok(rx) => rx,
+        Err(reply) => return reply,
+    };
+    let Ok(Outcome::Change(outcome)) = rx.await else {
+        return Reply::Unknown;
+    };
+    let revision = core.borrow().state.revision;
+    event!(
+        Info,
+        "change",
+        who = who,
+        change_id = change_id,
+        revision = revision
+    );
+    let mut reply = OperationReply {
+        outcome,
+        in_force: None,
+        lagging: Vec::new(),
+    };
+    if let ChangeOutcome::Accepted { revision } = reply.outcome
+        && !wait.is_zero()
+    {
+        match wait_in_force(&core, revision, wait).await {
+            Some(lagging) => {
+                reply.in_force = Some(lagging.is_empty());
+                reply.lagging = lagging;
+            }
+            None => return Reply::Unknown,
+        }
+    }
+    Reply::Operate(reply)
+}
+
+/// Waits until `revision` is in force; returns who lags at the end, or `None` where this replica
+/// has lost its office and can't tell.
+async fn wait_in_force(
+    core: &Rc<RefCell<Core>>,
+    revision: u64,
+    wait: Duration,
+) -> Option<Vec<Name>> {
+    let until = core.borrow().now() + wait;
+    loop {
+        {
+            let core = core.borrow();
+            let now = core.now();
+            let lagging = lagging(&core, revision);
+            // The lease is looked at after the answer was made: it covers that moment.
+            if core.serves() && (lagging.is_empty() || now >= until) {
+                return Some(lagging);
+            }
+            if now >= until {
+                return None;
+            }
+        }
+        tokio::time::sleep(IN_FORCE_POLL).await;
+    }
+}
+
+fn lagging(core: &Core, revision: u64) -> Vec<Name> {
+    core.control
+        .grantor
+        .lagging(revision, core.now())
+        .into_iter()
+        .map(|lagging| match lagging {
+            Lagging::Holder(vm) => vm,
+            Lagging::Unknown => "leases of the former leader".into(),
+        })
+        .collect()
+}
+
+fn ask(core: &Core, query: &Query) -> Reply {
+    if !core.serves() {
+        return not_leader(core);
+    }
+    let mut report = core.state.ask(query);
+    if let Report::Status(status) = &mut report {
+        status.lagging = lagging(core, core.state.revision);
+        status.in_force = status.lagging.is_empty();
+        status.leader = core.listen.to_string();
+        status.term = core.node.term();
+        status.disk_bytes = core.disk_bytes;
+        for (id, member) in &core.node.membership().members {
+            let part = if member.voter { "voter" } else { "learner" };
+            status
+                .members
+                .push((member.address.to_string(), id.to_string(), part.to_owned()));
+        }
+        for info in core.control.entries(&core.state) {
+            status
+                .entries
+                .push((info.vm, info.data_centre, info.address.to_string()));
+        }
+    }
+    Reply::Report(Box::new(report))
+}
--- /dev/null
+++ b/src/state/command/mod.rs
@@ -0,0 +1,104 @@
+//! Commands: all that changes the state.
+
+mod change;
+mod ledger;
+mod rollout;
+mod session;
+mod sweep;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+pub use self::change::Change;
+pub use self::change::ChangeOutcome;
+pub use self::change::ChangeRequest;
+pub use self::ledger::ClaimOutcome;
+pub use self::ledger::Ending;
+pub use self::ledger::LedgerOp;
+pub use self::ledger::LedgerOutcome;
+pub use self::ledger::Leg;
+pub use self::ledger::Rating;
+pub use self::ledger::Settlement;
+pub use self::session::PinOutcome;
+pub use self::session::PinRequest;
+
+use super::State;
+use crate::agreement::Index;
+use crate::collections::Name;
+use crate::upstream::AnnounceOutcome;
+use crate::upstream::Announcement;
+
+/// One command of the log.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Command {
+    /// The proposing leader's wall clock, in milliseconds since the epoch.
+    pub at_ms: u64,
+    /// What to do.
+    pub op: Op,
+}
+
+/// What a command does.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Op {
+    /// An operator's change.
+    Change(ChangeRequest),
+    /// Steps of the ledger, in order.
+    Ledger(Vec<LedgerOp>),
+    /// Pins a session.
+    Pin(PinRequest),
+    /// An upstream has come.
+    Announce(Announcement),
+    /// An upstream leaves, or has been silent for too long.
+    Leave {
+        /// Upstream.
+        id: Name,
+        /// Incarnation that leaves.
+        incarnation: u64,
+    },
+    /// Drops what has expired.
+    Sweep,
+}
+
+/// What a command answers.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Outcome {
+    /// To a change.
+    Change(ChangeOutcome),
+    /// To ledger steps, one each.
+    Ledger(Vec<LedgerOutcome>),
+    /// To a pin.
+    Pin(PinOutcome),
+    /// To an announcement.
+    Announce(AnnounceOutcome),
+    /// To a leave or a sweep.
+    Done,
+}
+
+impl State {
+    /// Applies one committed command.
+    pub fn apply(&mut self, index: Index, command: Command) -> Outcome {
+        self.applied = index;
+        let at_ms = command.at_ms;
+        match command.op {
+            Op::Change(request) => Outcome::Change(self.change(request, at_ms)),
+            Op::Ledger(ops) => {
+                let each = ops.into_iter().map(|op| self.ledger(op, at_ms)).collect();
+                Outcome::Ledger(each)
+            }
+            Op::Pin(request) => Outcome::Pin(self.pin_session(request, at_ms)),
+            Op::Announce(announcement) => {
+                let inventory = self.inventory.clone();
+                let outcome = self.directory.announce(announcement, &inventory, index);
+                Outcome::Announce(outcome)
+            }
+            Op::Leave { id, incarnation } => {
+                self.directory.leave(&id, incarnation, index);
+                Outcome::Done
+            }
+            Op::Sweep => {
+                self.sweep(at_ms);
+                Outcome::Done
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/state/mod.rs
@@ -0,0 +1,20 @@
+//! The replicated state: what every replica computes alike from the log.
+//!
+//! `command` changes it, `query` reads it. Nothing here reads a clock: each command carries the time
+//! at which the leader proposed it.
+
+pub mod command;
+pub mod query;
+mod tables;
+
+pub use self::tables::AuditRecord;
+pub use self::tables::Bill;
+pub use self::tables::Claim;
+pub use self::tables::KeyRecord;
+pub use self::tables::Pin;
+pub use self::tables::RequestId;
+pub use self::tables::Rollout;
+pub use self::tables::RolloutState;
+pub use self::tables::State;
+pub use self::tables::Target;
+pub(crate) use self::tables::takes_work;
