Prove the promises under failure: process tests and stateful fuzzing

Cause: the whole path ran in one process only, and none of the promises had a proof.

Found on the way: (1) a formed log's first leader was never elected, because replicas that no membership names yet could not answer its pre-votes: they knew no address. Messages now carry the sender's address.

Change: 22 tests over the real binaries (kills, freezes, wiped and damaged disks, silent cuts, races, resends, broken and crossed streams, planned stops under load) and fuzzing of the log, the ledger, leases, the directory and the queues against oracles. The log's schedules have loss, duplication, reordering, partitions, crashes that lose unsynced writes, lost disks and clock jumps.

Ruled out: promoting a learner early is no safety fault; the quorum rules hold without it. It is kept as a rule of the state daemon and not planted.

--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -4,6 +4,7 @@
 //! src/api/schema.json`.
 
 #[expect(unreachable_pub, reason = "generated code keeps the generator's style")]
+#[allow(dead_code, reason = "the generator adds an error type whether it is used or not")]
 #[rustfmt::skip]
 mod generated;
 
--- a/src/cli/state.rs
+++ b/src/cli/state.rs
@@ -10,6 +10,7 @@
 use super::address;
 use super::addresses;
 use super::many;
+use super::optional;
 use super::parse_operator;
 use super::peer_key;
 use super::program;
@@ -31,6 +32,11 @@
         )
         .default_value("127.0.0.1:7500"),
     )
+    .arg(address(
+        "advertise",
+        "DAISYQUAY_STATE_ADVERTISE",
+        "Its address among --replicas, if not --listen",
+    ))
     .arg(
         address(
             "admin-listen",
@@ -76,8 +82,10 @@
 
 /// The resolved settings.
 pub fn config(matches: &ArgMatches) -> Config {
+    let listen = required(matches, "listen");
     Config {
-        listen: required(matches, "listen"),
+        listen,
+        advertise: optional(matches, "advertise").unwrap_or(listen),
         admin_listen: required(matches, "admin-listen"),
         replicas: many(matches, "replicas"),
         data: required(matches, "data"),
--- a/src/dev.rs
+++ b/src/dev.rs
@@ -46,6 +46,7 @@
     let data = std::env::temp_dir().join(format!("daisyquay-dev-{}", std::process::id()));
     let replica = replica::Config {
         listen: state_address,
+        advertise: state_address,
         admin_listen: free_address()?,
         replicas: vec![state_address],
         data: data.clone(),
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -33,7 +33,12 @@
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum Request {
     /// Messages of the log; they have no answer of their own.
-    Agreement(Vec<Message>),
+    Agreement {
+        /// The sender's address: a replica that is no member yet knows no other.
+        from: SocketAddr,
+        /// The messages.
+        messages: Vec<Message>,
+    },
     /// Asks an address whether it belongs to a log already.
     Formation,
     /// Asks the leader to take in the replica at this address as a learner.
--- a/src/replica/control.rs
+++ b/src/replica/control.rs
@@ -2,11 +2,11 @@
 //! rebuilt from the entries' renewals after a failover.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+
 use std::time::Duration;
 
 use super::core::Core;
-use crate::agreement::ReplicaId;
+
 use crate::collections::HashMap;
 use crate::collections::Name;
 use crate::lease::Grantor;
@@ -49,7 +49,6 @@
     entries: HashMap<u64, Known>,
     entries_changes: u64,
     demand: HashMap<Target, u64>,
-    addresses: BTreeMap<ReplicaId, SocketAddr>,
 }
 
 impl Control {
@@ -62,15 +61,9 @@
             entries: HashMap::default(),
             entries_changes: 1,
             demand: HashMap::default(),
-            addresses: BTreeMap::new(),
         }
     }
 
-    /// Where a replica that is no member yet can be reached.
-    pub(super) fn address_of(&self, id: ReplicaId) -> Option<SocketAddr> {
-        self.addresses.get(&id).copied()
-    }
-
     /// Entries that callers may be sent to.
     pub(super) fn entries(&self, state: &State) -> Vec<EntryInfo> {
         let mut entries: Vec<EntryInfo> = self
--- a/src/replica/core.rs
+++ b/src/replica/core.rs
@@ -41,6 +41,9 @@
 /// Commands that may wait for their outcome; more are turned away.
 const WAITING_LIMIT: usize = 20_000;
 
+/// Senders whose address is remembered; the log repeats what is lost when they are forgotten.
+const SENDER_LIMIT: usize = 64;
+
 struct Waiter {
     term: Term,
     tx: oneshot::Sender<Outcome>,
@@ -53,12 +56,14 @@
     pub(super) control: Control,
     /// Replicas that asked to be taken in, by address.
     pub(super) joins: BTreeMap<SocketAddr, ReplicaId>,
-    pub(super) listen: SocketAddr,
+    pub(super) address: SocketAddr,
     pub(super) disk_bytes: u64,
     pub(super) stopping: bool,
     clock: Arc<dyn Clock>,
     writer: Writer,
     outbox: Outbox,
+    /// Where messages came from, to answer replicas that the membership does not name yet.
+    senders: BTreeMap<ReplicaId, SocketAddr>,
     queue: Vec<(Op, oneshot::Sender<Outcome>)>,
     waiters: BTreeMap<Index, Waiter>,
     snapshot_every: u64,
@@ -84,12 +89,13 @@
             state,
             control: Control::new(now),
             joins: BTreeMap::new(),
-            listen: cfg.listen,
+            address: cfg.advertise,
             disk_bytes: 0,
             stopping: false,
             clock,
             writer,
-            outbox: Outbox::new(client),
+            outbox: Outbox::new(cfg.advertise, client),
+            senders: BTreeMap::new(),
             queue: Vec::new(),
             waiters: BTreeMap::new(),
             snapshot_every: cfg.snapshot_every,
@@ -166,7 +172,11 @@
         self.carry_out(effects);
     }
 
-    pub(super) fn receive(&mut self, message: Message) {
+    pub(super) fn receive(&mut self, from: SocketAddr, message: Message) {
+        if self.senders.len() >= SENDER_LIMIT {
+            self.senders.clear();
+        }
+        self.senders.insert(message.from, from);
         let effects = self.node.receive(message, self.clock.now());
         self.carry_out(effects);
     }
@@ -259,7 +269,7 @@
     fn send(&self, message: Message) {
         let member = self.node.membership().members.get(&message.to);
         let address = member.map(|member| member.address);
-        if let Some(address) = address.or_else(|| self.control.address_of(message.to)) {
+        if let Some(address) = address.or_else(|| self.senders.get(&message.to).copied()) {
             self.outbox.send(address, message);
         }
     }
--- a/src/replica/formation.rs
+++ b/src/replica/formation.rs
@@ -45,14 +45,14 @@
             .replicas
             .iter()
             .copied()
-            .filter(|&address| address != cfg.listen)
+            .filter(|&address| address != cfg.advertise)
             .collect();
         let mut answers = Vec::new();
         for &address in &others {
             answers.push((address, ask(&client, address).await));
         }
         let id = core.borrow().node.id();
-        match verdict(cfg.listen, id, &answers) {
+        match verdict(cfg.advertise, id, &answers) {
             Verdict::Wait => {}
             Verdict::Form(members) => {
                 core.borrow_mut().form(members, &cfg);
@@ -114,7 +114,7 @@
 async fn join(core: &Rc<RefCell<Core>>, client: &Client, cfg: &Config, address: SocketAddr) {
     let request = Request::Join {
         id: core.borrow().node.id(),
-        address: cfg.listen,
+        address: cfg.advertise,
     };
     let reply = client.call(address, &request, ANSWER_LIMIT).await;
     if let Ok(Reply::NotLeader {
--- a/src/replica/handler.rs
+++ b/src/replica/handler.rs
@@ -57,10 +57,10 @@
 
 async fn answer_peer(core: Rc<RefCell<Core>>, request: Request) -> Reply {
     match request {
-        Request::Agreement(messages) => {
+        Request::Agreement { from, messages } => {
             let mut core = core.borrow_mut();
             for message in messages {
-                core.receive(message);
+                core.receive(from, message);
             }
             Reply::Done
         }
@@ -108,7 +108,7 @@
     Reply::NotLeader {
         leader: core
             .leader_address()
-            .filter(|&leader| leader != core.listen),
+            .filter(|&leader| leader != core.address),
     }
 }
 
@@ -222,7 +222,7 @@
     if let Report::Status(status) = &mut report {
         status.lagging = lagging(core, core.state.revision);
         status.in_force = status.lagging.is_empty();
-        status.leader = core.listen.to_string();
+        status.leader = core.address.to_string();
         status.term = core.node.term();
         status.disk_bytes = core.disk_bytes;
         for (id, member) in &core.node.membership().members {
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -37,8 +37,10 @@
 /// What a state replica is started with.
 #[derive(Clone, Debug)]
 pub struct Config {
-    /// Where its peer listener is; other replicas reach it there.
+    /// Where its peer listener is.
     pub listen: SocketAddr,
+    /// Where the other processes reach that listener; one of `replicas`.
+    pub advertise: SocketAddr,
     /// Where the admin listener is.
     pub admin_listen: SocketAddr,
     /// Peer listeners of all replicas, this one's included.
--- a/src/replica/outbox.rs
+++ b/src/replica/outbox.rs
@@ -28,13 +28,15 @@
 /// Queues of messages by peer.
 #[derive(Clone)]
 pub(super) struct Outbox {
+    own: SocketAddr,
     client: Client,
     lanes: Rc<RefCell<HashMap<SocketAddr, Lane>>>,
 }
 
 impl Outbox {
-    pub(super) fn new(client: Client) -> Self {
+    pub(super) fn new(own: SocketAddr, client: Client) -> Self {
         Self {
+            own,
             client,
             lanes: Rc::default(),
         }
@@ -64,7 +66,10 @@
                 }
                 std::mem::take(&mut lane.queue)
             };
-            let request = Request::Agreement(batch);
+            let request = Request::Agreement {
+                from: self.own,
+                messages: batch,
+            };
             // A lost batch is the log's own business: it repeats what matters.
             let _ = self.client.call(to, &request, CALL_LIMIT).await;
         }
--- /dev/null
+++ b/tests/fuzz/admission.rs
@@ -0,0 +1,158 @@
+//! Queues before a pool: no slot is lost or given twice, nobody who waits is forgotten, weights
+//! are kept, and deferrable work has its floor.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use daisyquay::policy::admission::Offer;
+use daisyquay::policy::admission::Pool;
+use daisyquay::policy::admission::Priority;
+use daisyquay::policy::admission::Waiting;
+use quickcheck::Arbitrary;
+use quickcheck::Gen;
+
+use crate::hold;
+
+const STEPS: usize = 200;
+const SCHEDULES: u64 = 1000;
+const QUEUE: Duration = Duration::from_secs(2);
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Offer { organisation: u8, deferrable: bool },
+    Finish,
+    Resize(u8),
+    Pass(u16),
+    Withdraw(u8),
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        match u8::arbitrary(g) % 12 {
+            0..=5 => Self::Offer {
+                organisation: u8::arbitrary(g) % 3,
+                deferrable: bool::arbitrary(g),
+            },
+            6..=8 => Self::Finish,
+            9 => Self::Resize(u8::arbitrary(g) % 6),
+            10 => Self::Pass(u16::arbitrary(g) % 700),
+            _ => Self::Withdraw(u8::arbitrary(g)),
+        }
+    }
+}
+
+fn waiting(ticket: u64, organisation: u8, deferrable: bool, now: Duration) -> Waiting {
+    Waiting {
+        ticket,
+        organisation: format!("org-{organisation}").into(),
+        weight: u32::from(organisation) + 1,
+        priority: if deferrable {
+            Priority::Deferrable
+        } else {
+            Priority::Interactive
+        },
+        until: now + QUEUE,
+    }
+}
+
+fn run(steps: &[Step]) -> Result<(), String> {
+    let mut pool = Pool::default();
+    let (mut slots, mut running, mut ticket) = (2_u32, 0_u32, 0_u64);
+    pool.resize(slots);
+    let mut now = Duration::ZERO;
+    let mut queued = BTreeSet::new();
+    for step in steps {
+        match *step {
+            Step::Offer {
+                organisation,
+                deferrable,
+            } => {
+                ticket += 1;
+                match pool.offer(waiting(ticket, organisation, deferrable, now), now, 0.5) {
+                    Offer::Run => running += 1,
+                    Offer::Wait => {
+                        queued.insert(ticket);
+                    }
+                    Offer::Refuse { retry_after } if retry_after.is_zero() => {
+                        return Err("a refusal without a time to come back".to_owned());
+                    }
+                    Offer::Refuse { .. } => {}
+                }
+            }
+            Step::Finish if running > 0 => {
+                running -= 1;
+                pool.finished(Duration::from_millis(100));
+            }
+            Step::Finish => {}
+            Step::Resize(n) => {
+                slots = n.into();
+                pool.resize(slots);
+            }
+            Step::Pass(ms) => {
+                now += Duration::from_millis(ms.into());
+                for (gone, _) in pool.expired(now, 0.5) {
+                    if gone.until > now || !queued.remove(&gone.ticket) {
+                        return Err(format!("{gone:?} was given up wrongly"));
+                    }
+                }
+            }
+            Step::Withdraw(pick) => {
+                let at = usize::from(pick) % queued.len().max(1);
+                if let Some(&ticket) = queued.iter().nth(at) {
+                    queued.remove(&ticket);
+                    pool.withdraw(ticket);
+                }
+            }
+        }
+        while let Some(next) = pool.take_next() {
+            if !queued.remove(&next.ticket) {
+                return Err(format!("{next:?} ran and did not wait"));
+            }
+            running += 1;
+            if running > slots {
+                return Err(format!("{running} run on {slots} slots"));
+            }
+        }
+        if running < slots && !queued.is_empty() {
+            return Err("a slot is free while requests wait".to_owned());
+        }
+        if pool.waiting() != queued.len() || pool.running() != running {
+            return Err("the counts differ".to_owned());
+        }
+    }
+    Ok(())
+}
+
+#[test]
+fn the_queues_hold() {
+    hold(STEPS, SCHEDULES, run);
+}
+
+#[test]
+fn weights_are_kept_and_deferrable_work_has_its_floor() {
+    let mut pool = Pool::default();
+    pool.resize(1);
+    let until = Duration::from_secs(1_000_000);
+    let mut ticket = 0;
+    let mut offer = |pool: &mut Pool, organisation: u8, deferrable: bool| {
+        ticket += 1;
+        let request = waiting(ticket, organisation, deferrable, until);
+        pool.offer(request, Duration::ZERO, 0.0);
+    };
+    offer(&mut pool, 0, false);
+    for _ in 0..300 {
+        offer(&mut pool, 0, false);
+        offer(&mut pool, 2, false);
+        offer(&mut pool, 1, true);
+    }
+    let mut served = [0.0_f64; 3];
+    for _ in 0..200 {
+        pool.finished(Duration::from_millis(1));
+        let next = pool.take_next().unwrap();
+        let organisation: usize = next.organisation[4..].parse().unwrap();
+        served[organisation] += 1.0;
+    }
+    assert_eq!(served[1], 20.0, "one in ten goes to deferrable work");
+    let ratio = served[2] / served[0];
+    assert!((ratio - 3.0).abs() < 0.2, "weights 1 and 3 got {served:?}");
+}
--- /dev/null
+++ b/tests/fuzz/upstream.rs
@@ -0,0 +1,132 @@
+//! The directory: an incarnation that has left never comes back, in whatever order news arrives.
+
+use std::collections::BTreeMap;
+
+use daisyquay::config;
+use daisyquay::state::State;
+use daisyquay::state::command::Change;
+use daisyquay::state::command::ChangeRequest;
+use daisyquay::state::command::Command;
+use daisyquay::state::command::Op;
+use daisyquay::upstream::Announcement;
+use daisyquay::upstream::Directory;
+use daisyquay::upstream::Presence;
+use daisyquay::upstream::Serves;
+use quickcheck::Arbitrary;
+use quickcheck::Gen;
+
+use crate::hold;
+
+const INVENTORY: &str = include_str!("../../examples/inventory.toml");
+const STEPS: usize = 80;
+const SCHEDULES: u64 = 1000;
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Announce {
+        id: u8,
+        incarnation: u8,
+    },
+    Leave {
+        id: u8,
+        incarnation: u8,
+    },
+    Sweep,
+    /// An entry takes the rows that changed since it asked last.
+    Follow,
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let id = u8::arbitrary(g) % 3;
+        let incarnation = u8::arbitrary(g) % 6;
+        match u8::arbitrary(g) % 8 {
+            0..=3 => Self::Announce { id, incarnation },
+            4..=5 => Self::Leave { id, incarnation },
+            6 => Self::Sweep,
+            _ => Self::Follow,
+        }
+    }
+}
+
+fn announcement(id: u8, incarnation: u8) -> Announcement {
+    Announcement {
+        id: format!("u{id}").into(),
+        incarnation: incarnation.into(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        data_centre: "dc1".into(),
+        serves: Serves::Versions(vec!["notes@small".parse().unwrap()]),
+        slots: 4,
+        fences_orders: false,
+    }
+}
+
+fn run(steps: &[Step]) -> Result<(), String> {
+    let mut state = State::default();
+    let mut index = 1;
+    let inventory = config::parse(INVENTORY).unwrap();
+    let first = Op::Change(ChangeRequest {
+        change_id: "first".into(),
+        who: "ann".into(),
+        expect: None,
+        change: Change::Apply(inventory.into()),
+    });
+    state.apply(
+        index,
+        Command {
+            at_ms: 1,
+            op: first,
+        },
+    );
+    let mut left: BTreeMap<u8, u8> = BTreeMap::new();
+    let mut follower = Directory::default();
+    let mut followed = 0;
+    for step in steps {
+        index += 1;
+        let op = match *step {
+            Step::Announce { id, incarnation } => Op::Announce(announcement(id, incarnation)),
+            Step::Leave { id, incarnation } => {
+                let known = state.directory.get(&format!("u{id}"));
+                let here =
+                    known.is_some_and(|row| row.announced.incarnation <= u64::from(incarnation));
+                if here {
+                    let known = known.map_or(0, |row| row.announced.incarnation);
+                    let gone = left.entry(id).or_default();
+                    *gone = (*gone).max(u8::try_from(known).unwrap() + 1);
+                }
+                Op::Leave {
+                    id: format!("u{id}").into(),
+                    incarnation: incarnation.into(),
+                }
+            }
+            Step::Sweep => Op::Sweep,
+            Step::Follow => {
+                follower.merge(state.directory.changed_after(followed));
+                followed = state.applied;
+                let same = state.directory.iter().all(|row| {
+                    follower.get(&row.announced.id).is_some_and(|known| {
+                        known.presence == row.presence && known.announced == row.announced
+                    })
+                });
+                if !same {
+                    return Err("a follower differs after it asked".to_owned());
+                }
+                continue;
+            }
+        };
+        state.apply(index, Command { at_ms: index, op });
+        for row in state.directory.iter() {
+            let id: u8 = row.announced.id[1..].parse().unwrap();
+            let gone = left.get(&id).copied().unwrap_or(0);
+            if row.presence == Presence::Live && row.announced.incarnation < u64::from(gone) {
+                return Err(format!("{row:?} came back after it had left"));
+            }
+        }
+    }
+    Ok(())
+}
+
+#[test]
+fn the_directory_holds() {
+    hold(STEPS, SCHEDULES, run);
+}
--- /dev/null
+++ b/tests/process/stops.rs
@@ -0,0 +1,132 @@
+//! Planned stops cut off nothing; upstreams that leave get nothing new.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use crate::support::Cluster;
+use crate::support::KEY;
+use crate::support::chat_body;
+use crate::support::eventually;
+use crate::support::get;
+use crate::support::post;
+use crate::support::stream_text;
+
+const SLOW: [&str; 6] = [
+    "--versions",
+    "notes@small",
+    "--token",
+    "0.01",
+    "--slots",
+    "64",
+];
+
+/// Callers that ask for addresses as callers do, and count what goes wrong.
+fn callers(
+    cluster: &Cluster,
+    count: usize,
+    stop: &Arc<AtomicBool>,
+) -> Vec<thread::JoinHandle<(u64, Vec<String>)>> {
+    (0..count)
+        .map(|i| {
+            let stop = stop.clone();
+            let seeds = cluster.entry_addresses.clone();
+            thread::spawn(move || {
+                let mut served = 0;
+                let mut wrong = Vec::new();
+                while !stop.load(Ordering::SeqCst) {
+                    let answer = seeds
+                        .iter()
+                        .cycle()
+                        .skip(i)
+                        .take(seeds.len())
+                        .find_map(|&seed| {
+                            get(seed, "/v1/address", &[]).filter(|reply| reply.status == 200)
+                        });
+                    let answer = answer.unwrap().json();
+                    let rows = answer["addresses"].as_array().unwrap();
+                    let row = &rows[i % rows.len()];
+                    let address = row["address"].as_str().unwrap().parse().unwrap();
+                    let body = chat_body("notes", &format!("caller {i}"), 60, true);
+                    match post(address, "/v1/chat/completions", &[KEY], &body) {
+                        Some(reply) if stream_text(&reply).is_some() => served += 1,
+                        other => wrong.push(format!("{address}: {other:?}")),
+                    }
+                }
+                (served, wrong)
+            })
+        })
+        .collect()
+}
+
+#[test]
+fn two_entries_and_a_replica_stop_under_load_and_cut_nothing() {
+    let mut cluster = Cluster::loaded(3, 3);
+    let (_runner, _) = cluster.standin("runner-1", &SLOW);
+    let stop = Arc::new(AtomicBool::new(false));
+    let running = callers(&cluster, 6, &stop);
+    thread::sleep(Duration::from_secs(1));
+    cluster.entries[0].stop();
+    cluster.entries[1].stop();
+    let leader = cluster.leader();
+    cluster.replicas[leader].stop();
+    for i in [0, 1] {
+        let code = eventually("the entry has stopped", || cluster.entries[i].ended());
+        assert_eq!(code, Some(0));
+    }
+    let code = eventually("the replica has stopped", || {
+        cluster.replicas[leader].ended()
+    });
+    assert_eq!(code, Some(0));
+    stop.store(true, Ordering::SeqCst);
+    let mut total = 0;
+    for caller in running {
+        let (served, wrong) = caller.join().unwrap();
+        assert_eq!(wrong, Vec::<String>::new());
+        total += served;
+    }
+    cluster.settled();
+    assert_eq!(cluster.billed("lagon"), total);
+}
+
+#[test]
+fn a_leaving_upstream_gets_nothing_new_and_a_late_report_does_not_bring_it_back() {
+    let mut cluster = Cluster::loaded(3, 2);
+    let (leaving, a) = cluster.standin("runner-1", &["--versions", "notes@small"]);
+    let (_stays, _) = cluster.standin("runner-2", &["--versions", "notes@small"]);
+    let upstreams = cluster.show("upstreams");
+    let row = upstreams
+        .as_array()
+        .unwrap()
+        .iter()
+        .find(|row| row["id"] == "runner-1")
+        .unwrap();
+    let incarnation = row["incarnation"].clone();
+    let key = ("authorization", "Bearer dev-upstream-key");
+    let leave = serde_json::json!({ "id": "runner-1", "incarnation": incarnation }).to_string();
+    let left = post(
+        cluster.entry_addresses[0],
+        "/upstream/leave",
+        &[key],
+        &leave,
+    )
+    .unwrap();
+    assert_eq!(left.status, 204);
+    // The promise is a few seconds; by then every entry has the news or has lost its lease.
+    thread::sleep(Duration::from_secs(3));
+    let before = cluster.seen_total(a, "runs");
+    let report = serde_json::json!({ "id": "runner-1", "incarnation": incarnation, "running": 0 });
+    for entry in 0..2 {
+        let address = cluster.entry_addresses[entry];
+        let late = post(address, "/upstream/load", &[key], &report.to_string()).unwrap();
+        assert_eq!(late.status, 404);
+        for i in 0..10 {
+            let body = chat_body("notes@small", &format!("{i}"), 3, false);
+            assert_eq!(cluster.chat(entry, &[], &body).unwrap().status, 200);
+        }
+    }
+    assert_eq!(cluster.seen_total(a, "runs"), before);
+    drop(leaving);
+}
--- /dev/null
+++ b/tests/process/streams.rs
@@ -0,0 +1,130 @@
+//! Answers arrive whole, whatever upstreams do.
+
+use crate::support::Cluster;
+use crate::support::chat_body;
+use crate::support::eventually;
+use crate::support::stream_text;
+
+const SMALL: [&str; 2] = ["--versions", "notes@small"];
+const SLOW: [&str; 4] = ["--versions", "notes@small", "--token", "0.01"];
+
+/// The text that the stand-ins give to `prompt`.
+fn expected(cluster: &Cluster, prompt: &str, tokens: u32) -> String {
+    let body = chat_body("notes@small", prompt, tokens, false);
+    let reply = cluster.chat(0, &[], &body).unwrap();
+    let text = reply.json()["choices"][0]["message"]["content"].clone();
+    text.as_str()
+        .unwrap_or_else(|| panic!("{}", reply.body))
+        .to_owned()
+}
+
+#[test]
+fn a_broken_stream_is_resumed_at_its_token() {
+    let mut cluster = Cluster::loaded(1, 1);
+    let (_a, a) = cluster.standin("runner-1", &SMALL);
+    let (_b, b) = cluster.standin("runner-2", &SMALL);
+    let text = expected(&cluster, "resume me", 40);
+    cluster.fault(a, r#"{"die_after_tokens":13}"#);
+    for _ in 0..6 {
+        let body = chat_body("notes@small", "resume me", 40, true);
+        let reply = cluster.chat(0, &[], &body).unwrap();
+        assert_eq!(
+            stream_text(&reply).as_deref(),
+            Some(text.as_str()),
+            "{}",
+            reply.body
+        );
+        assert!(
+            !reply.body.contains("-1\""),
+            "the caller sees one id: {}",
+            reply.body
+        );
+    }
+    let resumed = cluster.seen_total(a, "runs") + cluster.seen_total(b, "runs");
+    assert!(resumed > 7, "no stream broke in {resumed} runs");
+    cluster.settled();
+    assert_eq!(cluster.billed("lagon"), 7);
+}
+
+#[test]
+fn a_stream_that_cant_go_on_ends_with_an_error() {
+    let mut cluster = Cluster::loaded(1, 1);
+    let (_a, a) = cluster.standin("runner-1", &SMALL);
+    for fault in [
+        r#"{"die_after_tokens":5}"#,
+        r#"{"short":true}"#,
+        r#"{"crossed":true}"#,
+    ] {
+        cluster.fault(a, fault);
+        let reply = cluster
+            .chat(0, &[], &chat_body("notes", "p", 40, true))
+            .unwrap();
+        assert_eq!(stream_text(&reply), None, "{fault}: {}", reply.body);
+        assert!(reply.body.contains("\"error\""), "{fault}: {}", reply.body);
+        assert!(!reply.body.contains("[DONE]"), "{fault}: {}", reply.body);
+        cluster.fault(a, "{}");
+        // The circuit may be open for a moment.
+        eventually("the upstream is used again", || {
+            let reply = cluster.chat(0, &[], &chat_body("notes", "p", 4, true))?;
+            stream_text(&reply)
+        });
+    }
+}
+
+#[test]
+fn an_answer_with_another_id_never_reaches_the_caller() {
+    let mut cluster = Cluster::loaded(1, 1);
+    let (_a, a) = cluster.standin("runner-1", &SMALL);
+    let (_b, _) = cluster.standin("runner-2", &SMALL);
+    let text = expected(&cluster, "whose", 20);
+    for fault in [r#"{"wrong_id":true}"#, r#"{"crossed":true}"#] {
+        cluster.fault(a, fault);
+        for streamed in [true, false] {
+            for _ in 0..3 {
+                let body = chat_body("notes@small", "whose", 20, streamed);
+                let reply = cluster.chat(0, &[], &body).unwrap();
+                let got = if streamed {
+                    stream_text(&reply)
+                } else {
+                    let content = &reply.json()["choices"][0]["message"]["content"];
+                    content.as_str().map(ToOwned::to_owned)
+                };
+                assert_eq!(
+                    got.as_deref(),
+                    Some(text.as_str()),
+                    "{fault}: {}",
+                    reply.body
+                );
+            }
+        }
+    }
+}
+
+#[test]
+fn a_killed_entrys_stream_is_billed_once_from_the_engines_record() {
+    let mut cluster = Cluster::loaded(3, 2);
+    let (_runner, runner) = cluster.standin("runner-1", &SLOW);
+    let address = cluster.entry_addresses[0];
+    let caller = std::thread::spawn(move || {
+        let body = chat_body("notes", "long", 400, true);
+        crate::support::post(
+            address,
+            "/v1/chat/completions",
+            &[crate::support::KEY],
+            &body,
+        )
+    });
+    eventually("the request is claimed", || {
+        (cluster.show("status")["open_claims"] == 1).then_some(())
+    });
+    std::thread::sleep(std::time::Duration::from_millis(500));
+    cluster.entries[0].kill();
+    let reply = caller.join().unwrap();
+    assert!(reply.is_none_or(|reply| stream_text(&reply).is_none()));
+    cluster.settled();
+    assert_eq!(cluster.billed("lagon"), 1);
+    let bill = cluster.show("bill");
+    let tokens = bill[0]["tokens_out"].as_u64().unwrap();
+    assert!((1..400).contains(&tokens), "{bill}");
+    assert_eq!(cluster.seen_total(runner, "runs"), 1);
+}
--- /dev/null
+++ b/tests/process/support/mod.rs
@@ -0,0 +1,37 @@
+//! One small helper that starts the real programs on loopback and talks to them.
+
+mod cluster;
+mod cut;
+mod http;
+mod program;
+
+pub(crate) use self::cluster::Cluster;
+pub(crate) use self::cluster::INVENTORY;
+pub(crate) use self::cluster::KEY;
+pub(crate) use self::cut::Cut;
+pub(crate) use self::http::Reply;
+pub(crate) use self::http::chat_body;
+pub(crate) use self::http::get;
+pub(crate) use self::http::post;
+pub(crate) use self::http::send;
+pub(crate) use self::http::stream_text;
+pub(crate) use self::program::Program;
+
+use std::time::Duration;
+use std::time::Instant;
+
+/// How long a state of affairs may take to come about before a test gives up on it. It bounds a
+/// hang; no test passes or fails by speed.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Waits until `check` gives a value.
+pub(crate) fn eventually<T>(what: &str, mut check: impl FnMut() -> Option<T>) -> T {
+    let until = Instant::now() + PATIENCE;
+    loop {
+        if let Some(value) = check() {
+            return value;
+        }
+        assert!(Instant::now() < until, "never came about: {what}");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
--- /dev/null
+++ b/tests/process/support/program.rs
@@ -0,0 +1,74 @@
+//! A program that a test started; it ends with the test.
+
+use std::fs::File;
+use std::path::Path;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+
+use nix::sys::signal::Signal;
+use nix::sys::signal::kill;
+use nix::unistd::Pid;
+
+/// A running program.
+pub(crate) struct Program {
+    child: Child,
+}
+
+impl Program {
+    /// Starts the binary `path` with its log in `log`.
+    pub(crate) fn start(path: &str, args: &[String], log: &Path) -> Self {
+        let file = File::options().create(true).append(true).open(log).unwrap();
+        let child = Command::new(path)
+            .args(args)
+            .env_clear()
+            .env("RUST_BACKTRACE", "1")
+            .stdin(Stdio::null())
+            .stdout(file.try_clone().unwrap())
+            .stderr(file)
+            .spawn()
+            .unwrap();
+        Self { child }
+    }
+
+    pub(crate) fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    pub(crate) fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(i32::try_from(self.child.id()).unwrap());
+        kill(pid, signal).unwrap();
+    }
+
+    /// Freezes the program.
+    pub(crate) fn freeze(&self) {
+        self.signal(Signal::SIGSTOP);
+    }
+
+    /// Lets a frozen program go on.
+    pub(crate) fn thaw(&self) {
+        self.signal(Signal::SIGCONT);
+    }
+
+    /// Ends the program at once.
+    pub(crate) fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Asks the program to stop.
+    pub(crate) fn stop(&self) {
+        self.signal(Signal::SIGTERM);
+    }
+
+    /// The exit code, once the program has ended.
+    pub(crate) fn ended(&mut self) -> Option<Option<i32>> {
+        self.child.try_wait().unwrap().map(|status| status.code())
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
