--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -3,6 +3,7 @@
 pub mod dev;
 pub mod entry;
 mod exit;
+pub mod experiment;
 pub mod operator;
 pub mod standin;
 pub mod state;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod config;
 pub mod dev;
 pub mod entry;
+pub mod experiment;
 pub mod lease;
 pub mod operator;
 pub mod peer;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -6,3 +6,4 @@
 pub mod quality;
 pub mod retry;
 pub mod rollout;
+pub mod share;
--- a/src/replica/control.rs
+++ b/src/replica/control.rs
@@ -18,6 +18,7 @@
 use crate::peer::Renewal;
 use crate::peer::RolloutView;
 use crate::peer::Share;
+use crate::policy::share;
 use crate::state::State;
 use crate::state::Target;
 use crate::upstream::Loads;
@@ -147,8 +148,7 @@
             .collect()
     }
 
-    /// Slots that an entry may use, by its part of the demand. An entry always gets one at least:
-    /// together they may exceed the pool by one request an entry.
+    /// Slots that an entry may use, by its part of the demand.
     fn shares(&self, demand: &[Share], state: &State) -> Vec<Share> {
         let slots = slots_by_target(state);
         let entries = self.entries.len().max(1) as u64;
@@ -160,13 +160,7 @@
                     .iter()
                     .find(|share| share.target == target)
                     .map_or(0, |share| u64::from(share.count));
-                // Half is given evenly, so that a burst at a quiet entry need not wait a renewal.
-                let even = slots / entries;
-                let by_demand = (slots - slots / 2) * own;
-                let count = by_demand
-                    .checked_div(total)
-                    .map_or(even, |part| even / 2 + part);
-                let count = u32::try_from(count.max(1)).unwrap_or(u32::MAX);
+                let count = share::slots(slots, entries, own, total);
                 Share { target, count }
             })
             .collect()
