Rate what explores, go on guarding, and count own requests at report time

Cause, by the experiments: (1) the planner tried cheaper versions for 2% of requests but rated only a tenth of those, so nearly nothing was learnt of them; (2) the guard ended with the roll-out; (3) a load report was set against the entry's own requests at its arrival, not at the upstream's look, so what was sent in between counted nowhere; (4) granted slots bound an entry while others had free ones.

--- a/src/entry/runners.rs
+++ b/src/entry/runners.rs
@@ -7,16 +7,20 @@
 use crate::collections::HashMap;
 use crate::collections::Name;
 use crate::policy::choice::Candidate;
+use crate::upstream;
 use crate::upstream::Announcement;
 use crate::upstream::Health;
 use crate::upstream::Level;
 use crate::upstream::Loads;
 
+/// Mean time from an upstream's look at its load until an entry has the level: half a report
+/// interval, and two renewals of which half has gone by.
+const REPORT_TRANSIT: Duration = Duration::from_millis(650);
+
 #[derive(Debug, Default)]
 struct Runner {
     health: Health,
-    in_flight: u32,
-    in_flight_then: u32,
+    own: upstream::InFlight,
 }
 
 /// The table of upstreams.
@@ -30,14 +34,11 @@
     /// Takes a reported level.
     pub(crate) fn set_level(&mut self, id: &Name, incarnation: u64, level: Level, now: Duration) {
         self.loads.set(id, incarnation, level, now);
-        if let Some(row) = self.rows.get_mut(id) {
-            row.in_flight_then = row.in_flight;
-        }
     }
 
     /// Forgets upstreams that `keep` refuses and that nothing runs on.
     pub(crate) fn retain(&mut self, keep: impl Fn(&Name) -> bool) {
-        self.rows.retain(|id, row| row.in_flight > 0 || keep(id));
+        self.rows.retain(|id, row| row.own.count() > 0 || keep(id));
         self.loads.retain(keep);
     }
 
@@ -52,13 +53,14 @@
         let reported = self
             .loads
             .get(&announced.id)
-            .map(|(level, at)| (level.share(), now.saturating_sub(at)));
+            .map(|(level, at)| (level.share(), now.saturating_sub(at) + REPORT_TRANSIT));
+        let sampled = reported.map_or(now, |(_, age)| now.saturating_sub(age));
         Candidate {
             id: announced.id.clone(),
             slots: announced.slots,
             reported,
-            in_flight: row.map_or(0, |row| row.in_flight),
-            in_flight_then: row.map_or(0, |row| row.in_flight_then),
+            in_flight: row.map_or(0, |row| row.own.count()),
+            in_flight_then: row.map_or(0, |row| row.own.at(sampled)),
             near: announced.data_centre == *data_centre,
             circuit: row.map_or(crate::upstream::Circuit::Closed, |row| {
                 row.health.circuit(now)
@@ -86,7 +88,7 @@
         let started = shared.now();
         let mut runners = shared.runners.lock();
         let row = runners.row(&upstream.id);
-        row.in_flight += 1;
+        row.own.add(started);
         row.health.started();
         drop(runners);
         Self {
@@ -122,7 +124,7 @@
         let now = self.shared.now();
         let mut runners = self.shared.runners.lock();
         let row = runners.row(&self.upstream.id);
-        row.in_flight = row.in_flight.saturating_sub(1);
+        row.own.remove(now);
         if !self.told {
             row.health.waiting(now.saturating_sub(self.started));
             row.health.abandoned();
--- a/src/experiment/load.rs
+++ b/src/experiment/load.rs
@@ -20,6 +20,7 @@
 use crate::policy::retry::Reached;
 use crate::policy::share;
 use crate::upstream::Health;
+use crate::upstream::InFlight;
 
 use super::model;
 use super::table::Table;
@@ -147,8 +148,7 @@
 
 struct Known {
     health: Health,
-    in_flight: u32,
-    in_flight_then: u32,
+    own: InFlight,
     reported: Option<(f64, Duration)>,
 }
 
@@ -172,7 +172,8 @@
     reports: VecDeque<(Duration, Vec<f64>)>,
     names: Vec<Name>,
     organisations: Vec<Name>,
-    turn: usize,
+    /// Each entry's own turn: entries can't share one.
+    turns: [usize; ENTRIES],
     sent: u64,
     firsts: Vec<f64>,
     good: Vec<u64>,
@@ -188,8 +189,7 @@
             known: (0..RUNNERS)
                 .map(|_| Known {
                     health: Health::default(),
-                    in_flight: 0,
-                    in_flight_then: 0,
+                    own: InFlight::default(),
                     reported: None,
                 })
                 .collect(),
@@ -215,7 +215,7 @@
             organisations: (0..ORGANISATIONS.len())
                 .map(|i| format!("org-{i}").into())
                 .collect(),
-            turn: 0,
+            turns: [0, 6, 12, 18],
             sent: 0,
             firsts: Vec::new(),
             good: vec![0; usize::try_from(END.as_secs()).unwrap_or(0) + 1],
@@ -350,8 +350,9 @@
     fn choose(&mut self, request: usize) -> Option<usize> {
         match self.policy {
             Policy::RoundRobin => {
-                self.turn += 1;
-                Some(self.turn % RUNNERS)
+                let turn = &mut self.turns[self.requests[request].entry];
+                *turn += 1;
+                Some(*turn % RUNNERS)
             }
             Policy::Random => Some(self.rng.usize(..RUNNERS)),
             Policy::Ours => {
@@ -366,8 +367,8 @@
                         reported: known
                             .reported
                             .map(|(level, at)| (level, self.now.saturating_sub(at))),
-                        in_flight: known.in_flight,
-                        in_flight_then: known.in_flight_then,
+                        in_flight: known.own.count(),
+                        in_flight_then: known.reported.map_or(0, |(_, at)| known.own.at(at)),
                         near: true,
                         circuit: known.health.circuit(self.now),
                         first_s: known.health.first_s(),
@@ -386,8 +387,9 @@
         };
         self.requests[request].attempts += 1;
         self.sent += u64::from(self.now >= MEASURE_FROM);
+        let now = self.now;
         let known = &mut self.entries[self.requests[request].entry].known[runner];
-        known.in_flight += 1;
+        known.own.add(now);
         known.health.started();
         if self.runners[runner].cut {
             self.push(self.now + CONNECT, Event::TimeOut { request, runner });
@@ -420,7 +422,7 @@
             self.serve(next, runner);
         }
         let done = &self.requests[request];
-        self.entries[done.entry].known[runner].in_flight -= 1;
+        self.entries[done.entry].known[runner].own.remove(self.now);
         let whole = self.now.saturating_sub(done.arrived) <= DEADLINE;
         if whole {
             let second = usize::try_from(self.now.as_secs()).unwrap_or(0);
@@ -441,7 +443,7 @@
         let failed = &mut self.requests[request];
         failed.tried.push(self.names[runner].clone());
         let entry = &mut self.entries[failed.entry];
-        entry.known[runner].in_flight = entry.known[runner].in_flight.saturating_sub(1);
+        entry.known[runner].own.remove(now);
         entry.known[runner].health.failed(now);
         let left = DEADLINE.saturating_sub(now.saturating_sub(failed.arrived));
         let again = match policy {
@@ -526,10 +528,6 @@
                 .pool
                 .resize(share::slots(pool, ENTRIES as u64, own, total));
             for (known, level) in entry.known.iter_mut().zip(&levels) {
-                // A report that says nothing new is no report.
-                if known.reported.is_none_or(|(before, _)| before != *level) {
-                    known.in_flight_then = known.in_flight;
-                }
                 known.reported = Some((*level, at));
             }
         }
--- a/src/experiment/quality.rs
+++ b/src/experiment/quality.rs
@@ -212,7 +212,9 @@
             rating_cost: RATING_COST,
             may_explore: true,
         };
-        match plan::plan(&candidates, &ask, draw) {
+        let planned = plan::plan(&candidates, &ask, draw);
+        let explores = planned.as_ref().is_some_and(|planned| planned.explores);
+        match planned.map(|planned| planned.plan) {
             Some(Plan::Cascade {
                 first,
                 then,
@@ -221,7 +223,7 @@
             Some(Plan::Direct(version)) => {
                 let version = self.index(&version);
                 let served = self.by(version, class);
-                if self.rng.f64() < RATING_SHARE {
+                if explores || self.rng.f64() < RATING_SHARE {
                     self.rate(version, class);
                 }
                 served
--- a/src/policy/choice.rs
+++ b/src/policy/choice.rs
@@ -1,4 +1,4 @@
-//! Which upstream serves a request: the better of two by queue, near ones first, with affinity for
+//! Which upstream serves a request: the best of a few draws by queue, near ones first, with affinity for
 //! sessions and prefixes.
 
 use std::hash::BuildHasher;
@@ -9,6 +9,10 @@
 use crate::collections::Name;
 use crate::upstream::Circuit;
 
+/// Draws of which the best is taken. More would send all entries to the one runner that a lagged
+/// report shows as idle.
+const CHOICES: usize = 3;
+
 /// Age at which a load report says nothing any more.
 const REPORT_FADES: Duration = Duration::from_secs(10);
 
@@ -35,7 +39,7 @@
     pub reported: Option<(f64, Duration)>,
     /// This entry's own requests there.
     pub in_flight: u32,
-    /// This entry's own requests there when the report came.
+    /// This entry's own requests there when the upstream looked at its load.
     pub in_flight_then: u32,
     /// Whether it is in this entry's data centre.
     pub near: bool,
@@ -94,10 +98,10 @@
     {
         return Some(home);
     }
-    better_of_two(candidates, &open, median, rng)
+    best_of_few(candidates, &open, median, rng)
 }
 
-fn better_of_two(
+fn best_of_few(
     candidates: &[Candidate],
     open: &[usize],
     median: Option<f64>,
@@ -112,10 +116,14 @@
     if pool.is_empty() {
         return None;
     }
-    let a = pool[rng.usize(..pool.len())];
-    let b = pool[rng.usize(..pool.len())];
-    let better = candidates[b].score(median) < candidates[a].score(median);
-    Some(if better { b } else { a })
+    let mut best = pool[rng.usize(..pool.len())];
+    for _ in 1..CHOICES {
+        let other = pool[rng.usize(..pool.len())];
+        if candidates[other].score(median) < candidates[best].score(median) {
+            best = other;
+        }
+    }
+    Some(best)
 }
 
 /// The candidate that rendezvous hashing gives to `key`, near ones first; it stays the same while
--- a/src/policy/plan.rs
+++ b/src/policy/plan.rs
@@ -69,21 +69,39 @@
     }
 }
 
+/// A plan, and whether it was chosen to learn: then its answer must be rated, or nothing is learnt.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Planned {
+    /// How the request is served.
+    pub plan: Plan,
+    /// Whether it explores.
+    pub explores: bool,
+}
+
 /// Chooses a plan; `None` where there is no candidate. `draw` is uniform from 0 to 1.
-pub fn plan(candidates: &[Candidate<'_>], ask: &Ask, draw: f64) -> Option<Plan> {
+pub fn plan(candidates: &[Candidate<'_>], ask: &Ask, draw: f64) -> Option<Planned> {
     let direct = cheapest_good(candidates, ask.target).or_else(|| best(candidates))?;
     if ask.may_explore
         && draw < EXPLORE_SHARE
         && let Some(unknown) = cheaper_unknown(candidates, direct, ask.target)
     {
-        return Some(Plan::Direct(unknown.version.clone()));
+        return Some(Planned {
+            plan: Plan::Direct(unknown.version.clone()),
+            explores: true,
+        });
     }
     if ask.may_cascade
         && let Some(cascade) = cheapest_cascade(candidates, direct, ask)
     {
-        return Some(cascade);
+        return Some(Planned {
+            plan: cascade,
+            explores: false,
+        });
     }
-    Some(Plan::Direct(direct.version.clone()))
+    Some(Planned {
+        plan: Plan::Direct(direct.version.clone()),
+        explores: false,
+    })
 }
 
 fn cheapest<'c, 'a>(
--- a/src/policy/rollout.rs
+++ b/src/policy/rollout.rs
@@ -33,6 +33,9 @@
 const STAGE_ENDED: u64 = 100;
 const STAGE_RATED: f64 = 50.0;
 
+/// Ended requests after which what was seen of a trusted new version is forgotten.
+const EPOCH: f64 = 1000.0;
+
 /// What is seen of one request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Sample {
@@ -135,6 +138,15 @@
         }
     }
 
+    /// Forgets what was seen of the new version once it is much, so that a version that turns bad
+    /// late is not covered by what it was. What was seen of the others stays: after the last stage
+    /// they serve hardly anything any more.
+    pub fn renew(&mut self) {
+        if self.candidate.failed.n >= EPOCH {
+            self.candidate = Side::default();
+        }
+    }
+
     /// Whether there is evidence that the new version is about as good as the others, so that its
     /// exposure no longer counts against the budget.
     pub fn is_trusted(&self) -> bool {
--- a/src/relay/chat.rs
+++ b/src/relay/chat.rs
@@ -244,7 +244,7 @@
         ))
         .await;
     }
-    let text = rating::is_due(worker, selected.rolls_out).then(|| rating::plain_text(&answer));
+    let text = rating::is_due(worker, selected).then(|| rating::plain_text(&answer));
     let Run { open, version, .. } = run;
     let first = open.first;
     open.settle(Ending::Whole);
@@ -302,6 +302,7 @@
     let direct = Selected {
         plan: Plan::Direct(then.clone()),
         rolls_out: false,
+        explores: false,
         moved_from: None,
     };
     let run = Run {
--- a/src/relay/rating.rs
+++ b/src/relay/rating.rs
@@ -3,6 +3,7 @@
 use serde_json::Value;
 
 use super::ask::Ask;
+use super::select::Selected;
 use super::sse;
 use crate::config::VersionName;
 use crate::engine::RatingRequest;
@@ -13,10 +14,12 @@
 /// Most characters of an answer that are rated.
 const TEXT_LIMIT: usize = 64 * 1024;
 
-/// Whether an answer is to be rated: all of a version that is being rolled out, a share otherwise.
-pub(crate) fn is_due(worker: &Worker, rolls_out: bool) -> bool {
+/// Whether an answer is to be rated: all of a version that is being rolled out or tried, a share
+/// otherwise.
+pub(crate) fn is_due(worker: &Worker, selected: &Selected) -> bool {
     let share = worker.shared.view().config.inventory.rules.rating_share;
-    worker.shared.cfg.rater.is_some() && (rolls_out || worker.draw() < share)
+    worker.shared.cfg.rater.is_some()
+        && (selected.rolls_out || selected.explores || worker.draw() < share)
 }
 
 /// Rates a text and tells the ledger; returns the score.
--- a/src/relay/select.rs
+++ b/src/relay/select.rs
@@ -28,6 +28,8 @@
     pub(crate) plan: Plan,
     /// Whether the version is being rolled out: its exposure is counted before dispatch.
     pub(crate) rolls_out: bool,
+    /// Whether it was chosen to learn: its answer is rated.
+    pub(crate) explores: bool,
     /// Version that the session was moved away from by this request.
     pub(crate) moved_from: Option<VersionName>,
 }
@@ -37,6 +39,7 @@
         Self {
             plan: Plan::Direct(version),
             rolls_out: false,
+            explores: false,
             moved_from: None,
         }
     }
@@ -141,10 +144,11 @@
         rating_cost: worker.shared.cfg.rating_cost,
         may_explore: may_cascade && worker.shared.cfg.rater.is_some(),
     };
-    let plan =
+    let planned =
         plan::plan(&candidates, &wish, worker.draw()).ok_or_else(|| no_upstream(&ask.model))?;
     Ok(Selected {
-        plan,
+        plan: planned.plan,
+        explores: planned.explores,
         rolls_out: false,
         moved_from: None,
     })
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -66,7 +66,7 @@
     if let Some(moved) = &selected.moved_from {
         builder.header("daisyquay-session-moved-from", moved.to_string());
     }
-    let rate = rating::is_due(worker, selected.rolls_out);
+    let rate = rating::is_due(worker, selected);
     let (worker, ask) = (worker.clone(), ask.clone());
     tokio::task::spawn_local(async move {
         let relay = Relay {
--- a/src/state/command/rollout.rs
+++ b/src/state/command/rollout.rs
@@ -147,7 +147,9 @@
         if rollout.state != RolloutState::Running {
             return true;
         }
-        if !rollout.evidence.is_trusted() && rollout.exposed >= budget {
+        // Trust is gained once: later stages rest on the guard.
+        let trusted = rollout.stage > 0 || rollout.evidence.is_trusted();
+        if !trusted && rollout.exposed >= budget {
             return false;
         }
         rollout.exposed += 1;
@@ -159,20 +161,38 @@
         let Some(rollout) = self.rollouts.get_mut(&version.model) else {
             return;
         };
-        if rollout.state != RolloutState::Running {
+        let candidate = rollout.version == *version;
+        let running = rollout.state == RolloutState::Running;
+        let complete = rollout.state == RolloutState::Complete;
+        if !running && !complete {
             return;
         }
-        let candidate = rollout.version == *version;
         rollout.evidence.add(candidate, sample);
         if !candidate {
             return;
         }
         let in_stage = rollout.exposed - rollout.exposed_at_stage;
-        match judge(&rollout.evidence, in_stage) {
-            Verdict::Continue => {}
-            Verdict::Advance => self.advance_rollout(&version.model, at_ms),
-            Verdict::Halt(reason) => self.halt_rollout(&version.model, &reason, at_ms),
+        let verdict = judge(&rollout.evidence, in_stage);
+        if rollout.stage > 0 {
+            rollout.evidence.renew();
         }
+        match verdict {
+            Verdict::Halt(reason) if running || self.has_other(version) => {
+                self.halt_rollout(&version.model, &reason, at_ms);
+            }
+            Verdict::Advance if running => self.advance_rollout(&version.model, at_ms),
+            Verdict::Halt(_) | Verdict::Advance | Verdict::Continue => {}
+        }
+    }
+
+    /// Whether another version of the model could take over.
+    fn has_other(&self, version: &VersionName) -> bool {
+        self.inventory.versions().any(|(name, known)| {
+            name.model == version.model
+                && name != *version
+                && known.state == VersionState::Active
+                && self.takes_work(&name)
+        })
     }
 
     fn advance_rollout(&mut self, model: &Name, at_ms: u64) {
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -2,6 +2,7 @@
 
 mod directory;
 mod health;
+mod in_flight;
 mod load;
 mod silence;
 
@@ -13,6 +14,7 @@
 pub use self::directory::Upstream;
 pub use self::health::Circuit;
 pub use self::health::Health;
+pub use self::in_flight::InFlight;
 pub use self::load::Level;
 pub use self::load::LoadReport;
 pub use self::load::Loads;
--- a/tests/fuzz/main.rs
+++ b/tests/fuzz/main.rs
@@ -8,6 +8,7 @@
 mod agreement;
 mod lease;
 mod ledger;
+mod rollout;
 mod upstream;
 
 use quickcheck::Arbitrary;
