Wait for the others before a stop, tell quality by what moved, number loads

Cause: (1) a planned stop waited two renewals for the other entries to drop it from their address answers. When the leader stopped in the same moment, a new one needs a lease's length to learn who is there, so an entry still named one that had stopped; a caller was cut off (seen once in two runs of the stop test). (4) A test's port was taken by an outgoing connection before the program had bound it.

Ruled out for (1): a longer fixed wait; no time is long enough while there is no leader.

Change: the leader tells a stopping entry when every other lease holder has the list without it, and an entry without a lease gives no address answer. Quality rows are sent when their estimate has moved by 0.01. Load rows carry the number of the announcing command. Tests listen on a loopback address of their own process.

--- a/benches/capacity/main.rs
+++ b/benches/capacity/main.rs
@@ -8,6 +8,7 @@
 mod control;
 mod failover;
 mod ledger;
+mod sizes;
 mod state;
 #[path = "../support/mod.rs"]
 mod support;
@@ -17,7 +18,8 @@
         .skip(1)
         .filter(|arg| !arg.starts_with("--"))
         .collect();
-    let tables: [(&str, fn()); 6] = [
+    let tables: [(&str, fn()); 7] = [
+        ("sizes", sizes::run),
         ("control", control::run),
         ("requests", ledger::requests),
         ("claims", ledger::claims),
--- /dev/null
+++ b/benches/capacity/sizes.rs
@@ -0,0 +1,81 @@
+//! Encoded bytes of the messages that control sends most of.
+
+use daisyquay::config;
+use daisyquay::peer::ConfigView;
+use daisyquay::peer::LoadRow;
+use daisyquay::peer::QualityRow;
+use daisyquay::policy::quality::Quality;
+use daisyquay::upstream::Announcement;
+use daisyquay::upstream::Level;
+use daisyquay::upstream::Presence;
+use daisyquay::upstream::Serves;
+use daisyquay::upstream::Upstream;
+use serde::Serialize;
+
+use super::ledger::claim;
+use super::ledger::settle;
+use crate::support::INVENTORY;
+
+fn bytes<T: Serialize>(value: &T) -> usize {
+    bincode::serde::encode_to_vec(value, bincode::config::standard())
+        .unwrap()
+        .len()
+}
+
+pub(crate) fn run() {
+    println!("message                               bytes");
+    let show = |what: &str, bytes: usize| println!("{what:<38} {bytes:>5}");
+    let row = LoadRow {
+        number: 1_000_000_000,
+        level: Some(Level(7)),
+    };
+    show("load row", bytes(&row));
+    let upstream = upstream();
+    show("changed upstream", bytes(&upstream));
+    show("claim", bytes(&claim(u128::MAX)));
+    show("settlement", bytes(&settle(u128::MAX)));
+    for (versions, organisations) in [(2, 2), (20, 10), (20, 100)] {
+        let what = format!("configuration, {versions} versions, {organisations} organisations");
+        show(&what, bytes(&view(versions, organisations)));
+    }
+    let mut quality = Quality::default();
+    quality.add(&"model-1@1".parse().unwrap(), &"answer".into(), 0.5);
+    let (version, class, row) = quality.iter().next().unwrap();
+    let row = QualityRow {
+        version: version.clone(),
+        class: class.clone(),
+        row: row.clone(),
+    };
+    show("quality row", bytes(&row));
+}
+
+fn upstream() -> Upstream {
+    Upstream {
+        announced: Announcement {
+            id: "dc3-rack12-runner-0815".into(),
+            incarnation: 1_796_330_000_000,
+            address: "10.20.30.40:8000".parse().unwrap(),
+            data_centre: "queensland-3".into(),
+            serves: Serves::Versions(vec!["notes@large-2026-11".parse().unwrap(); 3]),
+            slots: 8,
+            fences_orders: true,
+        },
+        presence: Presence::Live,
+        number: 1_000_000_000,
+        changed_at: 1_000_000_000,
+        left_ms: 0,
+    }
+}
+
+fn view(versions: usize, organisations: usize) -> ConfigView {
+    let mut inventory = config::parse(INVENTORY).unwrap();
+    let model = inventory.models[0].clone();
+    let organisation = inventory.organisations[0].clone();
+    inventory.models = vec![model; versions / 2];
+    inventory.organisations = vec![organisation; organisations];
+    ConfigView {
+        revision: 1_000_000,
+        inventory: inventory.into(),
+        ..ConfigView::default()
+    }
+}
--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -1,1 +1,96 @@
-fn main() {}
+//! Time of one decision, by candidates. `cargo bench --bench decisions`.
+
+#![expect(clippy::unwrap_used, reason = "a bench fails by panicking")]
+
+use std::hint::black_box;
+use std::time::Duration;
+
+use criterion::BenchmarkId;
+use criterion::Criterion;
+use daisyquay::policy::choice;
+use daisyquay::policy::plan;
+use daisyquay::policy::quality::Quality;
+use daisyquay::upstream::Circuit;
+
+fn runners(count: u32) -> Vec<choice::Candidate> {
+    (0..count)
+        .map(|i| choice::Candidate {
+            id: format!("runner-{i}").into(),
+            slots: 8,
+            reported: Some((f64::from(i % 16) / 16.0, Duration::from_millis(700))),
+            in_flight: i % 5,
+            in_flight_then: i % 3,
+            near: i % 3 == 0,
+            circuit: Circuit::Closed,
+            first_s: Some(0.1 + f64::from(i % 7) / 100.0),
+        })
+        .collect()
+}
+
+fn choosing(c: &mut Criterion) {
+    let mut group = c.benchmark_group("choose");
+    for count in [10, 100, 830] {
+        let candidates = runners(count);
+        let mut rng = fastrand::Rng::with_seed(1);
+        group.bench_with_input(
+            BenchmarkId::new("any", count),
+            &candidates,
+            |b, candidates| {
+                b.iter(|| choice::choose(black_box(candidates), None, &[], &mut rng));
+            },
+        );
+        group.bench_with_input(
+            BenchmarkId::new("session", count),
+            &candidates,
+            |b, candidates| {
+                b.iter(|| choice::choose(black_box(candidates), Some(7), &[], &mut rng));
+            },
+        );
+    }
+    group.finish();
+}
+
+fn planning(c: &mut Criterion) {
+    let mut group = c.benchmark_group("plan");
+    for count in [2, 20] {
+        let class = "answer".into();
+        let mut quality = Quality::default();
+        let names: Vec<daisyquay::config::VersionName> = (0..count)
+            .map(|i| format!("m{i}@1").parse().unwrap())
+            .collect();
+        for (i, name) in names.iter().enumerate() {
+            for _ in 0..200 {
+                quality.add(name, &class, 0.5 + i as f64 / 50.0);
+            }
+        }
+        let ask = plan::Ask {
+            target: 0.8,
+            may_cascade: true,
+            rating_cost: 0.1,
+            may_explore: true,
+        };
+        group.bench_function(BenchmarkId::from_parameter(count), |b| {
+            b.iter(|| {
+                let candidates: Vec<plan::Candidate<'_>> = names
+                    .iter()
+                    .enumerate()
+                    .map(|(i, name)| plan::Candidate {
+                        version: name.clone(),
+                        cost: 1.0 + i as f64,
+                        quality: quality.estimate(name, &class, 0.7),
+                        row: quality.row(name, &class),
+                    })
+                    .collect();
+                plan::plan(black_box(&candidates), &ask, 0.5)
+            });
+        });
+    }
+    group.finish();
+}
+
+fn main() {
+    let mut c = Criterion::default().configure_from_args().sample_size(30);
+    choosing(&mut c);
+    planning(&mut c);
+    c.final_summary();
+}
--- a/src/entry/handlers.rs
+++ b/src/entry/handlers.rs
@@ -178,6 +178,12 @@
 
 pub(super) async fn address(worker: State<Worker>) -> HttpResponse {
     let shared = &worker.shared;
+    if !shared.lease_is_live() {
+        // What it knows of the others may be old: they may have stopped since.
+        let message = "this entry has lost its lease and can't say who is there; ask another";
+        let refusal = Refusal::unavailable("no_lease", message);
+        return finish(&worker, new_request(), Err(refusal));
+    }
     let view = shared.view();
     let own = &shared.info;
     let mut entries: Vec<_> = view
@@ -288,8 +294,7 @@
         let busy = report.running.saturating_add(report.waiting);
         let level = Level::of(busy, row.announced.slots);
         worker.shared.note_load(LoadRow {
-            id: report.id,
-            incarnation: report.incarnation,
+            number: row.number,
             level: Some(level),
         });
         Ok(HttpResponse::NoContent().finish())
--- a/src/entry/link.rs
+++ b/src/entry/link.rs
@@ -223,6 +223,7 @@
         self.directory = grant.directory;
         self.loads_seen = grant.loads_seen;
         self.entries_seen = grant.entries_seen;
+        shared.gone.store(grant.gone, Ordering::Relaxed);
         let now = shared.now();
         let mut view: View = (*shared.view()).clone();
         let mut changed = false;
@@ -232,9 +233,12 @@
             view = view.with_directory(directory);
             changed = true;
         }
-        if let Some(quality) = grant.quality {
-            self.quality_seen = quality.total();
-            view.quality = Arc::from(quality);
+        self.quality_seen = grant.quality_seen;
+        if !grant.quality.is_empty() {
+            let quality = Arc::make_mut(&mut view.quality);
+            for row in grant.quality {
+                quality.set(row.version, row.class, row.row);
+            }
             changed = true;
         }
         if let Some(entries) = grant.entries {
@@ -265,8 +269,10 @@
         let view = shared.view();
         let mut runners = shared.runners.lock();
         for row in rows {
-            if let Some(level) = row.level {
-                runners.set_level(&row.id, row.incarnation, level, now);
+            let upstream = view.directory.numbered(row.number);
+            if let (Some(upstream), Some(level)) = (upstream, row.level) {
+                let announced = &upstream.announced;
+                runners.set_level(&announced.id, announced.incarnation, level, now);
             }
         }
         runners.retain(|id| view.directory.get(id).is_some());
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -19,6 +19,7 @@
 use super::link::Ask;
 use super::runners::Runners;
 use super::view::View;
+use crate::agreement::Index;
 use crate::clock::Clock;
 use crate::collections::HashMap;
 use crate::collections::Name;
@@ -60,13 +61,15 @@
     pub(crate) ready: Arc<AtomicBool>,
     /// Whether it has left the address answer and is about to stop.
     pub(crate) leaving: AtomicBool,
+    /// Whether no other entry names it in its address answer any more.
+    pub(crate) gone: AtomicBool,
     pub(crate) lease: Ranked<Holder>,
     view: Ranked<Arc<View>>,
     pins: Ranked<HashMap<(Name, Name), CachedPin>>,
     pub(crate) runners: Ranked<Runners>,
     pub(crate) pools: Ranked<Pools>,
     budgets: Ranked<HashMap<Name, Budget>>,
-    news: Ranked<HashMap<Name, LoadRow>>,
+    news: Ranked<HashMap<Index, LoadRow>>,
     link: UnboundedSender<Ask>,
 }
 
@@ -90,6 +93,7 @@
             meters: Meters::new(),
             ready: Arc::default(),
             leaving: AtomicBool::new(false),
+            gone: AtomicBool::new(false),
             lease: Ranked::new(1, Holder::default()),
             view: Ranked::new(2, Arc::default()),
             pins: Ranked::new(3, HashMap::default()),
@@ -168,9 +172,9 @@
     /// Remembers a load row for the next renewal.
     pub(crate) fn note_load(&self, row: LoadRow) {
         let mut news = self.news.lock();
-        let known = news.get(&row.id).and_then(|known| known.level);
+        let known = news.get(&row.number).and_then(|known| known.level);
         let level = row.level.or(known);
-        news.insert(row.id.clone(), LoadRow { level, ..row });
+        news.insert(row.number, LoadRow { level, ..row });
     }
 
     pub(crate) fn take_news(&self) -> Vec<LoadRow> {
--- a/src/entry/stop.rs
+++ b/src/entry/stop.rs
@@ -9,9 +9,14 @@
 use tokio::task::JoinHandle;
 
 use super::Shared;
-use crate::lease;
 use crate::log::event;
 
+/// Longest wait until the other entries no longer name this one: the state may be gone for longer.
+const GONE_LIMIT: Duration = Duration::from_secs(60);
+
+/// Time between looks at that.
+const GONE_POLL: Duration = Duration::from_millis(50);
+
 /// Longest wait for the last settlements to become durable.
 const SETTLE_LIMIT: Duration = Duration::from_secs(10);
 
@@ -21,10 +26,22 @@
     event!(Info, "entry_leaving", vm = shared.cfg.vm);
     shared.leaving.store(true, Ordering::Relaxed);
     shared.ready.store(false, Ordering::Relaxed);
-    // Other entries hear of it within two renewals; answers that they gave before then are kept
-    // for as long as they said.
-    let kept = shared.cfg.address_valid + 2 * lease::RENEWAL;
-    tokio::time::sleep(kept).await;
+    if tokio::time::timeout(GONE_LIMIT, gone(shared))
+        .await
+        .is_err()
+    {
+        event!(Warn, "stops_while_still_named", vm = shared.cfg.vm);
+    }
+    // Answers that other entries gave before are kept for as long as they said.
+    tokio::time::sleep(shared.cfg.address_valid).await;
+}
+
+/// Waits until no other entry names this one. Time alone would not do: a leader that fails over
+/// meanwhile takes a lease's length to learn who is there.
+async fn gone(shared: &Arc<Shared>) {
+    while !shared.gone.load(Ordering::Relaxed) {
+        tokio::time::sleep(GONE_POLL).await;
+    }
 }
 
 /// Settles what is open, then gives the lease back.
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -14,7 +14,7 @@
 use crate::collections::Name;
 use crate::config::Inventory;
 use crate::config::VersionName;
-use crate::policy::quality::Quality;
+use crate::policy::quality::Row;
 use crate::state::Target;
 use crate::state::command::Change;
 use crate::state::command::ChangeOutcome;
@@ -127,7 +127,7 @@
     pub loads_seen: u64,
     /// Entries that it knows, by the leader's count.
     pub entries_seen: u64,
-    /// Quality that it has, by scores taken.
+    /// Quality that it has, by the leader's count.
     pub quality_seen: u64,
     /// Loads reported to it since the last renewal, and upstreams heard.
     pub loads: Vec<LoadRow>,
@@ -153,14 +153,24 @@
 /// A level of one upstream.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LoadRow {
-    /// Upstream.
-    pub id: Name,
-    /// Its incarnation.
-    pub incarnation: u64,
+    /// [`Upstream::number`]: names the incarnation in a few bytes, as levels are what control
+    /// sends most of.
+    pub number: Index,
     /// Its level; `None` where it was heard and the level is unchanged.
     pub level: Option<Level>,
 }
 
+/// Scores of one version in one class of task.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct QualityRow {
+    /// Version.
+    pub version: VersionName,
+    /// Class of task.
+    pub class: Name,
+    /// Scores.
+    pub row: Row,
+}
+
 /// A number of requests for one target: a demand, or the slots granted for it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Share {
@@ -191,8 +201,12 @@
     pub entries: Option<Vec<EntryInfo>>,
     /// Count for [`Renewal::entries_seen`].
     pub entries_seen: u64,
-    /// Quality, where enough has changed.
-    pub quality: Option<Box<Quality>>,
+    /// Whether no other entry names this one in its address answer any more.
+    pub gone: bool,
+    /// Rows of the quality table that changed enough to matter.
+    pub quality: Vec<QualityRow>,
+    /// Count for [`Renewal::quality_seen`].
+    pub quality_seen: u64,
     /// Slots that the entry may use, by target.
     pub shares: Vec<Share>,
 }
@@ -265,7 +279,9 @@
             loads_seen: 0,
             entries: None,
             entries_seen: 0,
-            quality: None,
+            gone: false,
+            quality: Vec::new(),
+            quality_seen: 0,
             shares: Vec::new(),
         }
     }
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -13,6 +13,7 @@
 pub use self::message::LoadRow;
 pub use self::message::Operation;
 pub use self::message::OperationReply;
+pub use self::message::QualityRow;
 pub use self::message::Renewal;
 pub use self::message::Reply;
 pub use self::message::Request;
--- a/src/policy/quality.rs
+++ b/src/policy/quality.rs
@@ -32,6 +32,12 @@
 /// Standard errors by which the short window must fall below the long one to be believed instead.
 const TURNED: f64 = 3.5;
 
+/// Change of an estimate that is worth telling.
+const NOTICEABLE: f64 = 0.01;
+
+/// Expectation with which two rows are compared.
+const NEUTRAL: f64 = 0.5;
+
 /// Classes and versions that are kept.
 const ROW_LIMIT: usize = 4096;
 
@@ -135,6 +141,12 @@
         }
     }
 
+    /// Whether the estimate differs enough from `other`'s to change a decision.
+    pub fn differs(&self, other: &Self) -> bool {
+        let (a, b) = (self.estimate(NEUTRAL), other.estimate(NEUTRAL));
+        (a.mean - b.mean).abs() > NOTICEABLE || (a.low - b.low).abs() > NOTICEABLE
+    }
+
     /// Share of scores of at least `bin` tenths, and their mean.
     pub fn tail(&self, bin: usize) -> (f64, f64) {
         let mut n = 0.0;
@@ -178,6 +190,11 @@
             .map_or_else(|| Estimate::prior(expected), |row| row.estimate(expected))
     }
 
+    /// Puts a row that another process has counted in place.
+    pub fn set(&mut self, version: VersionName, class: Name, row: Row) {
+        self.rows.insert((version, class), row);
+    }
+
     /// All rows.
     pub fn iter(&self) -> impl Iterator<Item = (&VersionName, &Name, &Row)> + '_ {
         self.rows
--- a/src/replica/control.rs
+++ b/src/replica/control.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use super::core::Core;
+use super::published::Published;
 
 use crate::collections::HashMap;
 use crate::collections::Name;
@@ -21,23 +22,21 @@
 use crate::policy::share;
 use crate::state::State;
 use crate::state::Target;
+use crate::upstream::Directory;
 use crate::upstream::Loads;
 use crate::upstream::Presence;
 use crate::upstream::Serves;
 use crate::upstream::Silence;
 
-/// Share of newly taken scores at which the quality table is sent again.
-const QUALITY_GROWTH: f64 = 0.02;
-
-/// Least time between two sendings of the quality table to one entry.
-const QUALITY_INTERVAL: Duration = Duration::from_secs(2);
-
 #[derive(Debug)]
 struct Known {
     info: Option<EntryInfo>,
     leaving: bool,
+    /// Count of entry changes at which it left the address answer.
+    left_at: Option<u64>,
+    /// Entry changes that it has acknowledged.
+    entries_seen: u64,
     demand: Vec<Share>,
-    quality_sent: Option<Duration>,
 }
 
 /// The leader's soft state.
@@ -46,6 +45,7 @@
     pub(super) grantor: Grantor,
     pub(super) silence: Silence,
     pub(super) since: Duration,
+    pub(super) published: Published,
     loads: Loads,
     entries: HashMap<u64, Known>,
     entries_changes: u64,
@@ -58,6 +58,7 @@
             grantor: Grantor::new(now),
             silence: Silence::default(),
             since: now,
+            published: Published::default(),
             loads: Loads::default(),
             entries: HashMap::default(),
             entries_changes: 1,
@@ -78,6 +79,17 @@
         entries
     }
 
+    /// Whether every other lease holder answers callers without `entry`. A holder whose lease has
+    /// run out answers no caller.
+    fn is_gone(&self, entry: u64) -> bool {
+        let Some(left_at) = self.entries.get(&entry).and_then(|known| known.left_at) else {
+            return false;
+        };
+        self.entries
+            .iter()
+            .all(|(&other, known)| other == entry || known.entries_seen >= left_at)
+    }
+
     /// Drops entries whose lease has run out.
     pub(super) fn expire(&mut self, now: Duration) {
         for entry in self.grantor.expire(now) {
@@ -104,12 +116,13 @@
         self.demand.retain(|_, total| *total > 0);
     }
 
-    fn take(&mut self, renewal: &Renewal, now: Duration) {
+    fn take(&mut self, renewal: &Renewal, directory: &Directory, now: Duration) {
         let known = self.entries.entry(renewal.entry).or_insert_with(|| Known {
             info: None,
             leaving: false,
+            left_at: None,
+            entries_seen: 0,
             demand: Vec::new(),
-            quality_sent: None,
         });
         let introduced = renewal.info.is_some() && known.info != renewal.info;
         if introduced {
@@ -118,14 +131,19 @@
         if introduced || known.leaving != renewal.leaving {
             known.leaving = renewal.leaving;
             self.entries_changes += 1;
+            known.left_at = renewal.leaving.then_some(self.entries_changes);
         }
         let before = std::mem::replace(&mut known.demand, renewal.demand.clone());
         self.add_demand(&before, false);
         self.add_demand(&renewal.demand, true);
         for row in &renewal.loads {
-            self.silence.heard(&row.id, row.incarnation, now);
+            let Some(upstream) = directory.numbered(row.number) else {
+                continue;
+            };
+            let (id, incarnation) = (&upstream.announced.id, upstream.announced.incarnation);
+            self.silence.heard(id, incarnation, now);
             if let Some(level) = row.level {
-                self.loads.set(&row.id, row.incarnation, level, now);
+                self.loads.set(id, incarnation, level, now);
             }
         }
     }
@@ -134,16 +152,15 @@
     fn loads_for(&self, data_centre: &str, seen: u64, state: &State) -> Vec<LoadRow> {
         self.loads
             .changed_after(seen)
-            .filter(|(id, _, _)| {
-                state
-                    .directory
-                    .get(id)
-                    .is_some_and(|row| &*row.announced.data_centre == data_centre)
-            })
-            .map(|(id, incarnation, level)| LoadRow {
-                id: id.clone(),
-                incarnation,
-                level: Some(level),
+            .filter_map(|(id, incarnation, level)| {
+                let row = state.directory.get(id)?;
+                let announced = &row.announced;
+                let wanted =
+                    &*announced.data_centre == data_centre && announced.incarnation == incarnation;
+                wanted.then_some(LoadRow {
+                    number: row.number,
+                    level: Some(level),
+                })
             })
             .collect()
     }
@@ -213,7 +230,7 @@
             self.control.forget(renewal.entry);
             return Grant::empty(term);
         }
-        self.control.take(renewal, now);
+        self.control.take(renewal, &self.state.directory, now);
         // Counts of another leader mean nothing here.
         let same_leader = renewal.term == term;
         let seen = |count: u64| if same_leader { count } else { 0 };
@@ -235,6 +252,9 @@
         }
         grant.upstreams = self.state.directory.changed_after(renewal.directory);
         grant.directory = self.state.applied;
+        if let Some(known) = self.control.entries.get_mut(&renewal.entry) {
+            known.entries_seen = seen(renewal.entries_seen);
+        }
         let control = &self.control;
         grant.loads = control.loads_for(&data_centre, seen(renewal.loads_seen), &self.state);
         grant.loads_seen = control.loads.changes();
@@ -247,27 +267,13 @@
         if !settled {
             grant.entries_seen = 0;
         }
+        grant.gone = settled && control.is_gone(renewal.entry);
         grant.shares = control.shares(&renewal.demand, &self.state);
-        self.add_quality(renewal, &mut grant, now);
+        grant.quality = control.published.after(seen(renewal.quality_seen));
+        grant.quality_seen = control.published.count();
         grant
     }
 
-    fn add_quality(&mut self, renewal: &Renewal, grant: &mut Grant, now: Duration) {
-        let total = self.state.quality.total();
-        let grown = total as f64 >= renewal.quality_seen as f64 * (1.0 + QUALITY_GROWTH)
-            && total > renewal.quality_seen;
-        let Some(known) = self.control.entries.get_mut(&renewal.entry) else {
-            return;
-        };
-        let due = known
-            .quality_sent
-            .is_none_or(|sent| now >= sent + QUALITY_INTERVAL);
-        if grown && due {
-            known.quality_sent = Some(now);
-            grant.quality = Some(Box::new(self.state.quality.clone()));
-        }
-    }
-
     /// Upstreams that are live but presumably dead.
     pub(super) fn dead_upstreams(&mut self) -> Vec<(Name, u64)> {
         let now = self.now();
--- a/src/replica/keeper.rs
+++ b/src/replica/keeper.rs
@@ -21,6 +21,9 @@
 /// Time between rounds of housekeeping.
 const KEEP: Duration = Duration::from_millis(200);
 
+/// Rounds of housekeeping between looks at which qualities have moved.
+const QUALITY_ROUNDS: u64 = 5;
+
 /// Rounds of housekeeping between sweeps of what has expired.
 const SWEEP_ROUNDS: u64 = 150;
 
@@ -60,6 +63,10 @@
         core.control.expire(now);
         core.admit_replicas();
         core.expire_upstreams();
+        if round % QUALITY_ROUNDS == 0 {
+            let core = &mut *core;
+            core.control.published.refresh(&core.state.quality);
+        }
         if round % SWEEP_ROUNDS == 0 {
             core.propose(Op::Sweep);
         }
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -9,6 +9,7 @@
 mod handler;
 mod keeper;
 mod outbox;
+mod published;
 mod reaper;
 mod writer;
 
--- a/src/upstream/directory.rs
+++ b/src/upstream/directory.rs
@@ -69,10 +69,12 @@
     pub announced: Announcement,
     /// Whether it takes work.
     pub presence: Presence,
+    /// Command that announced this incarnation; names it in load rows, in a few bytes.
+    pub number: Index,
     /// Command that changed this row last.
     pub changed_at: Index,
     /// When the sweep first saw it as left, in milliseconds since the epoch.
-    pub(crate) left_ms: u64,
+    pub left_ms: u64,
 }
 
 /// What an announcement answers.
@@ -103,6 +105,7 @@
         if let Err(reason) = check(&announcement, inventory) {
             return AnnounceOutcome::Refused(reason.into());
         }
+        let mut number = index;
         if let Some(known) = self.rows.get(&announcement.id) {
             let same = known.announced.incarnation == announcement.incarnation;
             if same && known.presence == Presence::Live && known.announced == announcement {
@@ -113,12 +116,16 @@
             if !newer && !updates {
                 return AnnounceOutcome::Old;
             }
+            if updates {
+                number = known.number;
+            }
         } else if self.rows.len() >= UPSTREAM_LIMIT {
             let reason = format!("the directory is full with {UPSTREAM_LIMIT} upstreams");
             return AnnounceOutcome::Refused(reason.into());
         }
         let row = Upstream {
             presence: Presence::Live,
+            number,
             changed_at: index,
             left_ms: 0,
             announced: announcement,
@@ -178,6 +185,11 @@
         self.rows.get(id)
     }
 
+    /// The upstream whose incarnation was announced by that command.
+    pub fn numbered(&self, number: Index) -> Option<&Upstream> {
+        self.rows.values().find(|row| row.number == number)
+    }
+
     /// All rows.
     pub fn iter(&self) -> impl Iterator<Item = &Upstream> + '_ {
         self.rows.values()
--- /dev/null
+++ b/tests/cli/main.rs
@@ -0,0 +1,155 @@
+//! The command lines: what people see when they get something wrong.
+
+#![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use std::io::Write;
+use std::process::Command;
+use std::process::Output;
+use std::process::Stdio;
+
+const VALID: &str = include_str!("../../examples/inventory.toml");
+
+fn run(path: &str, args: &[&str], input: &str) -> Output {
+    let mut child = Command::new(path)
+        .args(args)
+        .env_clear()
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    child
+        .stdin
+        .take()
+        .unwrap()
+        .write_all(input.as_bytes())
+        .unwrap();
+    child.wait_with_output().unwrap()
+}
+
+fn shown(output: &Output) -> String {
+    format!(
+        "exit {}\n{}{}",
+        output.status.code().unwrap(),
+        String::from_utf8_lossy(&output.stdout),
+        String::from_utf8_lossy(&output.stderr)
+    )
+}
+
+fn operator(args: &[&str], input: &str) -> Output {
+    run(env!("CARGO_BIN_EXE_daisyquay"), args, input)
+}
+
+/// What `daisyquay check` says of a file.
+fn check(text: &str) -> String {
+    let name = format!("daisyquay-check-{}-{:x}", std::process::id(), text.len());
+    let path = std::env::temp_dir().join(name);
+    std::fs::write(&path, text).unwrap();
+    let output = operator(&["check", path.to_str().unwrap()], "");
+    std::fs::remove_file(&path).unwrap();
+    shown(&output).replace(path.to_str().unwrap(), "FILE")
+}
+
+#[test]
+fn a_bad_inventory_is_refused_with_place_and_remedy() {
+    let cases = [
+        ("valid", VALID.to_owned()),
+        ("unknown field", VALID.replace("weight = 3", "wieght = 3")),
+        (
+            "dangling model",
+            VALID.replace("\"notes\", \"previews\"", "\"poems\""),
+        ),
+        (
+            "duplicate organisation",
+            VALID.replace("\"castles\"", "\"lagon\""),
+        ),
+        (
+            "negative cost",
+            VALID.replace("cost_in = 0.1", "cost_in = -0.1"),
+        ),
+        ("no price", VALID.replace("cost_out = 0.4\n", "")),
+        (
+            "infinite price",
+            VALID.replace("cost_in = 0.1", "cost_in = inf"),
+        ),
+        (
+            "bad key",
+            VALID.replace("key_sha256 = \"", "key_sha256 = \"zz"),
+        ),
+        (
+            "impossible target",
+            VALID.replace("quality_target = 0.6", "quality_target = 6"),
+        ),
+        ("not TOML", "[[organisations".to_owned()),
+    ];
+    let mut text = String::new();
+    for (name, inventory) in cases {
+        text.push_str(&format!("## {name}\n{}\n", check(&inventory)));
+    }
+    insta::assert_snapshot!(text);
+}
+
+#[test]
+fn a_bad_flag_names_itself_the_value_and_the_remedy() {
+    let state = env!("CARGO_BIN_EXE_daisyquay-state");
+    let entry = env!("CARGO_BIN_EXE_daisyquay-entry");
+    let cases: [(&str, &[&str]); 5] = [
+        (state, &["--listen", "localhost:1", "--data", "d"]),
+        (
+            state,
+            &[
+                "--data",
+                "d",
+                "--replicas",
+                "127.0.0.1:1",
+                "--peer-key",
+                "short",
+            ],
+        ),
+        (entry, &["--workers", "0"]),
+        (entry, &["--vm", "a b"]),
+        (entry, &["--address-valid", "-1"]),
+    ];
+    let mut text = String::new();
+    for (path, args) in cases {
+        text.push_str(&format!(
+            "## {}\n{}\n",
+            args.join(" "),
+            shown(&run(path, args, ""))
+        ));
+    }
+    insta::assert_snapshot!(text);
+}
+
+#[test]
+fn the_interface_is_as_documented() {
+    let mut text = shown(&operator(&["--help"], ""));
+    for command in ["apply", "rollout", "show", "drain", "audit"] {
+        text.push_str(&shown(&operator(&[command, "--help"], "")));
+    }
+    insta::assert_snapshot!(text);
+}
+
+#[test]
+fn a_key_is_hashed_from_standard_input() {
+    let output = operator(&["hash-key"], "dev-lagon-key\n");
+    let hash = String::from_utf8(output.stdout).unwrap();
+    assert!(VALID.contains(hash.trim()));
+    assert_eq!(operator(&["hash-key"], "").status.code(), Some(2));
+}
+
+#[test]
+fn an_unreachable_state_is_said_so() {
+    // Port 1 of loopback has no listener.
+    let output = operator(&["--state", "127.0.0.1:1", "show", "status"], "");
+    assert_eq!(output.status.code(), Some(4));
+    let text = String::from_utf8(output.stderr).unwrap();
+    assert!(text.contains("check --state"), "{text}");
+}
+
+#[test]
+fn completions_are_printed() {
+    let output = operator(&["completions", "bash"], "");
+    let text = String::from_utf8(output.stdout).unwrap();
+    assert!(text.contains("rollout"));
+}
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -3,6 +3,7 @@
 #![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 mod failures;
+mod golden;
 mod path;
 mod sessions;
 mod stops;
--- a/tests/process/support/cluster.rs
+++ b/tests/process/support/cluster.rs
@@ -1,5 +1,7 @@
 //! State replicas, entries and stand-ins of one test.
 
+use std::collections::BTreeSet;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::path::PathBuf;
@@ -48,10 +50,21 @@
     standins: u32,
 }
 
-/// An address that the kernel says is free.
+/// Ports that were given out, so that none is given twice.
+static PORTS: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
+
+/// An address that the kernel says is free. It is on a loopback address of this process alone:
+/// outgoing connections, which start from 127.0.0.1, can't take its port meanwhile.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    let ip = Ipv4Addr::new(127, 64 | (high & 63), middle, low);
+    loop {
+        let listener = TcpListener::bind((ip, 0)).unwrap();
+        let address = listener.local_addr().unwrap();
+        if PORTS.lock().unwrap().insert(address.port()) {
+            return address;
+        }
+    }
 }
 
 fn list(addresses: &[SocketAddr]) -> String {
