--- a/benches/capacity/failover.rs
+++ b/benches/capacity/failover.rs
@@ -54,7 +54,9 @@
     thread::sleep(Duration::from_secs(6));
     stop.store(true, Ordering::SeqCst);
     let gaps = watched.map(|thread| thread.join().unwrap());
-    cluster.replicas[leader].thaw_if_running(freeze);
+    if freeze {
+        cluster.replicas[leader].thaw();
+    }
     gaps
 }
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -2,7 +2,7 @@
 //! the state.
 //!
 //! The control thread holds the link; a pool of workers serves HTTP over the tables of
-//! [`shared::Shared`].
+//! `shared::Shared`.
 
 pub(crate) mod admit;
 mod handlers;
--- a/src/experiment/mod.rs
+++ b/src/experiment/mod.rs
@@ -1,7 +1,7 @@
 //! Experiments on the decisions: the real policies, driven by small models of what the platform
 //! does, against plain baselines on the same arrivals.
 //!
-//! The models are in [`model`]; they are simple on purpose and stated there.
+//! The models are in `model`; they are simple on purpose and stated there.
 
 mod load;
 mod model;
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -1,6 +1,6 @@
 //! The state daemon's shell: it feeds the pure state machines and carries out their effects.
 //!
-//! Everything runs on one thread over one [`core::Core`]; only the writer, which syncs files, has
+//! Everything runs on one thread over one `core::Core`; only the writer, which syncs files, has
 //! a thread of its own. No borrow of the core is held across an `.await`.
 
 mod control;
--- a/tests/process/support/program.rs
+++ b/tests/process/support/program.rs
@@ -50,13 +50,6 @@
         self.signal(Signal::SIGCONT);
     }
 
-    /// Lets a frozen program go on, if it was frozen.
-    pub(crate) fn thaw_if_running(&self, frozen: bool) {
-        if frozen {
-            self.thaw();
-        }
-    }
-
     /// Ends the program at once.
     pub(crate) fn kill(&mut self) {
         let _ = self.child.kill();
