Split the log's node by election, follower and leader

Change: the node's folder has its interface, elections, the follower's and the leader's side, one file each. Moved as they were.

--- /dev/null
+++ b/src/agreement/node/election.rs
@@ -0,0 +1,180 @@
+//! Elections: pre-vote, vote, taking office.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use super::Node;
+use super::Role;
+use crate::agreement::Body;
+use crate::agreement::HardState;
+use crate::agreement::Index;
+use crate::agreement::Payload;
+use crate::agreement::ReplicaId;
+use crate::agreement::Term;
+use crate::agreement::progress::Rounds;
+
+impl Node {
+    pub(super) fn start_pre_vote(&mut self, now: Duration) {
+        self.role = Role::PreCandidate;
+        self.leader = None;
+        self.votes = BTreeSet::from([self.id]);
+        self.reset_election(now);
+        if self.votes.len() >= self.membership().quorum() {
+            self.start_vote(now);
+            return;
+        }
+        let body = Body::PreVote {
+            last_index: self.log.last_index(),
+            last_term: self.log.last_term(),
+        };
+        self.send_to_voters(self.hard.term + 1, &body);
+    }
+
+    pub(super) fn start_vote(&mut self, now: Duration) {
+        self.role = Role::Candidate;
+        self.hard = HardState {
+            term: self.hard.term + 1,
+            vote: Some(self.id),
+        };
+        self.effects.persist.hard = Some(self.hard);
+        self.votes = BTreeSet::from([self.id]);
+        self.reset_election(now);
+        if self.votes.len() >= self.membership().quorum() {
+            self.take_office(now);
+            return;
+        }
+        let body = Body::Vote {
+            last_index: self.log.last_index(),
+            last_term: self.log.last_term(),
+        };
+        self.send_to_voters(self.hard.term, &body);
+    }
+
+    /// A leader heard lately makes this replica refuse votes: that is what a leader's lease rests
+    /// on, and what keeps a replica that comes back from a cut from unseating a healthy leader.
+    pub(super) fn leader_is_fresh(&self, now: Duration) -> bool {
+        self.role == Role::Leader
+            || self
+                .leader_heard
+                .is_some_and(|heard| now < heard + self.settings.election_min)
+    }
+
+    pub(super) fn log_is_current(&self, theirs: (Term, Index)) -> bool {
+        theirs >= (self.log.last_term(), self.log.last_index())
+    }
+
+    pub(super) fn on_pre_vote(
+        &mut self,
+        from: ReplicaId,
+        term: Term,
+        last: (Term, Index),
+        now: Duration,
+    ) {
+        let granted =
+            term > self.hard.term && !self.leader_is_fresh(now) && self.log_is_current(last);
+        // A refusal carries our own term, so that a candidate that lags behind catches up.
+        let term = if granted { term } else { self.hard.term };
+        self.reply(from, term, Body::PreVoteReply { granted });
+    }
+
+    pub(super) fn on_pre_vote_reply(
+        &mut self,
+        from: ReplicaId,
+        term: Term,
+        granted: bool,
+        now: Duration,
+    ) {
+        if !granted {
+            if term > self.hard.term {
+                self.follow(term, None, now);
+            }
+            return;
+        }
+        if self.role != Role::PreCandidate || term != self.hard.term + 1 {
+            return;
+        }
+        if self.count_vote(from) {
+            self.start_vote(now);
+        }
+    }
+
+    pub(super) fn on_vote(
+        &mut self,
+        from: ReplicaId,
+        term: Term,
+        last: (Term, Index),
+        now: Duration,
+    ) {
+        if term < self.hard.term || self.leader_is_fresh(now) {
+            let refusal = Body::VoteReply { granted: false };
+            self.reply(from, self.hard.term, refusal);
+            return;
+        }
+        if term > self.hard.term {
+            self.follow(term, None, now);
+        }
+        let free = self.hard.vote.is_none_or(|vote| vote == from);
+        let granted = free && self.log_is_current(last);
+        if granted {
+            self.hard.vote = Some(from);
+            self.effects.persist.hard = Some(self.hard);
+            self.reset_election(now);
+        }
+        self.reply(from, term, Body::VoteReply { granted });
+    }
+
+    pub(super) fn on_vote_reply(
+        &mut self,
+        from: ReplicaId,
+        term: Term,
+        granted: bool,
+        now: Duration,
+    ) {
+        if term > self.hard.term {
+            self.follow(term, None, now);
+            return;
+        }
+        if self.role != Role::Candidate || term != self.hard.term || !granted {
+            return;
+        }
+        if self.count_vote(from) {
+            self.take_office(now);
+        }
+    }
+
+    /// Counts a voter's vote; learners count for nothing.
+    pub(super) fn count_vote(&mut self, from: ReplicaId) -> bool {
+        if !self.membership().is_voter(from) {
+            return false;
+        }
+        self.votes.insert(from);
+        self.votes.len() >= self.membership().quorum()
+    }
+
+    pub(super) fn take_office(&mut self, now: Duration) {
+        self.role = Role::Leader;
+        self.leader = Some(self.id);
+        self.office_since = now;
+        self.progress.clear();
+        self.rounds = Rounds::default();
+        self.append_own(Payload::Noop);
+        self.office_index = self.log.last_index();
+        self.sync_progress();
+        self.broadcast(now);
+    }
+
+    pub(super) fn follow(&mut self, term: Term, leader: Option<ReplicaId>, now: Duration) {
+        if term > self.hard.term {
+            self.hard = HardState { term, vote: None };
+            self.effects.persist.hard = Some(self.hard);
+        }
+        self.role = Role::Follower;
+        self.leader = leader;
+        self.reset_election(now);
+    }
+
+    pub(super) fn reset_election(&mut self, now: Duration) {
+        let spread = self.settings.election_max - self.settings.election_min;
+        self.election_at = now + self.settings.election_min + spread.mul_f64(self.rng.f64());
+    }
+}
--- /dev/null
+++ b/src/agreement/node/follower.rs
@@ -0,0 +1,99 @@
+//! The follower's side of replication.
+
+use std::time::Duration;
+
+use super::Node;
+use crate::agreement::Body;
+use crate::agreement::Entry;
+use crate::agreement::Index;
+use crate::agreement::ReplicaId;
+use crate::agreement::Snapshot;
+use crate::agreement::Term;
+
+impl Node {
+    pub(super) fn accept_leader(
+        &mut self,
+        from: ReplicaId,
+        term: Term,
+        round: u64,
+        now: Duration,
+    ) -> bool {
+        if term < self.hard.term {
+            let body = Body::AppendReply {
+                matched: false,
+                index: 0,
+                round,
+            };
+            self.reply(from, self.hard.term, body);
+            return false;
+        }
+        self.follow(term, Some(from), now);
+        self.leader_heard = Some(now);
+        true
+    }
+
+    pub(super) fn on_append(
+        &mut self,
+        from: ReplicaId,
+        prev: (Index, Term),
+        entries: Vec<Entry>,
+        commit: Index,
+        round: u64,
+    ) {
+        let (prev_index, prev_term) = prev;
+        let covered = prev_index < self.log.snapshot().index;
+        if !covered && self.log.term(prev_index) != Some(prev_term) {
+            let hint = prev_index.saturating_sub(1).min(self.log.last_index());
+            self.reply_append(from, false, hint, round);
+            return;
+        }
+        let last = prev_index + entries.len() as u64;
+        self.merge(entries);
+        self.commit = self.commit.max(commit.min(last));
+        self.reply_append(from, true, last, round);
+    }
+
+    pub(super) fn merge(&mut self, entries: Vec<Entry>) {
+        for entry in entries {
+            if entry.index <= self.log.snapshot().index {
+                continue;
+            }
+            match self.log.term(entry.index) {
+                Some(term) if term == entry.term => continue,
+                Some(_) => self.drop_conflict(entry.index),
+                None => {}
+            }
+            self.log.push(entry.clone());
+            self.effects.persist.entries.push(entry);
+        }
+    }
+
+    pub(super) fn drop_conflict(&mut self, index: Index) {
+        debug_assert!(index > self.commit, "a committed entry is never replaced");
+        self.log.truncate_from(index);
+        self.durable = self.durable.min(index - 1);
+        self.effects.persist.truncate_from = Some(index);
+    }
+
+    pub(super) fn on_snapshot(&mut self, from: ReplicaId, snapshot: Snapshot, round: u64) {
+        let index = snapshot.index;
+        if index > self.commit {
+            self.log.install(snapshot.clone());
+            self.commit = index;
+            self.delivered = index;
+            self.durable = self.durable.max(index).min(self.log.last_index());
+            self.effects.persist.snapshot = Some(snapshot.clone());
+            self.effects.install = Some(snapshot);
+        }
+        self.reply_append(from, true, index, round);
+    }
+
+    pub(super) fn reply_append(&mut self, to: ReplicaId, matched: bool, index: Index, round: u64) {
+        let body = Body::AppendReply {
+            matched,
+            index,
+            round,
+        };
+        self.reply(to, self.hard.term, body);
+    }
+}
--- /dev/null
+++ b/src/agreement/node/leader.rs
@@ -0,0 +1,161 @@
+//! The leader's side of replication.
+
+use std::time::Duration;
+
+use super::APPEND_LIMIT;
+use super::Node;
+use super::Role;
+use super::SNAPSHOT_RETRY;
+use crate::agreement::Body;
+use crate::agreement::Entry;
+use crate::agreement::Index;
+use crate::agreement::Payload;
+use crate::agreement::ReplicaId;
+use crate::agreement::Term;
+use crate::agreement::progress::Progress;
+
+impl Node {
+    pub(super) fn tick_leader(&mut self, now: Duration) {
+        // Check-quorum: a leader that a cut has silenced steps down by itself.
+        let silent_since = self.quorum_heard().unwrap_or(self.office_since);
+        if now > silent_since + self.settings.election_max {
+            self.follow(self.hard.term, None, now);
+            return;
+        }
+        if now >= self.heartbeat_at {
+            self.broadcast(now);
+        }
+    }
+
+    pub(super) fn append_own(&mut self, payload: Payload) {
+        let entry = Entry {
+            term: self.hard.term,
+            index: self.log.last_index() + 1,
+            payload,
+        };
+        self.log.push(entry.clone());
+        self.effects.persist.entries.push(entry);
+    }
+
+    /// Keeps one progress per other member of the newest membership.
+    pub(super) fn sync_progress(&mut self) {
+        let last = self.log.last_index();
+        let id = self.id;
+        let members: Vec<ReplicaId> = self.membership().members.keys().copied().collect();
+        self.progress.retain(|known, _| members.contains(known));
+        for member in members.into_iter().filter(|&member| member != id) {
+            self.progress
+                .entry(member)
+                .or_insert_with(|| Progress::new(last));
+        }
+    }
+
+    pub(super) fn broadcast(&mut self, now: Duration) {
+        self.heartbeat_at = now + self.settings.heartbeat;
+        let round = self.rounds.open(now);
+        let peers: Vec<ReplicaId> = self.progress.keys().copied().collect();
+        for peer in peers {
+            self.send_append(peer, round, now);
+        }
+    }
+
+    pub(super) fn send_append(&mut self, to: ReplicaId, round: u64, now: Duration) {
+        let Some(progress) = self.progress.get_mut(&to) else {
+            return;
+        };
+        let prev_index = progress.next - 1;
+        let Some(prev_term) = self.log.term(prev_index) else {
+            let due = progress
+                .snapshot_sent
+                .is_none_or(|sent| now >= sent + SNAPSHOT_RETRY);
+            if due {
+                progress.snapshot_sent = Some(now);
+                let snapshot = self.log.snapshot().clone();
+                self.send_now(to, Body::InstallSnapshot { snapshot, round });
+            }
+            return;
+        };
+        let entries = self.log.from(progress.next, APPEND_LIMIT);
+        // Optimistic: the next append continues from here; a refusal or a heartbeat steps back.
+        progress.next += entries.len() as u64;
+        let body = Body::Append {
+            prev_index,
+            prev_term,
+            entries,
+            commit: self.commit,
+            round,
+        };
+        self.send_now(to, body);
+    }
+
+    pub(super) fn on_append_reply(
+        &mut self,
+        from: ReplicaId,
+        term: Term,
+        matched: bool,
+        index: Index,
+        round: u64,
+        now: Duration,
+    ) {
+        if term > self.hard.term {
+            self.follow(term, None, now);
+            return;
+        }
+        if self.role != Role::Leader || term < self.hard.term {
+            return;
+        }
+        let sent_at = self.rounds.sent_at(round);
+        let last = self.log.last_index();
+        let Some(progress) = self.progress.get_mut(&from) else {
+            return;
+        };
+        progress.heard = progress.heard.max(sent_at);
+        if !matched {
+            progress.next = (index + 1).clamp(progress.matched + 1, last + 1);
+            self.send_append(from, round, now);
+            return;
+        }
+        if index > progress.matched && index <= last {
+            progress.matched = index;
+            progress.snapshot_sent = None;
+        }
+        progress.next = progress.next.max(progress.matched + 1);
+        let behind = progress.next <= last;
+        self.advance_commit();
+        if behind {
+            self.send_append(from, round, now);
+        }
+    }
+
+    /// Commits what a quorum of voters holds durably, if it is of this term.
+    pub(super) fn advance_commit(&mut self) {
+        let mut matched: Vec<Index> = self
+            .membership()
+            .voters()
+            .map(|id| self.matched(id).unwrap_or(0))
+            .collect();
+        matched.sort_unstable_by(|a, b| b.cmp(a));
+        let quorum = self.membership().quorum();
+        let Some(&index) = matched.get(quorum - 1) else {
+            return;
+        };
+        if index > self.commit && self.log.term(index) == Some(self.hard.term) {
+            self.commit = index;
+        }
+    }
+
+    /// The latest sending time that a quorum of voters has answered.
+    pub(super) fn quorum_heard(&self) -> Option<Duration> {
+        let mut heard: Vec<Option<Duration>> = self
+            .membership()
+            .voters()
+            .map(|id| match self.progress.get(&id) {
+                Some(progress) => progress.heard,
+                // This replica itself: always heard.
+                None => Some(Duration::MAX / 2),
+            })
+            .collect();
+        heard.sort_unstable_by(|a, b| b.cmp(a));
+        heard.get(self.membership().quorum() - 1).copied().flatten()
+    }
+}
