--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -97,7 +97,7 @@
             };
         }
         if self.running < self.slots && self.waiting() == 0 {
-            self.start(&request);
+            self.start();
             return Offer::Run;
         }
         let expected = self.expected_wait(&request);
@@ -155,7 +155,7 @@
         self.virtual_time = self
             .virtual_time
             .max(tag - 1.0 / f64::from(request.weight.max(1)));
-        self.start(&request);
+        self.start();
         Some(request)
     }
 
@@ -179,7 +179,7 @@
             .collect()
     }
 
-    fn start(&mut self, _request: &Waiting) {
+    fn start(&mut self) {
         self.running += 1;
         self.dispatched += 1;
     }
--- a/src/relay/chat.rs
+++ b/src/relay/chat.rs
@@ -123,7 +123,7 @@
             begun,
         ));
     }
-    plain(worker, ask, selected, &dispatch, attempts, run, begun).await
+    plain(worker, ask, selected, attempts, run, begun).await
 }
 
 async fn claimed(open: &mut OpenClaim) -> Result<(), Ended> {
@@ -190,7 +190,6 @@
     worker: &Worker,
     ask: &Ask,
     selected: &Selected,
-    dispatch: &Dispatch,
     mut attempts: Attempts<'_>,
     mut run: Run,
     mut begun: Begun,
@@ -255,7 +254,6 @@
         });
     }
     count(worker, ask, &version, first);
-    debug_assert_eq!(dispatch.request, ask.request);
     Ok(answered(ask, selected, &version, body))
 }
 
@@ -310,7 +308,7 @@
         open,
         version: then.clone(),
     };
-    plain(worker, ask, &direct, &dispatch, attempts, run, begun).await
+    plain(worker, ask, &direct, attempts, run, begun).await
 }
 
 /// Reads a whole plain answer and checks whose it is.
--- a/src/standin/announce.rs
+++ b/src/standin/announce.rs
@@ -104,7 +104,7 @@
 }
 
 /// Tells the entries that the stand-in leaves.
-pub(super) async fn leave(stand: &Stand, _address: SocketAddr) {
+pub(super) async fn leave(stand: &Stand) {
     if stand.cfg.entries.is_empty() {
         return;
     }
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -57,7 +57,7 @@
     let (address, stand, server) = start(cfg)?;
     ready(address);
     crate::signal::stop_requested().await;
-    announce::leave(&stand, address).await;
+    announce::leave(&stand).await;
     server.stop(true).await;
     Ok(())
 }
