--- a/tests/fuzz/agreement/oracle.rs
+++ b/tests/fuzz/agreement/oracle.rs
@@ -13,7 +13,7 @@
 pub(crate) struct Oracle {
     committed: BTreeMap<Index, Entry>,
     leaders: BTreeMap<Term, ReplicaId>,
-    /// Highest term that was seen to lead, with the time.
+    /// Commands that were seen committed.
     pub(crate) commands: u64,
 }
 
