--- a/src/agreement/node/mod.rs
+++ b/src/agreement/node/mod.rs
@@ -244,6 +244,19 @@
             })
     }
 
+    /// When the newest round that a member answered was sent; leaders only.
+    pub fn heard(&self, id: ReplicaId) -> Option<Duration> {
+        self.progress.get(&id).and_then(|progress| progress.heard)
+    }
+
+    /// Gives up the office, if it has one; the others elect a leader once they miss this one.
+    pub fn step_down(&mut self, now: Duration) -> Effects {
+        if self.role == Role::Leader {
+            self.follow(self.hard.term, None, now);
+        }
+        self.take_effects()
+    }
+
     /// When this replica took office.
     pub fn office_since(&self) -> Duration {
         self.office_since
--- a/src/cli/state.rs
+++ b/src/cli/state.rs
@@ -1,5 +1,6 @@
 //! Flags of `daisyquay-state`.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use clap::Arg;
@@ -83,11 +84,14 @@
 /// The resolved settings.
 pub fn config(matches: &ArgMatches) -> Config {
     let listen = required(matches, "listen");
+    let replicas: Vec<SocketAddr> = many(matches, "replicas");
     Config {
         listen,
         advertise: optional(matches, "advertise").unwrap_or(listen),
         admin_listen: required(matches, "admin-listen"),
-        replicas: many(matches, "replicas"),
+        voters: replicas.len(),
+        replicas,
+        may_form: true,
         data: required(matches, "data"),
         peer_key: required(matches, "peer-key"),
         operators: many(matches, "operators"),
--- a/src/clock/mod.rs
+++ b/src/clock/mod.rs
@@ -1,5 +1,6 @@
 //! The clock as an interface, so that decisions never read time themselves.
 
+use std::sync::OnceLock;
 use std::time::Duration;
 use std::time::Instant;
 use std::time::SystemTime;
@@ -14,21 +15,35 @@
     fn wall_ms(&self) -> u64;
 }
 
-/// The operating system's clock.
+/// The operating system's clock. It counts time in which the VM was suspended: a lease must not
+/// outlive it.
 #[derive(Debug)]
 pub struct System {
-    start: Instant,
+    start: Duration,
 }
 
 impl System {
     /// Starts counting now.
     pub fn new() -> Self {
         Self {
-            start: Instant::now(),
+            start: since_boot(),
         }
     }
 }
 
+/// Time since the VM was started. Where the system has no such clock, the monotonic one stands in.
+fn since_boot() -> Duration {
+    match nix::time::clock_gettime(nix::time::ClockId::CLOCK_BOOTTIME) {
+        Ok(time) => Duration::from(time),
+        Err(_) => monotonic(),
+    }
+}
+
+fn monotonic() -> Duration {
+    static FIRST: OnceLock<Instant> = OnceLock::new();
+    FIRST.get_or_init(Instant::now).elapsed()
+}
+
 impl Default for System {
     fn default() -> Self {
         Self::new()
@@ -37,7 +52,7 @@
 
 impl Clock for System {
     fn now(&self) -> Duration {
-        self.start.elapsed()
+        since_boot().saturating_sub(self.start)
     }
 
     fn wall_ms(&self) -> u64 {
--- a/src/config/check.rs
+++ b/src/config/check.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use super::Inventory;
+use super::Route;
 use super::VersionName;
 
 /// Longest inventory file, in bytes.
@@ -14,6 +15,9 @@
 /// Highest price of a thousand tokens.
 const COST_LIMIT: f64 = 1e6;
 
+/// Longest time-out of a route, in milliseconds: a day.
+const TIMEOUT_LIMIT_MS: u64 = 86_400_000;
+
 /// Parses and checks the text of an inventory file.
 ///
 /// # Errors
@@ -27,13 +31,18 @@
         ));
     }
     let inventory: Inventory = toml::from_str(text).map_err(|e| e.to_string())?;
-    let problems = Checker::default().check(&inventory);
+    let problems = problems(&inventory);
     if problems.is_empty() {
         return Ok(inventory);
     }
     Err(problems.join("\n"))
 }
 
+/// Everything in an inventory that can't be right, each with its place and the remedy.
+pub fn problems(inventory: &Inventory) -> Vec<String> {
+    Checker::default().check(inventory)
+}
+
 #[derive(Default)]
 struct Checker {
     problems: Vec<String>,
@@ -43,6 +52,7 @@
     fn check(mut self, inventory: &Inventory) -> Vec<String> {
         self.models(inventory);
         self.services(inventory);
+        self.routes(inventory);
         self.upstream_keys(inventory);
         self.organisations(inventory);
         self.rules(inventory);
@@ -139,6 +149,45 @@
         }
     }
 
+    fn routes(&mut self, inventory: &Inventory) {
+        let mut places = BTreeSet::new();
+        for route in &inventory.routes {
+            let place = format!("route `{}`", route.name);
+            if !places.insert((&route.host, &route.prefix)) {
+                self.problem(&place, "another route has its host and prefix; remove one");
+            }
+            self.route(&place, route, inventory);
+        }
+    }
+
+    fn route(&mut self, place: &str, route: &Route, inventory: &Inventory) {
+        if route.host.is_empty() {
+            self.problem(place, "host is empty; write the host that requests name");
+        }
+        if !(route.prefix.starts_with('/') && route.prefix.ends_with('/')) {
+            self.problem(place, "prefix: begin and end it with `/`");
+        }
+        if route.timeout_ms == 0 || route.timeout_ms > TIMEOUT_LIMIT_MS {
+            let text = format!("timeout_ms is out of range; write 1 to {TIMEOUT_LIMIT_MS}");
+            self.problem(place, &text);
+        }
+        if route.attempts == 0 {
+            self.problem(place, "attempts = 0 serves nobody; write 1 at least");
+        }
+        if route.split.iter().all(|split| split.weight == 0) {
+            self.problem(place, "its weights add up to 0; give one service a weight");
+        }
+        for split in &route.split {
+            if inventory.service(&split.service).is_none() {
+                let text = format!(
+                    "service `{}` is not in this file; add it or name another",
+                    split.service
+                );
+                self.problem(place, &text);
+            }
+        }
+    }
+
     fn upstream_keys(&mut self, inventory: &Inventory) {
         let names = inventory.upstream_keys.iter().map(|key| &*key.name);
         self.unique("upstream key", names);
--- a/src/config/inventory.rs
+++ b/src/config/inventory.rs
@@ -10,6 +10,7 @@
 use serde::de::Error as _;
 
 use super::KeyHash;
+use super::Route;
 use crate::collections::Name;
 
 /// Everything that one file says.
@@ -25,6 +26,9 @@
     /// Plain services beside the models.
     #[serde(default)]
     pub services: Vec<Service>,
+    /// Requests that are passed on unread, by host and path.
+    #[serde(default)]
+    pub routes: Vec<Route>,
     /// Keys with which upstreams announce themselves.
     #[serde(default)]
     pub upstream_keys: Vec<UpstreamKey>,
@@ -44,6 +48,9 @@
     /// Share of a contended pool, relative to the others.
     #[serde(default = "default_weight")]
     pub weight: u32,
+    /// Rank of its requests against other organisations'; 0 goes first.
+    #[serde(default)]
+    pub rank: u32,
     /// Least mean quality of its answers, 0 to 1, unless a request says otherwise.
     pub quality_target: f64,
     /// Models (`name`), versions (`name@version`) and services that it may use.
@@ -100,6 +107,34 @@
     /// Calls that must run at most once, as `METHOD /path/prefix`.
     #[serde(default)]
     pub not_repeatable: Vec<Name>,
+    /// Connections that one upstream takes from all callers together; 0 where no bound is known.
+    #[serde(default)]
+    pub connections: u32,
+    /// What its model engines can do; `None` for a plain service.
+    #[serde(default)]
+    pub engine: Option<EngineTerms>,
+}
+
+/// What the model engines of a service can do.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct EngineTerms {
+    /// Requests in one batch.
+    pub slots: u32,
+    /// Tokens that the cache and the running requests share.
+    pub cache_tokens: u64,
+    /// Models by name, with the cost of a thousand generated tokens.
+    pub models: Vec<ModelCost>,
+}
+
+/// What a model costs.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ModelCost {
+    /// Model.
+    pub name: Name,
+    /// Cost of a thousand generated tokens.
+    pub cost: f64,
 }
 
 /// A key with which upstreams announce themselves.
--- a/src/config/key.rs
+++ b/src/config/key.rs
@@ -25,6 +25,11 @@
         Self(Sha256::digest(key.as_bytes()).into())
     }
 
+    /// The hash itself: a table may be searched by it, since a hash tells nothing of the key.
+    pub(crate) fn bytes(&self) -> &[u8; 32] {
+        &self.0
+    }
+
     /// Compares in constant time.
     pub fn matches(&self, other: &Self) -> bool {
         self.0.ct_eq(&other.0).into()
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -3,10 +3,14 @@
 mod check;
 mod inventory;
 mod key;
+mod route;
 
 pub use self::check::parse;
+pub use self::check::problems;
+pub use self::inventory::EngineTerms;
 pub use self::inventory::Inventory;
 pub use self::inventory::Model;
+pub use self::inventory::ModelCost;
 pub use self::inventory::Organisation;
 pub use self::inventory::Rules;
 pub use self::inventory::Service;
@@ -15,3 +19,6 @@
 pub use self::inventory::VersionName;
 pub use self::inventory::VersionState;
 pub use self::key::KeyHash;
+pub use self::route::Repeat;
+pub use self::route::Route;
+pub use self::route::Split;
--- a/src/entry/link.rs
+++ b/src/entry/link.rs
@@ -1,9 +1,6 @@
 //! The link to the state: renewals of the lease, which carry all control news both ways, and calls
 //! to the leader.
 
-use std::cell::Cell;
-use std::net::SocketAddr;
-use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -19,18 +16,13 @@
 use crate::log::event;
 use crate::peer::Client;
 use crate::peer::Grant;
+use crate::peer::Leader;
 use crate::peer::Renewal;
 use crate::peer::Reply;
 use crate::peer::Request;
 use crate::state::command::LedgerOp;
 use crate::state::command::LedgerOutcome;
 
-/// Time in which a replica must answer one call.
-const CALL_LIMIT: Duration = Duration::from_millis(800);
-
-/// Pause before another replica is tried while there is no leader.
-const PAUSE: Duration = Duration::from_millis(40);
-
 /// Time between sendings of steps that nobody waits for.
 const FLUSH: Duration = Duration::from_millis(50);
 
@@ -46,80 +38,14 @@
     Ledger(LedgerOp, Option<oneshot::Sender<LedgerOutcome>>),
 }
 
-/// Finds the leader and calls it.
-#[derive(Clone)]
-pub(super) struct Link {
-    client: Client,
-    replicas: Rc<[SocketAddr]>,
-    leader: Rc<Cell<SocketAddr>>,
-}
-
-impl Link {
-    fn new(shared: &Shared) -> Self {
-        let replicas: Rc<[SocketAddr]> = shared.cfg.state.clone().into();
-        let start = fastrand::usize(..replicas.len());
-        Self {
-            client: Client::new(&shared.cfg.peer_key),
-            leader: Rc::new(Cell::new(replicas[start])),
-            replicas,
-        }
-    }
-
-    /// Calls the replica believed to lead; `None` where another must be tried.
-    pub(super) async fn call_leader(&self, request: &Request) -> Option<Reply> {
-        let leader = self.leader.get();
-        match self.client.call(leader, request, CALL_LIMIT).await {
-            Ok(Reply::NotLeader { leader: known }) => {
-                match known.filter(|address| self.replicas.contains(address)) {
-                    Some(address) => self.leader.set(address),
-                    None => self.rotate(leader),
-                }
-                None
-            }
-            Ok(Reply::Unknown) => None,
-            Ok(reply) => Some(reply),
-            Err(e) => {
-                event!(Debug, "call_failed", error = e);
-                self.rotate(leader);
-                None
-            }
-        }
-    }
-
-    /// Tries the next replica, unless another call has found a leader meanwhile.
-    fn rotate(&self, tried: SocketAddr) {
-        if self.leader.get() != tried {
-            return;
-        }
-        let at = self.replicas.iter().position(|&address| address == tried);
-        let next = at.map_or(0, |at| (at + 1) % self.replicas.len());
-        self.leader.set(self.replicas[next]);
-    }
-
-    pub(super) async fn pause(&self) {
-        tokio::time::sleep(PAUSE).await;
-    }
-
-    async fn call_until(&self, request: Request, limit: Duration) -> Option<Reply> {
-        let repeat = async {
-            loop {
-                if let Some(reply) = self.call_leader(&request).await {
-                    return reply;
-                }
-                self.pause().await;
-            }
-        };
-        tokio::time::timeout(limit, repeat).await.ok()
-    }
-}
-
 /// Runs the link until the entry is released and everything is settled.
 pub(super) async fn run(
     shared: Arc<Shared>,
     mut asks: UnboundedReceiver<Ask>,
     released: Arc<AtomicBool>,
 ) {
-    let link = Link::new(&shared);
+    let client = Client::new(&shared.cfg.peer_key);
+    let link = Leader::new(client, shared.cfg.state.clone());
     let batcher = Batcher::default();
     let renewing = tokio::task::spawn_local(renew(shared.clone(), link.clone()));
     let mut flush = tokio::time::interval(FLUSH);
@@ -154,12 +80,12 @@
 }
 
 /// Renews the lease for ever.
-async fn renew(shared: Arc<Shared>, link: Link) {
+async fn renew(shared: Arc<Shared>, link: Leader) {
     let mut renewer = Renewer::default();
     loop {
         let sent_at = shared.now();
         let renewal = renewer.renewal(&shared);
-        let reply = link.call_leader(&Request::Renew(Box::new(renewal))).await;
+        let reply = link.call(&Request::Renew(Box::new(renewal))).await;
         let granted = match reply {
             Some(Reply::Grant(grant)) => {
                 renewer.take(&shared, *grant, sent_at);
@@ -211,7 +137,9 @@
             entries_seen: self.entries_seen,
             quality_seen: self.quality_seen,
             loads: shared.take_news(),
+            replicas_seen: 0,
             demand: shared.pools.lock().demand(),
+            seen: Vec::new(),
             leaving: shared.is_leaving(),
             release: false,
         }
--- /dev/null
+++ b/src/gateway/attempt.rs
@@ -0,0 +1,170 @@
+//! One attempt: a request sent to one upstream, and what its answer means.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::StatusCode;
+use http_body_util::Full;
+
+use super::Gateway;
+use super::call::Call;
+use super::names::Names;
+use super::picture::Runner;
+use super::runners::Work;
+use crate::collections::Name;
+use crate::wire::Answer;
+use crate::wire::Failure;
+use crate::wire::Head;
+use crate::wire::Outgoing;
+
+/// Time in which an upstream must take a connection: three round trips between data centres and a
+/// retransmission.
+const CONNECT_LIMIT: Duration = Duration::from_millis(400);
+
+/// Most bytes of an answer that is not a stream.
+const ANSWER_LIMIT: usize = 8 * 1024 * 1024;
+
+/// What one attempt came to.
+pub(super) enum Ended {
+    /// It has not run there.
+    NotRun(&'static str),
+    /// It may have run; there is no answer.
+    Lost(&'static str),
+    /// The upstream answered, with the whole body.
+    Whole(Head, Bytes),
+    /// The upstream answers with a stream, of which nothing has been read.
+    Stream(Box<Answer>, Work),
+}
+
+/// What an attempt adds to the caller's request.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Extra {
+    /// Model, where the gateway chooses it.
+    pub(super) model: Option<Name>,
+    /// Event after which a broken stream goes on.
+    pub(super) resume_after: Option<u64>,
+}
+
+/// Sends `call` to `runner`.
+pub(super) async fn attempt(
+    gateway: &Rc<Gateway>,
+    call: &Call,
+    runner: &Runner,
+    extra: &Extra,
+) -> Ended {
+    let mut work = Work::start(gateway, runner.clone());
+    let left = call.left(gateway.now());
+    let Some(request) = outgoing(&gateway.cfg.names, call, runner, extra, left) else {
+        return Ended::NotRun("the request can't be written");
+    };
+    let address = runner.address();
+    let sent = gateway.pool.send(address, request, CONNECT_LIMIT.min(left));
+    match sent.await {
+        Ok(answer) => judge(gateway, call, answer, work).await,
+        Err(failure) => {
+            gateway.pool.forget(address);
+            work.failed();
+            match failure {
+                Failure::NotSent(reason) => Ended::NotRun(reason),
+                Failure::Broken(reason) => {
+                    gateway.note_bad(call, runner);
+                    Ended::Lost(reason)
+                }
+            }
+        }
+    }
+}
+
+async fn judge(gateway: &Rc<Gateway>, call: &Call, answer: Answer, mut work: Work) -> Ended {
+    let names = &gateway.cfg.names;
+    work.report(&answer.headers);
+    if !is_for(names, call, &answer) {
+        // An answer to another request: the connection is closed, ours may be under way.
+        work.failed();
+        return Ended::Lost("the answer belongs to another request");
+    }
+    let refused = answer.headers.contains_key(&names.not_run)
+        || answer.status == StatusCode::MISDIRECTED_REQUEST;
+    if refused {
+        // Its body is of no use, but reading it saves a new connection.
+        let _ = answer.whole(ANSWER_LIMIT).await;
+        return Ended::NotRun("the upstream refused it");
+    }
+    if !answer.headers.contains_key(&names.signature) {
+        work.failed();
+        gateway.note_bad(call, &work.runner);
+        return Ended::Lost("the answer has no signature");
+    }
+    let failed = !answer.status.is_success();
+    gateway.note_answer(call, &work.runner, failed, work.elapsed());
+    work.answered();
+    if is_stream(&answer) && !failed {
+        return Ended::Stream(Box::new(answer), work);
+    }
+    match answer.whole(ANSWER_LIMIT).await {
+        Ok((head, body)) => Ended::Whole(head, body),
+        Err(failure) => Ended::Lost(failure.reason()),
+    }
+}
+
+fn is_for(names: &Names, call: &Call, answer: &Answer) -> bool {
+    answer
+        .headers
+        .get(&names.request)
+        .is_none_or(|echoed| echoed.as_bytes() == call.id.as_bytes())
+}
+
+fn is_stream(answer: &Answer) -> bool {
+    answer
+        .headers
+        .get(http::header::CONTENT_TYPE)
+        .is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"))
+}
+
+fn outgoing(
+    names: &Names,
+    call: &Call,
+    runner: &Runner,
+    extra: &Extra,
+    left: Duration,
+) -> Option<Outgoing> {
+    let mut request = http::Request::builder()
+        .method(call.method.clone())
+        .uri(&*call.target)
+        .body(Full::new(call.body.clone()))
+        .ok()?;
+    let headers = request.headers_mut();
+    headers.clone_from(&call.headers);
+    let text = |text: &str| HeaderValue::from_str(text).ok();
+    let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+    headers.insert(names.deadline_ms.clone(), HeaderValue::from(left_ms));
+    headers.insert(names.upstream.clone(), text(runner.id())?);
+    if let Some((organisation, _)) = &call.organisation {
+        headers.insert(names.organisation.clone(), text(organisation)?);
+    }
+    if let Some(model) = &extra.model {
+        headers.insert(names.model.clone(), text(model)?);
+    }
+    if let Some(after) = extra.resume_after {
+        headers.insert(names.resume_after.clone(), HeaderValue::from(after));
+    }
+    if call.route.affinity {
+        headers.insert(names.rank.clone(), HeaderValue::from(rank(call)));
+    }
+    Some(request)
+}
+
+/// Ranks that an upstream knows.
+const RANKS: u32 = 10;
+
+/// Routes that are told apart within one organisation's rank.
+const ROUTE_RANKS: u32 = 3;
+
+/// Rank at the upstream: the organisation's goes before the route's.
+fn rank(call: &Call) -> u32 {
+    let organisation = call.organisation.as_ref().map_or(0, |(_, rank)| *rank);
+    let route = call.route.rank.min(ROUTE_RANKS - 1);
+    (organisation.saturating_mul(ROUTE_RANKS) + route).min(RANKS - 1)
+}
--- /dev/null
+++ b/src/gateway/call.rs
@@ -0,0 +1,220 @@
+//! A caller's request, read once into typed fields.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Method;
+use http::StatusCode;
+use http::header;
+use ntex::http::Request;
+
+use super::Gateway;
+use super::names::HOP_BY_HOP;
+use super::names::Names;
+use super::picture::Picture;
+use super::refusal::Refusal;
+use crate::collections::Name;
+use crate::config::Route;
+use crate::policy::placement::stable_id;
+use crate::policy::prompt::Prompt;
+
+/// Longest time that a caller may ask us to wait: a day.
+const DEADLINE_LIMIT: Duration = Duration::from_secs(86_400);
+
+/// A caller's request.
+#[derive(Clone, Debug)]
+pub(super) struct Call {
+    /// The caller's id of this attempt.
+    pub(super) id: Name,
+    pub(super) route: Arc<Route>,
+    /// The organisation and its rank; `None` for a caller without a key.
+    pub(super) organisation: Option<(Name, u32)>,
+    pub(super) method: Method,
+    /// Path and query, as the caller wrote them.
+    pub(super) target: Name,
+    /// Headers that go on to the upstream whichever it is.
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+    /// Arrival, by the gateway's clock.
+    pub(super) at: Duration,
+    /// Moment at which the caller must have its final answer.
+    pub(super) until: Duration,
+    /// Whether the gateway chooses the model.
+    pub(super) any_model: bool,
+    pub(super) prompt: Prompt,
+    /// Session or, without one, what stands for it.
+    pub(super) session: Option<Name>,
+}
+
+impl Call {
+    /// Reads the head of a request; the body follows with [`read_body`].
+    pub(super) fn read(gateway: &Gateway, req: &Request) -> Result<Self, Refusal> {
+        let names = &gateway.cfg.names;
+        let picture = gateway.picture();
+        if picture.config.is_none() {
+            return Err(Refusal::unavailable(
+                "no_configuration",
+                "this entry has no configuration yet; ask another or come back",
+            ));
+        }
+        let at = gateway.now();
+        let target = target(req);
+        let path = target.split('?').next().unwrap_or_default();
+        let host = text(req, &header::HOST).unwrap_or_default();
+        let route = picture.route(host, path).cloned().ok_or_else(|| {
+            Refusal::refused(
+                StatusCode::NOT_FOUND,
+                "no_route",
+                "no route has this host and path; see `daisyquay show inventory`",
+            )
+        })?;
+        let organisation = organisation(&picture, names, req, &route)?;
+        let id = text(req, &names.request).ok_or_else(|| {
+            let message = format!("send an id of this attempt in `{}`", names.request);
+            Refusal::refused(StatusCode::BAD_REQUEST, "no_attempt_id", message)
+        })?;
+        let asked = text(req, &names.deadline_ms)
+            .and_then(|ms| ms.trim().parse().ok())
+            .map_or(DEADLINE_LIMIT, Duration::from_millis)
+            .min(DEADLINE_LIMIT);
+        let method = Method::from_bytes(req.method().as_str().as_bytes()).map_err(|_| {
+            Refusal::refused(StatusCode::BAD_REQUEST, "method", "the method is unknown")
+        })?;
+        let any_model = text(req, &names.model) == Some("*") && !route.ladder.is_empty();
+        Ok(Self {
+            id: id.into(),
+            until: at + asked.min(route.timeout()),
+            at,
+            any_model,
+            prompt: Prompt::read(
+                text(req, &names.prompt).unwrap_or_default(),
+                text(req, &names.tokens).unwrap_or_default(),
+            ),
+            session: text(req, &names.session).map(Into::into),
+            headers: forwarded(names, req, any_model),
+            organisation,
+            method,
+            target: target.into(),
+            route,
+            body: Bytes::new(),
+        })
+    }
+
+    /// Event after which the caller wants its stream to go on.
+    pub(super) fn resume_after(&self, names: &Names) -> Option<u64> {
+        let value = self.headers.get(&names.resume_after)?;
+        value.to_str().ok()?.trim().parse().ok()
+    }
+
+    /// A draw from 0 to 1 that is the same for all requests of a session, at every gateway.
+    pub(super) fn release_draw(&self) -> f64 {
+        let last = self.prompt.parts.last().map(|part| part.id);
+        let id = match (&self.session, last) {
+            (Some(session), _) => stable_id(session),
+            (None, Some(part)) => part,
+            (None, None) => stable_id(&self.id),
+        };
+        stable_id(&id.to_string()) as f64 / u64::MAX as f64
+    }
+
+    /// Time left until the caller must have its final answer.
+    pub(super) fn left(&self, now: Duration) -> Duration {
+        self.until.saturating_sub(now)
+    }
+}
+
+fn target(req: &Request) -> &str {
+    req.uri()
+        .path_and_query()
+        .map_or("/", |target| target.as_str())
+}
+
+fn text<'a>(req: &'a Request, name: &HeaderName) -> Option<&'a str> {
+    req.headers().get(name)?.to_str().ok()
+}
+
+fn organisation(
+    picture: &Picture,
+    names: &Names,
+    req: &Request,
+    route: &Route,
+) -> Result<Option<(Name, u32)>, Refusal> {
+    let key = text(req, &header::AUTHORIZATION)
+        .and_then(|value| value.strip_prefix(names.key_scheme))
+        .map(str::trim);
+    let found = key.and_then(|key| picture.organisation(key));
+    match found {
+        Some(organisation) => Ok(Some((organisation.name.clone(), organisation.rank))),
+        None if route.anonymous => Ok(None),
+        None => {
+            let message = format!(
+                "the key is unknown; send `Authorization: {} KEY` with a key of the inventory",
+                names.key_scheme
+            );
+            Err(Refusal::refused(
+                StatusCode::UNAUTHORIZED,
+                "unknown_key",
+                message,
+            ))
+        }
+    }
+}
+
+/// Headers that go on: neither those of this connection, nor the key, nor what the gateway sets.
+fn forwarded(names: &Names, req: &Request, any_model: bool) -> HeaderMap {
+    let mut headers = HeaderMap::with_capacity(req.headers().len());
+    let listed = text(req, &header::CONNECTION).unwrap_or_default();
+    for (name, value) in req.headers() {
+        let dropped = HOP_BY_HOP.contains(&name.as_str())
+            || *name == header::AUTHORIZATION
+            || *name == header::CONTENT_LENGTH
+            || *name == header::EXPECT
+            || *name == names.deadline_ms
+            || *name == names.organisation
+            || *name == names.upstream
+            || *name == names.rank
+            || any_model && *name == names.model
+            || names.reserved.contains(name)
+            || listed
+                .split(',')
+                .any(|listed| listed.trim().eq_ignore_ascii_case(name.as_str()));
+        if dropped {
+            continue;
+        }
+        if let Ok(value) = HeaderValue::from_bytes(value.as_bytes()) {
+            headers.append(name.clone(), value);
+        }
+    }
+    headers
+}
+
+/// Reads the whole body of a request.
+pub(super) async fn read_body(gateway: &Rc<Gateway>, req: &mut Request) -> Result<Bytes, Refusal> {
+    let limit = gateway.cfg.body_limit;
+    let mut payload = req.take_payload();
+    let mut buf = bytes::BytesMut::new();
+    while let Some(chunk) = payload.recv().await {
+        let chunk = chunk.map_err(|_| {
+            Refusal::refused(
+                StatusCode::BAD_REQUEST,
+                "broken_body",
+                "the body broke off; send the request again",
+            )
+        })?;
+        if buf.len() + chunk.len() > limit {
+            let message = format!("the body is over {limit} bytes; send less");
+            return Err(Refusal::refused(
+                StatusCode::PAYLOAD_TOO_LARGE,
+                "body_too_large",
+                message,
+            ));
+        }
+        buf.extend_from_slice(&chunk);
+    }
+    Ok(buf.freeze())
+}
--- /dev/null
+++ b/src/gateway/exchange.rs
@@ -0,0 +1,352 @@
+//! One request from its arrival to its final answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::StatusCode;
+use ntex::http::Request;
+use ntex::http::Response;
+
+use super::Gateway;
+use super::attempt::Ended;
+use super::attempt::Extra;
+use super::attempt::attempt;
+use super::call::Call;
+use super::call::read_body;
+use super::picture::Runner;
+use super::refusal::Refusal;
+use super::reply;
+use super::stop::Open;
+use super::stream;
+use crate::collections::Name;
+use crate::config::Repeat;
+use crate::log::event;
+use crate::policy::ladder;
+use crate::policy::placement;
+use crate::wire::Head;
+
+/// Least time left in which another attempt is worth making.
+const LEFT_LEAST: Duration = Duration::from_millis(20);
+
+/// Upstreams that may turn a request away before it is given back: their refusals cost no run, but
+/// each is an arrival.
+const REFUSALS_LIMIT: u32 = 4;
+
+/// Answers one request.
+pub(super) async fn answer(gateway: Rc<Gateway>, mut req: Request) -> Response {
+    if gateway.turns_away() {
+        let refusal = Refusal::unavailable("stopping", "this entry stops; ask another")
+            .after(Duration::ZERO);
+        return refuse(&gateway, None, &refusal);
+    }
+    let call = match Call::read(&gateway, &req) {
+        Ok(call) => call,
+        Err(refusal) => return refuse(&gateway, None, &refusal),
+    };
+    let body = match read_body(&gateway, &mut req).await {
+        Ok(body) => body,
+        Err(refusal) => return refuse(&gateway, Some(&call), &refusal),
+    };
+    let call = Rc::new(Call { body, ..call });
+    let mut exchange = Exchange::new(&gateway, &call);
+    let limit = call.left(gateway.now());
+    let outcome = tokio::time::timeout(limit, exchange.run()).await;
+    let outcome = outcome.unwrap_or_else(|_| Err(exchange.time_is_over()));
+    match outcome {
+        Ok(Served::Whole(head, body)) => reply::whole(&gateway, &head, body),
+        Ok(Served::Stream(relay)) => stream::response(&gateway, *relay, &req),
+        Err(refusal) => refuse(&gateway, Some(&call), &refusal),
+    }
+}
+
+fn refuse(gateway: &Gateway, call: Option<&Call>, refusal: &Refusal) -> Response {
+    gateway
+        .meters
+        .count("daisyquay_refusals", 1, &[("reason", refusal.code)]);
+    event!(
+        Info,
+        "refused",
+        request = call.map_or("-", |call| &*call.id),
+        route = call.map_or("-", |call| &*call.route.name),
+        status = refusal.status.as_u16(),
+        code = refusal.code
+    );
+    let mut response = refusal.response();
+    reply::mark(gateway, &mut response);
+    response
+}
+
+enum Served {
+    Whole(Head, Bytes),
+    Stream(Box<stream::Relay>),
+}
+
+/// The state of one request between its attempts.
+pub(super) struct Exchange {
+    gateway: Rc<Gateway>,
+    _open: Rc<Open>,
+    call: Rc<Call>,
+    service: Option<Name>,
+    model: Option<usize>,
+    tried: Vec<Name>,
+    /// Upstreams that it may have run on.
+    runs: u32,
+    refusals: u32,
+    last: &'static str,
+}
+
+impl Exchange {
+    fn new(gateway: &Rc<Gateway>, call: &Rc<Call>) -> Self {
+        let draw = gateway.rng.borrow_mut().f64();
+        let ladder = call.route.ladder.len();
+        Self {
+            gateway: gateway.clone(),
+            _open: Rc::new(Open::new(gateway)),
+            call: call.clone(),
+            service: call.route.service(draw).cloned(),
+            model: if call.any_model { ladder::first(ladder) } else { None },
+            tried: Vec::new(),
+            runs: 0,
+            refusals: 0,
+            last: "no upstream is there",
+        }
+    }
+
+    /// What the caller is told when the time is over.
+    fn time_is_over(&self) -> Refusal {
+        if self.runs > 0 {
+            return Refusal::timed_out();
+        }
+        Refusal::unavailable("no_time", "no upstream took the request in time; come back")
+    }
+
+    async fn run(&mut self) -> Result<Served, Refusal> {
+        let mut failure: Option<(Head, Bytes)> = None;
+        loop {
+            let Some(runner) = self.next_runner() else {
+                return self.give_up(failure);
+            };
+            let extra = Extra {
+                model: self.model_name(),
+                resume_after: None,
+            };
+            self.runs += 1;
+            let ended = attempt(&self.gateway, &self.call, &runner, &extra).await;
+            self.log_attempt(&runner, &ended);
+            match ended {
+                Ended::NotRun(reason) => {
+                    self.runs -= 1;
+                    self.refusals += 1;
+                    self.last = reason;
+                }
+                Ended::Lost(reason) => {
+                    self.last = reason;
+                    if !self.call.route.may_rerun() {
+                        return Err(Refusal::broken("answer_lost"));
+                    }
+                }
+                Ended::Whole(head, body) => {
+                    if head.status.is_server_error() && self.call.route.may_rerun() {
+                        failure = Some((head, body));
+                    } else {
+                        return Ok(Served::Whole(head, body));
+                    }
+                }
+                Ended::Stream(answer, work) => {
+                    if let Some(larger) = self.escalation(&answer.headers) {
+                        self.model = Some(larger);
+                        self.tried.clear();
+                        continue;
+                    }
+                    let exchange = self.take();
+                    let relay = stream::Relay::new(exchange, *answer, work);
+                    return Ok(Served::Stream(Box::new(relay)));
+                }
+            }
+        }
+    }
+
+    /// Moves the state into the relay of a stream.
+    fn take(&mut self) -> Self {
+        Self {
+            gateway: self.gateway.clone(),
+            _open: self._open.clone(),
+            call: self.call.clone(),
+            service: self.service.clone(),
+            model: self.model,
+            tried: std::mem::take(&mut self.tried),
+            runs: self.runs,
+            refusals: self.refusals,
+            last: self.last,
+        }
+    }
+
+    /// The largest model, where the answer of a smaller one is in doubt and another run is allowed.
+    fn escalation(&self, headers: &http::HeaderMap) -> Option<usize> {
+        if self.runs >= self.call.route.attempts {
+            return None;
+        }
+        let names = &self.gateway.cfg.names;
+        let confidence = headers
+            .get(&names.confidence)
+            .and_then(|value| value.to_str().ok())
+            .and_then(|text| text.trim().parse().ok());
+        let larger = ladder::escalate(self.call.route.ladder.len(), self.model?, confidence)?;
+        event!(
+            Debug,
+            "escalated",
+            request = self.call.id,
+            confidence = confidence.unwrap_or_default()
+        );
+        Some(larger)
+    }
+
+    pub(super) fn model_name(&self) -> Option<Name> {
+        self.call.route.ladder.get(self.model?).cloned()
+    }
+
+    /// The upstream of the next attempt, or `None` where there must be none.
+    fn next_runner(&mut self) -> Option<Runner> {
+        let first = self.runs == 0 && self.refusals == 0;
+        if self.runs >= self.call.route.attempts || self.refusals >= REFUSALS_LIMIT {
+            return None;
+        }
+        if !first && self.call.left(self.gateway.now()) < LEFT_LEAST {
+            return None;
+        }
+        let service = self.service.clone()?;
+        let runner = self.place(&service)?;
+        if first {
+            self.gateway.earn_retry(&service);
+        } else if !self.gateway.spend_retry(&service) {
+            self.last = "the retry budget is spent";
+            return None;
+        }
+        self.tried.push(runner.id().clone());
+        Some(runner)
+    }
+
+    fn place(&self, service: &Name) -> Option<Runner> {
+        let gateway = &self.gateway;
+        let picture = gateway.picture();
+        let pool = picture.pool(service)?;
+        let now = gateway.now();
+        let wants_new = pool
+            .new_share
+            .map(|share| self.call.release_draw() < share);
+        let runners = gateway.runners.borrow();
+        let spots_of = |new: Option<bool>| -> (Vec<usize>, Vec<placement::Spot>) {
+            let mut at = Vec::new();
+            let mut spots = Vec::new();
+            for (i, runner) in pool.runners.iter().enumerate() {
+                if new.is_some_and(|new| new != runner.is_new) {
+                    continue;
+                }
+                let tried = self.tried.contains(runner.id());
+                at.push(i);
+                spots.push(runners.spot(runner, &gateway.cfg.data_centre, tried, now));
+            }
+            (at, spots)
+        };
+        let shared = if self.call.route.affinity {
+            self.call.prompt.shared()
+        } else {
+            None
+        };
+        let rng = &mut *gateway.rng.borrow_mut();
+        let (at, spots) = spots_of(wants_new);
+        let mut chosen = placement::place(&spots, shared, rng).map(|i| at[i]);
+        // The settled release may serve what the new one can't, never the other way round.
+        if chosen.is_none() && wants_new == Some(true) {
+            let (at, spots) = spots_of(Some(false));
+            chosen = placement::place(&spots, shared, rng).map(|i| at[i]);
+        }
+        chosen.map(|i| pool.runners[i].clone())
+    }
+
+    fn give_up(&self, failure: Option<(Head, Bytes)>) -> Result<Served, Refusal> {
+        if let Some((head, body)) = failure {
+            return Ok(Served::Whole(head, body));
+        }
+        if self.runs > 0 {
+            return Err(Refusal::broken("answer_lost"));
+        }
+        event!(
+            Info,
+            "not_placed",
+            request = self.call.id,
+            refusals = self.refusals,
+            reason = self.last
+        );
+        Err(Refusal::unavailable(
+            "no_upstream",
+            "no upstream takes the request now; come back",
+        ))
+    }
+
+    fn log_attempt(&self, runner: &Runner, ended: &Ended) {
+        let (outcome, reason) = match ended {
+            Ended::NotRun(reason) => ("not_run", *reason),
+            Ended::Lost(reason) => ("lost", *reason),
+            Ended::Whole(head, _) if head.status.is_server_error() => ("failed", "-"),
+            Ended::Whole(..) | Ended::Stream(..) => return,
+        };
+        event!(
+            Info,
+            "attempt",
+            request = self.call.id,
+            route = self.call.route.name,
+            upstream = runner.id(),
+            release = runner.announced.release.as_deref().unwrap_or("-"),
+            run = self.runs,
+            outcome = outcome,
+            reason = reason,
+            left_ms = self.call.left(self.gateway.now()).as_millis()
+        );
+    }
+
+    pub(super) fn gateway(&self) -> &Rc<Gateway> {
+        &self.gateway
+    }
+
+    pub(super) fn call(&self) -> &Call {
+        &self.call
+    }
+
+    /// Another upstream for a stream that broke, with its answer from `after` on.
+    pub(super) async fn resume(&mut self, after: Option<u64>) -> Option<(crate::wire::Answer, super::runners::Work)> {
+        if self.call.route.repeat != Repeat::Stream || !self.call.route.resume {
+            return None;
+        }
+        loop {
+            let runner = self.next_runner()?;
+            let extra = Extra {
+                model: self.model_name(),
+                resume_after: after,
+            };
+            self.runs += 1;
+            let ended = attempt(&self.gateway, &self.call, &runner, &extra).await;
+            self.log_attempt(&runner, &ended);
+            match ended {
+                Ended::NotRun(_) => {
+                    self.runs -= 1;
+                    self.refusals += 1;
+                }
+                Ended::Lost(_) => {}
+                Ended::Whole(..) => return None,
+                Ended::Stream(answer, work) if answer.status == StatusCode::OK => {
+                    event!(
+                        Info,
+                        "stream_resumed",
+                        request = self.call.id,
+                        upstream = runner.id(),
+                        after = after.map_or(-1, |after| i64::try_from(after).unwrap_or(-1))
+                    );
+                    return Some((*answer, work));
+                }
+                Ended::Stream(..) => return None,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,305 @@
+//! The gateway daemon: it passes callers' requests on unread, by the routes of the inventory.
+//!
+//! Everything runs on one thread over the tables of [`Gateway`]; no borrow of a table is held
+//! across an `.await`. News come from the state by `link`; what was taken in last goes on holding
+//! while the state can't be reached, so that a trouble of the state is none of the callers'.
+
+mod attempt;
+mod call;
+mod events;
+mod exchange;
+mod link;
+mod names;
+mod picture;
+mod refusal;
+mod reply;
+mod runners;
+mod stop;
+mod stream;
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use snafu::ResultExt;
+use snafu::Snafu;
+
+pub use self::names::Names;
+
+use self::call::Call;
+use self::picture::Picture;
+use self::picture::Runner;
+use self::runners::Runners;
+use crate::clock::Clock;
+use crate::collections::HashMap;
+use crate::collections::Name;
+use crate::listen;
+use crate::log::event;
+use crate::metrics::Meters;
+use crate::peer::EntryInfo;
+use crate::peer::SeenRow;
+use crate::policy::release::Seen;
+use crate::policy::retry::Budget;
+use crate::wire::Pool;
+
+/// Retries that a service's budget earns with each first attempt: half of what deployments allow
+/// all gateways together, since budgets are not traded between them.
+const RETRIES_EARNED: f64 = 0.45;
+
+/// Retries that a service's budget may save up at one gateway.
+const RETRIES_SAVED: f64 = 4.0;
+
+/// Time between looks for connections that have been idle for too long.
+const SWEEP: Duration = Duration::from_secs(2);
+
+/// What a gateway is started with.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// This VM's name.
+    pub vm: Name,
+    /// This VM's data centre.
+    pub data_centre: Name,
+    /// Peer listeners of some state replicas.
+    pub state: Vec<SocketAddr>,
+    /// Key that our own processes show each other.
+    pub peer_key: String,
+    /// Where the admin listener is; `None` means that there is none.
+    pub admin_listen: Option<SocketAddr>,
+    /// Most bytes of a request's body.
+    pub body_limit: usize,
+    /// Time from an order to stop to the end of the process.
+    pub stop_limit: Duration,
+    /// Names of headers.
+    pub names: Names,
+}
+
+/// Why the daemon stopped.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// An address can't be listened on.
+    #[snafu(display("can't listen on {address}: {source}; choose another with --listen"))]
+    Listen {
+        /// Address.
+        address: SocketAddr,
+        /// Reason.
+        source: std::io::Error,
+    },
+}
+
+/// Everything that one gateway knows.
+pub(crate) struct Gateway {
+    cfg: Config,
+    clock: Arc<dyn Clock>,
+    /// Names this run of the gateway to the leader.
+    run: u64,
+    info: EntryInfo,
+    picture: RefCell<Arc<Picture>>,
+    runners: RefCell<Runners>,
+    pool: Pool,
+    budgets: RefCell<HashMap<Name, Budget>>,
+    seen: RefCell<HashMap<(Name, Name, Name), Seen>>,
+    rng: RefCell<fastrand::Rng>,
+    meters: Meters,
+    leaving_since: Cell<Option<Duration>>,
+    open: Cell<usize>,
+}
+
+/// A gateway that runs on the current thread.
+#[derive(Clone)]
+pub struct Running {
+    gateway: Rc<Gateway>,
+}
+
+impl Running {
+    /// Whether callers may be sent here.
+    pub fn is_ready(&self) -> bool {
+        self.gateway.picture().config.is_some() && !self.gateway.is_leaving()
+    }
+
+    /// Where callers of a data centre should connect.
+    pub fn addresses(&self, data_centre: &str) -> Vec<SocketAddr> {
+        self.gateway.addresses(data_centre)
+    }
+
+    /// Waits until the process is told to stop, then until its requests have ended.
+    pub async fn finish(self) {
+        stop::wait(&self.gateway).await;
+    }
+}
+
+/// Starts a gateway.
+///
+/// # Errors
+///
+/// A listener can't be opened.
+pub async fn start(cfg: Config, clock: Arc<dyn Clock>) -> Result<Running, Error> {
+    let info = EntryInfo {
+        vm: cfg.vm.clone(),
+        address: cfg.listen,
+        data_centre: cfg.data_centre.clone(),
+    };
+    let address = cfg.listen;
+    let gateway = Rc::new(Gateway {
+        cfg,
+        clock,
+        run: fastrand::u64(1..),
+        info,
+        picture: RefCell::default(),
+        runners: RefCell::default(),
+        pool: Pool::default(),
+        budgets: RefCell::default(),
+        seen: RefCell::default(),
+        rng: RefCell::new(fastrand::Rng::new()),
+        meters: Meters::new(),
+        leaving_since: Cell::new(None),
+        open: Cell::new(0),
+    });
+    let serving = gateway.clone();
+    let handler = Rc::new(move |req| -> listen::Answering {
+        Box::pin(exchange::answer(serving.clone(), req))
+    });
+    listen::serve(address, handler)
+        .await
+        .context(ListenSnafu { address })?;
+    event!(
+        Info,
+        "gateway_start",
+        vm = gateway.cfg.vm,
+        listen = address,
+        run = gateway.run
+    );
+    tokio::task::spawn_local(link::renew(gateway.clone()));
+    tokio::task::spawn_local(sweep(gateway.clone()));
+    Ok(Running { gateway })
+}
+
+async fn sweep(gateway: Rc<Gateway>) {
+    loop {
+        tokio::time::sleep(SWEEP).await;
+        gateway.pool.sweep();
+    }
+}
+
+impl Gateway {
+    fn now(&self) -> Duration {
+        self.clock.now()
+    }
+
+    fn picture(&self) -> Arc<Picture> {
+        self.picture.borrow().clone()
+    }
+
+    fn is_leaving(&self) -> bool {
+        self.leaving_since.get().is_some()
+    }
+
+    fn addresses(&self, data_centre: &str) -> Vec<SocketAddr> {
+        let picture = self.picture();
+        let others = picture
+            .entries
+            .iter()
+            .filter(|info| !(self.is_leaving() && info.address == self.info.address));
+        let near: Vec<SocketAddr> = others
+            .clone()
+            .filter(|info| *info.data_centre == *data_centre)
+            .map(|info| info.address)
+            .collect();
+        if !near.is_empty() {
+            return near;
+        }
+        let mut addresses: Vec<SocketAddr> = others.map(|info| info.address).collect();
+        if addresses.is_empty() {
+            // A caller without any address is worse off than with one that may stop soon.
+            addresses.push(self.info.address);
+        }
+        addresses
+    }
+
+    /// A request to the service makes its first attempt.
+    fn earn_retry(&self, service: &Name) {
+        self.budget(service, |budget| {
+            budget.earn();
+            true
+        });
+    }
+
+    /// Takes a retry from the service's budget.
+    fn spend_retry(&self, service: &Name) -> bool {
+        self.budget(service, Budget::spend)
+    }
+
+    fn budget(&self, service: &Name, act: impl FnOnce(&mut Budget) -> bool) -> bool {
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| Budget::new(RETRIES_EARNED, RETRIES_SAVED));
+        act(budget)
+    }
+
+    /// An upstream answered, be it with a failure.
+    fn note_answer(&self, call: &Call, runner: &Runner, failed: bool, first: Duration) {
+        self.note(call, runner, |seen| {
+            seen.requests += 1;
+            seen.bad += u64::from(failed);
+            if !failed {
+                seen.timed += 1;
+                seen.first_s += first.as_secs_f64();
+            }
+        });
+    }
+
+    /// An upstream failed without an answer.
+    fn note_bad(&self, call: &Call, runner: &Runner) {
+        self.note(call, runner, |seen| {
+            seen.requests += 1;
+            seen.bad += 1;
+        });
+    }
+
+    /// Counts for the guard of roll-outs; outside one nobody asks.
+    fn note(&self, call: &Call, runner: &Runner, count: impl FnOnce(&mut Seen)) {
+        let Some(release) = &runner.announced.release else {
+            return;
+        };
+        let picture = self.picture();
+        let Some(service) = runner.service() else {
+            return;
+        };
+        if picture
+            .pool(service)
+            .is_none_or(|pool| pool.new_share.is_none())
+        {
+            return;
+        }
+        let slot = (service.clone(), call.route.name.clone(), release.clone());
+        count(self.seen.borrow_mut().entry(slot).or_default());
+    }
+
+    /// What was seen since the last time it was taken.
+    fn take_seen(&self) -> Vec<SeenRow> {
+        self.seen
+            .borrow_mut()
+            .drain()
+            .map(|((service, route, release), seen)| SeenRow {
+                service,
+                route,
+                release,
+                seen,
+            })
+            .collect()
+    }
+
+    /// Puts back what could not be told.
+    fn restore_seen(&self, rows: Vec<SeenRow>) {
+        let mut table = self.seen.borrow_mut();
+        for row in rows {
+            let slot = (row.service, row.route, row.release);
+            table.entry(slot).or_default().add(&row.seen);
+        }
+    }
+}
--- a/src/operator/output.rs
+++ b/src/operator/output.rs
@@ -116,6 +116,7 @@
         Report::Inventory(inventory) => {
             toml::to_string(&**inventory).unwrap_or_else(|e| format!("{e}\n"))
         }
+        Report::Document(_) | Report::Lines(_) => pretty(&report_json(report)),
         Report::Status(status) => status_text(status),
         Report::Upstreams(rows) => {
             let rows: Vec<Vec<String>> = rows
@@ -193,6 +194,8 @@
         Report::Inventory(inventory) => json!(inventory),
         Report::Status(status) => json!(status),
         Report::Upstreams(rows) => json!(rows),
+        Report::Document(document) => json!(document),
+        Report::Lines(lines) => json!(lines),
         Report::Sessions(rows) => json!(rows),
         Report::Rollouts(rollouts) => json!(rollouts),
         Report::Bill(rows) => json!(rows),
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -15,6 +15,8 @@
 use crate::config::Inventory;
 use crate::config::VersionName;
 use crate::policy::quality::Row;
+use crate::policy::release::Seen;
+use crate::state::Lines;
 use crate::state::Target;
 use crate::state::command::Change;
 use crate::state::command::ChangeOutcome;
@@ -67,6 +69,13 @@
     Operate(Operation),
     /// An operator's question.
     Ask(Query),
+    /// An operator's request that another replica took in.
+    OnBehalf {
+        /// Operator.
+        who: Name,
+        /// What is asked.
+        request: Box<Request>,
+    },
 }
 
 /// The answer to a request.
@@ -129,10 +138,14 @@
     pub entries_seen: u64,
     /// Quality that it has, by the leader's count.
     pub quality_seen: u64,
+    /// Digest of the replicas' addresses that it knows.
+    pub replicas_seen: u32,
     /// Loads reported to it since the last renewal, and upstreams heard.
     pub loads: Vec<LoadRow>,
     /// Requests that run or wait, by target.
     pub demand: Vec<Share>,
+    /// What ended on releases of services since the last renewal that was granted.
+    pub seen: Vec<SeenRow>,
     /// Whether it is about to stop: it leaves the address answer.
     pub leaving: bool,
     /// Whether it gives the lease back.
@@ -160,6 +173,19 @@
     pub level: Option<Level>,
 }
 
+/// What an entry saw of one release of a service on one route.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct SeenRow {
+    /// Service.
+    pub service: Name,
+    /// Route.
+    pub route: Name,
+    /// Release.
+    pub release: Name,
+    /// What was seen.
+    pub seen: Seen,
+}
+
 /// Scores of one version in one class of task.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct QualityRow {
@@ -209,6 +235,10 @@
     pub quality_seen: u64,
     /// Slots that the entry may use, by target.
     pub shares: Vec<Share>,
+    /// Peer addresses of all members of the log, where they differ from what the entry knows.
+    pub replicas: Option<Vec<SocketAddr>>,
+    /// Digest of those addresses, for [`Renewal::replicas_seen`].
+    pub replicas_seen: u32,
 }
 
 /// The configuration as entries need it.
@@ -224,6 +254,8 @@
     pub draining: BTreeSet<Name>,
     /// Roll-outs by model.
     pub rollouts: BTreeMap<Name, RolloutView>,
+    /// Releases of services.
+    pub lines: Lines,
 }
 
 /// A roll-out as entries need it.
@@ -283,6 +315,8 @@
             quality: Vec::new(),
             quality_seen: 0,
             shares: Vec::new(),
+            replicas: None,
+            replicas_seen: 0,
         }
     }
 }
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -1,11 +1,13 @@
 //! What our own processes say to each other: `bincode` messages, one per `h2` stream, behind a key.
 
 mod client;
+mod leader;
 mod message;
 mod server;
 
 pub use self::client::CallError;
 pub use self::client::Client;
+pub use self::leader::Leader;
 pub use self::message::ConfigView;
 pub use self::message::EntryInfo;
 pub use self::message::Formation;
@@ -18,6 +20,7 @@
 pub use self::message::Reply;
 pub use self::message::Request;
 pub use self::message::RolloutView;
+pub use self::message::SeenRow;
 pub use self::message::Share;
 pub use self::server::Caller;
 pub use self::server::Handler;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -2,8 +2,12 @@
 
 pub mod admission;
 pub mod choice;
+pub mod ladder;
+pub mod placement;
 pub mod plan;
+pub mod prompt;
 pub mod quality;
+pub mod release;
 pub mod retry;
 pub mod rollout;
 pub mod share;
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -27,18 +27,29 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Budget {
     saved: f64,
+    earned: f64,
+    limit: f64,
 }
 
 impl Default for Budget {
     fn default() -> Self {
-        Self { saved: SAVED_LIMIT }
+        Self::new(EARNED, SAVED_LIMIT)
     }
 }
 
 impl Budget {
+    /// A full budget that earns `earned` retries with each first attempt and saves up `limit`.
+    pub fn new(earned: f64, limit: f64) -> Self {
+        Self {
+            saved: limit,
+            earned,
+            limit,
+        }
+    }
+
     /// A request makes its first attempt.
     pub fn earn(&mut self) {
-        self.saved = (self.saved + EARNED).min(SAVED_LIMIT);
+        self.saved = (self.saved + self.earned).min(self.limit);
     }
 
     /// Takes one retry, if there is one.
--- a/src/replica/control.rs
+++ b/src/replica/control.rs
@@ -8,6 +8,7 @@
 use super::core::Core;
 use super::published::Published;
 
+use crate::codec;
 use crate::collections::HashMap;
 use crate::collections::Name;
 use crate::lease::Grantor;
@@ -19,7 +20,12 @@
 use crate::peer::Renewal;
 use crate::peer::RolloutView;
 use crate::peer::Share;
+use crate::peer::SeenRow;
+use crate::policy::release;
+use crate::policy::release::Evidence;
+use crate::policy::release::Verdict;
 use crate::policy::share;
+use crate::state::Stage;
 use crate::state::State;
 use crate::state::Target;
 use crate::upstream::Directory;
@@ -50,6 +56,16 @@
     entries: HashMap<u64, Known>,
     entries_changes: u64,
     demand: HashMap<Target, u64>,
+    releases: HashMap<Name, Watched>,
+}
+
+/// A roll-out that the guard watches. A new leader watches its stage anew.
+#[derive(Debug)]
+struct Watched {
+    target: Name,
+    stage: Stage,
+    since: Duration,
+    evidence: Evidence,
 }
 
 impl Control {
@@ -63,7 +79,59 @@
             entries: HashMap::default(),
             entries_changes: 1,
             demand: HashMap::default(),
+            releases: HashMap::default(),
+        }
+    }
+
+    /// Takes in what an entry saw of releases that are being rolled out.
+    fn note_seen(&mut self, rows: &[SeenRow], state: &State) {
+        for row in rows {
+            let Some(line) = state.lines.get(&row.service) else {
+                continue;
+            };
+            let Some(watched) = self.releases.get_mut(&row.service) else {
+                continue;
+            };
+            if row.release == watched.target {
+                watched.evidence.note(&row.route, true, &row.seen);
+            } else if line.settled.as_ref() == Some(&row.release) {
+                watched.evidence.note(&row.route, false, &row.seen);
+            }
+        }
+    }
+
+    /// Judges all open roll-outs: service, release and verdict.
+    pub(super) fn judge_releases(
+        &mut self,
+        state: &State,
+        now: Duration,
+    ) -> Vec<(Name, Name, Verdict)> {
+        let mut verdicts = Vec::new();
+        for (service, line) in state.lines.iter() {
+            let Some(rollout) = line.open() else {
+                self.releases.remove(service);
+                continue;
+            };
+            let watched = self.releases.entry(service.clone()).or_insert_with(|| Watched {
+                target: rollout.target.clone(),
+                stage: rollout.stage,
+                since: now,
+                evidence: Evidence::default(),
+            });
+            if watched.target != rollout.target {
+                watched.evidence = Evidence::default();
+            }
+            if watched.target != rollout.target || watched.stage != rollout.stage {
+                watched.target = rollout.target.clone();
+                watched.stage = rollout.stage;
+                watched.since = now;
+            }
+            let in_stage = now.saturating_sub(watched.since);
+            let ready = enough_upstreams(state, service, &rollout.target);
+            let verdict = release::judge(rollout, &watched.evidence, in_stage, ready);
+            verdicts.push((service.clone(), rollout.target.clone(), verdict));
         }
+        verdicts
     }
 
     /// Entries that callers may be sent to.
@@ -184,6 +252,22 @@
     }
 }
 
+/// Whether the new release has half as many upstreams as all others of the service.
+fn enough_upstreams(state: &State, service: &Name, target: &Name) -> bool {
+    let (mut new, mut old) = (0_usize, 0_usize);
+    for announced in state.directory.live() {
+        if !matches!(&announced.serves, Serves::Service(name) if name == service) {
+            continue;
+        }
+        if announced.release.as_ref() == Some(target) {
+            new += 1;
+        } else {
+            old += 1;
+        }
+    }
+    new > 0 && 2 * new >= old
+}
+
 fn slots_by_target(state: &State) -> BTreeMap<Target, u64> {
     let mut slots = BTreeMap::new();
     for announced in state.directory.live() {
@@ -217,6 +301,7 @@
         withdrawn: state.withdrawn.clone(),
         draining: state.draining.clone(),
         rollouts,
+        lines: state.lines.clone(),
     }
 }
 
@@ -231,6 +316,7 @@
             return Grant::empty(term);
         }
         self.control.take(renewal, &self.state.directory, now);
+        self.control.note_seen(&renewal.seen, &self.state);
         // Counts of another leader mean nothing here.
         let same_leader = renewal.term == term;
         let seen = |count: u64| if same_leader { count } else { 0 };
@@ -269,6 +355,17 @@
         }
         grant.gone = settled && control.is_gone(renewal.entry);
         grant.shares = control.shares(&renewal.demand, &self.state);
+        let replicas: Vec<_> = self
+            .node
+            .membership()
+            .members
+            .values()
+            .map(|member| member.address)
+            .collect();
+        grant.replicas_seen = crc32fast::hash(&codec::encode(&replicas));
+        if grant.replicas_seen != renewal.replicas_seen {
+            grant.replicas = Some(replicas);
+        }
         grant.quality = control.published.after(seen(renewal.quality_seen));
         grant.quality_seen = control.published.count();
         grant
--- a/src/replica/formation.rs
+++ b/src/replica/formation.rs
@@ -52,12 +52,17 @@
             answers.push((address, ask(&client, address).await));
         }
         let id = core.borrow().node.id();
-        match verdict(cfg.advertise, id, &answers) {
-            Verdict::Wait => {}
-            Verdict::Form(members) => {
+        let verdict = if cfg.replicas.contains(&cfg.advertise) {
+            verdict(cfg.advertise, id, &answers)
+        } else {
+            joins_only(&answers)
+        };
+        match verdict {
+            Verdict::Form(members) if cfg.may_form => {
                 core.borrow_mut().form(members, &cfg);
                 return;
             }
+            Verdict::Wait | Verdict::Form(_) => {}
             Verdict::Join(address) => join(&core, &client, &cfg, address).await,
         }
         tokio::time::sleep(ROUND).await;
@@ -72,12 +77,17 @@
     Join(SocketAddr),
 }
 
-fn verdict(own: SocketAddr, id: ReplicaId, answers: &[(SocketAddr, Option<Formation>)]) -> Verdict {
-    let formed = answers
+/// What a replica does that is not among the first ones.
+fn joins_only(answers: &[(SocketAddr, Option<Formation>)]) -> Verdict {
+    answers
         .iter()
-        .find(|(_, answer)| answer.is_some_and(|answer| answer.formed));
-    if let Some((address, _)) = formed {
-        return Verdict::Join(*address);
+        .find(|(_, answer)| answer.is_some_and(|answer| answer.formed))
+        .map_or(Verdict::Wait, |(address, _)| Verdict::Join(*address))
+}
+
+fn verdict(own: SocketAddr, id: ReplicaId, answers: &[(SocketAddr, Option<Formation>)]) -> Verdict {
+    if let Verdict::Join(address) = joins_only(answers) {
+        return Verdict::Join(address);
     }
     let mut members = vec![(id, own)];
     for (address, answer) in answers {
--- a/src/replica/handler.rs
+++ b/src/replica/handler.rs
@@ -25,6 +25,8 @@
 use crate::state::command::Outcome;
 use crate::state::query::Query;
 use crate::state::query::Report;
+use crate::upstream::AnnounceOutcome;
+use crate::upstream::Announcement;
 
 /// Time between looks at whether a revision is in force.
 const IN_FORCE_POLL: Duration = Duration::from_millis(20);
@@ -55,7 +57,7 @@
     }
 }
 
-async fn answer_peer(core: Rc<RefCell<Core>>, request: Request) -> Reply {
+pub(super) async fn answer_peer(core: Rc<RefCell<Core>>, request: Request) -> Reply {
     match request {
         Request::Agreement { from, messages } => {
             let mut core = core.borrow_mut();
@@ -88,14 +90,31 @@
         }
         Request::Ledger(ops) => propose(&core, Op::Ledger(ops)).await,
         Request::Pin(pin) => propose(&core, Op::Pin(pin)).await,
-        Request::Announce(announcement) => propose(&core, Op::Announce(announcement)).await,
+        Request::Announce(announcement) => announce(core, announcement).await,
         Request::Leave { id, incarnation } => propose(&core, Op::Leave { id, incarnation }).await,
+        Request::OnBehalf { who, request } => answer_operator(core, who, *request).await,
         Request::Operate(_) | Request::Ask(_) => {
             Reply::Refused("this needs an operator's key; give --operator-key".into())
         }
     }
 }
 
+/// An announcement that changes nothing costs no write.
+async fn announce(core: Rc<RefCell<Core>>, announcement: Announcement) -> Reply {
+    {
+        let mut core = core.borrow_mut();
+        if core.serves() {
+            let now = core.now();
+            let (id, incarnation) = (&announcement.id, announcement.incarnation);
+            core.control.silence.heard(id, incarnation, now);
+            if core.state.directory.holds(&announcement) {
+                return Reply::Announce(AnnounceOutcome::Taken);
+            }
+        }
+    }
+    propose(&core, Op::Announce(announcement)).await
+}
+
 async fn answer_operator(core: Rc<RefCell<Core>>, who: Name, request: Request) -> Reply {
     match request {
         Request::Operate(operation) => operate(core, who, operation).await,
--- a/src/replica/keeper.rs
+++ b/src/replica/keeper.rs
@@ -1,18 +1,21 @@
 //! What a replica does by the clock.
 
 use std::cell::RefCell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::sync::mpsc::UnboundedReceiver;
 
+use super::admission::Members;
+use super::admission::next_change;
 use super::core::Core;
 use super::writer::Synced;
-use crate::agreement::Change;
+use crate::agreement::Node;
 use crate::agreement::ReplicaId;
 use crate::agreement::Role;
 use crate::log::event;
+use crate::policy::release::Verdict;
+use crate::state::Stage;
 use crate::state::command::Op;
 
 /// Time between ticks of the log.
@@ -30,6 +33,25 @@
 /// How long a stopping leader goes on, so that its last answers leave.
 const DRAIN: Duration = Duration::from_millis(300);
 
+/// Silence after which a voter counts as lost while another replica waits to take its place.
+const LOST_AFTER: Duration = Duration::from_secs(2);
+
+struct MembersSeen<'a> {
+    node: &'a Node,
+    now: Duration,
+}
+
+impl Members for MembersSeen<'_> {
+    fn is_lost(&self, id: ReplicaId) -> bool {
+        let since = self.node.heard(id).unwrap_or(self.node.office_since());
+        id != self.node.id() && self.now > since + LOST_AFTER
+    }
+
+    fn caught_up(&self, id: ReplicaId) -> bool {
+        self.node.caught_up(id)
+    }
+}
+
 /// Feeds back what the writer has synced.
 pub(super) async fn follow_writer(core: Rc<RefCell<Core>>, mut synced: UnboundedReceiver<Synced>) {
     while let Some(done) = synced.recv().await {
@@ -63,6 +85,7 @@
         core.control.expire(now);
         core.admit_replicas();
         core.expire_upstreams();
+        core.guard_releases();
         if round % QUALITY_ROUNDS == 0 {
             let core = &mut *core;
             core.control.published.refresh(&core.state.quality);
@@ -80,48 +103,62 @@
 }
 
 impl Core {
-    /// Takes in replicas that asked, one step at a time: the lost identity at the same address
-    /// goes, the new one learns, and votes once it holds all that is committed.
+    /// Takes in replicas that asked and lets lost ones go, one step at a time.
     fn admit_replicas(&mut self) {
-        for (address, id) in self.joins.clone() {
-            if let Some(change) = self.next_change(address, id) {
-                event!(Info, "membership_change", change = format!("{change:?}"));
-                let now = self.now();
-                if let Ok(effects) = self.node.propose_change(&change, now) {
-                    self.carry_out(effects);
-                }
-                return;
-            }
-        }
-        self.promote_learner();
-    }
-
-    fn next_change(&self, address: SocketAddr, id: ReplicaId) -> Option<Change> {
         let membership = self.node.membership();
-        if membership.members.contains_key(&id) {
-            return None;
-        }
-        match membership.at(address) {
-            Some(lost) => Some(Change::Remove(lost)),
-            None => Some(Change::AddLearner(id, address)),
+        self.joins
+            .retain(|_, id| !membership.members.contains_key(id));
+        let view = MembersSeen {
+            node: &self.node,
+            now: self.now(),
+        };
+        let Some(change) = next_change(membership, &self.joins, self.voters, &view) else {
+            return;
+        };
+        let now = self.now();
+        if let Ok(effects) = self.node.propose_change(&change, now) {
+            event!(Info, "membership_change", change = format!("{change:?}"));
+            self.carry_out(effects);
         }
     }
 
-    fn promote_learner(&mut self) {
-        let learner = self
-            .node
-            .membership()
-            .members
-            .iter()
-            .find(|(id, member)| !member.voter && self.node.caught_up(**id))
-            .map(|(&id, _)| id);
-        let Some(id) = learner else {
+    /// Moves the roll-outs of services on.
+    fn guard_releases(&mut self) {
+        if !self.serves() {
             return;
-        };
+        }
         let now = self.now();
-        if let Ok(effects) = self.node.propose_change(&Change::Promote(id), now) {
-            event!(Info, "membership_change", change = "promote", id = id);
-            self.carry_out(effects);
+        for (service, target, verdict) in self.control.judge_releases(&self.state, now) {
+            let stage = match verdict {
+                Verdict::Wait => continue,
+                Verdict::Advance(stage) => {
+                    event!(
+                        Info,
+                        "release_stage",
+                        service = service,
+                        release = target,
+                        stage = format!("{stage:?}")
+                    );
+                    stage
+                }
+                Verdict::RollBack { route, new, old } => {
+                    event!(
+                        Warn,
+                        "release_rolled_back",
+                        service = service,
+                        release = target,
+                        route = route,
+                        new = format!("{new:?}"),
+                        old = format!("{old:?}")
+                    );
+                    Stage::RolledBack
+                }
+            };
+            self.propose(Op::ReleaseStep {
+                service,
+                target,
+                stage,
+            });
         }
     }
 
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -3,9 +3,11 @@
 //! Everything runs on one thread over one `core::Core`; only the writer, which syncs files, has
 //! a thread of its own. No borrow of the core is held across an `.await`.
 
+mod admission;
 mod control;
 mod core;
 mod formation;
+mod handle;
 mod handler;
 mod keeper;
 mod outbox;
@@ -25,6 +27,7 @@
 use tokio::sync::mpsc;
 
 use self::core::Core;
+pub use self::handle::Handle;
 use crate::agreement::ReplicaId;
 use crate::agreement::Settings;
 use crate::clock::Clock;
@@ -56,6 +59,10 @@
     pub snapshot_every: u64,
     /// Timing of elections.
     pub settings: Settings,
+    /// Whether this is the first start of the whole system, so that a new log may be formed.
+    pub may_form: bool,
+    /// Replicas that should vote; further ones stand by as learners.
+    pub voters: usize,
 }
 
 /// Why the daemon stopped.
@@ -77,12 +84,44 @@
     },
 }
 
+/// A replica that runs on the current thread.
+pub struct Running {
+    core: Rc<RefCell<Core>>,
+    admin: ntex::server::Server,
+    handle: Handle,
+}
+
+impl Running {
+    /// For requests that arrive in this process.
+    pub fn handle(&self) -> Handle {
+        self.handle.clone()
+    }
+
+    /// Waits until the process is told to stop, then lets what is under way end.
+    pub async fn finish(self) {
+        crate::signal::stop_requested().await;
+        event!(Info, "replica_stop", id = self.core.borrow().node.id());
+        keeper::drain(&self.core).await;
+        self.admin.stop(true).await;
+    }
+}
+
 /// Runs a state replica until it is told to stop.
 ///
 /// # Errors
 ///
 /// The folder or the listener can't be used.
 pub async fn run(cfg: Config, clock: Arc<dyn Clock>) -> Result<(), Error> {
+    start(cfg, clock).await?.finish().await;
+    Ok(())
+}
+
+/// Starts a state replica.
+///
+/// # Errors
+///
+/// The folder or the listener can't be used.
+pub async fn start(cfg: Config, clock: Arc<dyn Clock>) -> Result<Running, Error> {
     let fresh = ReplicaId(fastrand::u64(1..));
     let opened = Folder::open(&cfg.data, fresh).context(StorageSnafu)?;
     if opened.cut > 0 {
@@ -114,14 +153,15 @@
     tokio::task::spawn_local(keeper::follow_writer(core.clone(), synced_rx));
     tokio::task::spawn_local(keeper::tick(core.clone()));
     tokio::task::spawn_local(keeper::keep(core.clone()));
-    tokio::task::spawn_local(formation::form(core.clone(), client, cfg.clone()));
+    tokio::task::spawn_local(formation::form(core.clone(), client.clone(), cfg.clone()));
     tokio::task::spawn_local(reaper::reap(core.clone()));
     let shown = core.borrow().shown();
     let address = cfg.admin_listen;
     let admin = crate::admin::serve(address, shown).context(ListenSnafu { address })?;
-    crate::signal::stop_requested().await;
-    event!(Info, "replica_stop", id = opened.id);
-    keeper::drain(&core).await;
-    admin.stop(true).await;
-    Ok(())
+    let handle = Handle::new(core.clone(), client);
+    Ok(Running {
+        core,
+        admin,
+        handle,
+    })
 }
--- a/src/standin/announce.rs
+++ b/src/standin/announce.rs
@@ -43,6 +43,9 @@
         serves,
         slots: stand.cfg.slots,
         fences_orders: true,
+        release: None,
+        started_ms: None,
+        draining: false,
     }
 }
 
--- a/src/state/command/change.rs
+++ b/src/state/command/change.rs
@@ -11,6 +11,7 @@
 use crate::config::Inventory;
 use crate::config::VersionName;
 use crate::state::AuditRecord;
+use crate::state::Document;
 use crate::state::State;
 use crate::state::tables::ChangeRecord;
 
@@ -25,6 +26,23 @@
 pub enum Change {
     /// Loads an inventory.
     Apply(Arc<Inventory>),
+    /// Loads an inventory with the numbered document that it was read from. A number that is not
+    /// higher than the one held is accepted and changes nothing.
+    Load {
+        /// Inventory.
+        inventory: Arc<Inventory>,
+        /// Document.
+        document: Document,
+    },
+    /// Starts to move a service's traffic to a release.
+    ReleaseStart {
+        /// Service.
+        service: Name,
+        /// Release.
+        target: Name,
+        /// Time in which it should be done, in milliseconds.
+        period_ms: u64,
+    },
     /// Starts a roll-out.
     RolloutStart {
         /// New version.
@@ -57,6 +75,12 @@
                 inventory.models.len(),
                 inventory.services.len()
             ),
+            Self::Load { document, .. } => write!(f, "load number={}", document.number),
+            Self::ReleaseStart {
+                service,
+                target,
+                period_ms,
+            } => write!(f, "release {service} to {target} in {period_ms} ms"),
             Self::RolloutStart { version, stages } => {
                 write!(f, "rollout start {version} stages={stages:?}")
             }
@@ -152,7 +176,20 @@
 
     fn carry_out(&mut self, change: &Change) -> Result<(), String> {
         match change {
-            Change::Apply(inventory) => self.load(inventory.clone()),
+            Change::Apply(inventory) => {
+                self.load(inventory.clone())?;
+                self.document = None;
+                Ok(())
+            }
+            Change::Load {
+                inventory,
+                document,
+            } => self.load_document(inventory, document),
+            Change::ReleaseStart {
+                service,
+                target,
+                period_ms,
+            } => self.lines.start(service, target, *period_ms),
             Change::RolloutStart { version, stages } => self.start_rollout(version, stages),
             Change::RolloutPause(version) => self.pause_rollout(version),
             Change::RolloutResume(version) => self.resume_rollout(version),
@@ -186,6 +223,20 @@
         Ok(())
     }
 
+    fn load_document(
+        &mut self,
+        inventory: &Arc<Inventory>,
+        document: &Document,
+    ) -> Result<(), String> {
+        let held = self.document.as_ref().map(|held| held.number);
+        if held.is_some_and(|held| document.number <= held) {
+            return Ok(());
+        }
+        self.load(inventory.clone())?;
+        self.document = Some(document.clone());
+        Ok(())
+    }
+
     /// Makes a new revision.
     pub(super) fn revise(&mut self, by: &Name) {
         self.revision += 1;
--- a/src/state/command/mod.rs
+++ b/src/state/command/mod.rs
@@ -22,6 +22,7 @@
 pub use self::session::PinOutcome;
 pub use self::session::PinRequest;
 
+use super::Stage;
 use super::State;
 use crate::agreement::Index;
 use crate::collections::Name;
@@ -55,6 +56,15 @@
         /// Incarnation that leaves.
         incarnation: u64,
     },
+    /// The leader moves a service's roll-out on.
+    ReleaseStep {
+        /// Service.
+        service: Name,
+        /// Release that the step is about; another one makes it void.
+        target: Name,
+        /// Next stage.
+        stage: Stage,
+    },
     /// Drops what has expired.
     Sweep,
 }
@@ -86,8 +96,21 @@
                 Outcome::Ledger(each)
             }
             Op::Pin(request) => Outcome::Pin(self.pin_session(request, at_ms)),
+            Op::ReleaseStep {
+                service,
+                target,
+                stage,
+            } => {
+                if self.lines.step(&service, &target, stage) {
+                    self.revise(&"guard".into());
+                }
+                Outcome::Done
+            }
             Op::Announce(announcement) => {
                 let inventory = self.inventory.clone();
+                if self.lines.note_release(&announcement) {
+                    self.revise(&"guard".into());
+                }
                 let outcome = self.directory.announce(announcement, &inventory, index);
                 Outcome::Announce(outcome)
             }
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -4,12 +4,18 @@
 //! at which the leader proposed it.
 
 pub mod command;
+mod lines;
 pub mod query;
 mod tables;
 
+pub use self::lines::Line;
+pub use self::lines::Lines;
+pub use self::lines::ServiceRollout;
+pub use self::lines::Stage;
 pub use self::tables::AuditRecord;
 pub use self::tables::Bill;
 pub use self::tables::Claim;
+pub use self::tables::Document;
 pub use self::tables::KeyRecord;
 pub use self::tables::Pin;
 pub use self::tables::RequestId;
--- a/src/state/query/mod.rs
+++ b/src/state/query/mod.rs
@@ -26,6 +26,10 @@
     Status,
     /// Upstreams.
     Upstreams,
+    /// The numbered document that the inventory was loaded from.
+    Document,
+    /// Releases of services and their roll-outs.
+    Lines,
     /// Pinned sessions, the latest used first.
     Sessions,
     /// Roll-outs.
@@ -46,6 +50,8 @@
             Query::Inventory => Report::Inventory(self.inventory.clone()),
             Query::Status => Report::Status(Box::new(self.status_report())),
             Query::Upstreams => Report::Upstreams(self.upstream_rows()),
+            Query::Document => Report::Document(self.document.clone()),
+            Query::Lines => Report::Lines(self.lines.clone()),
             Query::Sessions => Report::Sessions(self.session_rows(ROW_LIMIT)),
             Query::Rollouts => Report::Rollouts(self.rollouts.values().cloned().collect()),
             Query::Bill => Report::Bill(self.bill_rows()),
--- a/src/state/query/report.rs
+++ b/src/state/query/report.rs
@@ -10,6 +10,8 @@
 use crate::config::VersionName;
 use crate::config::VersionState;
 use crate::state::AuditRecord;
+use crate::state::Document;
+use crate::state::Lines;
 use crate::state::Rollout;
 use crate::state::State;
 use crate::upstream::Presence;
@@ -24,6 +26,10 @@
     Status(Box<StatusReport>),
     /// To `Upstreams`.
     Upstreams(Vec<UpstreamRow>),
+    /// To `Document`.
+    Document(Option<Document>),
+    /// To `Lines`.
+    Lines(Lines),
     /// To `Sessions`.
     Sessions(Vec<SessionRow>),
     /// To `Rollouts`.
--- a/src/state/tables.rs
+++ b/src/state/tables.rs
@@ -10,6 +10,7 @@
 use serde::Serialize;
 
 use super::command::ChangeOutcome;
+use super::lines::Lines;
 use crate::agreement::Index;
 use crate::collections::HashMap;
 use crate::collections::Name;
@@ -160,6 +161,15 @@
     }
 }
 
+/// A configuration as an operator's own system wrote it, kept to be read back as it was sent.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Document {
+    /// Number given by the operator; the highest one holds.
+    pub number: u64,
+    /// The text.
+    pub text: Arc<str>,
+}
+
 /// One line of the audit trail.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct AuditRecord {
@@ -201,6 +211,10 @@
     pub draining: BTreeSet<Name>,
     /// Roll-outs by model.
     pub rollouts: BTreeMap<Name, Rollout>,
+    /// The numbered document that the inventory was loaded from, if it came with one.
+    pub document: Option<Document>,
+    /// Releases of services, and their roll-outs.
+    pub lines: Lines,
     /// Upstreams that announced themselves.
     pub directory: Directory,
     /// Learned quality.
--- a/src/upstream/directory.rs
+++ b/src/upstream/directory.rs
@@ -50,6 +50,23 @@
     /// Whether it refuses orders with an old fencing number.
     #[serde(default)]
     pub fences_orders: bool,
+    /// Version of its software; roll-outs of a service move traffic by it.
+    #[serde(default)]
+    pub release: Option<Name>,
+    /// When it started, in milliseconds since the Unix epoch, where it says so: of two upstreams at
+    /// one address the later one is there.
+    #[serde(default)]
+    pub started_ms: Option<u64>,
+    /// Whether it is about to leave: it finishes what it has and takes no new work.
+    #[serde(default)]
+    pub draining: bool,
+}
+
+impl Announcement {
+    /// Whether both were said by one start of one upstream.
+    fn same_start(&self, other: &Self) -> bool {
+        self.id == other.id && self.incarnation == other.incarnation
+    }
 }
 
 /// Whether an upstream takes work.
@@ -105,6 +122,9 @@
         if let Err(reason) = check(&announcement, inventory) {
             return AnnounceOutcome::Refused(reason.into());
         }
+        if self.address_taken_over(&announcement) {
+            return AnnounceOutcome::Old;
+        }
         let mut number = index;
         if let Some(known) = self.rows.get(&announcement.id) {
             let same = known.announced.incarnation == announcement.incarnation;
@@ -113,7 +133,9 @@
             }
             let newer = announcement.incarnation > known.announced.incarnation;
             let updates = same && known.presence == Presence::Live;
-            if !newer && !updates {
+            // A late report from before the drain must not bring it back.
+            let revives = same && known.announced.draining && !announcement.draining;
+            if revives || !newer && !updates {
                 return AnnounceOutcome::Old;
             }
             if updates {
@@ -123,6 +145,7 @@
             let reason = format!("the directory is full with {UPSTREAM_LIMIT} upstreams");
             return AnnounceOutcome::Refused(reason.into());
         }
+        self.leave_address(&announcement, index);
         let row = Upstream {
             presence: Presence::Live,
             number,
@@ -134,6 +157,37 @@
         AnnounceOutcome::Taken
     }
 
+    /// Whether the row of this announcement stands already, so that it changes nothing.
+    pub fn holds(&self, announcement: &Announcement) -> bool {
+        self.rows.get(&announcement.id).is_some_and(|row| {
+            row.presence == Presence::Live && row.announced == *announcement
+        })
+    }
+
+    /// Whether a later start than the announcement's has its address: the report is late, its
+    /// sender is gone.
+    fn address_taken_over(&self, announcement: &Announcement) -> bool {
+        self.rows.values().any(|row| {
+            row.presence == Presence::Live
+                && row.announced.address == announcement.address
+                && !row.announced.same_start(announcement)
+                && row.announced.started_ms > announcement.started_ms
+        })
+    }
+
+    /// Marks others at the announcement's address as left: two can't listen there.
+    fn leave_address(&mut self, announcement: &Announcement, index: Index) {
+        for row in self.rows.values_mut() {
+            if row.presence == Presence::Live
+                && row.announced.address == announcement.address
+                && row.announced.id != announcement.id
+            {
+                row.presence = Presence::Left;
+                row.changed_at = index;
+            }
+        }
+    }
+
     /// Takes a leave of that incarnation or an older one.
     pub(crate) fn leave(&mut self, id: &str, incarnation: u64, index: Index) {
         let Some(row) = self.rows.get_mut(id) else {
@@ -199,7 +253,7 @@
     pub fn live(&self) -> impl Iterator<Item = &Announcement> + '_ {
         self.rows
             .values()
-            .filter(|row| row.presence == Presence::Live)
+            .filter(|row| row.presence == Presence::Live && !row.announced.draining)
             .map(|row| &row.announced)
     }
 }
--- a/tests/fuzz/upstream.rs
+++ b/tests/fuzz/upstream.rs
@@ -58,6 +58,9 @@
         serves: Serves::Versions(vec!["notes@small".parse().unwrap()]),
         slots: 4,
         fences_orders: false,
+        release: None,
+        started_ms: None,
+        draining: false,
     }
 }
 
