Wait for a disk that refuses, and survive SIGHUP

Change: a failed write is carried on from where it failed; a leader whose disk is stuck for 0.4 s yields; SIGHUP is noted and changes nothing.

--- a/src/replica/core.rs
+++ b/src/replica/core.rs
@@ -170,7 +170,17 @@
     }
 
     pub(super) fn tick(&mut self) {
-        let effects = self.node.tick(self.clock.now());
+        let now = self.clock.now();
+        if self.writer.is_stuck(now) {
+            // A leader that can't write holds up everyone; a candidate that can't would be no better.
+            if self.node.role() == Role::Leader {
+                event!(Warn, "leader_yields", id = self.node.id(), reason = "disk is stuck");
+                let effects = self.node.step_down(now);
+                self.carry_out(effects);
+            }
+            return;
+        }
+        let effects = self.node.tick(now);
         self.carry_out(effects);
     }
 
@@ -184,7 +194,7 @@
     }
 
     pub(super) fn synced(&mut self, synced: Synced) {
-        self.writer.finished(synced.jobs);
+        self.writer.finished(synced.jobs, self.clock.now());
         self.disk_bytes = synced.disk_bytes;
         for message in synced.messages {
             self.send(message);
@@ -207,11 +217,12 @@
             }
         } else if !effects.persist.is_empty() || !effects.messages.is_empty() {
             let log = self.node.log();
-            self.writer.submit(Job {
+            let job = Job {
                 persist: effects.persist,
                 messages: effects.messages,
                 end: (log.last_index(), log.last_term()),
-            });
+            };
+            self.writer.submit(job, self.clock.now());
         }
         if let Some(snapshot) = &effects.install {
             self.state = decode_state(snapshot);
@@ -304,11 +315,12 @@
             snapshot: Some(snapshot),
             ..Persist::default()
         };
-        self.writer.submit(Job {
+        let job = Job {
             persist,
             messages: Vec::new(),
             end,
-        });
+        };
+        self.writer.submit(job, self.clock.now());
     }
 
     /// Publishes figures for `/metrics`.
--- a/src/replica/writer.rs
+++ b/src/replica/writer.rs
@@ -2,6 +2,7 @@
 
 use std::sync::mpsc as blocking;
 use std::thread;
+use std::time::Duration;
 
 use tokio::sync::mpsc::UnboundedSender;
 
@@ -12,6 +13,13 @@
 use crate::log::event;
 use crate::storage::Store;
 
+/// Time after which a disk that has not finished counts as stuck: dozens of ordinary syncs, and less
+/// than an election.
+const STUCK_AFTER: Duration = Duration::from_millis(400);
+
+/// Pause before a refused write is tried again.
+const REFUSED_PAUSE: Duration = Duration::from_millis(100);
+
 /// What to write, and what may happen once it is durable.
 #[derive(Debug)]
 pub(super) struct Job {
@@ -35,16 +43,25 @@
 pub(super) struct Writer {
     tx: blocking::Sender<Job>,
     pending: usize,
+    /// When the writer last had nothing to do or finished something.
+    moved_at: Duration,
 }
 
 impl Writer {
     pub(super) fn start(store: Box<dyn Store>, synced: UnboundedSender<Synced>) -> Self {
         let (tx, rx) = blocking::channel();
         thread::spawn(move || write_all(store, &rx, &synced));
-        Self { tx, pending: 0 }
+        Self {
+            tx,
+            pending: 0,
+            moved_at: Duration::ZERO,
+        }
     }
 
-    pub(super) fn submit(&mut self, job: Job) {
+    pub(super) fn submit(&mut self, job: Job, now: Duration) {
+        if self.is_idle() {
+            self.moved_at = now;
+        }
         self.pending += 1;
         // The thread ends only with the process.
         let _ = self.tx.send(job);
@@ -54,11 +71,29 @@
         self.pending == 0
     }
 
-    pub(super) fn finished(&mut self, jobs: usize) {
+    pub(super) fn finished(&mut self, jobs: usize, now: Duration) {
         self.pending -= jobs;
+        self.moved_at = now;
+    }
+
+    /// Whether the disk hangs or refuses what it was given.
+    pub(super) fn is_stuck(&self, now: Duration) -> bool {
+        !self.is_idle() && now > self.moved_at + STUCK_AFTER
     }
 }
 
+/// Saves a batch, however long the disk refuses it: nothing that depends on it leaves meanwhile.
+fn save(store: &mut dyn Store, batch: Vec<Persist>) {
+    let Err(e) = store.save(batch) else {
+        return;
+    };
+    event!(Error, "disk_refuses", error = e);
+    while store.save(Vec::new()).is_err() {
+        thread::sleep(REFUSED_PAUSE);
+    }
+    event!(Info, "disk_writes_again");
+}
+
 fn write_all(
     mut store: Box<dyn Store>,
     rx: &blocking::Receiver<Job>,
@@ -79,11 +114,7 @@
             done.messages.extend(job.messages);
             done.end = job.end;
         }
-        if let Err(e) = store.save(batch) {
-            // What a failed sync left on the disk is unknown: only a restart reads it again.
-            event!(Error, "storage_failed", error = e);
-            std::process::exit(crate::cli::ExitCode::Storage.code());
-        }
+        save(&mut *store, batch);
         done.disk_bytes = store.size();
         if synced.send(done).is_err() {
             return;
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -11,7 +11,10 @@
     F::Output: 'static,
 {
     stop_on_panic();
-    ntex::rt::System::new(name, ntex::rt::DefaultRuntime).block_on(future)
+    ntex::rt::System::new(name, ntex::rt::DefaultRuntime).block_on(async {
+        tokio::task::spawn_local(crate::signal::note_reloads());
+        future.await
+    })
 }
 
 /// A task that panicked would leave the process half alive: holding a lease or an office without
--- a/src/storage/file.rs
+++ b/src/storage/file.rs
@@ -3,6 +3,7 @@
 //! `identity` names the disk, `log` holds frames of records, `snapshot` one frame. Replaced files
 //! are written aside, synced, renamed, and the folder is synced.
 
+use std::collections::VecDeque;
 use std::fs;
 use std::fs::File;
 use std::fs::OpenOptions;
@@ -58,9 +59,20 @@
     // Kept in memory to rewrite the log file when a snapshot replaces its start.
     hard: HardState,
     kept: Log,
+    todo: VecDeque<Step>,
+    /// Whether a write to the log failed half-way.
+    torn: bool,
     _lock: File,
 }
 
+/// One change of the files, with the bytes to be written.
+#[derive(Debug)]
+enum Step {
+    Append(Vec<u8>),
+    Snapshot(Vec<u8>),
+    Log(Vec<u8>),
+}
+
 impl Folder {
     /// Opens the folder, or makes it with identity `fresh` where it is empty.
     ///
@@ -87,6 +99,8 @@
             next_seq: frames.next_seq,
             hard,
             kept: log.clone(),
+            todo: VecDeque::new(),
+            torn: false,
             _lock: lock,
         };
         Ok(Opened {
@@ -97,47 +111,33 @@
         })
     }
 
-    fn append(&mut self, records: &[Record]) -> Result<(), Error> {
-        let bytes = frame::encode(self.next_seq, &codec::encode(&records));
-        let path = show(&self.path.join(LOG));
-        self.log
-            .write_all(&bytes)
-            .context(IoSnafu { path: &path })?;
-        self.log.sync_data().context(IoSnafu { path })?;
+    /// Plans to append records.
+    fn plan_append(&mut self, records: &mut Vec<Record>) {
+        if records.is_empty() {
+            return;
+        }
+        let bytes = frame::encode(self.next_seq, &codec::encode(records));
+        records.clear();
         self.next_seq += 1;
-        self.log_bytes += bytes.len() as u64;
-        Ok(())
+        self.todo.push_back(Step::Append(bytes));
     }
 
-    fn install(&mut self, snapshot: Snapshot) -> Result<(), Error> {
+    /// Plans to replace the snapshot, and the log by what the snapshot does not cover.
+    fn plan_snapshot(&mut self, snapshot: Snapshot) {
         let bytes = frame::encode(0, &codec::encode(&snapshot));
-        self.snapshot_bytes = bytes.len() as u64;
-        replace(&self.path, SNAPSHOT, &bytes)?;
+        self.todo.push_back(Step::Snapshot(bytes));
         self.kept.install(snapshot);
-        self.rewrite_log()
-    }
-
-    /// Rewrites the log file with what the snapshot does not cover.
-    fn rewrite_log(&mut self) -> Result<(), Error> {
         let first = self.kept.snapshot().index + 1;
         let mut records = vec![Record::Hard(self.hard)];
-        records.extend(
-            self.kept
-                .from(first, usize::MAX)
-                .into_iter()
-                .map(Record::Entry),
-        );
+        let kept = self.kept.from(first, usize::MAX);
+        records.extend(kept.into_iter().map(Record::Entry));
         let bytes = frame::encode(self.next_seq, &codec::encode(&records));
-        replace(&self.path, LOG, &bytes)?;
         self.next_seq += 1;
-        self.log_bytes = bytes.len() as u64;
-        self.log = open_log(&self.path.join(LOG), self.log_bytes)?;
-        Ok(())
+        self.todo.push_back(Step::Log(bytes));
     }
-}
 
-impl Store for Folder {
-    fn save(&mut self, batch: Vec<Persist>) -> Result<(), Error> {
+    /// Plans a batch.
+    fn plan(&mut self, batch: Vec<Persist>) {
         let mut records = Vec::new();
         for persist in batch {
             if let Some(hard) = persist.hard {
@@ -145,10 +145,8 @@
                 records.push(Record::Hard(hard));
             }
             if let Some(snapshot) = persist.snapshot {
-                if !records.is_empty() {
-                    self.append(&std::mem::take(&mut records))?;
-                }
-                self.install(snapshot)?;
+                self.plan_append(&mut records);
+                self.plan_snapshot(snapshot);
             }
             if let Some(index) = persist.truncate_from {
                 self.kept.truncate_from(index);
@@ -161,10 +159,57 @@
                 }
             }
         }
-        if records.is_empty() {
-            return Ok(());
+        self.plan_append(&mut records);
+    }
+
+    /// Carries out one step. A step that failed may be carried out again.
+    fn carry_out(&mut self, step: &Step) -> Result<(), Error> {
+        match step {
+            Step::Append(bytes) => self.append(bytes),
+            Step::Snapshot(bytes) => {
+                replace(&self.path, SNAPSHOT, bytes)?;
+                self.snapshot_bytes = bytes.len() as u64;
+                Ok(())
+            }
+            Step::Log(bytes) => {
+                replace(&self.path, LOG, bytes)?;
+                self.log_bytes = bytes.len() as u64;
+                self.log = open_log(&self.path.join(LOG), self.log_bytes)?;
+                Ok(())
+            }
         }
-        self.append(&records)
+    }
+
+    fn append(&mut self, bytes: &[u8]) -> Result<(), Error> {
+        if self.torn {
+            // Part of a failed write may stand behind the last good record.
+            self.log = open_log(&self.path.join(LOG), self.log_bytes)?;
+            self.torn = false;
+        }
+        let written = self
+            .log
+            .write_all(bytes)
+            .and_then(|()| self.log.sync_data());
+        if let Err(source) = written {
+            self.torn = true;
+            let path = show(&self.path.join(LOG));
+            return Err(source).context(IoSnafu { path });
+        }
+        self.log_bytes += bytes.len() as u64;
+        Ok(())
+    }
+}
+
+impl Store for Folder {
+    fn save(&mut self, batch: Vec<Persist>) -> Result<(), Error> {
+        self.plan(batch);
+        while let Some(step) = self.todo.pop_front() {
+            if let Err(e) = self.carry_out(&step) {
+                self.todo.push_front(step);
+                return Err(e);
+            }
+        }
+        Ok(())
     }
 
     fn size(&self) -> u64 {
--- a/src/storage/mod.rs
+++ b/src/storage/mod.rs
@@ -20,7 +20,8 @@
     ///
     /// # Errors
     ///
-    /// Any failure leaves the folder unusable for this process: it must stop.
+    /// A disk that is full or fails. Nothing of the batch counts as durable then; another call,
+    /// with an empty batch or a further one, carries it on from where it failed.
     fn save(&mut self, batch: Vec<Persist>) -> Result<(), Error>;
 
     /// Bytes that the files take.
