Escalate within the retry budget, leave silent upstreams, wait for the first configuration

Change: a small model's answer is kept where the budget is short; policy::patience says how long an upstream may be silent; a request waits 1.2 s for the first configuration.

--- a/src/config/route.rs
+++ b/src/config/route.rs
@@ -67,6 +67,10 @@
     /// Whether a broken stream may go on at another upstream.
     #[serde(default)]
     pub resume: bool,
+    /// Longest pause between events of a stream that is on time, in milliseconds; 0 where none is
+    /// set.
+    #[serde(default)]
+    pub gap_ms: u64,
 }
 
 fn default_attempts() -> u32 {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -47,12 +47,13 @@
     pub(super) resume_after: Option<u64>,
 }
 
-/// Sends `call` to `runner`.
+/// Sends `call` to `runner`, and waits for the head of the answer no longer than `patience`.
 pub(super) async fn attempt(
     gateway: &Rc<Gateway>,
     call: &Call,
     runner: &Runner,
     extra: &Extra,
+    patience: Option<Duration>,
 ) -> Ended {
     let mut work = Work::start(gateway, runner.clone());
     let left = call.left(gateway.now());
@@ -61,7 +62,13 @@
     };
     let address = runner.address();
     let sent = gateway.pool.send(address, request, CONNECT_LIMIT.min(left));
-    match sent.await {
+    let sent = match patience {
+        Some(patience) => tokio::time::timeout(patience, sent)
+            .await
+            .unwrap_or(Err(Failure::Broken("no answer for too long"))),
+        None => sent.await,
+    };
+    match sent {
         Ok(answer) => judge(gateway, call, answer, work).await,
         Err(failure) => {
             gateway.pool.forget(address);
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -23,6 +23,7 @@
 use crate::config::Repeat;
 use crate::log::event;
 use crate::policy::ladder;
+use crate::policy::patience;
 use crate::policy::placement;
 use crate::wire::Head;
 
@@ -40,6 +41,7 @@
             .after(Duration::ZERO);
         return refuse(&gateway, None, &refusal);
     }
+    gateway.wait_for_config().await;
     let call = match Call::read(&gateway, &req) {
         Ok(call) => call,
         Err(refusal) => return refuse(&gateway, None, &refusal),
@@ -93,6 +95,8 @@
     /// Upstreams that it may have run on.
     runs: u32,
     refusals: u32,
+    /// Whether the next attempt has been taken from the budget.
+    paid: bool,
     last: &'static str,
 }
 
@@ -109,6 +113,7 @@
             tried: Vec::new(),
             runs: 0,
             refusals: 0,
+            paid: false,
             last: "no upstream is there",
         }
     }
@@ -132,7 +137,8 @@
                 resume_after: None,
             };
             self.runs += 1;
-            let ended = attempt(&self.gateway, &self.call, &runner, &extra).await;
+            let patience = self.patience(&runner);
+            let ended = attempt(&self.gateway, &self.call, &runner, &extra, patience).await;
             self.log_attempt(&runner, &ended);
             match ended {
                 Ended::NotRun(reason) => {
@@ -154,7 +160,9 @@
                     }
                 }
                 Ended::Stream(answer, work) => {
-                    if let Some(larger) = self.escalation(&answer.headers) {
+                    if let Some(larger) = self.escalation(&answer.headers)
+                        && self.may_escalate()
+                    {
                         self.model = Some(larger);
                         self.tried.clear();
                         continue;
@@ -167,6 +175,20 @@
         }
     }
 
+    /// How long the upstream may be silent; `None` where the request can't go elsewhere.
+    fn patience(&self, runner: &Runner) -> Option<Duration> {
+        let route = &self.call.route;
+        if !route.may_rerun() || self.runs >= route.attempts {
+            return None;
+        }
+        let now = self.gateway.now();
+        let runners = self.gateway.runners.borrow();
+        let load = runners
+            .spot(runner, &self.gateway.cfg.data_centre, false, now)
+            .load;
+        Some(patience::head(route.target(), load))
+    }
+
     /// Moves the state into the relay of a stream.
     fn take(&mut self) -> Self {
         Self {
@@ -178,6 +200,7 @@
             tried: std::mem::take(&mut self.tried),
             runs: self.runs,
             refusals: self.refusals,
+            paid: false,
             last: self.last,
         }
     }
@@ -202,6 +225,15 @@
         Some(larger)
     }
 
+    /// Takes the next attempt from the budget, if a few are left for failures after it.
+    fn may_escalate(&mut self) -> bool {
+        let Some(service) = &self.service else {
+            return false;
+        };
+        self.paid = self.gateway.spend_spare_retry(service);
+        self.paid
+    }
+
     pub(super) fn model_name(&self) -> Option<Name> {
         self.call.route.ladder.get(self.model?).cloned()
     }
@@ -219,6 +251,8 @@
         let runner = self.place(&service)?;
         if first {
             self.gateway.earn_retry(&service);
+        } else if std::mem::take(&mut self.paid) {
+            // The escalation has taken it.
         } else if !self.gateway.spend_retry(&service) {
             self.last = "the retry budget is spent";
             return None;
@@ -314,9 +348,15 @@
         &self.call
     }
 
+    /// Whether a stream that breaks may go on elsewhere.
+    pub(super) fn may_resume(&self) -> bool {
+        let route = &self.call.route;
+        route.repeat == Repeat::Stream && route.resume && self.runs < route.attempts
+    }
+
     /// Another upstream for a stream that broke, with its answer from `after` on.
     pub(super) async fn resume(&mut self, after: Option<u64>) -> Option<(crate::wire::Answer, super::runners::Work)> {
-        if self.call.route.repeat != Repeat::Stream || !self.call.route.resume {
+        if !self.may_resume() {
             return None;
         }
         loop {
@@ -326,7 +366,8 @@
                 resume_after: after,
             };
             self.runs += 1;
-            let ended = attempt(&self.gateway, &self.call, &runner, &extra).await;
+            let patience = self.patience(&runner);
+            let ended = attempt(&self.gateway, &self.call, &runner, &extra, patience).await;
             self.log_attempt(&runner, &ended);
             match ended {
                 Ended::NotRun(_) => {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -45,9 +45,19 @@
 use crate::policy::retry::Budget;
 use crate::wire::Pool;
 
-/// Retries that a service's budget earns with each first attempt: half of what deployments allow
-/// all gateways together, since budgets are not traded between them.
-const RETRIES_EARNED: f64 = 0.45;
+/// Retries that a service's budget earns with each first attempt: what deployments allow all
+/// gateways together, less a margin for windows that begin in a burst.
+const RETRIES_EARNED: f64 = 0.8;
+
+/// Retries that are left for failures when a larger model is asked.
+const RETRIES_RESERVED: f64 = 2.0;
+
+/// How long a request waits for the first configuration after a start: a replica answers within
+/// milliseconds, and a restart of all of them takes about a second.
+const CONFIG_WAIT: Duration = Duration::from_millis(1200);
+
+/// Time between looks for the first configuration.
+const CONFIG_POLL: Duration = Duration::from_millis(20);
 
 /// Retries that a service's budget may save up at one gateway.
 const RETRIES_SAVED: f64 = 4.0;
@@ -233,6 +243,19 @@
         self.budget(service, Budget::spend)
     }
 
+    /// Takes a retry that the service's failures can do without.
+    fn spend_spare_retry(&self, service: &Name) -> bool {
+        self.budget(service, |budget| budget.spend_beyond(RETRIES_RESERVED))
+    }
+
+    /// Waits a little for the first configuration.
+    async fn wait_for_config(&self) {
+        let until = self.now() + CONFIG_WAIT;
+        while self.picture.borrow().config.is_none() && self.now() < until {
+            tokio::time::sleep(CONFIG_POLL).await;
+        }
+    }
+
     fn budget(&self, service: &Name, act: impl FnOnce(&mut Budget) -> bool) -> bool {
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -11,7 +11,7 @@
 
 /// Part of the time to stop in which new requests are taken: most callers hold this address for a
 /// few seconds more, and what they send then must still end in time.
-const TAKES_REQUESTS: f64 = 0.35;
+const TAKES_REQUESTS: f64 = 0.25;
 
 /// Part of the time to stop after which the process ends as soon as nothing is open.
 const STAYS: f64 = 0.75;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -19,7 +19,9 @@
 use super::reply;
 use super::runners::Work;
 use crate::log::event;
+use crate::policy::patience;
 use crate::wire::Answer;
+use crate::wire::Failure;
 use crate::wire::Head;
 
 /// Streams an answer to the caller of `req`.
@@ -53,6 +55,12 @@
     Broken(&'static str),
 }
 
+enum Taken {
+    Events,
+    End,
+    Broken(&'static str),
+}
+
 impl Relay {
     pub(super) fn new(exchange: Exchange, answer: Answer, work: Work) -> Self {
         let head = Head {
@@ -84,23 +92,18 @@
             let Some(answer) = self.answer.as_mut() else {
                 return Next::End;
             };
-            let chunk = match tokio::time::timeout(left, answer.chunk()).await {
-                Ok(chunk) => chunk,
-                Err(_) => return Next::Broken("the time is over"),
-            };
+            let gap = Duration::from_millis(self.exchange.call().route.gap_ms);
+            let patience = patience::gap(gap).filter(|_| self.exchange.may_resume());
+            let wait = patience.map_or(left, |patience| patience.min(left));
+            let chunk = tokio::time::timeout(wait, answer.chunk()).await;
             let reason = match chunk {
-                Some(Ok(chunk)) => match self.events.push(&chunk) {
-                    Ok(()) => continue,
-                    Err(reason) => reason,
+                Err(_) if wait == left => return Next::Broken("the time is over"),
+                Err(_) => "no event for too long",
+                Ok(chunk) => match self.take_chunk(chunk) {
+                    Taken::Events => continue,
+                    Taken::End => return Next::End,
+                    Taken::Broken(reason) => reason,
                 },
-                None if self.events.is_between() => {
-                    if let Some(answer) = self.answer.take() {
-                        answer.finish();
-                    }
-                    return Next::End;
-                }
-                None => "the stream ended within an event",
-                Some(Err(failure)) => failure.reason(),
             };
             if !self.resume(reason).await {
                 return Next::Broken(reason);
@@ -108,6 +111,23 @@
         }
     }
 
+    fn take_chunk(&mut self, chunk: Option<Result<bytes::Bytes, Failure>>) -> Taken {
+        match chunk {
+            Some(Ok(chunk)) => match self.events.push(&chunk) {
+                Ok(()) => Taken::Events,
+                Err(reason) => Taken::Broken(reason),
+            },
+            None if self.events.is_between() => {
+                if let Some(answer) = self.answer.take() {
+                    answer.finish();
+                }
+                Taken::End
+            }
+            None => Taken::Broken("the stream ended within an event"),
+            Some(Err(failure)) => Taken::Broken(failure.reason()),
+        }
+    }
+
     async fn resume(&mut self, reason: &'static str) -> bool {
         // The former upstream must stop before another goes on.
         self.answer = None;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -3,6 +3,7 @@
 pub mod admission;
 pub mod choice;
 pub mod ladder;
+pub mod patience;
 pub mod placement;
 pub mod plan;
 pub mod prompt;
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -52,6 +52,11 @@
         self.saved = (self.saved + self.earned).min(self.limit);
     }
 
+    /// Takes one retry, if `reserve` are left after it.
+    pub fn spend_beyond(&mut self, reserve: f64) -> bool {
+        self.saved >= reserve + 1.0 && self.spend()
+    }
+
     /// Takes one retry, if there is one.
     pub fn spend(&mut self) -> bool {
         if self.saved < 1.0 {
