--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -105,6 +105,22 @@
         return Ended::Lost("the answer has no signature");
     }
     let failed = !answer.status.is_success();
+    crate::log::event!(
+        Debug,
+        "answer",
+        request = call.id,
+        route = call.route.name,
+        upstream = work.runner.id(),
+        status = answer.status.as_u16(),
+        first_ms = work.elapsed().as_millis(),
+        tokens_in = call.prompt.tokens_in,
+        tokens_out = call.prompt.tokens_out,
+        confidence = answer
+            .headers
+            .get(&names.confidence)
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or("-")
+    );
     gateway.note_answer(call, &work.runner, failed, work.elapsed());
     work.answered();
     if is_stream(&answer) && !failed {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -47,10 +47,10 @@
 
 /// Retries that a service's budget earns with each first attempt: what deployments allow all
 /// gateways together, less a margin for windows that begin in a burst.
-const RETRIES_EARNED: f64 = 0.8;
+const RETRIES_EARNED: f64 = 0.85;
 
 /// Retries that are left for failures when a larger model is asked.
-const RETRIES_RESERVED: f64 = 2.0;
+const RETRIES_RESERVED: f64 = 1.0;
 
 /// How long a request waits for the first configuration after a start: a replica answers within
 /// milliseconds, and a restart of all of them takes about a second.
@@ -60,7 +60,7 @@
 const CONFIG_POLL: Duration = Duration::from_millis(20);
 
 /// Retries that a service's budget may save up at one gateway.
-const RETRIES_SAVED: f64 = 4.0;
+const RETRIES_SAVED: f64 = 6.0;
 
 /// Time between looks for connections that have been idle for too long.
 const SWEEP: Duration = Duration::from_secs(2);
--- a/src/policy/patience.rs
+++ b/src/policy/patience.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 /// Part of the target in which the head of an answer should come.
-const HEAD_PART: f64 = 0.4;
+const HEAD_PART: f64 = 0.7;
 
 /// The same at an upstream that is known to be busy.
 const BUSY_HEAD_PART: f64 = 0.85;
