--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -17,6 +17,7 @@
 use super::picture::Runner;
 use super::refusal::Refusal;
 use super::reply;
+use super::runners::Work;
 use super::stop::Open;
 use super::stream;
 use crate::collections::Name;
@@ -25,6 +26,7 @@
 use crate::policy::ladder;
 use crate::policy::patience;
 use crate::policy::placement;
+use crate::wire::Answer;
 use crate::wire::Head;
 
 /// Least time left in which another attempt is worth making.
@@ -36,16 +38,16 @@
 
 /// Answers one request.
 pub(super) async fn answer(gateway: Rc<Gateway>, mut req: Request) -> Response {
-    if gateway.turns_away() {
-        let refusal = Refusal::unavailable("stopping", "this entry stops; ask another")
-            .after(Duration::ZERO);
-        return refuse(&gateway, None, &refusal);
-    }
     gateway.wait_for_config().await;
     let call = match Call::read(&gateway, &req) {
         Ok(call) => call,
         Err(refusal) => return refuse(&gateway, None, &refusal),
     };
+    if gateway.turns_away(&call.route) {
+        let refusal = Refusal::unavailable("stopping", "this entry stops; ask another")
+            .after(Duration::ZERO);
+        return refuse(&gateway, Some(&call), &refusal);
+    }
     let body = match read_body(&gateway, &mut req).await {
         Ok(body) => body,
         Err(refusal) => return refuse(&gateway, Some(&call), &refusal),
@@ -230,7 +232,7 @@
         let Some(service) = &self.service else {
             return false;
         };
-        self.paid = self.gateway.spend_spare_retry(service);
+        self.paid = self.gateway.may_choose(service);
         self.paid
     }
 
@@ -250,10 +252,10 @@
         let service = self.service.clone()?;
         let runner = self.place(&service)?;
         if first {
-            self.gateway.earn_retry(&service);
+            self.gateway.note_first(&service);
         } else if std::mem::take(&mut self.paid) {
             // The escalation has taken it.
-        } else if !self.gateway.spend_retry(&service) {
+        } else if !self.gateway.may_repeat(&service) {
             self.last = "the retry budget is spent";
             return None;
         }
@@ -354,13 +356,22 @@
         route.repeat == Repeat::Stream && route.resume && self.runs < route.attempts
     }
 
-    /// Another upstream for a stream that broke, with its answer from `after` on.
-    pub(super) async fn resume(&mut self, after: Option<u64>) -> Option<(crate::wire::Answer, super::runners::Work)> {
-        if !self.may_resume() {
-            return None;
+    /// The upstream at which a broken stream may go on.
+    pub(super) fn next_resumption(&mut self) -> Option<Runner> {
+        if self.may_resume() {
+            self.next_runner()
+        } else {
+            None
         }
+    }
+
+    /// Lets a broken stream go on after event `after`, first at `runner`.
+    pub(super) async fn resume(
+        &mut self,
+        mut runner: Runner,
+        after: Option<u64>,
+    ) -> Option<(Answer, Work)> {
         loop {
-            let runner = self.next_runner()?;
             let extra = Extra {
                 model: self.model_name(),
                 resume_after: after,
@@ -375,7 +386,6 @@
                     self.refusals += 1;
                 }
                 Ended::Lost(_) => {}
-                Ended::Whole(..) => return None,
                 Ended::Stream(answer, work) if answer.status == StatusCode::OK => {
                     event!(
                         Info,
@@ -386,8 +396,9 @@
                     );
                     return Some((*answer, work));
                 }
-                Ended::Stream(..) => return None,
+                Ended::Whole(..) | Ended::Stream(..) => return None,
             }
+            runner = self.next_runner()?;
         }
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -42,15 +42,13 @@
 use crate::peer::EntryInfo;
 use crate::peer::SeenRow;
 use crate::policy::release::Seen;
-use crate::policy::retry::Budget;
+use crate::policy::budget;
+use crate::policy::budget::Budget;
 use crate::wire::Pool;
 
-/// Retries that a service's budget earns with each first attempt: what deployments allow all
-/// gateways together, less a margin for windows that begin in a burst.
-const RETRIES_EARNED: f64 = 0.85;
-
-/// Retries that are left for failures when a larger model is asked.
-const RETRIES_RESERVED: f64 = 1.0;
+/// Part of the deployment's bounds on repeats that is used: the gateways' windows don't begin at the
+/// same moment.
+const BOUNDS_USED: f64 = 0.92;
 
 /// How long a request waits for the first configuration after a start: a replica answers within
 /// milliseconds, and a restart of all of them takes about a second.
@@ -84,6 +82,8 @@
     pub body_limit: usize,
     /// Time from an order to stop to the end of the process.
     pub stop_limit: Duration,
+    /// Bounds of the repeats of one service, over all gateways together.
+    pub repeats: budget::Terms,
     /// Names of headers.
     pub names: Names,
 }
@@ -231,21 +231,21 @@
     }
 
     /// A request to the service makes its first attempt.
-    fn earn_retry(&self, service: &Name) {
-        self.budget(service, |budget| {
-            budget.earn();
+    fn note_first(&self, service: &Name) {
+        self.budget(service, |budget, terms, now| {
+            budget.first(terms, now);
             true
         });
     }
 
-    /// Takes a retry from the service's budget.
-    fn spend_retry(&self, service: &Name) -> bool {
-        self.budget(service, Budget::spend)
+    /// Takes a repeat after a failure.
+    fn may_repeat(&self, service: &Name) -> bool {
+        self.budget(service, Budget::repeat)
     }
 
-    /// Takes a retry that the service's failures can do without.
-    fn spend_spare_retry(&self, service: &Name) -> bool {
-        self.budget(service, |budget| budget.spend_beyond(RETRIES_RESERVED))
+    /// Takes a repeat that the request could do without.
+    fn may_choose(&self, service: &Name) -> bool {
+        self.budget(service, Budget::choose)
     }
 
     /// Waits a little for the first configuration.
@@ -256,12 +256,24 @@
         }
     }
 
-    fn budget(&self, service: &Name, act: impl FnOnce(&mut Budget) -> bool) -> bool {
+    fn budget(
+        &self,
+        service: &Name,
+        act: impl FnOnce(&mut Budget, &budget::Terms, Duration) -> bool,
+    ) -> bool {
+        let bounds = &self.cfg.repeats;
+        let gateways = self.picture.borrow().entries.len().max(1) as f64;
+        let terms = budget::Terms {
+            ratio: bounds.ratio * BOUNDS_USED,
+            slack: bounds.slack * BOUNDS_USED / gateways,
+            window: bounds.window,
+        };
         let mut budgets = self.budgets.borrow_mut();
-        let budget = budgets
-            .entry(service.clone())
-            .or_insert_with(|| Budget::new(RETRIES_EARNED, RETRIES_SAVED));
-        act(budget)
+        act(
+            budgets.entry(service.clone()).or_default(),
+            &terms,
+            self.now(),
+        )
     }
 
     /// An upstream answered, be it with a failure.
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -4,17 +4,23 @@
 use std::time::Duration;
 
 use super::Gateway;
+use crate::config::Repeat;
+use crate::config::Route;
 use crate::log::event;
 
 /// Time between looks at whether the requests have ended.
 const POLL: Duration = Duration::from_millis(50);
 
-/// Part of the time to stop in which new requests are taken: most callers hold this address for a
-/// few seconds more, and what they send then must still end in time.
-const TAKES_REQUESTS: f64 = 0.25;
+/// Time for which new streams are taken: they last for seconds, and one that is cut at the end is
+/// worse off than one that goes to another gateway at once.
+const TAKES_STREAMS: Duration = Duration::from_millis(300);
+
+/// Part of the time to stop in which other requests are taken: most callers hold this address for a
+/// few seconds more.
+const TAKES_REQUESTS: f64 = 0.75;
 
 /// Part of the time to stop after which the process ends as soon as nothing is open.
-const STAYS: f64 = 0.75;
+const STAYS: f64 = 0.8;
 
 /// Waits for the order to stop, then until the requests have ended or the time is over.
 pub(super) async fn wait(gateway: &Rc<Gateway>) {
@@ -40,9 +46,12 @@
 }
 
 impl Gateway {
-    /// Whether a stop is so near that a new request might not end in time.
-    pub(super) fn turns_away(&self) -> bool {
-        let limit = self.cfg.stop_limit.mul_f64(TAKES_REQUESTS);
+    /// Whether a stop is so near that a new request of the route might not end in time.
+    pub(super) fn turns_away(&self, route: &Route) -> bool {
+        let limit = match route.repeat {
+            Repeat::Stream => TAKES_STREAMS,
+            Repeat::Idempotent | Repeat::Once => self.cfg.stop_limit.mul_f64(TAKES_REQUESTS),
+        };
         self.leaving_since
             .get()
             .is_some_and(|since| self.now() >= since + limit)
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -16,6 +16,7 @@
 use super::Gateway;
 use super::events::Events;
 use super::exchange::Exchange;
+use super::picture::Runner;
 use super::reply;
 use super::runners::Work;
 use crate::log::event;
@@ -44,6 +45,8 @@
     answer: Option<Answer>,
     work: Work,
     events: Events,
+    /// Whether it was silent for too long and no other upstream could take over.
+    waits_on: bool,
 }
 
 enum Next {
@@ -75,6 +78,7 @@
             answer: Some(answer),
             work,
             events,
+            waits_on: false,
         }
     }
 
@@ -89,28 +93,47 @@
                 return Next::Events(whole);
             }
             let left = self.left();
+            let wait = self.patience().map_or(left, |patience| patience.min(left));
             let Some(answer) = self.answer.as_mut() else {
                 return Next::End;
             };
-            let gap = Duration::from_millis(self.exchange.call().route.gap_ms);
-            let patience = patience::gap(gap).filter(|_| self.exchange.may_resume());
-            let wait = patience.map_or(left, |patience| patience.min(left));
             let chunk = tokio::time::timeout(wait, answer.chunk()).await;
             let reason = match chunk {
                 Err(_) if wait == left => return Next::Broken("the time is over"),
-                Err(_) => "no event for too long",
+                Err(_) => {
+                    self.waits_on = true;
+                    "no event for too long"
+                }
                 Ok(chunk) => match self.take_chunk(chunk) {
                     Taken::Events => continue,
                     Taken::End => return Next::End,
-                    Taken::Broken(reason) => reason,
+                    Taken::Broken(reason) => {
+                        self.answer = None;
+                        reason
+                    }
                 },
             };
-            if !self.resume(reason).await {
+            // Silence alone is no reason to end an answer: without another upstream it goes on.
+            let Some(runner) = self.exchange.next_resumption() else {
+                if self.answer.is_some() {
+                    continue;
+                }
+                return Next::Broken(reason);
+            };
+            if !self.resume(reason, runner).await {
                 return Next::Broken(reason);
             }
         }
     }
 
+    /// How long the upstream may be silent; `None` where nothing else can be done.
+    fn patience(&self) -> Option<Duration> {
+        if self.waits_on || !self.exchange.may_resume() {
+            return None;
+        }
+        patience::gap(Duration::from_millis(self.exchange.call().route.gap_ms))
+    }
+
     fn take_chunk(&mut self, chunk: Option<Result<bytes::Bytes, Failure>>) -> Taken {
         match chunk {
             Some(Ok(chunk)) => match self.events.push(&chunk) {
@@ -128,7 +151,7 @@
         }
     }
 
-    async fn resume(&mut self, reason: &'static str) -> bool {
+    async fn resume(&mut self, reason: &'static str, runner: Runner) -> bool {
         // The former upstream must stop before another goes on.
         self.answer = None;
         self.work.failed();
@@ -144,12 +167,13 @@
         );
         let after = self.events.last_id();
         let left = self.left();
-        let resumed = tokio::time::timeout(left, self.exchange.resume(after)).await;
+        let resumed = tokio::time::timeout(left, self.exchange.resume(runner, after)).await;
         let Ok(Some((answer, work))) = resumed else {
             return false;
         };
         self.answer = Some(answer);
         self.work = work;
+        self.waits_on = false;
         self.events.drop_partial();
         true
     }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,6 +1,7 @@
 //! The decisions. Each is a pure function over a state, an event, the time and a random source.
 
 pub mod admission;
+pub mod budget;
 pub mod choice;
 pub mod ladder;
 pub mod patience;
--- a/src/policy/patience.rs
+++ b/src/policy/patience.rs
@@ -15,8 +15,9 @@
 /// Load from which an upstream counts as busy, as a share of its slots.
 const BUSY: f64 = 0.6;
 
-/// Part of the longest pause on time that a stream may be silent.
-const GAP_PART: f64 = 0.6;
+/// Longest pauses on time after which a silent stream is taken for dead: it is late by then, and a
+/// busy upstream's next event is nearer than another's first.
+const GAP_PARTS: f64 = 1.5;
 
 /// Time in which the head of an answer should come from an upstream of that load.
 pub fn head(target: Duration, load: f64) -> Duration {
@@ -26,5 +27,5 @@
 
 /// Time in which the next event of a stream should come; `None` where the route sets no pause.
 pub fn gap(longest: Duration) -> Option<Duration> {
-    (!longest.is_zero()).then(|| longest.mul_f64(GAP_PART))
+    (!longest.is_zero()).then(|| longest.mul_f64(GAP_PARTS))
 }
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -27,34 +27,18 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Budget {
     saved: f64,
-    earned: f64,
-    limit: f64,
 }
 
 impl Default for Budget {
     fn default() -> Self {
-        Self::new(EARNED, SAVED_LIMIT)
+        Self { saved: SAVED_LIMIT }
     }
 }
 
 impl Budget {
-    /// A full budget that earns `earned` retries with each first attempt and saves up `limit`.
-    pub fn new(earned: f64, limit: f64) -> Self {
-        Self {
-            saved: limit,
-            earned,
-            limit,
-        }
-    }
-
     /// A request makes its first attempt.
     pub fn earn(&mut self) {
-        self.saved = (self.saved + self.earned).min(self.limit);
-    }
-
-    /// Takes one retry, if `reserve` are left after it.
-    pub fn spend_beyond(&mut self, reserve: f64) -> bool {
-        self.saved >= reserve + 1.0 && self.spend()
+        self.saved = (self.saved + EARNED).min(SAVED_LIMIT);
     }
 
     /// Takes one retry, if there is one.
