--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -84,6 +84,7 @@
             vm: cfg.vm.clone(),
             address: cfg.advertise.unwrap_or(local),
             data_centre: cfg.data_centre.clone(),
+            loads: None,
         };
         Self {
             cfg,
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -12,7 +12,8 @@
 use super::call::Call;
 use super::names::Names;
 use super::picture::Runner;
-use super::runners::Work;
+use super::loads::Work;
+use super::runners::Sent;
 use crate::collections::Name;
 use crate::wire::Answer;
 use crate::wire::Failure;
@@ -35,7 +36,7 @@
     /// The upstream answered, with the whole body.
     Whole(Head, Bytes),
     /// The upstream answers with a stream, of which nothing has been read.
-    Stream(Box<Answer>, Work),
+    Stream(Box<Answer>, Sent),
 }
 
 /// What an attempt adds to the caller's request.
@@ -55,7 +56,7 @@
     extra: &Extra,
     patience: Option<Duration>,
 ) -> Ended {
-    let mut work = Work::start(gateway, runner.clone());
+    let mut work = Sent::start(gateway, runner.clone(), burden(gateway, call, runner, extra));
     let left = call.left(gateway.now());
     let Some(request) = outgoing(&gateway.cfg.names, call, runner, extra, left) else {
         return Ended::NotRun("the request can't be written");
@@ -84,7 +85,22 @@
     }
 }
 
-async fn judge(gateway: &Rc<Gateway>, call: &Call, answer: Answer, mut work: Work) -> Ended {
+/// What the request lays on the upstream.
+fn burden(gateway: &Gateway, call: &Call, runner: &Runner, extra: &Extra) -> Work {
+    let prompt = &call.prompt;
+    let picture = gateway.picture();
+    let slowness = match (&extra.model, runner.service()) {
+        (Some(model), Some(service)) => picture.slowness(service, model),
+        _ => 1.0,
+    };
+    Work {
+        requests: 1,
+        reading: (prompt.tokens_in as f64 * slowness) as u64,
+        held: prompt.tokens_in.saturating_add(prompt.tokens_out / 2),
+    }
+}
+
+async fn judge(gateway: &Rc<Gateway>, call: &Call, answer: Answer, mut work: Sent) -> Ended {
     let names = &gateway.cfg.names;
     work.report(&answer.headers);
     if !is_for(names, call, &answer) {
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -40,8 +40,6 @@
     /// Headers that go on to the upstream whichever it is.
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
-    /// Arrival, by the gateway's clock.
-    pub(super) at: Duration,
     /// Moment at which the caller must have its final answer.
     pub(super) until: Duration,
     /// Whether the gateway chooses the model.
@@ -89,7 +87,6 @@
         Ok(Self {
             id: id.into(),
             until: at + asked.min(route.timeout()),
-            at,
             any_model,
             prompt: Prompt::read(
                 text(req, &names.prompt).unwrap_or_default(),
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -14,10 +14,13 @@
 use super::attempt::attempt;
 use super::call::Call;
 use super::call::read_body;
+use super::loads::Others;
+use super::picture::Picture;
 use super::picture::Runner;
 use super::refusal::Refusal;
 use super::reply;
-use super::runners::Work;
+use super::runners::Sent;
+use super::runners::View;
 use super::stop::Open;
 use super::stream;
 use crate::collections::Name;
@@ -26,6 +29,8 @@
 use crate::policy::ladder;
 use crate::policy::patience;
 use crate::policy::placement;
+use crate::policy::placement::Need;
+use crate::policy::placement::Spot;
 use crate::wire::Answer;
 use crate::wire::Head;
 
@@ -44,8 +49,8 @@
         Err(refusal) => return refuse(&gateway, None, &refusal),
     };
     if gateway.turns_away(&call.route) {
-        let refusal = Refusal::unavailable("stopping", "this entry stops; ask another")
-            .after(Duration::ZERO);
+        let refusal =
+            Refusal::unavailable("stopping", "this entry stops; ask another").after(Duration::ZERO);
         return refuse(&gateway, Some(&call), &refusal);
     }
     let body = match read_body(&gateway, &mut req).await {
@@ -111,7 +116,11 @@
             _open: Rc::new(Open::new(gateway)),
             call: call.clone(),
             service: call.route.service(draw).cloned(),
-            model: if call.any_model { ladder::first(ladder) } else { None },
+            model: if call.any_model {
+                ladder::first(ladder)
+            } else {
+                None
+            },
             tried: Vec::new(),
             runs: 0,
             refusals: 0,
@@ -183,14 +192,21 @@
         if !route.may_rerun() || self.runs >= route.attempts {
             return None;
         }
-        let now = self.gateway.now();
         let runners = self.gateway.runners.borrow();
-        let load = runners
-            .spot(runner, &self.gateway.cfg.data_centre, false, now)
-            .load;
+        let others = self.gateway.others.borrow();
+        let load = runners.spot(runner, &self.view(&others, None), false).load;
         Some(patience::head(route.target(), load))
     }
 
+    fn view<'a>(&'a self, others: &'a Others, memory: Option<u64>) -> View<'a> {
+        View {
+            others,
+            data_centre: &self.gateway.cfg.data_centre,
+            memory,
+            now: self.gateway.now(),
+        }
+    }
+
     /// Moves the state into the relay of a stream.
     fn take(&mut self) -> Self {
         Self {
@@ -267,38 +283,48 @@
         let gateway = &self.gateway;
         let picture = gateway.picture();
         let pool = picture.pool(service)?;
-        let now = gateway.now();
         let wants_new = pool
             .new_share
             .map(|share| self.call.release_draw() < share);
+        let need = self.need(&picture, service);
+        let memory = picture.engine(service).map(|engine| engine.cache_tokens);
         let runners = gateway.runners.borrow();
-        let spots_of = |new: Option<bool>| -> (Vec<usize>, Vec<placement::Spot>) {
-            let mut at = Vec::new();
-            let mut spots = Vec::new();
-            for (i, runner) in pool.runners.iter().enumerate() {
-                if new.is_some_and(|new| new != runner.is_new) {
-                    continue;
-                }
-                let tried = self.tried.contains(runner.id());
-                at.push(i);
-                spots.push(runners.spot(runner, &gateway.cfg.data_centre, tried, now));
-            }
-            (at, spots)
+        let others = gateway.others.borrow();
+        let view = self.view(&others, memory);
+        let choose = |wants_new: Option<bool>| -> Option<Runner> {
+            let fitting: Vec<&Runner> = pool
+                .runners
+                .iter()
+                .filter(|runner| wants_new.is_none_or(|new| new == runner.is_new))
+                .collect();
+            let spots: Vec<Spot> = fitting
+                .iter()
+                .map(|runner| runners.spot(runner, &view, self.tried.contains(runner.id())))
+                .collect();
+            let may_probe = self.call.route.may_rerun();
+            let rng = &mut *gateway.rng.borrow_mut();
+            let i = placement::place(&spots, need, may_probe, rng)?;
+            Some(fitting[i].clone())
         };
-        let shared = if self.call.route.affinity {
-            self.call.prompt.shared()
-        } else {
-            None
-        };
-        let rng = &mut *gateway.rng.borrow_mut();
-        let (at, spots) = spots_of(wants_new);
-        let mut chosen = placement::place(&spots, shared, rng).map(|i| at[i]);
-        // The settled release may serve what the new one can't, never the other way round.
-        if chosen.is_none() && wants_new == Some(true) {
-            let (at, spots) = spots_of(Some(false));
-            chosen = placement::place(&spots, shared, rng).map(|i| at[i]);
+        choose(wants_new).or_else(|| {
+            // The settled release may serve what the new one can't, never the other way round.
+            (wants_new == Some(true)).then(|| choose(Some(false)))?
+        })
+    }
+
+    /// What the prompt asks of an upstream; `None` for a request without one.
+    fn need(&self, picture: &Picture, service: &Name) -> Option<Need> {
+        if !self.call.route.affinity {
+            return None;
         }
-        chosen.map(|i| pool.runners[i].clone())
+        let prompt = &self.call.prompt;
+        let slowness = self
+            .model_name()
+            .map_or(1.0, |model| picture.slowness(service, &model));
+        Some(Need {
+            shared: prompt.shared(),
+            shared_reading: (prompt.shared_tokens() as f64 * slowness) as u64,
+        })
     }
 
     fn give_up(&self, failure: Option<(Head, Bytes)>) -> Result<Served, Refusal> {
@@ -370,7 +396,7 @@
         &mut self,
         mut runner: Runner,
         after: Option<u64>,
-    ) -> Option<(Answer, Work)> {
+    ) -> Option<(Answer, Sent)> {
         loop {
             let extra = Extra {
                 model: self.model_name(),
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -85,6 +85,7 @@
         self.directory = grant.directory;
         self.entries_seen = grant.entries_seen;
         self.replicas_seen = grant.replicas_seen;
+        gateway.runners.borrow_mut().set_silent(&grant.silent);
         if let Some(replicas) = grant.replicas {
             event!(Info, "replicas_known", replicas = format!("{replicas:?}"));
             leader.set_replicas(replicas);
@@ -104,7 +105,9 @@
         if let Some(config) = grant.config.filter(|c| c.revision > self.revision) {
             self.revision = config.revision;
             event!(Info, "config_taken", revision = self.revision);
-            gateway.meters.set("daisyquay_revision", self.revision as f64);
+            gateway
+                .meters
+                .set("daisyquay_revision", self.revision as f64);
             picture = picture.with_config(Arc::from(config));
             changed = true;
         }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod events;
 mod exchange;
 mod link;
+mod loads;
 mod names;
 mod picture;
 mod refusal;
@@ -26,10 +27,13 @@
 
 use snafu::ResultExt;
 use snafu::Snafu;
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 
 pub use self::names::Names;
 
 use self::call::Call;
+use self::loads::Others;
 use self::picture::Picture;
 use self::picture::Runner;
 use self::runners::Runners;
@@ -41,9 +45,9 @@
 use crate::metrics::Meters;
 use crate::peer::EntryInfo;
 use crate::peer::SeenRow;
-use crate::policy::release::Seen;
 use crate::policy::budget;
 use crate::policy::budget::Budget;
+use crate::policy::release::Seen;
 use crate::wire::Pool;
 
 /// Part of the deployment's bounds on repeats that is used: the gateways' windows don't begin at the
@@ -57,9 +61,6 @@
 /// Time between looks for the first configuration.
 const CONFIG_POLL: Duration = Duration::from_millis(20);
 
-/// Retries that a service's budget may save up at one gateway.
-const RETRIES_SAVED: f64 = 6.0;
-
 /// Time between looks for connections that have been idle for too long.
 const SWEEP: Duration = Duration::from_secs(2);
 
@@ -76,6 +77,8 @@
     pub state: Vec<SocketAddr>,
     /// Key that our own processes show each other.
     pub peer_key: String,
+    /// Where it hears of the other gateways' work, in datagrams.
+    pub loads_listen: SocketAddr,
     /// Where the admin listener is; `None` means that there is none.
     pub admin_listen: Option<SocketAddr>,
     /// Most bytes of a request's body.
@@ -110,6 +113,9 @@
     info: EntryInfo,
     picture: RefCell<Arc<Picture>>,
     runners: RefCell<Runners>,
+    others: RefCell<Others>,
+    /// Told whenever this gateway's work at an upstream changes.
+    work_changed: Notify,
     pool: Pool,
     budgets: RefCell<HashMap<Name, Budget>>,
     seen: RefCell<HashMap<(Name, Name, Name), Seen>>,
@@ -152,7 +158,12 @@
         vm: cfg.vm.clone(),
         address: cfg.listen,
         data_centre: cfg.data_centre.clone(),
+        loads: Some(cfg.loads_listen),
     };
+    let address = cfg.loads_listen;
+    let socket = UdpSocket::bind(address)
+        .await
+        .context(ListenSnafu { address })?;
     let address = cfg.listen;
     let gateway = Rc::new(Gateway {
         cfg,
@@ -161,6 +172,8 @@
         info,
         picture: RefCell::default(),
         runners: RefCell::default(),
+        others: RefCell::default(),
+        work_changed: Notify::new(),
         pool: Pool::default(),
         budgets: RefCell::default(),
         seen: RefCell::default(),
@@ -185,6 +198,7 @@
     );
     tokio::task::spawn_local(link::renew(gateway.clone()));
     tokio::task::spawn_local(sweep(gateway.clone()));
+    tokio::task::spawn_local(loads::exchange(gateway.clone(), socket));
     Ok(Running { gateway })
 }
 
--- a/src/gateway/picture.rs
+++ b/src/gateway/picture.rs
@@ -3,8 +3,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use crate::agreement::Index;
 use crate::collections::HashMap;
 use crate::collections::Name;
+use crate::config::EngineTerms;
 use crate::config::Organisation;
 use crate::config::Route;
 use crate::peer::ConfigView;
@@ -18,6 +20,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Runner {
     pub(crate) announced: Arc<Announcement>,
+    /// Names its start in a few bytes.
+    pub(crate) number: Index,
     /// Whether it has the release that is being rolled out.
     pub(crate) is_new: bool,
 }
@@ -94,15 +98,20 @@
 
     fn sort_runners(&mut self) {
         let mut pools: HashMap<Name, Pool> = HashMap::default();
-        for announced in self.directory.live() {
-            let Serves::Service(service) = &announced.serves else {
+        for row in self.directory.iter().filter(|row| row.takes_work()) {
+            let Serves::Service(service) = &row.announced.serves else {
                 continue;
             };
             let runner = Runner {
-                announced: Arc::new(announced.clone()),
+                announced: Arc::new(row.announced.clone()),
+                number: row.number,
                 is_new: false,
             };
-            pools.entry(service.clone()).or_default().runners.push(runner);
+            pools
+                .entry(service.clone())
+                .or_default()
+                .runners
+                .push(runner);
         }
         for (service, pool) in &mut pools {
             self.apply_releases(service, pool);
@@ -139,15 +148,31 @@
                     runner.is_new = runner.announced.release.as_ref() == target;
                 }
                 let settled = line.settled.as_ref();
-                pool.runners.retain(|runner| {
-                    runner.is_new || runner.announced.release.as_ref() == settled
-                });
+                pool.runners
+                    .retain(|runner| runner.is_new || runner.announced.release.as_ref() == settled);
                 return;
             }
         }
         keep_settled(pool, line.settled.as_ref());
     }
 
+    /// Cost of a model against the cheapest of its service, which stands for its slowness.
+    pub(crate) fn slowness(&self, service: &str, model: &str) -> f64 {
+        let models = self.engine(service).map_or(&[][..], |engine| &engine.models);
+        let cost = models.iter().find(|m| *m.name == *model).map(|m| m.cost);
+        let least = models.iter().map(|m| m.cost).fold(f64::INFINITY, f64::min);
+        match cost {
+            Some(cost) if least > 0.0 && least.is_finite() => cost / least,
+            _ => 1.0,
+        }
+    }
+
+    /// What the engines of a service can do.
+    pub(crate) fn engine(&self, service: &str) -> Option<&EngineTerms> {
+        let inventory = &self.config.as_ref()?.inventory;
+        inventory.service(service)?.engine.as_ref()
+    }
+
     /// Upstreams of a service.
     pub(crate) fn pool(&self, service: &str) -> Option<&Arc<Pool>> {
         self.pools.get(service)
--- a/src/gateway/runners.rs
+++ b/src/gateway/runners.rs
@@ -6,7 +6,10 @@
 use http::HeaderMap;
 
 use super::Gateway;
+use super::loads::Others;
+use super::loads::Work;
 use super::picture::Runner;
+use crate::agreement::Index;
 use crate::collections::HashMap;
 use crate::collections::HashSet;
 use crate::collections::Name;
@@ -32,15 +35,15 @@
     health: Health,
     own: InFlight,
     report: Option<Report>,
-    /// Requests of the other gateways there, as the leader last told.
-    others: u32,
+    number: Index,
+    work: Work,
 }
 
 /// The table of upstreams.
 #[derive(Debug, Default)]
 pub(super) struct Runners {
     rows: HashMap<Name, Row>,
-    silent: HashSet<Name>,
+    silent: HashSet<Index>,
 }
 
 impl Runners {
@@ -51,6 +54,7 @@
             // A new start holds nothing and has failed nobody yet.
             *row = Row {
                 incarnation,
+                number: runner.number,
                 ..Row::default()
             };
         }
@@ -63,52 +67,57 @@
     }
 
     /// Takes the upstreams that the leader has not heard for a while.
-    pub(super) fn set_silent(&mut self, silent: HashSet<Name>) {
-        self.silent = silent;
+    pub(super) fn set_silent(&mut self, silent: &[Index]) {
+        self.silent = silent.iter().copied().collect();
     }
 
-    /// Takes the number of other gateways' requests at an upstream.
-    pub(super) fn set_others(&mut self, id: &Name, others: u32) {
-        if let Some(row) = self.rows.get_mut(id) {
-            row.others = others;
-        }
-    }
-
-    /// This gateway's requests at each upstream.
-    pub(super) fn in_flight(&self) -> impl Iterator<Item = (&Name, u32)> + '_ {
-        self.rows.iter().map(|(id, row)| (id, row.own.count()))
+    /// This gateway's work at each upstream that has any.
+    pub(super) fn own_work(&self) -> HashMap<Index, Work> {
+        let busy = self.rows.values().filter(|row| row.work.requests > 0);
+        busy.map(|row| (row.number, row.work)).collect()
     }
 
     /// An upstream as the placement sees it.
-    pub(super) fn spot(
-        &self,
-        runner: &Runner,
-        data_centre: &Name,
-        tried: bool,
-        now: Duration,
-    ) -> Spot {
+    pub(super) fn spot(&self, runner: &Runner, view: &View<'_>, tried: bool) -> Spot {
+        let now = view.now;
         let row = self
             .rows
             .get(runner.id())
             .filter(|row| row.incarnation == runner.announced.incarnation);
         let slots = f64::from(runner.announced.slots.max(1));
+        let mut work = view.others.at(runner.number);
+        let others = work.requests;
+        if let Some(row) = row {
+            work.add(&row.work);
+        }
         Spot {
             id: stable_id(runner.id()),
-            load: row.map_or(0.0, |row| row.expected(now)) / slots,
-            near: runner.announced.data_centre == *data_centre,
+            load: row.map_or(f64::from(others), |row| row.expected(others, now)) / slots,
+            reading: work.reading,
+            held: work.held as f64 / view.memory.unwrap_or(u64::MAX).max(1) as f64,
+            near: runner.announced.data_centre == *view.data_centre,
             circuit: row.map_or(Circuit::Closed, |row| row.health.circuit(now)),
             tried,
-            silent: self.silent.contains(runner.id()),
+            silent: self.silent.contains(&runner.number),
         }
     }
 }
 
+/// What the choice of an upstream looks at beside the table.
+pub(super) struct View<'a> {
+    pub(super) others: &'a Others,
+    pub(super) data_centre: &'a Name,
+    /// Tokens that an upstream's memory holds, where that is known.
+    pub(super) memory: Option<u64>,
+    pub(super) now: Duration,
+}
+
 impl Row {
     /// Requests that are probably there now: the others' and our own, or what the upstream said
     /// lately and we have sent since.
-    fn expected(&self, now: Duration) -> f64 {
+    fn expected(&self, others: u32, now: Duration) -> f64 {
         let own = f64::from(self.own.count());
-        let counted = own + f64::from(self.others);
+        let counted = own + f64::from(others);
         let Some(report) = self.report else {
             return counted;
         };
@@ -123,26 +132,42 @@
 
 /// A request of this gateway's at an upstream. Dropping it without a result counts as neither
 /// success nor failure.
-pub(super) struct Work {
+pub(super) struct Sent {
     gateway: Rc<Gateway>,
     pub(super) runner: Runner,
     started: Duration,
     told: bool,
+    work: Work,
 }
 
-impl Work {
-    pub(super) fn start(gateway: &Rc<Gateway>, runner: Runner) -> Self {
+impl Sent {
+    pub(super) fn start(gateway: &Rc<Gateway>, runner: Runner, work: Work) -> Self {
         let started = gateway.now();
         let mut runners = gateway.runners.borrow_mut();
         let row = runners.row(&runner);
         row.own.add(started);
         row.health.started();
+        row.work.add(&work);
         drop(runners);
+        gateway.work_changed.notify_one();
         Self {
             gateway: gateway.clone(),
             runner,
             started,
             told: false,
+            work,
+        }
+    }
+
+    /// Its prompt has been read.
+    fn read(&mut self) {
+        let reading = std::mem::take(&mut self.work.reading);
+        if reading > 0 {
+            let mut runners = self.gateway.runners.borrow_mut();
+            let row = runners.row(&self.runner);
+            row.work.reading = row.work.reading.saturating_sub(reading);
+            drop(runners);
+            self.gateway.work_changed.notify_one();
         }
     }
 
@@ -154,6 +179,7 @@
     /// The head of an answer has come. The upstream was there, whatever it answered.
     pub(super) fn answered(&mut self) {
         let first = self.elapsed();
+        self.read();
         self.tell(|health, _| health.succeeded(first));
     }
 
@@ -193,14 +219,19 @@
     }
 }
 
-impl Drop for Work {
+impl Drop for Sent {
     fn drop(&mut self) {
         let now = self.gateway.now();
         let mut runners = self.gateway.runners.borrow_mut();
         let row = runners.row(&self.runner);
         row.own.remove(now);
+        row.work.requests = row.work.requests.saturating_sub(self.work.requests);
+        row.work.reading = row.work.reading.saturating_sub(self.work.reading);
+        row.work.held = row.work.held.saturating_sub(self.work.held);
         if !self.told {
             row.health.abandoned();
         }
+        drop(runners);
+        self.gateway.work_changed.notify_one();
     }
 }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -18,7 +18,7 @@
 use super::exchange::Exchange;
 use super::picture::Runner;
 use super::reply;
-use super::runners::Work;
+use super::runners::Sent;
 use crate::log::event;
 use crate::policy::patience;
 use crate::wire::Answer;
@@ -43,7 +43,7 @@
     exchange: Exchange,
     head: Head,
     answer: Option<Answer>,
-    work: Work,
+    work: Sent,
     events: Events,
     /// Whether it was silent for too long and no other upstream could take over.
     waits_on: bool,
@@ -65,7 +65,7 @@
 }
 
 impl Relay {
-    pub(super) fn new(exchange: Exchange, answer: Answer, work: Work) -> Self {
+    pub(super) fn new(exchange: Exchange, answer: Answer, work: Sent) -> Self {
         let head = Head {
             status: answer.status,
             headers: answer.headers.clone(),
--- a/src/peer/leader.rs
+++ b/src/peer/leader.rs
@@ -78,10 +78,7 @@
         if known.leader != tried {
             return;
         }
-        let at = known
-            .replicas
-            .iter()
-            .position(|&address| address == tried);
+        let at = known.replicas.iter().position(|&address| address == tried);
         let next = at.map_or(0, |at| (at + 1) % known.replicas.len());
         known.leader = known.replicas[next];
     }
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -161,6 +161,8 @@
     pub address: SocketAddr,
     /// Its data centre.
     pub data_centre: Name,
+    /// Where it hears of the others' work at the upstreams, if it does.
+    pub loads: Option<SocketAddr>,
 }
 
 /// A level of one upstream.
@@ -239,6 +241,8 @@
     pub replicas: Option<Vec<SocketAddr>>,
     /// Digest of those addresses, for [`Renewal::replicas_seen`].
     pub replicas_seen: u32,
+    /// Upstreams that have not been heard for a while, by [`Upstream::number`].
+    pub silent: Vec<Index>,
 }
 
 /// The configuration as entries need it.
@@ -317,6 +321,7 @@
             shares: Vec::new(),
             replicas: None,
             replicas_seen: 0,
+            silent: Vec::new(),
         }
     }
 }
--- a/src/policy/patience.rs
+++ b/src/policy/patience.rs
@@ -21,7 +21,11 @@
 
 /// Time in which the head of an answer should come from an upstream of that load.
 pub fn head(target: Duration, load: f64) -> Duration {
-    let part = if load < BUSY { HEAD_PART } else { BUSY_HEAD_PART };
+    let part = if load < BUSY {
+        HEAD_PART
+    } else {
+        BUSY_HEAD_PART
+    };
     target.mul_f64(part)
 }
 
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -6,19 +6,22 @@
 
 use std::hash::BuildHasher;
 use std::hash::Hash;
-use std::hash::Hasher;
 
 use crate::upstream::Circuit;
 
 /// Draws of which the less loaded one is taken.
 const CHOICES: usize = 2;
 
-/// Load up to which the upstream that holds a shared part is kept, as a share of its slots.
-const AFFINITY_LOAD: f64 = 0.7;
+/// Part of an upstream's slots or memory that may be taken before others are asked first.
+const ROOM: f64 = 0.9;
 
 /// What another data centre costs, as a share of a full upstream.
 const FAR_PENALTY: f64 = 0.15;
 
+/// What reading a shared part again costs beside its time: the reading also holds up the requests
+/// that run there.
+const REREAD_FACTOR: f64 = 1.5;
+
 /// An upstream that could take the request.
 #[derive(Clone, Debug)]
 pub struct Spot {
@@ -26,6 +29,10 @@
     pub id: u64,
     /// Expected requests there, waiting ones included, as a share of its slots.
     pub load: f64,
+    /// Prompt tokens that it has still to read, as many as the smallest model reads in that time.
+    pub reading: u64,
+    /// Tokens that its requests hold, as a share of its memory.
+    pub held: f64,
     /// Whether it is in the gateway's data centre.
     pub near: bool,
     /// Whether requests may go there.
@@ -36,38 +43,33 @@
     pub silent: bool,
 }
 
+/// What a request with a prompt asks of an upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Need {
+    /// Identity of the part that other prompts share.
+    pub shared: Option<u64>,
+    /// Its length, as tokens of the smallest model.
+    pub shared_reading: u64,
+}
+
 /// Identity of a name that is the same in every process.
 pub fn stable_id(name: &str) -> u64 {
     mix(name, 0)
 }
 
 fn mix<T: Hash + ?Sized>(value: &T, seed: u64) -> u64 {
-    let state = foldhash::quality::FixedState::with_seed(seed);
-    let mut hasher = state.build_hasher();
-    value.hash(&mut hasher);
-    hasher.finish()
+    foldhash::quality::FixedState::with_seed(seed).hash_one(value)
 }
 
-/// Chooses one of `spots`; `None` where all have been tried or are closed.
-pub fn place(spots: &[Spot], shared: Option<u64>, rng: &mut fastrand::Rng) -> Option<usize> {
-    let usable = |closed_too: bool, silent_too: bool| -> Vec<usize> {
-        (0..spots.len())
-            .filter(|&i| {
-                let spot = &spots[i];
-                !spot.tried
-                    && (closed_too || spot.circuit != Circuit::Open)
-                    && (silent_too || !spot.silent)
-            })
-            .collect()
-    };
-    let mut open = usable(false, false);
-    if open.is_empty() {
-        open = usable(false, true);
-    }
-    if open.is_empty() {
-        // Better an upstream in doubt than a refusal without a try.
-        open = usable(true, true);
-    }
+/// Chooses one of `spots`; `None` where all have been tried. A request with a prompt tells its
+/// `need`; `may_probe` is whether it can go elsewhere if it fails.
+pub fn place(
+    spots: &[Spot],
+    need: Option<Need>,
+    may_probe: bool,
+    rng: &mut fastrand::Rng,
+) -> Option<usize> {
+    let open = open(spots, may_probe);
     // A probe tells whether an upstream is back; one request at a time goes there.
     let probe = open
         .iter()
@@ -76,19 +78,50 @@
     if let Some(probe) = probe {
         return Some(probe);
     }
-    match shared {
-        Some(part) => by_affinity(spots, &open, part),
+    match need {
+        Some(need) => by_reading(spots, &open, need),
         None => by_load(spots, &open, rng),
     }
 }
 
-/// The first with room in an order that depends on the shared part alone, so that all gateways send
-/// a part's prompts to the same few upstreams.
-fn by_affinity(spots: &[Spot], open: &[usize], part: u64) -> Option<usize> {
+/// The upstreams in question: those without doubts, or else all that are left. A try there is better
+/// than a refusal without one.
+fn open(spots: &[Spot], may_probe: bool) -> Vec<usize> {
+    let is_open = |spot: &Spot| match spot.circuit {
+        Circuit::Closed => true,
+        Circuit::Probe => may_probe,
+        Circuit::Open => false,
+    };
+    let steps: [&dyn Fn(&Spot) -> bool; 3] = [
+        &|spot| is_open(spot) && !spot.silent,
+        &|spot| is_open(spot),
+        &|_| true,
+    ];
+    for fits in steps {
+        let open: Vec<usize> = (0..spots.len())
+            .filter(|&i| !spots[i].tried && fits(&spots[i]))
+            .collect();
+        if !open.is_empty() {
+            return open;
+        }
+    }
+    Vec::new()
+}
+
+/// The one that is expected to have read the prompt first. The order in which upstreams hold a shared
+/// part depends on the part alone, so that all gateways send its prompts to the same few.
+fn by_reading(spots: &[Spot], open: &[usize], need: Need) -> Option<usize> {
     let mut order = open.to_vec();
+    let part = need.shared.unwrap_or_default();
     order.sort_unstable_by_key(|&i| std::cmp::Reverse(mix(&spots[i].id, part)));
-    let with_room = order.iter().copied().find(|&i| spots[i].load < AFFINITY_LOAD);
-    with_room.or_else(|| least_loaded(spots, &order))
+    let reread = (need.shared_reading as f64 * REREAD_FACTOR) as u64;
+    let has_room = |i: usize| spots[i].load < ROOM && spots[i].held < ROOM;
+    let cost = |(rank, i): (usize, usize)| {
+        let reread = if rank == 0 { 0 } else { reread };
+        (!has_room(i), spots[i].reading.saturating_add(reread))
+    };
+    let best = order.iter().copied().enumerate().min_by_key(|&at| cost(at));
+    best.map(|(_, i)| i)
 }
 
 fn by_load(spots: &[Spot], open: &[usize], rng: &mut fastrand::Rng) -> Option<usize> {
@@ -100,16 +133,9 @@
     if !near.is_empty() {
         drawn.push(near[rng.usize(..near.len())]);
     }
-    least_loaded(spots, &drawn)
-}
-
-fn least_loaded(spots: &[Spot], among: &[usize]) -> Option<usize> {
     let cost = |i: usize| {
         let far = if spots[i].near { 0.0 } else { FAR_PENALTY };
         spots[i].load + far
     };
-    among
-        .iter()
-        .copied()
-        .min_by(|&a, &b| cost(a).total_cmp(&cost(b)))
+    drawn.into_iter().min_by(|&a, &b| cost(a).total_cmp(&cost(b)))
 }
--- a/src/policy/prompt.rs
+++ b/src/policy/prompt.rs
@@ -47,9 +47,18 @@
         }
     }
 
-    /// Identity of the longest part that other prompts may share.
+    /// Identity of the last part that other prompts may share.
     pub fn shared(&self) -> Option<u64> {
         let (_, shared) = self.parts.split_last()?;
         shared.last().map(|part| part.id)
     }
+
+    /// Tokens of all parts that other prompts may share.
+    pub fn shared_tokens(&self) -> u64 {
+        let (_, shared) = self.parts.split_last().unzip();
+        shared
+            .into_iter()
+            .flatten()
+            .fold(0, |sum: u64, part: &Part| sum.saturating_add(part.tokens))
+    }
 }
--- a/src/replica/control.rs
+++ b/src/replica/control.rs
@@ -8,6 +8,8 @@
 use super::core::Core;
 use super::published::Published;
 
+use crate::agreement::Index;
+
 use crate::codec;
 use crate::collections::HashMap;
 use crate::collections::Name;
@@ -19,8 +21,8 @@
 use crate::peer::LoadRow;
 use crate::peer::Renewal;
 use crate::peer::RolloutView;
-use crate::peer::Share;
 use crate::peer::SeenRow;
+use crate::peer::Share;
 use crate::policy::release;
 use crate::policy::release::Evidence;
 use crate::policy::release::Verdict;
@@ -112,12 +114,15 @@
                 self.releases.remove(service);
                 continue;
             };
-            let watched = self.releases.entry(service.clone()).or_insert_with(|| Watched {
-                target: rollout.target.clone(),
-                stage: rollout.stage,
-                since: now,
-                evidence: Evidence::default(),
-            });
+            let watched = self
+                .releases
+                .entry(service.clone())
+                .or_insert_with(|| Watched {
+                    target: rollout.target.clone(),
+                    stage: rollout.stage,
+                    since: now,
+                    evidence: Evidence::default(),
+                });
             if watched.target != rollout.target {
                 watched.evidence = Evidence::default();
             }
@@ -362,6 +367,7 @@
             .values()
             .map(|member| member.address)
             .collect();
+        grant.silent = self.silent_upstreams();
         grant.replicas_seen = crc32fast::hash(&codec::encode(&replicas));
         if grant.replicas_seen != renewal.replicas_seen {
             grant.replicas = Some(replicas);
@@ -371,6 +377,26 @@
         grant
     }
 
+    /// Upstreams to be avoided, by number. The silence of many says more about us than about them.
+    fn silent_upstreams(&self) -> Vec<Index> {
+        let now = self.now();
+        let live = self.state.directory.iter().filter(|row| row.takes_work());
+        let mut total = 0;
+        let mut silent = Vec::new();
+        for row in live {
+            total += 1;
+            let announced = &row.announced;
+            let silence = &self.control.silence;
+            if silence.is_suspect(&announced.id, announced.incarnation, now) {
+                silent.push(row.number);
+            }
+        }
+        if 3 * silent.len() > total {
+            silent.clear();
+        }
+        silent
+    }
+
     /// Upstreams that are live but presumably dead.
     pub(super) fn dead_upstreams(&mut self) -> Vec<(Name, u64)> {
         let now = self.now();
--- a/src/replica/core.rs
+++ b/src/replica/core.rs
@@ -174,7 +174,12 @@
         if self.writer.is_stuck(now) {
             // A leader that can't write holds up everyone; a candidate that can't would be no better.
             if self.node.role() == Role::Leader {
-                event!(Warn, "leader_yields", id = self.node.id(), reason = "disk is stuck");
+                event!(
+                    Warn,
+                    "leader_yields",
+                    id = self.node.id(),
+                    reason = "disk is stuck"
+                );
                 let effects = self.node.step_down(now);
                 self.carry_out(effects);
             }
--- a/src/upstream/directory.rs
+++ b/src/upstream/directory.rs
@@ -94,6 +94,13 @@
     pub left_ms: u64,
 }
 
+impl Upstream {
+    /// Whether new work may go there.
+    pub fn takes_work(&self) -> bool {
+        self.presence == Presence::Live && !self.announced.draining
+    }
+}
+
 /// What an announcement answers.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum AnnounceOutcome {
@@ -159,9 +166,9 @@
 
     /// Whether the row of this announcement stands already, so that it changes nothing.
     pub fn holds(&self, announcement: &Announcement) -> bool {
-        self.rows.get(&announcement.id).is_some_and(|row| {
-            row.presence == Presence::Live && row.announced == *announcement
-        })
+        self.rows
+            .get(&announcement.id)
+            .is_some_and(|row| row.presence == Presence::Live && row.announced == *announcement)
     }
 
     /// Whether a later start than the announcement's has its address: the report is late, its
@@ -253,7 +260,7 @@
     pub fn live(&self) -> impl Iterator<Item = &Announcement> + '_ {
         self.rows
             .values()
-            .filter(|row| row.presence == Presence::Live && !row.announced.draining)
+            .filter(|row| row.takes_work())
             .map(|row| &row.announced)
     }
 }
--- a/src/upstream/silence.rs
+++ b/src/upstream/silence.rs
@@ -9,6 +9,9 @@
 /// Silence after which one upstream is taken for dead.
 pub(crate) const SILENT_AFTER: Duration = Duration::from_secs(10);
 
+/// Silence after which an upstream is avoided while others are there: three reports that were lost.
+const SUSPECT_AFTER: Duration = Duration::from_secs(4);
+
 /// Share of a data centre's upstreams that may be silent at once and still be taken for dead.
 const MASS_SHARE: f64 = 0.3;
 
@@ -32,6 +35,13 @@
         self.heard.clear();
     }
 
+    /// Whether an upstream that was heard once has been silent for longer than reports take.
+    pub fn is_suspect(&self, id: &str, incarnation: u64, now: Duration) -> bool {
+        self.heard
+            .get(id)
+            .is_some_and(|&(heard, at)| heard == incarnation && now >= at + SUSPECT_AFTER)
+    }
+
     /// Upstreams of one data centre to be taken for dead, given all its live ones.
     pub fn dead<'a>(&mut self, live: &[(&'a Name, u64)], now: Duration) -> Vec<(&'a Name, u64)> {
         let mut silent = Vec::new();
--- a/src/wire/pool.rs
+++ b/src/wire/pool.rs
@@ -88,14 +88,18 @@
     let closes = headers
         .get_all(CONNECTION)
         .iter()
-        .any(|value| value.as_bytes().to_ascii_lowercase() == b"close");
+        .any(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
     if closes {
         return None;
     }
     let said = headers
         .get("keep-alive")
         .and_then(|value| value.to_str().ok())
-        .and_then(|value| value.split(',').find_map(|part| part.trim().strip_prefix("timeout=")))
+        .and_then(|value| {
+            value
+                .split(',')
+                .find_map(|part| part.trim().strip_prefix("timeout="))
+        })
         .and_then(|seconds| seconds.trim().parse().ok())
         .map(Duration::from_secs);
     let kept = said.unwrap_or(KEPT).saturating_sub(KEPT_MARGIN);
