--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -10,9 +10,9 @@
 
 use super::Gateway;
 use super::call::Call;
+use super::loads::Work;
 use super::names::Names;
 use super::picture::Runner;
-use super::loads::Work;
 use super::runners::Sent;
 use crate::collections::Name;
 use crate::wire::Answer;
@@ -56,7 +56,11 @@
     extra: &Extra,
     patience: Option<Duration>,
 ) -> Ended {
-    let mut work = Sent::start(gateway, runner.clone(), burden(gateway, call, runner, extra));
+    let mut work = Sent::start(
+        gateway,
+        runner.clone(),
+        burden(gateway, call, runner, extra),
+    );
     let left = call.left(gateway.now());
     let Some(request) = outgoing(&gateway.cfg.names, call, runner, extra, left) else {
         return Ended::NotRun("the request can't be written");
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -283,9 +283,7 @@
         let gateway = &self.gateway;
         let picture = gateway.picture();
         let pool = picture.pool(service)?;
-        let wants_new = pool
-            .new_share
-            .map(|share| self.call.release_draw() < share);
+        let wants_new = pool.new_share.map(|share| self.call.release_draw() < share);
         let need = self.need(&picture, service);
         let memory = picture.engine(service).map(|engine| engine.cache_tokens);
         let runners = gateway.runners.borrow();
--- a/src/gateway/loads.rs
+++ b/src/gateway/loads.rs
@@ -190,8 +190,10 @@
         };
         let bytes = codec::encode(&telling);
         for peer in peers {
-            // Lost datagrams are part of the plan.
-            let _ = socket.try_send_to(&bytes, peer);
+            if let Err(e) = socket.send_to(&bytes, peer).await {
+                // A later telling makes good for it.
+                event!(Debug, "loads_not_told", to = peer, error = e);
+            }
         }
         if all {
             self.told_all = Some(now);
--- a/src/gateway/picture.rs
+++ b/src/gateway/picture.rs
@@ -158,7 +158,9 @@
 
     /// Cost of a model against the cheapest of its service, which stands for its slowness.
     pub(crate) fn slowness(&self, service: &str, model: &str) -> f64 {
-        let models = self.engine(service).map_or(&[][..], |engine| &engine.models);
+        let models = self
+            .engine(service)
+            .map_or(&[][..], |engine| &engine.models);
         let cost = models.iter().find(|m| *m.name == *model).map(|m| m.cost);
         let least = models.iter().map(|m| m.cost).fold(f64::INFINITY, f64::min);
         match cost {
--- a/src/gateway/runners.rs
+++ b/src/gateway/runners.rs
@@ -31,11 +31,10 @@
 
 #[derive(Debug, Default)]
 struct Row {
-    incarnation: u64,
+    number: Index,
     health: Health,
     own: InFlight,
     report: Option<Report>,
-    number: Index,
     work: Work,
 }
 
@@ -48,15 +47,14 @@
 
 impl Runners {
     fn row(&mut self, runner: &Runner) -> &mut Row {
-        let row = self.rows.entry(runner.id().clone()).or_default();
-        let incarnation = runner.announced.incarnation;
-        if row.incarnation != incarnation {
+        let new = || Row {
+            number: runner.number,
+            ..Row::default()
+        };
+        let row = self.rows.entry(runner.id().clone()).or_insert_with(new);
+        if row.number != runner.number {
             // A new start holds nothing and has failed nobody yet.
-            *row = Row {
-                incarnation,
-                number: runner.number,
-                ..Row::default()
-            };
+            *row = new();
         }
         row
     }
@@ -83,7 +81,7 @@
         let row = self
             .rows
             .get(runner.id())
-            .filter(|row| row.incarnation == runner.announced.incarnation);
+            .filter(|row| row.number == runner.number);
         let slots = f64::from(runner.announced.slots.max(1));
         let mut work = view.others.at(runner.number);
         let others = work.requests;
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -129,7 +129,9 @@
         return None;
     }
     let near: Vec<usize> = open.iter().copied().filter(|&i| spots[i].near).collect();
-    let mut drawn: Vec<usize> = (0..CHOICES).map(|_| open[rng.usize(..open.len())]).collect();
+    let mut drawn: Vec<usize> = (0..CHOICES)
+        .map(|_| open[rng.usize(..open.len())])
+        .collect();
     if !near.is_empty() {
         drawn.push(near[rng.usize(..near.len())]);
     }
@@ -137,5 +139,7 @@
         let far = if spots[i].near { 0.0 } else { FAR_PENALTY };
         spots[i].load + far
     };
-    drawn.into_iter().min_by(|&a, &b| cost(a).total_cmp(&cost(b)))
+    drawn
+        .into_iter()
+        .min_by(|&a, &b| cost(a).total_cmp(&cost(b)))
 }
