Let a new leader go on with a roll-out's stage

Change: the stage's begin is in the state; a new leader counts at most 0.8 of the stage as passed by the wall clock.

--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -20,7 +20,7 @@
 
 /// What reading a shared part again costs beside its time: the reading also holds up the requests
 /// that run there.
-const REREAD_FACTOR: f64 = 1.5;
+const REREAD_FACTOR: f64 = 3.0;
 
 /// An upstream that could take the request.
 #[derive(Clone, Debug)]
--- a/src/policy/release.rs
+++ b/src/policy/release.rs
@@ -33,6 +33,9 @@
 /// Part of the period at which the old release is given up: its last requests need time to end.
 const WHOLE_UNTIL: f64 = 0.86;
 
+/// Part of a stage that a new leader takes as passed by the wall clock alone.
+const TRUSTED_PART: f64 = 0.8;
+
 /// Requests of one route on the new release below which nothing is concluded from a rate.
 const LEAST_REQUESTS: u64 = 6;
 
@@ -137,6 +140,24 @@
     }
 }
 
+/// Time that the current stage has taken by the wall clocks of two leaders. They may differ, and one
+/// may have been set: at most the trusted part of the stage counts as passed.
+pub fn passed(rollout: &ServiceRollout, wall_ms: u64) -> Duration {
+    let passed = Duration::from_millis(wall_ms.saturating_sub(rollout.since_ms));
+    let period = Duration::from_millis(rollout.period_ms);
+    passed.min(period.mul_f64(length(rollout.stage) * TRUSTED_PART))
+}
+
+/// Length of a stage as a part of the period.
+fn length(stage: Stage) -> f64 {
+    match stage {
+        Stage::Trial => TRIAL_UNTIL,
+        Stage::Ramp => RAMP_UNTIL - TRIAL_UNTIL,
+        Stage::Whole => WHOLE_UNTIL - RAMP_UNTIL,
+        Stage::Complete | Stage::RolledBack => 0.0,
+    }
+}
+
 /// Judges a roll-out whose current stage began `in_stage` ago, with `ready` upstreams of the new
 /// release announced.
 pub fn judge(
@@ -150,13 +171,13 @@
         return Verdict::RollBack { route, new, old };
     }
     let period = Duration::from_millis(rollout.period_ms);
-    let (length, next) = match rollout.stage {
-        Stage::Trial => (TRIAL_UNTIL, Stage::Ramp),
-        Stage::Ramp => (RAMP_UNTIL - TRIAL_UNTIL, Stage::Whole),
-        Stage::Whole => (WHOLE_UNTIL - RAMP_UNTIL, Stage::Complete),
+    let next = match rollout.stage {
+        Stage::Trial => Stage::Ramp,
+        Stage::Ramp => Stage::Whole,
+        Stage::Whole => Stage::Complete,
         Stage::Complete | Stage::RolledBack => return Verdict::Wait,
     };
-    if ready && in_stage >= period.mul_f64(length) {
+    if ready && in_stage >= period.mul_f64(length(rollout.stage)) {
         return Verdict::Advance(next);
     }
     Verdict::Wait
--- a/src/replica/control.rs
+++ b/src/replica/control.rs
@@ -61,7 +61,7 @@
     releases: HashMap<Name, Watched>,
 }
 
-/// A roll-out that the guard watches. A new leader watches its stage anew.
+/// A roll-out that the guard watches. A new leader gathers its evidence anew.
 #[derive(Debug)]
 struct Watched {
     target: Name,
@@ -107,6 +107,7 @@
         &mut self,
         state: &State,
         now: Duration,
+        wall_ms: u64,
     ) -> Vec<(Name, Name, Verdict)> {
         let mut verdicts = Vec::new();
         for (service, line) in state.lines.iter() {
@@ -120,7 +121,7 @@
                 .or_insert_with(|| Watched {
                     target: rollout.target.clone(),
                     stage: rollout.stage,
-                    since: now,
+                    since: now.saturating_sub(release::passed(rollout, wall_ms)),
                     evidence: Evidence::default(),
                 });
             if watched.target != rollout.target {
--- a/src/replica/core.rs
+++ b/src/replica/core.rs
@@ -111,6 +111,10 @@
         self.clock.now()
     }
 
+    pub(super) fn wall_ms(&self) -> u64 {
+        self.clock.wall_ms()
+    }
+
     /// What the admin listener shows.
     pub(super) fn shown(&self) -> Shown {
         Shown {
--- a/src/replica/keeper.rs
+++ b/src/replica/keeper.rs
@@ -128,7 +128,8 @@
             return;
         }
         let now = self.now();
-        for (service, target, verdict) in self.control.judge_releases(&self.state, now) {
+        let wall_ms = self.wall_ms();
+        for (service, target, verdict) in self.control.judge_releases(&self.state, now, wall_ms) {
             let stage = match verdict {
                 Verdict::Wait => continue,
                 Verdict::Advance(stage) => {
--- a/src/state/command/change.rs
+++ b/src/state/command/change.rs
@@ -146,13 +146,13 @@
             };
         }
         let what: Name = request.change.to_string().into();
-        let outcome = self.decide(&request);
+        let outcome = self.decide(&request, at_ms);
         self.remember(&request.change_id, digest, &outcome);
         self.record(at_ms, request.who, request.change_id, what, &outcome);
         outcome
     }
 
-    fn decide(&mut self, request: &ChangeRequest) -> ChangeOutcome {
+    fn decide(&mut self, request: &ChangeRequest, at_ms: u64) -> ChangeOutcome {
         if let Some(expected) = request.expect
             && expected != self.revision
         {
@@ -161,7 +161,7 @@
                 winner: self.revision_by.clone().unwrap_or_else(|| "none".into()),
             };
         }
-        match self.carry_out(&request.change) {
+        match self.carry_out(&request.change, at_ms) {
             Ok(()) => {
                 self.revise(&request.change_id);
                 ChangeOutcome::Accepted {
@@ -174,7 +174,7 @@
         }
     }
 
-    fn carry_out(&mut self, change: &Change) -> Result<(), String> {
+    fn carry_out(&mut self, change: &Change, at_ms: u64) -> Result<(), String> {
         match change {
             Change::Apply(inventory) => {
                 self.load(inventory.clone())?;
@@ -189,7 +189,7 @@
                 service,
                 target,
                 period_ms,
-            } => self.lines.start(service, target, *period_ms),
+            } => self.lines.start(service, target, *period_ms, at_ms),
             Change::RolloutStart { version, stages } => self.start_rollout(version, stages),
             Change::RolloutPause(version) => self.pause_rollout(version),
             Change::RolloutResume(version) => self.resume_rollout(version),
--- a/src/state/command/mod.rs
+++ b/src/state/command/mod.rs
@@ -101,7 +101,7 @@
                 target,
                 stage,
             } => {
-                if self.lines.step(&service, &target, stage) {
+                if self.lines.step(&service, &target, stage, at_ms) {
                     self.revise(&"guard".into());
                 }
                 Outcome::Done
--- a/src/state/lines.rs
+++ b/src/state/lines.rs
@@ -42,6 +42,8 @@
     pub period_ms: u64,
     /// Where it stands.
     pub stage: Stage,
+    /// Since when, in milliseconds since the epoch by the clock of the leader of that time.
+    pub since_ms: u64,
 }
 
 /// The releases of one service.
@@ -108,6 +110,7 @@
         service: &Name,
         target: &Name,
         period_ms: u64,
+        at_ms: u64,
     ) -> Result<(), String> {
         if !(1..=PERIOD_LIMIT_MS).contains(&period_ms) {
             return Err(format!(
@@ -130,12 +133,13 @@
             target: target.clone(),
             period_ms,
             stage: Stage::Trial,
+            since_ms: at_ms,
         });
         Ok(())
     }
 
     /// Moves a roll-out on; returns whether that changed anything.
-    pub(crate) fn step(&mut self, service: &str, target: &str, stage: Stage) -> bool {
+    pub(crate) fn step(&mut self, service: &str, target: &str, stage: Stage, at_ms: u64) -> bool {
         let Some(line) = self.rows.get_mut(service) else {
             return false;
         };
@@ -147,6 +151,7 @@
             return false;
         }
         rollout.stage = stage;
+        rollout.since_ms = at_ms;
         if stage == Stage::Complete {
             line.settled = Some(rollout.target.clone());
         }
