Test the gateway, the decisions, the state's new commands and the translations

Change: process tests over the real gateway with upstreams scripted byte by byte and over a replaced replica; load patterns against budget, ladder, patience, placement and release; documents, releases and announcements by their commands; the platform's messages, cut and malformed. A replica's program without a disk passes calls on.

--- /dev/null
+++ b/src/bin/daisyquay-gateway.rs
@@ -0,0 +1,27 @@
+//! The gateway daemon.
+
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use daisyquay::cli;
+use daisyquay::clock::System;
+use daisyquay::gateway;
+use daisyquay::runtime;
+
+fn main() -> ExitCode {
+    let matches = cli::gateway::command().get_matches();
+    cli::start_log(&matches);
+    let cfg = cli::gateway::config(&matches);
+    let ended = runtime::block_on("daisyquay-gateway", async {
+        let running = gateway::start(cfg, Arc::new(System::new())).await?;
+        running.finish().await;
+        Ok::<_, gateway::Error>(())
+    });
+    match ended {
+        Ok(()) => cli::ExitCode::Done.into(),
+        Err(e) => {
+            eprintln!("daisyquay-gateway: {e}");
+            cli::ExitCode::Failed.into()
+        }
+    }
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -4,6 +4,7 @@
 pub mod entry;
 mod exit;
 pub mod experiment;
+pub mod gateway;
 pub mod operator;
 pub mod standin;
 pub mod state;
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -62,6 +62,11 @@
     let limit = call.left(gateway.now());
     let outcome = tokio::time::timeout(limit, exchange.run()).await;
     let outcome = outcome.unwrap_or_else(|_| Err(exchange.time_is_over()));
+    gateway.meter(
+        &call,
+        &outcome,
+        limit.saturating_sub(call.left(gateway.now())),
+    );
     match outcome {
         Ok(Served::Whole(head, body)) => reply::whole(&gateway, &head, body),
         Ok(Served::Stream(relay)) => stream::response(&gateway, *relay, &req),
@@ -91,6 +96,22 @@
     Stream(Box<stream::Relay>),
 }
 
+impl Gateway {
+    /// Counts a request and the time to the head of its answer.
+    fn meter(&self, call: &Call, outcome: &Result<Served, Refusal>, first: Duration) {
+        let outcome = match outcome {
+            Ok(Served::Whole(head, _)) if head.status.is_success() => "served",
+            Ok(Served::Whole(..)) => "upstream_failed",
+            Ok(Served::Stream(_)) => "streamed",
+            Err(refusal) => refusal.code,
+        };
+        let labels = [("route", &*call.route.name), ("outcome", outcome)];
+        self.meters.count("daisyquay_requests", 1, &labels);
+        self.meters
+            .time("daisyquay_first_seconds", first.as_secs_f64(), &labels);
+    }
+}
+
 /// The state of one request between its attempts.
 pub(super) struct Exchange {
     gateway: Rc<Gateway>,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 //! across an `.await`. News come from the state by `link`; what was taken in last goes on holding
 //! while the state can't be reached, so that a trouble of the state is none of the callers'.
 
+mod admin;
 mod attempt;
 mod call;
 mod events;
@@ -134,7 +135,7 @@
 impl Running {
     /// Whether callers may be sent here.
     pub fn is_ready(&self) -> bool {
-        self.gateway.picture().config.is_some() && !self.gateway.is_leaving()
+        self.gateway.is_ready()
     }
 
     /// Where callers of a data centre should connect.
@@ -189,6 +190,16 @@
     listen::serve(address, handler)
         .await
         .context(ListenSnafu { address })?;
+    if let Some(address) = gateway.cfg.admin_listen {
+        let shown = gateway.clone();
+        let handler = move |req: ntex::http::Request| -> listen::Answering {
+            let answer = admin::answer(&shown, &req);
+            Box::pin(async move { answer })
+        };
+        listen::serve(address, Rc::new(handler))
+            .await
+            .context(ListenSnafu { address })?;
+    }
     event!(
         Info,
         "gateway_start",
@@ -218,6 +229,10 @@
         self.picture.borrow().clone()
     }
 
+    fn is_ready(&self) -> bool {
+        self.picture().config.is_some() && !self.is_leaving()
+    }
+
     fn is_leaving(&self) -> bool {
         self.leaving_since.get().is_some()
     }
--- a/src/peer/leader.rs
+++ b/src/peer/leader.rs
@@ -20,6 +20,8 @@
 struct Known {
     replicas: Vec<SocketAddr>,
     leader: SocketAddr,
+    /// Whether that replica has answered as the leader.
+    found: bool,
 }
 
 /// Calls the leader among the replicas that are known; clones share what they found.
@@ -35,13 +37,18 @@
         let leader = replicas[fastrand::usize(..replicas.len())];
         Self {
             client,
-            known: Rc::new(RefCell::new(Known { replicas, leader })),
+            known: Rc::new(RefCell::new(Known {
+                replicas,
+                leader,
+                found: false,
+            })),
         }
     }
 
-    /// The replicas that are asked.
-    pub fn replicas(&self) -> Vec<SocketAddr> {
-        self.known.borrow().replicas.clone()
+    /// The leader, where the last call found it.
+    pub fn found(&self) -> Option<SocketAddr> {
+        let known = self.known.borrow();
+        known.found.then_some(known.leader)
     }
 
     /// Looks among other replicas from now on.
@@ -54,6 +61,12 @@
     /// Calls the replica believed to lead; `None` where another must be tried.
     pub async fn call(&self, request: &Request) -> Option<Reply> {
         let leader = self.known.borrow().leader;
+        let reply = self.call_at(leader, request).await;
+        self.known.borrow_mut().found = reply.is_some();
+        reply
+    }
+
+    async fn call_at(&self, leader: SocketAddr, request: &Request) -> Option<Reply> {
         match self.client.call(leader, request, CALL_LIMIT).await {
             Ok(Reply::NotLeader { leader: known }) => {
                 match known.filter(|&address| address != leader) {
--- a/src/policy/budget.rs
+++ b/src/policy/budget.rs
@@ -7,7 +7,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Slices of a window; the oldest one counts until it has passed as a whole.
+/// Slices of a window. Of the oldest one, which the window covers in part, only the repeats count.
 const SLICES: u32 = 20;
 
 /// Part of the budget that asking a larger model may use; the rest is for failures.
@@ -54,8 +54,14 @@
     }
 
     fn take(&mut self, terms: &Terms, now: Duration, part: f64) -> bool {
-        self.slice(terms, now);
-        let firsts: u32 = self.slices.iter().map(|slice| slice.firsts).sum();
+        let newest = self.slice(terms, now).number;
+        let is_whole = |slice: &&Slice| slice.number + u128::from(SLICES) > newest;
+        let firsts: u32 = self
+            .slices
+            .iter()
+            .filter(is_whole)
+            .map(|slice| slice.firsts)
+            .sum();
         let repeats: u32 = self.slices.iter().map(|slice| slice.repeats).sum();
         let allowed = f64::from(firsts) * terms.ratio + terms.slack;
         if f64::from(repeats) + 1.0 > allowed * part {
--- a/src/replica/handle.rs
+++ b/src/replica/handle.rs
@@ -1,4 +1,4 @@
-//! Requests that arrive at a replica's own process, answered by whichever replica leads.
+//! Requests that arrive at one process and are answered by whichever replica leads.
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -9,6 +9,7 @@
 use super::handler::answer_peer;
 use crate::collections::Name;
 use crate::peer::Client;
+use crate::peer::Leader;
 use crate::peer::Reply;
 use crate::peer::Request;
 
@@ -18,21 +19,44 @@
 /// Pause before the leader is looked for again.
 const PAUSE: Duration = Duration::from_millis(50);
 
-/// A replica as the rest of its process sees it; clones are the same replica.
+/// The way to the leader; clones share it.
 #[derive(Clone)]
 pub struct Handle {
-    core: Rc<RefCell<Core>>,
-    client: Client,
+    way: Way,
+}
+
+#[derive(Clone)]
+enum Way {
+    /// Through the replica of this process, which may lead itself.
+    Replica {
+        core: Rc<RefCell<Core>>,
+        client: Client,
+    },
+    /// From a process without a replica.
+    Remote(Leader),
 }
 
 impl Handle {
     pub(super) fn new(core: Rc<RefCell<Core>>, client: Client) -> Self {
-        Self { core, client }
+        Self {
+            way: Way::Replica { core, client },
+        }
+    }
+
+    /// A way to the leader from a process without a replica, such as one on a VM without a disk.
+    /// `replicas` are some of the replicas, one at least.
+    pub fn remote(peer_key: &str, replicas: Vec<SocketAddr>) -> Self {
+        Self {
+            way: Way::Remote(Leader::new(Client::new(peer_key), replicas)),
+        }
     }
 
     /// The leader's peer address, where it is known.
     pub fn leader(&self) -> Option<SocketAddr> {
-        self.core.borrow().leader_address()
+        match &self.way {
+            Way::Replica { core, .. } => core.borrow().leader_address(),
+            Way::Remote(leader) => leader.found(),
+        }
     }
 
     /// Asks the leader until it has replied or `limit` has passed. A request whose outcome stayed
@@ -60,12 +84,17 @@
     }
 
     async fn ask_once(&self, request: &Request) -> Option<Reply> {
-        let reply = answer_peer(self.core.clone(), request.clone()).await;
-        let Reply::NotLeader { leader } = reply else {
-            return known(reply);
-        };
-        let reply = self.client.call(leader?, request, CALL_LIMIT).await;
-        known(reply.ok()?)
+        match &self.way {
+            Way::Replica { core, client } => {
+                let reply = answer_peer(core.clone(), request.clone()).await;
+                let Reply::NotLeader { leader } = reply else {
+                    return known(reply);
+                };
+                let reply = client.call(leader?, request, CALL_LIMIT).await;
+                known(reply.ok()?)
+            }
+            Way::Remote(leader) => leader.call(request).await,
+        }
     }
 }
 
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -17,6 +17,11 @@
     })
 }
 
+/// Waits until the process is told to stop.
+pub async fn stop_requested() {
+    crate::signal::stop_requested().await;
+}
+
 /// A task that panicked would leave the process half alive: holding a lease or an office without
 /// doing its work. It is better gone.
 fn stop_on_panic() {
--- a/tests/cli/main.rs
+++ b/tests/cli/main.rs
@@ -50,6 +50,31 @@
     shown(&output).replace(path.to_str().unwrap(), "FILE")
 }
 
+const BAD_ROUTE: &str = r#"
+[[routes]]
+name = "tiles"
+host = ""
+prefix = "tiles"
+timeout_ms = 0
+target_ms = 100
+attempts = 0
+split = [{ service = "gone", weight = 0 }]
+"#;
+
+fn route(name: &str) -> String {
+    format!(
+        r#"
+[[routes]]
+name = "{name}"
+host = "a.example"
+prefix = "/tiles/"
+timeout_ms = 1000
+target_ms = 100
+split = [{{ service = "previews", weight = 1 }}]
+"#
+    )
+}
+
 #[test]
 fn a_bad_inventory_is_refused_with_place_and_remedy() {
     let cases = [
@@ -80,6 +105,11 @@
             "impossible target",
             VALID.replace("quality_target = 0.6", "quality_target = 6"),
         ),
+        ("bad route", format!("{VALID}{BAD_ROUTE}")),
+        (
+            "two routes in one place",
+            format!("{VALID}{}{}", route("one"), route("two")),
+        ),
         ("not TOML", "[[organisations".to_owned()),
     ];
     let mut text = String::new();
--- /dev/null
+++ b/tests/load/main.rs
@@ -0,0 +1,9 @@
+//! Load patterns against the decisions that answer them, without a network.
+
+#![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod budget;
+mod ladder;
+mod patience;
+mod placement;
+mod release;
--- /dev/null
+++ b/tests/load/placement.rs
@@ -0,0 +1,135 @@
+//! Patterns: long prompts among short ones, prompts that share long parts, upstreams in doubt.
+
+use daisyquay::policy::placement::Need;
+use daisyquay::policy::placement::Spot;
+use daisyquay::policy::placement::place;
+use daisyquay::policy::placement::stable_id;
+use daisyquay::upstream::Circuit;
+
+fn spots(n: usize) -> Vec<Spot> {
+    (0..n)
+        .map(|i| Spot {
+            id: stable_id(&format!("upstream-{i}")),
+            load: 0.0,
+            reading: 0,
+            held: 0.0,
+            near: i % 3 == 0,
+            circuit: Circuit::Closed,
+            tried: false,
+            silent: false,
+        })
+        .collect()
+}
+
+fn need(part: u64, tokens: u64) -> Option<Need> {
+    Some(Need {
+        shared: Some(part),
+        shared_reading: tokens,
+    })
+}
+
+fn rng() -> fastrand::Rng {
+    fastrand::Rng::with_seed(1)
+}
+
+/// Longest wait of short prompts when one in ten prompts is long, with and without knowledge of what
+/// the upstreams have still to read.
+fn longest_wait(told: bool) -> u64 {
+    let mut rng = rng();
+    let mut spots = spots(12);
+    let mut left = vec![0_u64; spots.len()];
+    let mut longest = 0;
+    for i in 0..4_000_u64 {
+        let long = rng.f64() < 0.1;
+        let tokens = if long { 500_000 } else { 2_000 };
+        for (spot, &left) in spots.iter_mut().zip(&left) {
+            spot.reading = if told { left } else { 0 };
+        }
+        let at = place(&spots, need(i % 300, 200), true, &mut rng).unwrap();
+        if !long {
+            longest = longest.max(left[at]);
+        }
+        left[at] += tokens;
+        for left in &mut left {
+            *left = left.saturating_sub(6_000);
+        }
+    }
+    longest
+}
+
+#[test]
+fn short_prompts_do_not_wait_behind_long_ones() {
+    let (told, blind) = (longest_wait(true), longest_wait(false));
+    assert!(10 * told < blind, "told {told}, blind {blind}");
+}
+
+#[test]
+fn all_gateways_send_a_shared_part_to_the_same_upstream() {
+    let mut shuffled = spots(18);
+    shuffled.reverse();
+    let mut used = std::collections::BTreeSet::new();
+    for part in 0..200 {
+        let straight = place(&spots(18), need(part, 5_000), true, &mut rng()).unwrap();
+        let reversed = place(&shuffled, need(part, 5_000), true, &mut rng()).unwrap();
+        assert_eq!(spots(18)[straight].id, shuffled[reversed].id);
+        used.insert(straight);
+    }
+    assert_eq!(used.len(), 18, "parts spread over all upstreams");
+}
+
+#[test]
+fn the_holder_of_a_part_is_left_only_for_a_wait_longer_than_reading_it_again() {
+    let mut spots = spots(6);
+    let holder = place(&spots, need(9, 5_000), true, &mut rng()).unwrap();
+    spots[holder].reading = 10_000;
+    assert_eq!(
+        place(&spots, need(9, 5_000), true, &mut rng()),
+        Some(holder)
+    );
+    spots[holder].reading = 20_000;
+    assert_ne!(
+        place(&spots, need(9, 5_000), true, &mut rng()),
+        Some(holder)
+    );
+}
+
+#[test]
+fn a_full_upstream_gets_work_only_when_all_are_full() {
+    let mut spots = spots(4);
+    for full in &mut spots[..2] {
+        full.load = 1.2;
+    }
+    spots[2].held = 0.95;
+    for part in 0..50 {
+        assert_eq!(place(&spots, need(part, 100), true, &mut rng()), Some(3));
+    }
+    spots[3].load = 1.0;
+    assert!(place(&spots, need(1, 100), true, &mut rng()).is_some());
+}
+
+#[test]
+fn doubts_only_matter_while_there_are_others() {
+    let mut spots = spots(3);
+    spots[0].silent = true;
+    spots[1].circuit = Circuit::Open;
+    for _ in 0..30 {
+        assert_eq!(place(&spots, None, true, &mut rng()), Some(2));
+    }
+    spots[2].tried = true;
+    assert_eq!(place(&spots, None, true, &mut rng()), Some(0));
+    spots[0].tried = true;
+    assert_eq!(place(&spots, None, true, &mut rng()), Some(1));
+    spots[1].tried = true;
+    assert_eq!(place(&spots, None, true, &mut rng()), None);
+}
+
+#[test]
+fn a_call_that_can_not_be_repeated_is_no_probe() {
+    let mut spots = spots(3);
+    spots[0].circuit = Circuit::Probe;
+    assert_eq!(place(&spots, None, true, &mut rng()), Some(0));
+    for seed in 0..30 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        assert_ne!(place(&spots, None, false, &mut rng), Some(0));
+    }
+}
--- /dev/null
+++ b/tests/process/gateway.rs
@@ -0,0 +1,456 @@
+//! The gateway as a program, between callers and upstreams that this test scripts byte by byte.
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::json;
+
+use crate::support::Cluster;
+use crate::support::INVENTORY;
+use crate::support::KEY;
+use crate::support::Program;
+use crate::support::eventually;
+use crate::support::post;
+use crate::support::send;
+
+const ROUTES: &str = r#"
+[[routes]]
+name = "lookup"
+host = "previews.example"
+prefix = "/lookup/"
+timeout_ms = 4000
+target_ms = 500
+attempts = 3
+split = [{ service = "previews", weight = 1 }]
+
+[[routes]]
+name = "hold"
+host = "previews.example"
+prefix = "/hold/"
+repeat = "once"
+timeout_ms = 1500
+target_ms = 500
+attempts = 3
+split = [{ service = "previews", weight = 1 }]
+
+[[routes]]
+name = "notes"
+host = "previews.example"
+prefix = "/notes/"
+repeat = "stream"
+timeout_ms = 8000
+target_ms = 2000
+gap_ms = 400
+attempts = 3
+resume = true
+split = [{ service = "previews", weight = 1 }]
+"#;
+
+/// A request as an upstream reads it.
+#[derive(Clone, Debug, Default)]
+struct Seen {
+    line: String,
+    head: String,
+    body: String,
+}
+
+impl Seen {
+    fn header(&self, name: &str) -> Option<&str> {
+        self.head.lines().find_map(|line| {
+            let (known, value) = line.split_once(':')?;
+            known.eq_ignore_ascii_case(name).then_some(value.trim())
+        })
+    }
+
+    fn id(&self) -> &str {
+        self.header("daisyquay-attempt").unwrap_or_default()
+    }
+}
+
+fn read_request(reader: &mut BufReader<TcpStream>) -> Option<Seen> {
+    let mut seen = Seen::default();
+    reader.read_line(&mut seen.line).ok().filter(|&n| n > 0)?;
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line).ok().filter(|&n| n > 0)?;
+        if line == "\r\n" {
+            break;
+        }
+        seen.head.push_str(&line);
+    }
+    let length = seen
+        .header("content-length")
+        .map_or(0, |n| n.parse().unwrap());
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).ok()?;
+    seen.body = String::from_utf8(body).unwrap();
+    Some(seen)
+}
+
+/// What an upstream does with a request, on its connection; `false` closes it.
+type Script = dyn Fn(&Seen, &mut TcpStream) -> bool + Send + Sync;
+
+/// An upstream of the test.
+struct Upstream {
+    address: SocketAddr,
+    seen: Arc<Mutex<Vec<Seen>>>,
+}
+
+impl Upstream {
+    fn start(script: impl Fn(&Seen, &mut TcpStream) -> bool + Send + Sync + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let seen: Arc<Mutex<Vec<Seen>>> = Arc::default();
+        let (log, script): (_, Arc<Script>) = (seen.clone(), Arc::new(script));
+        thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let (log, script) = (log.clone(), script.clone());
+                thread::spawn(move || {
+                    let mut out = stream.try_clone().unwrap();
+                    let mut reader = BufReader::new(stream);
+                    while let Some(request) = read_request(&mut reader) {
+                        log.lock().unwrap().push(request.clone());
+                        if !script(&request, &mut out) {
+                            let _ = out.shutdown(std::net::Shutdown::Both);
+                            return;
+                        }
+                    }
+                });
+            }
+        });
+        Self { address, seen }
+    }
+
+    fn seen(&self) -> Vec<Seen> {
+        self.seen.lock().unwrap().clone()
+    }
+}
+
+fn whole(seen: &Seen, body: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\ndaisyquay-attempt: {}\r\ndaisyquay-signature: s-{}\r\n\
+         content-length: {}\r\n\r\n{body}",
+        seen.id(),
+        seen.id(),
+        body.len()
+    )
+}
+
+fn stream_head(seen: &Seen) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\ndaisyquay-attempt: {}\r\ndaisyquay-signature: s\r\n\
+         content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n",
+        seen.id()
+    )
+}
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+fn event(id: u64) -> String {
+    format!("id: {id}\ndata: piece {id}\n\n")
+}
+
+fn write(out: &mut TcpStream, text: &str) -> bool {
+    out.write_all(text.as_bytes()).is_ok()
+}
+
+/// A gateway in front of scripted upstreams.
+struct Setup {
+    cluster: Cluster,
+    gateway: Program,
+    address: SocketAddr,
+}
+
+impl Setup {
+    fn new(upstreams: &[&Upstream]) -> Self {
+        let cluster = Cluster::start(1, 1);
+        let inventory = format!("{INVENTORY}{ROUTES}");
+        cluster.apply(&inventory, &["--change-id", "first"]);
+        for (i, upstream) in upstreams.iter().enumerate() {
+            announce(&cluster, &format!("u{i}"), upstream.address);
+        }
+        let (gateway, address) = cluster.gateway();
+        let setup = Self {
+            cluster,
+            gateway,
+            address,
+        };
+        eventually("the gateway routes", || {
+            let reply = setup.call("GET", "/nowhere/", "probe", "")?;
+            (reply.status == 404).then_some(())
+        });
+        setup
+    }
+
+    fn call(
+        &self,
+        method: &str,
+        path: &str,
+        id: &str,
+        body: &str,
+    ) -> Option<crate::support::Reply> {
+        let headers = [
+            KEY,
+            ("host", "previews.example"),
+            ("daisyquay-attempt", id),
+            ("daisyquay-deadline-ms", "6000"),
+            ("daisyquay-organisation", "forged"),
+        ];
+        send(method, self.address, path, &headers, body)
+    }
+}
+
+fn announce(cluster: &Cluster, id: &str, address: SocketAddr) {
+    let body = json!({
+        "id": id,
+        "incarnation": 1,
+        "address": address.to_string(),
+        "data_centre": "dc1",
+        "serves": { "service": "previews" },
+        "slots": 8,
+    });
+    let headers = [("authorization", "Bearer dev-upstream-key")];
+    eventually("the upstream is announced", || {
+        let entry = cluster.entry_addresses[0];
+        let reply = post(entry, "/upstream/announce", &headers, &body.to_string())?;
+        (reply.status == 204).then_some(())
+    });
+}
+
+#[test]
+fn a_request_is_passed_on_unread_and_its_answer_comes_back_whole() {
+    let upstream = Upstream::start(|seen, out| write(out, &whole(seen, "tile")));
+    let setup = Setup::new(&[&upstream]);
+    let reply = setup
+        .call("POST", "/lookup/a?b=%20c", "id-1", "body")
+        .unwrap();
+    assert_eq!((reply.status, &*reply.body), (200, "tile"));
+    assert_eq!(reply.header("daisyquay-signature"), "s-id-1");
+    let seen = upstream.seen();
+    assert_eq!(seen.len(), 1);
+    assert_eq!(seen[0].line, "POST /lookup/a?b=%20c HTTP/1.1\r\n");
+    assert_eq!(seen[0].body, "body");
+    assert_eq!(seen[0].header("daisyquay-organisation"), Some("lagon"));
+    assert_eq!(seen[0].header("daisyquay-upstream"), Some("u0"));
+    assert_eq!(seen[0].header("authorization"), None);
+    let left: u64 = seen[0]
+        .header("daisyquay-deadline-ms")
+        .unwrap()
+        .parse()
+        .unwrap();
+    assert!(left <= 4000, "the route's time-out binds: {left}");
+    let headers = [("host", "previews.example"), ("daisyquay-attempt", "id-2")];
+    let reply = send("GET", setup.address, "/lookup/a", &headers, "").unwrap();
+    assert_eq!(reply.status, 401, "a caller without a key is refused");
+    assert_eq!(upstream.seen().len(), 1);
+}
+
+#[test]
+fn a_call_that_must_run_once_runs_once_when_its_answer_is_lost() {
+    let upstream = Upstream::start(|_, _| false);
+    let setup = Setup::new(&[&upstream]);
+    let reply = setup.call("POST", "/hold/seat", "id-1", "").unwrap();
+    assert_eq!(reply.status, 502, "{}", reply.body);
+    assert_eq!(upstream.seen().len(), 1);
+}
+
+#[test]
+fn a_refusal_by_an_upstream_is_tried_elsewhere_even_for_a_call_that_must_run_once() {
+    let full = Upstream::start(|seen, out| {
+        let answer = format!(
+            "HTTP/1.1 503 Full\r\ndaisyquay-attempt: {}\r\ndaisyquay-not-run: 1\r\n\
+             content-length: 0\r\n\r\n",
+            seen.id()
+        );
+        write(out, &answer)
+    });
+    let free = Upstream::start(|seen, out| write(out, &whole(seen, "held")));
+    let setup = Setup::new(&[&full, &free]);
+    for i in 0..10 {
+        let reply = setup.call("POST", "/hold/seat", &format!("id-{i}"), "");
+        assert_eq!(reply.unwrap().status, 200);
+    }
+    assert_eq!(free.seen().len(), 10);
+}
+
+#[test]
+fn the_answer_to_another_request_is_never_passed_on() {
+    let n = Arc::new(AtomicU32::new(0));
+    let count = n.clone();
+    let upstream = Upstream::start(move |seen, out| {
+        let mut answer = whole(seen, "mine");
+        if count.fetch_add(1, Ordering::SeqCst) == 0 {
+            // A second answer lies ready for whoever uses the connection next.
+            answer.push_str(&whole(&Seen::default(), "stranger's"));
+        }
+        write(out, &answer)
+    });
+    let setup = Setup::new(&[&upstream]);
+    for i in 0..5 {
+        let reply = setup
+            .call("GET", "/lookup/a", &format!("id-{i}"), "")
+            .unwrap();
+        assert_eq!((reply.status, &*reply.body), (200, "mine"));
+    }
+}
+
+#[test]
+fn an_answer_that_breaks_off_is_asked_for_again_or_fails() {
+    let n = Arc::new(AtomicU32::new(0));
+    let count = n.clone();
+    let upstream = Upstream::start(move |seen, out| {
+        if count.fetch_add(1, Ordering::SeqCst) == 0 {
+            let answer = whole(seen, "the whole tile");
+            write(out, &answer[..answer.len() - 4]);
+            return false;
+        }
+        write(out, &whole(seen, "the whole tile"))
+    });
+    let other = Upstream::start(|seen, out| write(out, &whole(seen, "the whole tile")));
+    let setup = Setup::new(&[&upstream, &other]);
+    for i in 0..6 {
+        let reply = setup
+            .call("GET", "/lookup/a", &format!("id-{i}"), "")
+            .unwrap();
+        assert_eq!((reply.status, &*reply.body), (200, "the whole tile"));
+    }
+}
+
+#[test]
+fn a_silent_upstream_is_left_while_there_is_time() {
+    let silent = Upstream::start(|_, _| {
+        thread::sleep(Duration::from_secs(20));
+        false
+    });
+    let lively = Upstream::start(|seen, out| write(out, &whole(seen, "tile")));
+    let setup = Setup::new(&[&silent, &lively]);
+    for i in 0..6 {
+        let began = Instant::now();
+        let reply = setup
+            .call("GET", "/lookup/a", &format!("id-{i}"), "")
+            .unwrap();
+        assert_eq!(reply.status, 200);
+        assert!(began.elapsed() < Duration::from_secs(3));
+    }
+}
+
+#[test]
+fn a_broken_stream_goes_on_elsewhere_with_each_event_once() {
+    let script = |cut_at: Option<u64>| {
+        move |seen: &Seen, out: &mut TcpStream| {
+            let after: u64 = seen
+                .header("last-event-id")
+                .map_or(0, |id| id.parse().unwrap());
+            write(out, &stream_head(seen));
+            for id in after + 1..=9 {
+                if cut_at == Some(id) {
+                    // Half an event, then the connection is gone.
+                    write(out, &chunk(&event(id)[..7]));
+                    return false;
+                }
+                write(out, &chunk(&event(id)));
+            }
+            write(out, "0\r\n\r\n")
+        }
+    };
+    let expected: String = (1..=9).map(event).collect();
+    let breaks = Upstream::start(script(Some(4)));
+    let lasts = Upstream::start(script(None));
+    let setup = Setup::new(&[&breaks, &lasts]);
+    for i in 0..8 {
+        let reply = setup
+            .call("POST", "/notes/a", &format!("id-{i}"), "")
+            .unwrap();
+        assert!(!reply.cut);
+        assert_eq!(reply.body, expected);
+    }
+    assert!(!breaks.seen().is_empty(), "no stream broke");
+}
+
+#[test]
+fn a_stream_that_can_not_go_on_does_not_look_whole() {
+    let breaks = Upstream::start(|seen, out| {
+        write(out, &stream_head(seen));
+        write(out, &chunk(&event(1)));
+        false
+    });
+    let setup = Setup::new(&[&breaks]);
+    let reply = setup.call("POST", "/notes/a", "id-1", "");
+    assert!(reply.is_none_or(|reply| reply.cut));
+}
+
+#[test]
+fn work_is_cancelled_when_the_caller_leaves() {
+    let gone: Arc<Mutex<Option<Instant>>> = Arc::default();
+    let at = gone.clone();
+    let upstream = Upstream::start(move |seen, out| {
+        write(out, &stream_head(seen));
+        let mut id = 0;
+        loop {
+            id += 1;
+            if !write(out, &chunk(&event(id))) {
+                *at.lock().unwrap() = Some(Instant::now());
+                return false;
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+    });
+    let setup = Setup::new(&[&upstream]);
+    let mut caller = TcpStream::connect(setup.address).unwrap();
+    let (name, key) = KEY;
+    let request = format!(
+        "POST /notes/a HTTP/1.1\r\nhost: previews.example\r\n{name}: {key}\r\n\
+         daisyquay-attempt: id-1\r\ncontent-length: 0\r\n\r\n"
+    );
+    caller.write_all(request.as_bytes()).unwrap();
+    let mut buf = [0; 256];
+    assert!(caller.read(&mut buf).unwrap() > 0);
+    drop(caller);
+    let left = Instant::now();
+    let noticed = eventually("the upstream loses its caller", || *gone.lock().unwrap());
+    assert!(noticed.saturating_duration_since(left) < Duration::from_secs(5));
+}
+
+#[test]
+fn a_stop_finishes_streams_and_sends_new_ones_elsewhere() {
+    let upstream = Upstream::start(|seen, out| {
+        write(out, &stream_head(seen));
+        for id in 1..=20 {
+            write(out, &chunk(&event(id)));
+            thread::sleep(Duration::from_millis(100));
+        }
+        write(out, "0\r\n\r\n")
+    });
+    let mut setup = Setup::new(&[&upstream]);
+    thread::scope(|scope| {
+        let open = scope.spawn(|| setup.call("POST", "/notes/a", "id-1", ""));
+        eventually("the stream runs", || {
+            (!upstream.seen().is_empty()).then_some(())
+        });
+        setup.gateway.stop();
+        let refused = eventually("new streams are turned away", || {
+            let reply = setup.call("POST", "/notes/a", "id-2", "")?;
+            (reply.status == 503).then_some(reply)
+        });
+        assert_eq!(refused.header("retry-after"), "0.00");
+        let reply = open.join().unwrap().unwrap();
+        assert!(!reply.cut);
+        assert_eq!(reply.body, (1..=20).map(event).collect::<String>());
+    });
+    eventually("the gateway ends", || setup.gateway.ended());
+    drop(setup.cluster);
+}
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -3,8 +3,10 @@
 #![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 mod failures;
+mod gateway;
 mod golden;
 mod path;
+mod replacement;
 mod sessions;
 mod stops;
 mod streams;
--- a/tests/process/support/cluster.rs
+++ b/tests/process/support/cluster.rs
@@ -123,6 +123,10 @@
 
     /// Starts replica `i` on its own folder.
     pub(crate) fn start_replica(&self, i: usize) -> Program {
+        self.start_replica_among(i, &self.state)
+    }
+
+    fn start_replica_among(&self, i: usize, replicas: &[SocketAddr]) -> Program {
         let operators: Vec<String> = OPERATORS
             .iter()
             .map(|name| format!("{name}={:x}", Sha256::digest(format!("key-of-{name}"))))
@@ -130,7 +134,7 @@
         let args = flags(&[
             ("listen", self.state[i].to_string()),
             ("admin-listen", "127.0.0.1:0".to_owned()),
-            ("replicas", list(&self.state)),
+            ("replicas", list(replicas)),
             ("data", self.data(i).display().to_string()),
             ("peer-key", PEER_KEY.to_owned()),
             ("operators", operators.join(",")),
@@ -166,6 +170,31 @@
         i
     }
 
+    /// Starts a gateway that reaches the state at `self.addresses`.
+    pub(crate) fn gateway(&self) -> (Program, SocketAddr) {
+        let address = free_address();
+        let args = flags(&[
+            ("listen", address.to_string()),
+            ("loads-listen", free_address().to_string()),
+            ("vm", "gateway".to_owned()),
+            ("data-centre", "dc1".to_owned()),
+            ("state", list(&self.addresses)),
+            ("peer-key", PEER_KEY.to_owned()),
+            ("stop-limit", "8".to_owned()),
+        ]);
+        let log = self.folder.join("gateway.log");
+        let path = env!("CARGO_BIN_EXE_daisyquay-gateway");
+        (Program::start(path, &args, &log), address)
+    }
+
+    /// Starts a replica at an address that the others have not heard of, on an empty folder.
+    pub(crate) fn start_replacement(&mut self) -> Program {
+        let former = self.state.clone();
+        self.state.push(free_address());
+        let i = self.state.len() - 1;
+        self.start_replica_among(i, &former)
+    }
+
     /// Starts a stand-in that announces itself to all entries, and waits until it is known.
     pub(crate) fn standin(&mut self, id: &str, serves: &[&str]) -> (Program, SocketAddr) {
         let (program, address) = self.start_standin(id, serves);
