Keep sessions on their release while a new one is tried

Ruled out: a pause before the trial, since sessions last longer than it; pins in the replicated state, which cost a write for each session.

Change: policy::sessions; gateways tell each other of the 7 % of sessions that a trial could choose, always, so that those from before it are known.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -45,7 +45,7 @@
     /// Whether the gateway chooses the model.
     pub(super) any_model: bool,
     pub(super) prompt: Prompt,
-    /// Session or, without one, what stands for it.
+    /// Session that the request belongs to, if any.
     pub(super) session: Option<Name>,
 }
 
@@ -108,15 +108,9 @@
         value.to_str().ok()?.trim().parse().ok()
     }
 
-    /// A draw from 0 to 1 that is the same for all requests of a session, at every gateway.
-    pub(super) fn release_draw(&self) -> f64 {
-        let last = self.prompt.parts.last().map(|part| part.id);
-        let id = match (&self.session, last) {
-            (Some(session), _) => stable_id(session),
-            (None, Some(part)) => part,
-            (None, None) => stable_id(&self.id),
-        };
-        stable_id(&id.to_string()) as f64 / u64::MAX as f64
+    /// Identity of the session, or of the request where there is none, the same at every gateway.
+    pub(super) fn session_id(&self) -> u64 {
+        stable_id(self.session.as_ref().unwrap_or(&self.id))
     }
 
     /// Time left until the caller must have its final answer.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -16,6 +16,7 @@
 use super::call::read_body;
 use super::loads::Others;
 use super::picture::Picture;
+use super::picture::Pool;
 use super::picture::Runner;
 use super::refusal::Refusal;
 use super::reply;
@@ -31,6 +32,7 @@
 use crate::policy::placement;
 use crate::policy::placement::Need;
 use crate::policy::placement::Spot;
+use crate::policy::release::TRIAL_SHARE;
 use crate::wire::Answer;
 use crate::wire::Head;
 
@@ -304,7 +306,7 @@
         let gateway = &self.gateway;
         let picture = gateway.picture();
         let pool = picture.pool(service)?;
-        let wants_new = pool.new_share.map(|share| self.call.release_draw() < share);
+        let wants_new = self.side(pool);
         let need = self.need(&picture, service);
         let memory = picture.engine(service).map(|engine| engine.cache_tokens);
         let runners = gateway.runners.borrow();
@@ -331,6 +333,24 @@
         })
     }
 
+    /// Whether the request goes to the release that is being rolled out; `None` outside a roll-out.
+    fn side(&self, pool: &Pool) -> Option<bool> {
+        let id = self.call.session_id();
+        let draw = id as f64 / u64::MAX as f64;
+        if self.call.session.is_none() {
+            return pool.new_share.map(|share| draw < share);
+        }
+        let gateway = &self.gateway;
+        let now = gateway.now();
+        let mut sessions = gateway.sessions.borrow_mut();
+        let side = sessions.side(id, draw, pool.new_share, pool.on_trial, now);
+        drop(sessions);
+        if draw < TRIAL_SHARE {
+            gateway.work_changed.notify_one();
+        }
+        pool.new_share.map(|_| side)
+    }
+
     /// What the prompt asks of an upstream; `None` for a request without one.
     fn need(&self, picture: &Picture, service: &Name) -> Option<Need> {
         if !self.call.route.affinity {
--- a/src/gateway/loads.rs
+++ b/src/gateway/loads.rs
@@ -1,4 +1,5 @@
-//! What the gateways tell each other of their own requests at the upstreams.
+//! What the gateways tell each other: their own requests at the upstreams, and sessions that a
+//! roll-out could choose.
 //!
 //! Reports of the upstreams are late, and every gateway reads the same ones. So each gateway tells
 //! the others how much of its own work lies where, in datagrams that say the state and not the change:
@@ -17,6 +18,7 @@
 use crate::codec;
 use crate::collections::HashMap;
 use crate::log::event;
+use crate::policy::sessions::Side;
 
 /// Least time between two tellings of one gateway.
 const TELL_LEAST: Duration = Duration::from_millis(10);
@@ -73,6 +75,8 @@
     /// Whether the rows are all that it has.
     all: bool,
     rows: Vec<(Index, Work)>,
+    /// Sessions that took a side since the telling before.
+    sessions: Vec<Side>,
 }
 
 #[derive(Debug, Default)]
@@ -144,6 +148,7 @@
             Ok((n, from)) => match codec::decode::<Telling>(&buf[..n]) {
                 Ok(telling) => {
                     let now = gateway.now();
+                    gateway.sessions.borrow_mut().take(&telling.sessions, now);
                     gateway.others.borrow_mut().take(telling, now);
                 }
                 Err(e) => event!(Debug, "telling_unreadable", from = from, error = e),
@@ -178,7 +183,8 @@
         let all = self.told_all.is_none_or(|at| now >= at + TELL_ALL);
         let work = gateway.runners.borrow().own_work();
         let rows = self.rows(&work, all);
-        if rows.is_empty() && !all {
+        let sessions = gateway.sessions.borrow_mut().take_news();
+        if rows.is_empty() && sessions.is_empty() && !all {
             return;
         }
         self.seq += 1;
@@ -187,6 +193,7 @@
             seq: self.seq,
             all,
             rows,
+            sessions,
         };
         let bytes = codec::encode(&telling);
         for peer in peers {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -49,6 +49,7 @@
 use crate::policy::budget;
 use crate::policy::budget::Budget;
 use crate::policy::release::Seen;
+use crate::policy::sessions::Sessions;
 use crate::wire::Pool;
 
 /// Part of the deployment's bounds on repeats that is used: the gateways' windows don't begin at the
@@ -115,6 +116,7 @@
     picture: RefCell<Arc<Picture>>,
     runners: RefCell<Runners>,
     others: RefCell<Others>,
+    sessions: RefCell<Sessions>,
     /// Told whenever this gateway's work at an upstream changes.
     work_changed: Notify,
     pool: Pool,
@@ -174,6 +176,7 @@
         picture: RefCell::default(),
         runners: RefCell::default(),
         others: RefCell::default(),
+        sessions: RefCell::default(),
         work_changed: Notify::new(),
         pool: Pool::default(),
         budgets: RefCell::default(),
@@ -217,6 +220,8 @@
     loop {
         tokio::time::sleep(SWEEP).await;
         gateway.pool.sweep();
+        let now = gateway.now();
+        gateway.sessions.borrow_mut().sweep(now);
     }
 }
 
--- a/src/gateway/picture.rs
+++ b/src/gateway/picture.rs
@@ -49,6 +49,8 @@
     pub(crate) runners: Vec<Runner>,
     /// Share of the traffic that the new release gets; `None` outside a roll-out.
     pub(crate) new_share: Option<f64>,
+    /// Whether the new release is still on trial, so that sessions stay where they are.
+    pub(crate) on_trial: bool,
     /// The release that takes the rest.
     pub(crate) settled: Option<Name>,
 }
@@ -144,6 +146,7 @@
             Stage::Complete => {}
             Stage::Trial | Stage::Ramp | Stage::Whole => {
                 pool.new_share = Some(crate::policy::release::share(rollout));
+                pool.on_trial = rollout.stage == Stage::Trial;
                 for runner in &mut pool.runners {
                     runner.is_new = runner.announced.release.as_ref() == target;
                 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -12,4 +12,5 @@
 pub mod release;
 pub mod retry;
 pub mod rollout;
+pub mod sessions;
 pub mod share;
--- a/src/policy/release.rs
+++ b/src/policy/release.rs
@@ -19,7 +19,7 @@
 
 /// Share of the traffic in the trial: with it a release that is bad from the start costs less than
 /// half of a 15 % exposure allowance before the guard has its evidence.
-const TRIAL_SHARE: f64 = 0.07;
+pub const TRIAL_SHARE: f64 = 0.07;
 
 /// Share of the traffic in the ramp: enough to load the new upstreams as they will be.
 const RAMP_SHARE: f64 = 0.3;
--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -7,3 +7,4 @@
 mod patience;
 mod placement;
 mod release;
+mod sessions;
