--- a/tests/load/sessions.rs
+++ b/tests/load/sessions.rs
@@ -8,6 +8,12 @@
 
 const GATEWAYS: usize = 9;
 
+/// Requests of all sessions, half of them before the trial.
+const STEPS: usize = 20_000;
+
+/// Sessions that are open at once.
+const LIVE: usize = 600;
+
 /// Plays sessions before and during a trial; returns how many changed sides, and the share of the
 /// sessions begun in the trial that are on the new release.
 fn play(told: bool) -> (usize, f64) {
@@ -17,10 +23,10 @@
     let mut sides: BTreeMap<u64, bool> = BTreeMap::new();
     let mut begun: BTreeMap<u64, usize> = BTreeMap::new();
     let (mut changed, mut chosen, mut total) = (0_usize, 0_usize, 0_usize);
-    for step in 0..8_000 {
-        let now = Duration::from_millis(10 * step as u64);
-        let in_trial = step >= 2_000;
-        if live.len() < 60 {
+    for step in 0..STEPS {
+        let now = Duration::from_millis(step as u64);
+        let in_trial = step >= STEPS / 2;
+        while live.len() < LIVE {
             let session = rng.u64(..);
             begun.insert(session, step);
             live.push((session, rng.u8(1..6)));
@@ -33,7 +39,7 @@
         let side = gateways[gateway].side(*session, draw, share, in_trial, now);
         let former = sides.insert(*session, side);
         changed += usize::from(former.is_some_and(|former| former != side));
-        if former.is_none() && begun[session] > 2_000 {
+        if former.is_none() && begun[session] > STEPS / 2 {
             total += 1;
             chosen += usize::from(side);
         }
