--- a/src/bin/daisyquay-dev.rs
+++ b/src/bin/daisyquay-dev.rs
@@ -8,7 +8,7 @@
 
 fn main() -> ExitCode {
     let matches = cli::dev::command().get_matches();
-    cli::start_log(&matches);
+    cli::start_log_aside(&matches);
     let cfg = cli::dev::config(&matches);
     match runtime::block_on("daisyquay-dev", dev::run(cfg)) {
         Ok(()) => cli::ExitCode::Done.into(),
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -43,12 +43,21 @@
         .after_help(exit::HELP)
 }
 
-/// Starts logging at the level that was asked for.
+/// Starts a daemon's logging, on standard output, at the level that was asked for.
 pub fn start_log(matches: &ArgMatches) {
-    let level = matches
+    crate::log::start(log_level(matches));
+}
+
+/// Starts logging on standard error, for programs that print results.
+pub fn start_log_aside(matches: &ArgMatches) {
+    crate::log::start_aside(log_level(matches));
+}
+
+fn log_level(matches: &ArgMatches) -> LevelFilter {
+    matches
         .get_one::<String>("log-level")
-        .and_then(|level| level.parse().ok());
-    crate::log::start(level.unwrap_or(LevelFilter::Info));
+        .and_then(|level| level.parse().ok())
+        .unwrap_or(LevelFilter::Info)
 }
 
 fn address(name: &'static str, env: &'static str, help: &'static str) -> Arg {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -15,6 +15,7 @@
 use super::picture::Runner;
 use super::runners::Sent;
 use crate::collections::Name;
+use crate::log::event;
 use crate::wire::Answer;
 use crate::wire::Failure;
 use crate::wire::Head;
@@ -125,7 +126,7 @@
         return Ended::Lost("the answer has no signature");
     }
     let failed = !answer.status.is_success();
-    crate::log::event!(
+    event!(
         Debug,
         "answer",
         request = call.id,
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -64,11 +64,11 @@
     let limit = call.left(gateway.now());
     let outcome = tokio::time::timeout(limit, exchange.run()).await;
     let outcome = outcome.unwrap_or_else(|_| Err(exchange.time_is_over()));
-    gateway.meter(
-        &call,
-        &outcome,
-        limit.saturating_sub(call.left(gateway.now())),
-    );
+    let first = limit.saturating_sub(call.left(gateway.now()));
+    gateway.meter(&call, &outcome, first);
+    if outcome.is_ok() && first > call.route.target() {
+        exchange.log_late(first);
+    }
     match outcome {
         Ok(Served::Whole(head, body)) => reply::whole(&gateway, &head, body),
         Ok(Served::Stream(relay)) => stream::response(&gateway, *relay, &req),
@@ -238,7 +238,7 @@
             call: self.call.clone(),
             service: self.service.clone(),
             model: self.model,
-            tried: std::mem::take(&mut self.tried),
+            tried: self.tried.clone(),
             runs: self.runs,
             refusals: self.refusals,
             paid: false,
@@ -386,6 +386,23 @@
         ))
     }
 
+    /// Says why the head of an answer came after the route's target.
+    fn log_late(&self, first: Duration) {
+        event!(
+            Info,
+            "late",
+            request = self.call.id,
+            route = self.call.route.name,
+            first_ms = first.as_millis(),
+            target_ms = self.call.route.target_ms,
+            tokens_in = self.call.prompt.tokens_in,
+            model = self.model_name().as_deref().unwrap_or("-"),
+            tried = self.tried.join(","),
+            refusals = self.refusals,
+            last = self.last
+        );
+    }
+
     fn log_attempt(&self, runner: &Runner, ended: &Ended) {
         let (outcome, reason) = match ended {
             Ended::NotRun(reason) => ("not_run", *reason),
--- a/src/log/mod.rs
+++ b/src/log/mod.rs
@@ -1,5 +1,7 @@
 //! Logs: one line of `key=value` pairs for each event.
 
+mod queue;
+
 use std::fmt::Display;
 use std::fmt::Write;
 
@@ -7,11 +9,24 @@
 use simplelog::LevelFilter;
 use simplelog::WriteLogger;
 
+pub(crate) use self::queue::flush;
+
+use self::queue::Queue;
+
 /// Longest value that a line carries, in characters.
 const VALUE_LIMIT: usize = 512;
 
-/// Starts logging to standard error.
+/// Starts a daemon's logging, on standard output.
 pub(crate) fn start(level: LevelFilter) {
+    start_on(level, Queue::start(std::io::stdout()));
+}
+
+/// Starts logging on standard error, for programs whose output is something else.
+pub(crate) fn start_aside(level: LevelFilter) {
+    start_on(level, std::io::stderr());
+}
+
+fn start_on(level: LevelFilter, out: impl std::io::Write + Send + 'static) {
     // The line carries time and level as pairs of its own.
     let cfg = ConfigBuilder::new()
         .set_time_level(LevelFilter::Off)
@@ -22,7 +37,7 @@
         .add_filter_allow_str("daisyquay")
         .build();
     // A second start in one process changes nothing.
-    let _ = WriteLogger::init(level, cfg, std::io::stderr());
+    let _ = WriteLogger::init(level, cfg, out);
 }
 
 /// Begins a line.
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -11,10 +11,12 @@
     F::Output: 'static,
 {
     stop_on_panic();
-    ntex::rt::System::new(name, ntex::rt::DefaultRuntime).block_on(async {
+    let output = ntex::rt::System::new(name, ntex::rt::DefaultRuntime).block_on(async {
         tokio::task::spawn_local(crate::signal::note_reloads());
         future.await
-    })
+    });
+    crate::log::flush();
+    output
 }
 
 /// Waits until the process is told to stop.
@@ -28,6 +30,7 @@
     let show = std::panic::take_hook();
     std::panic::set_hook(Box::new(move |panic| {
         show(panic);
+        crate::log::flush();
         std::process::exit(ExitCode::Failed.code());
     }));
 }
