Add a soak of the real programs under faults from outside

Change: tests/process/soak.rs; replicas and gateways are killed, frozen, stopped and restarted, upstreams fail by lot and are silenced by a relay; each request that must run once is counted at the upstreams and compared with what its caller was told.

--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -8,6 +8,7 @@
 mod path;
 mod replacement;
 mod sessions;
+mod soak;
 mod stops;
 mod streams;
 mod support;
--- a/tests/process/support/cluster.rs
+++ b/tests/process/support/cluster.rs
@@ -173,6 +173,11 @@
     /// Starts a gateway that reaches the state at `self.addresses`.
     pub(crate) fn gateway(&self) -> (Program, SocketAddr) {
         let address = free_address();
+        (self.gateway_at(address), address)
+    }
+
+    /// Starts a gateway at that address.
+    pub(crate) fn gateway_at(&self, address: SocketAddr) -> Program {
         let args = flags(&[
             ("listen", address.to_string()),
             ("loads-listen", free_address().to_string()),
@@ -182,9 +187,9 @@
             ("peer-key", PEER_KEY.to_owned()),
             ("stop-limit", "8".to_owned()),
         ]);
-        let log = self.folder.join("gateway.log");
+        let log = self.folder.join(format!("gateway-{}.log", address.port()));
         let path = env!("CARGO_BIN_EXE_daisyquay-gateway");
-        (Program::start(path, &args, &log), address)
+        Program::start(path, &args, &log)
     }
 
     /// Starts a replica at an address that the others have not heard of, on an empty folder.
--- a/tests/process/support/mod.rs
+++ b/tests/process/support/mod.rs
@@ -4,6 +4,7 @@
 mod cut;
 mod http;
 mod program;
+mod upstream;
 
 pub(crate) use self::cluster::Cluster;
 pub(crate) use self::cluster::INVENTORY;
@@ -16,6 +17,13 @@
 pub(crate) use self::http::send;
 pub(crate) use self::http::stream_text;
 pub(crate) use self::program::Program;
+pub(crate) use self::upstream::Seen;
+pub(crate) use self::upstream::Upstream;
+pub(crate) use self::upstream::chunk;
+pub(crate) use self::upstream::event;
+pub(crate) use self::upstream::stream_head;
+pub(crate) use self::upstream::whole;
+pub(crate) use self::upstream::write;
 
 use std::time::Duration;
 use std::time::Instant;
