--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange/mod.rs
@@ -1,5 +1,7 @@
 //! One request from its arrival to its final answer.
 
+mod choose;
+
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -8,31 +10,22 @@
 use ntex::http::Request;
 use ntex::http::Response;
 
-use super::Gateway;
-use super::attempt::Ended;
-use super::attempt::Extra;
-use super::attempt::attempt;
-use super::call::Call;
-use super::call::read_body;
-use super::loads::Others;
-use super::picture::Picture;
-use super::picture::Pool;
-use super::picture::Runner;
-use super::refusal::Refusal;
-use super::reply;
-use super::runners::Sent;
-use super::runners::View;
-use super::stop::Open;
-use super::stream;
 use crate::collections::Name;
 use crate::config::Repeat;
+use crate::gateway::Gateway;
+use crate::gateway::attempt::Ended;
+use crate::gateway::attempt::Extra;
+use crate::gateway::attempt::attempt;
+use crate::gateway::call::Call;
+use crate::gateway::call::read_body;
+use crate::gateway::picture::Runner;
+use crate::gateway::refusal::Refusal;
+use crate::gateway::reply;
+use crate::gateway::runners::Sent;
+use crate::gateway::stop::Open;
+use crate::gateway::stream;
 use crate::log::event;
 use crate::policy::ladder;
-use crate::policy::patience;
-use crate::policy::placement;
-use crate::policy::placement::Need;
-use crate::policy::placement::Spot;
-use crate::policy::release::TRIAL_SHARE;
 use crate::wire::Answer;
 use crate::wire::Head;
 
@@ -117,6 +110,7 @@
 /// The state of one request between its attempts.
 pub(super) struct Exchange {
     gateway: Rc<Gateway>,
+    /// Counts the request as open until its answer has ended.
     _open: Rc<Open>,
     call: Rc<Call>,
     service: Option<Name>,
@@ -209,27 +203,6 @@
         }
     }
 
-    /// How long the upstream may be silent; `None` where the request can't go elsewhere.
-    fn patience(&self, runner: &Runner) -> Option<Duration> {
-        let route = &self.call.route;
-        if !route.may_rerun() || self.runs >= route.attempts {
-            return None;
-        }
-        let runners = self.gateway.runners.borrow();
-        let others = self.gateway.others.borrow();
-        let load = runners.spot(runner, &self.view(&others, None), false).load;
-        Some(patience::head(route.target(), load))
-    }
-
-    fn view<'a>(&'a self, others: &'a Others, memory: Option<u64>) -> View<'a> {
-        View {
-            others,
-            data_centre: &self.gateway.cfg.data_centre,
-            memory,
-            now: self.gateway.now(),
-        }
-    }
-
     /// Moves the state into the relay of a stream.
     fn take(&mut self) -> Self {
         Self {
@@ -302,70 +275,6 @@
         Some(runner)
     }
 
-    fn place(&self, service: &Name) -> Option<Runner> {
-        let gateway = &self.gateway;
-        let picture = gateway.picture();
-        let pool = picture.pool(service)?;
-        let wants_new = self.side(pool);
-        let need = self.need(&picture, service);
-        let memory = picture.engine(service).map(|engine| engine.cache_tokens);
-        let runners = gateway.runners.borrow();
-        let others = gateway.others.borrow();
-        let view = self.view(&others, memory);
-        let choose = |wants_new: Option<bool>| -> Option<Runner> {
-            let fitting: Vec<&Runner> = pool
-                .runners
-                .iter()
-                .filter(|runner| wants_new.is_none_or(|new| new == runner.is_new))
-                .collect();
-            let spots: Vec<Spot> = fitting
-                .iter()
-                .map(|runner| runners.spot(runner, &view, self.tried.contains(runner.id())))
-                .collect();
-            let may_probe = self.call.route.may_rerun();
-            let rng = &mut *gateway.rng.borrow_mut();
-            let i = placement::place(&spots, need, may_probe, rng)?;
-            Some(fitting[i].clone())
-        };
-        choose(wants_new).or_else(|| {
-            // The settled release may serve what the new one can't, never the other way round.
-            (wants_new == Some(true)).then(|| choose(Some(false)))?
-        })
-    }
-
-    /// Whether the request goes to the release that is being rolled out; `None` outside a roll-out.
-    fn side(&self, pool: &Pool) -> Option<bool> {
-        let id = self.call.session_id();
-        let draw = id as f64 / u64::MAX as f64;
-        if self.call.session.is_none() {
-            return pool.new_share.map(|share| draw < share);
-        }
-        let gateway = &self.gateway;
-        let now = gateway.now();
-        let mut sessions = gateway.sessions.borrow_mut();
-        let side = sessions.side(id, draw, pool.new_share, pool.on_trial, now);
-        drop(sessions);
-        if draw < TRIAL_SHARE {
-            gateway.work_changed.notify_one();
-        }
-        pool.new_share.map(|_| side)
-    }
-
-    /// What the prompt asks of an upstream; `None` for a request without one.
-    fn need(&self, picture: &Picture, service: &Name) -> Option<Need> {
-        if !self.call.route.affinity {
-            return None;
-        }
-        let prompt = &self.call.prompt;
-        let slowness = self
-            .model_name()
-            .map_or(1.0, |model| picture.slowness(service, &model));
-        Some(Need {
-            shared: prompt.shared(),
-            shared_reading: (prompt.shared_tokens() as f64 * slowness) as u64,
-        })
-    }
-
     fn give_up(&self, failure: Option<(Head, Bytes)>) -> Result<Served, Refusal> {
         if let Some((head, body)) = failure {
             return Ok(Served::Whole(head, body));
