--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,6 +1,6 @@
 //! The gateway daemon: it passes callers' requests on unread, by the routes of the inventory.
 //!
-//! Everything runs on one thread over the tables of [`Gateway`]; no borrow of a table is held
+//! Everything runs on one thread over the tables of `Gateway`; no borrow of a table is held
 //! across an `.await`. News come from the state by `link`; what was taken in last goes on holding
 //! while the state can't be reached, so that a trouble of the state is none of the callers'.
 
