--- a/src/gateway/exchange/mod.rs
+++ b/src/gateway/exchange/mod.rs
@@ -154,28 +154,38 @@
         Refusal::unavailable("no_time", "no upstream took the request in time; come back")
     }
 
+    /// Makes one attempt and keeps count of it. It counts as a run until the upstream has said that
+    /// it was none, so that one cut off by the time limit is never called "not run".
+    async fn attempt_at(&mut self, runner: &Runner, resume_after: Option<u64>) -> Ended {
+        let extra = Extra {
+            model: self.model_name(),
+            resume_after,
+        };
+        self.runs += 1;
+        let patience = self.patience(runner);
+        let ended = attempt(&self.gateway, &self.call, runner, &extra, patience).await;
+        self.log_attempt(runner, &ended);
+        match ended {
+            Ended::NotRun(reason) => {
+                self.runs -= 1;
+                self.refusals += 1;
+                self.last = reason;
+            }
+            Ended::Lost(reason) => self.last = reason,
+            Ended::Whole(..) | Ended::Stream(..) => {}
+        }
+        ended
+    }
+
     async fn run(&mut self) -> Result<Served, Refusal> {
         let mut failure: Option<(Head, Bytes)> = None;
         loop {
             let Some(runner) = self.next_runner() else {
                 return self.give_up(failure);
             };
-            let extra = Extra {
-                model: self.model_name(),
-                resume_after: None,
-            };
-            self.runs += 1;
-            let patience = self.patience(&runner);
-            let ended = attempt(&self.gateway, &self.call, &runner, &extra, patience).await;
-            self.log_attempt(&runner, &ended);
-            match ended {
-                Ended::NotRun(reason) => {
-                    self.runs -= 1;
-                    self.refusals += 1;
-                    self.last = reason;
-                }
-                Ended::Lost(reason) => {
-                    self.last = reason;
+            match self.attempt_at(&runner, None).await {
+                Ended::NotRun(_) => {}
+                Ended::Lost(_) => {
                     if !self.call.route.may_rerun() {
                         return Err(Refusal::broken("answer_lost"));
                     }
@@ -363,20 +373,8 @@
         after: Option<u64>,
     ) -> Option<(Answer, Sent)> {
         loop {
-            let extra = Extra {
-                model: self.model_name(),
-                resume_after: after,
-            };
-            self.runs += 1;
-            let patience = self.patience(&runner);
-            let ended = attempt(&self.gateway, &self.call, &runner, &extra, patience).await;
-            self.log_attempt(&runner, &ended);
-            match ended {
-                Ended::NotRun(_) => {
-                    self.runs -= 1;
-                    self.refusals += 1;
-                }
-                Ended::Lost(_) => {}
+            match self.attempt_at(&runner, after).await {
+                Ended::NotRun(_) | Ended::Lost(_) => {}
                 Ended::Stream(answer, work) if answer.status == StatusCode::OK => {
                     event!(
                         Info,
