Tell a busy upstream from one that hangs, and keep doubtful answers in a crowd

The upstreams were reading the prompts of a crowd that had come back; leaving them made others read the same prompts.

Change: `policy::pace` learns how fast a service reads from first tokens. `policy::patience` waits for twice the forecast, and as long as the upstream answers requests that were sent before ours and none that was sent later.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -16,6 +16,8 @@
 use super::runners::Sent;
 use crate::collections::Name;
 use crate::log::event;
+use crate::policy::patience;
+use crate::policy::patience::RANKS;
 use crate::wire::Answer;
 use crate::wire::Failure;
 use crate::wire::Head;
@@ -49,18 +51,21 @@
     pub(super) resume_after: Option<u64>,
 }
 
-/// Sends `call` to `runner`, and waits for the head of the answer no longer than `patience`.
+/// Sends `call` to `runner` and waits for the head of the answer; where the request `may_leave`, no
+/// longer than an upstream that does not hang would need.
 pub(super) async fn attempt(
     gateway: &Rc<Gateway>,
     call: &Call,
     runner: &Runner,
     extra: &Extra,
-    patience: Option<Duration>,
+    may_leave: bool,
 ) -> Ended {
     let mut work = Sent::start(
         gateway,
         runner.clone(),
-        burden(gateway, call, runner, extra),
+        extra.model.clone(),
+        rank(call),
+        burden(gateway, call, runner, extra.model.clone()),
     );
     let left = call.left(gateway.now());
     let Some(request) = outgoing(&gateway.cfg.names, call, runner, extra, left) else {
@@ -68,11 +73,10 @@
     };
     let address = runner.address();
     let sent = gateway.pool.send(address, request, CONNECT_LIMIT.min(left));
-    let sent = match patience {
-        Some(patience) => tokio::time::timeout(patience, sent)
-            .await
-            .unwrap_or(Err(Failure::Broken("no answer for too long"))),
-        None => sent.await,
+    let sent = if may_leave {
+        patiently(sent, &work, call.route.target()).await
+    } else {
+        sent.await
     };
     match sent {
         Ok(answer) => judge(gateway, call, answer, work).await,
@@ -90,11 +94,33 @@
     }
 }
 
+/// Waits for `sent` until its upstream seems to hang. What is known of its pace grows meanwhile, so
+/// the limit is looked at again when it has passed.
+async fn patiently(
+    sent: impl Future<Output = Result<Answer, Failure>>,
+    work: &Sent,
+    target: Duration,
+) -> Result<Answer, Failure> {
+    let mut sent = std::pin::pin!(sent);
+    loop {
+        let mut left = work.patience(target).saturating_sub(work.elapsed());
+        if left.is_zero() {
+            if !work.only_waits(target) {
+                return Err(Failure::Broken("no answer for too long"));
+            }
+            left = patience::look_again(target);
+        }
+        if let Ok(sent) = tokio::time::timeout(left, &mut sent).await {
+            return sent;
+        }
+    }
+}
+
 /// What the request lays on the upstream.
-fn burden(gateway: &Gateway, call: &Call, runner: &Runner, extra: &Extra) -> Work {
+pub(super) fn burden(gateway: &Gateway, call: &Call, runner: &Runner, model: Option<Name>) -> Work {
     let prompt = &call.prompt;
     let picture = gateway.picture();
-    let slowness = match (&extra.model, runner.service()) {
+    let slowness = match (&model, runner.service()) {
         (Some(model), Some(service)) => picture.slowness(service, model),
         _ => 1.0,
     };
@@ -143,6 +169,9 @@
             .unwrap_or("-")
     );
     gateway.note_answer(call, &work.runner, failed, work.elapsed());
+    if !failed {
+        work.first_token();
+    }
     work.answered();
     if is_stream(&answer) && !failed {
         return Ended::Stream(Box::new(answer), work);
@@ -200,15 +229,12 @@
     Some(request)
 }
 
-/// Ranks that an upstream knows.
-const RANKS: u32 = 10;
-
 /// Routes that are told apart within one organisation's rank.
 const ROUTE_RANKS: u32 = 3;
 
 /// Rank at the upstream: the organisation's goes before the route's.
-fn rank(call: &Call) -> u32 {
+pub(super) fn rank(call: &Call) -> u32 {
     let organisation = call.organisation.as_ref().map_or(0, |(_, rank)| *rank);
     let route = call.route.rank.min(ROUTE_RANKS - 1);
-    (organisation.saturating_mul(ROUTE_RANKS) + route).min(RANKS - 1)
+    (organisation.saturating_mul(ROUTE_RANKS) + route).min(RANKS as u32 - 1)
 }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -40,6 +40,8 @@
     /// Headers that go on to the upstream whichever it is.
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
+    /// Moment at which its head was read.
+    pub(super) at: Duration,
     /// Moment at which the caller must have its final answer.
     pub(super) until: Duration,
     /// Whether the gateway chooses the model.
@@ -86,6 +88,7 @@
         let any_model = text(req, &names.model) == Some("*") && !route.ladder.is_empty();
         Ok(Self {
             id: id.into(),
+            at,
             until: at + asked.min(route.timeout()),
             any_model,
             prompt: Prompt::read(
--- a/src/gateway/exchange/choose.rs
+++ b/src/gateway/exchange/choose.rs
@@ -1,31 +1,42 @@
 //! Which upstream an attempt goes to, and how long it is waited for.
 
-use std::time::Duration;
-
 use super::Exchange;
 use crate::collections::Name;
+use crate::gateway::attempt::burden;
 use crate::gateway::loads::Others;
 use crate::gateway::picture::Picture;
 use crate::gateway::picture::Pool;
 use crate::gateway::picture::Runner;
 use crate::gateway::runners::View;
-use crate::policy::patience;
+use crate::policy::ladder::Outlook;
 use crate::policy::placement;
 use crate::policy::placement::Need;
 use crate::policy::placement::Spot;
 use crate::policy::release::TRIAL_SHARE;
 
 impl Exchange {
-    /// How long the upstream may be silent; `None` where the request can't go elsewhere.
-    pub(super) fn patience(&self, runner: &Runner) -> Option<Duration> {
+    /// Whether the request may go elsewhere if its upstream is silent.
+    pub(super) fn may_leave(&self) -> bool {
         let route = &self.call.route;
-        if !route.may_rerun() || self.runs >= route.attempts {
-            return None;
-        }
-        let runners = self.gateway.runners.borrow();
-        let others = self.gateway.others.borrow();
-        let load = runners.spot(runner, &self.view(&others, None), false).load;
-        Some(patience::head(route.target(), load))
+        route.may_rerun() && self.runs < route.attempts
+    }
+
+    /// When `model` would answer, as far as that is known.
+    pub(super) fn outlook(&self, model: usize) -> Option<Outlook> {
+        let gateway = &self.gateway;
+        let service = self.service.as_ref()?;
+        let runner = self.place(service, Some(model), &[])?;
+        let name = self.model_name(Some(model));
+        let runners = gateway.runners.borrow();
+        let others = gateway.others.borrow();
+        let spot = runners.spot(&runner, &self.view(&others, None), false);
+        let own = burden(gateway, &self.call, &runner, name.clone()).reading;
+        Some(Outlook {
+            target: self.call.route.target(),
+            passed: gateway.now().saturating_sub(self.call.at),
+            queue: gateway.forecast(service, name.clone(), spot.reading)?,
+            reading: gateway.forecast(service, name, own)?,
+        })
     }
 
     fn view<'a>(&'a self, others: &'a Others, memory: Option<u64>) -> View<'a> {
@@ -37,13 +48,18 @@
         }
     }
 
-    /// The upstream of the next attempt; `None` where all have been tried.
-    pub(super) fn place(&self, service: &Name) -> Option<Runner> {
+    /// The upstream for an attempt on `model`; `None` where all have been tried.
+    pub(super) fn place(
+        &self,
+        service: &Name,
+        model: Option<usize>,
+        tried: &[Name],
+    ) -> Option<Runner> {
         let gateway = &self.gateway;
         let picture = gateway.picture();
         let pool = picture.pool(service)?;
         let wants_new = self.side(pool);
-        let need = self.need(&picture, service);
+        let need = self.need(&picture, service, model);
         let memory = picture.engine(service).map(|engine| engine.cache_tokens);
         let runners = gateway.runners.borrow();
         let others = gateway.others.borrow();
@@ -56,7 +72,7 @@
                 .collect();
             let spots: Vec<Spot> = fitting
                 .iter()
-                .map(|runner| runners.spot(runner, &view, self.tried.contains(runner.id())))
+                .map(|runner| runners.spot(runner, &view, tried.contains(runner.id())))
                 .collect();
             let may_probe = self.call.route.may_rerun();
             let rng = &mut *gateway.rng.borrow_mut();
@@ -88,13 +104,13 @@
     }
 
     /// What the prompt asks of an upstream; `None` for a request without one.
-    fn need(&self, picture: &Picture, service: &Name) -> Option<Need> {
+    fn need(&self, picture: &Picture, service: &Name, model: Option<usize>) -> Option<Need> {
         if !self.call.route.affinity {
             return None;
         }
         let prompt = &self.call.prompt;
         let slowness = self
-            .model_name()
+            .model_name(model)
             .map_or(1.0, |model| picture.slowness(service, &model));
         Some(Need {
             shared: prompt.shared(),
--- a/src/gateway/exchange/mod.rs
+++ b/src/gateway/exchange/mod.rs
@@ -158,12 +158,11 @@
     /// it was none, so that one cut off by the time limit is never called "not run".
     async fn attempt_at(&mut self, runner: &Runner, resume_after: Option<u64>) -> Ended {
         let extra = Extra {
-            model: self.model_name(),
+            model: self.model_name(self.model),
             resume_after,
         };
         self.runs += 1;
-        let patience = self.patience(runner);
-        let ended = attempt(&self.gateway, &self.call, runner, &extra, patience).await;
+        let ended = attempt(&self.gateway, &self.call, runner, &extra, self.may_leave()).await;
         self.log_attempt(runner, &ended);
         match ended {
             Ended::NotRun(reason) => {
@@ -239,7 +238,9 @@
             .get(&names.confidence)
             .and_then(|value| value.to_str().ok())
             .and_then(|text| text.trim().parse().ok());
-        let larger = ladder::escalate(self.call.route.ladder.len(), self.model?, confidence)?;
+        let ladder = self.call.route.ladder.len();
+        let larger =
+            ladder::escalate(ladder, self.model?, confidence, |model| self.outlook(model))?;
         event!(
             Debug,
             "escalated",
@@ -258,8 +259,8 @@
         self.paid
     }
 
-    pub(super) fn model_name(&self) -> Option<Name> {
-        self.call.route.ladder.get(self.model?).cloned()
+    fn model_name(&self, model: Option<usize>) -> Option<Name> {
+        self.call.route.ladder.get(model?).cloned()
     }
 
     /// The upstream of the next attempt, or `None` where there must be none.
@@ -272,7 +273,7 @@
             return None;
         }
         let service = self.service.clone()?;
-        let runner = self.place(&service)?;
+        let runner = self.place(&service, self.model, &self.tried)?;
         if first {
             self.gateway.note_first(&service);
         } else if std::mem::take(&mut self.paid) {
@@ -315,7 +316,7 @@
             first_ms = first.as_millis(),
             target_ms = self.call.route.target_ms,
             tokens_in = self.call.prompt.tokens_in,
-            model = self.model_name().as_deref().unwrap_or("-"),
+            model = self.model_name(self.model).as_deref().unwrap_or("-"),
             tried = self.tried.join(","),
             refusals = self.refusals,
             last = self.last
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -48,6 +48,7 @@
 use crate::peer::SeenRow;
 use crate::policy::budget;
 use crate::policy::budget::Budget;
+use crate::policy::pace::Pace;
 use crate::policy::release::Seen;
 use crate::policy::sessions::Sessions;
 use crate::wire::Pool;
@@ -121,6 +122,8 @@
     work_changed: Notify,
     pool: Pool,
     budgets: RefCell<HashMap<Name, Budget>>,
+    /// Reading speeds by service and model, if the gateway chose one.
+    paces: RefCell<HashMap<(Name, Option<Name>), Pace>>,
     seen: RefCell<HashMap<(Name, Name, Name), Seen>>,
     rng: RefCell<fastrand::Rng>,
     meters: Meters,
@@ -180,6 +183,7 @@
         work_changed: Notify::new(),
         pool: Pool::default(),
         budgets: RefCell::default(),
+        paces: RefCell::default(),
         seen: RefCell::default(),
         rng: RefCell::new(fastrand::Rng::new()),
         meters: Meters::new(),
@@ -310,6 +314,25 @@
         )
     }
 
+    /// A first token came from an upstream with so much to read.
+    fn learn_pace(&self, service: &Name, model: Option<Name>, reading: u64, took: Duration) {
+        let mut paces = self.paces.borrow_mut();
+        let pace = paces.entry((service.clone(), model)).or_default();
+        pace.learn(reading, took);
+    }
+
+    /// Time in which an upstream of the service reads so many tokens, as far as that is known.
+    fn forecast(&self, service: &Name, model: Option<Name>, reading: u64) -> Option<Duration> {
+        let paces = self.paces.borrow();
+        let own = paces.get(&(service.clone(), model));
+        let own = own.and_then(|pace| pace.forecast(reading));
+        // The models' tokens are scaled to be alike; right after a start any of them is a guess.
+        own.or_else(|| {
+            let mut same = paces.iter().filter(|((of, _), _)| of == service);
+            same.find_map(|(_, pace)| pace.forecast(reading))
+        })
+    }
+
     /// An upstream answered, be it with a failure.
     fn note_answer(&self, call: &Call, runner: &Runner, failed: bool, first: Duration) {
         self.note(call, runner, |seen| {
--- a/src/gateway/runners.rs
+++ b/src/gateway/runners.rs
@@ -13,6 +13,8 @@
 use crate::collections::HashMap;
 use crate::collections::HashSet;
 use crate::collections::Name;
+use crate::policy::patience;
+use crate::policy::patience::Progress;
 use crate::policy::placement::Spot;
 use crate::policy::placement::stable_id;
 use crate::upstream::Circuit;
@@ -36,6 +38,7 @@
     own: InFlight,
     report: Option<Report>,
     work: Work,
+    progress: Progress,
 }
 
 /// The table of upstreams.
@@ -136,16 +139,32 @@
     started: Duration,
     told: bool,
     work: Work,
+    model: Option<Name>,
+    rank: usize,
+    /// Tokens that the upstream had to read when it was sent, its own included.
+    ahead: u64,
+    /// Requests there when it was sent, as a share of its slots.
+    load: f64,
 }
 
 impl Sent {
-    pub(super) fn start(gateway: &Rc<Gateway>, runner: Runner, work: Work) -> Self {
+    pub(super) fn start(
+        gateway: &Rc<Gateway>,
+        runner: Runner,
+        model: Option<Name>,
+        rank: u32,
+        work: Work,
+    ) -> Self {
         let started = gateway.now();
         let mut runners = gateway.runners.borrow_mut();
+        let others = gateway.others.borrow().at(runner.number);
+        let slots = f64::from(runner.announced.slots.max(1));
         let row = runners.row(&runner);
+        let load = row.expected(others.requests, started) / slots;
         row.own.add(started);
         row.health.started();
         row.work.add(&work);
+        let ahead = row.work.reading.saturating_add(others.reading);
         drop(runners);
         gateway.work_changed.notify_one();
         Self {
@@ -154,6 +173,41 @@
             started,
             told: false,
             work,
+            model,
+            rank: rank as usize,
+            ahead,
+            load,
+        }
+    }
+
+    /// How long after its sending the upstream may be silent before it counts as hanging.
+    pub(super) fn patience(&self, target: Duration) -> Duration {
+        let service = self.runner.service();
+        let reading = service.and_then(|service| {
+            let model = self.model.clone();
+            self.gateway.forecast(service, model, self.ahead)
+        });
+        patience::head(target, self.load, reading)
+    }
+
+    /// Whether it waits for its turn at an upstream that does not hang.
+    pub(super) fn only_waits(&self, target: Duration) -> bool {
+        let runners = self.gateway.runners.borrow();
+        let row = runners.rows.get(self.runner.id());
+        row.is_some_and(|row| row.progress.is_busy(self.rank, self.started, target))
+    }
+
+    /// Its first token has come.
+    pub(super) fn first_token(&self) {
+        let now = self.gateway.now();
+        let mut runners = self.gateway.runners.borrow_mut();
+        let row = runners.row(&self.runner);
+        row.progress.answered(self.rank, self.started, now);
+        drop(runners);
+        if let Some(service) = self.runner.service() {
+            let first = self.elapsed();
+            let model = self.model.clone();
+            self.gateway.learn_pace(service, model, self.ahead, first);
         }
     }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -4,6 +4,7 @@
 pub mod budget;
 pub mod choice;
 pub mod ladder;
+pub mod pace;
 pub mod patience;
 pub mod placement;
 pub mod plan;
--- a/src/policy/patience.rs
+++ b/src/policy/patience.rs
@@ -2,7 +2,8 @@
 //!
 //! Load patterns that this answers: an upstream that hangs while its health is good, one whose answers
 //! are lost, a connection that has gone silent. Under load an upstream is silent because it is busy;
-//! leaving it then only adds to the load, so a full one is given more time.
+//! leaving it then throws away what it has read and makes another read it, so a full one, or one
+//! with much to read, is given more time.
 
 use std::time::Duration;
 
@@ -19,17 +20,65 @@
 /// busy upstream's next event is nearer than another's first.
 const GAP_PARTS: f64 = 1.5;
 
-/// Time in which the head of an answer should come from an upstream of that load.
-pub fn head(target: Duration, load: f64) -> Duration {
+/// Times the forecast of the reading after which an upstream counts as hanging: what it has to read
+/// may be told late, and other prompts go before.
+const FORECAST_FACTOR: f64 = 2.0;
+
+/// Time in which the head of an answer should come from an upstream of that load, which needs
+/// `reading` to read what it has, as far as that is known.
+pub fn head(target: Duration, load: f64, reading: Option<Duration>) -> Duration {
     let part = if load < BUSY {
         HEAD_PART
     } else {
         BUSY_HEAD_PART
     };
-    target.mul_f64(part)
+    let forecast = reading.unwrap_or_default().mul_f64(FORECAST_FACTOR);
+    target.mul_f64(part).max(forecast)
 }
 
 /// Time in which the next event of a stream should come; `None` where the route sets no pause.
 pub fn gap(longest: Duration) -> Option<Duration> {
     (!longest.is_zero()).then(|| longest.mul_f64(GAP_PARTS))
 }
+
+/// Part of the target after which a request that still waits at a busy upstream is looked at again.
+const LOOK_PART: f64 = 0.2;
+
+/// Part of the target by which a request must have been sent later to tell that one before it is lost:
+/// shorter prompts may pass a long one.
+const PASSED_PART: f64 = 0.2;
+
+/// Time until the next look at an upstream that was busy.
+pub fn look_again(target: Duration) -> Duration {
+    target.mul_f64(LOOK_PART)
+}
+
+/// Ranks that requests at an upstream have; the most urgent is 0.
+pub const RANKS: usize = 10;
+
+/// How an upstream gets on with the requests of one gateway.
+#[derive(Clone, Debug, Default)]
+pub struct Progress {
+    /// Last answer.
+    answered: Option<Duration>,
+    /// By rank, when the last sent of the answered requests was sent.
+    sent: [Option<Duration>; RANKS],
+}
+
+impl Progress {
+    /// A request of that rank, sent at `sent`, is answered.
+    pub fn answered(&mut self, rank: usize, sent: Duration, now: Duration) {
+        self.answered = Some(now);
+        if let Some(last) = self.sent.get_mut(rank) {
+            *last = (*last).max(Some(sent));
+        }
+    }
+
+    /// Whether a silent request sent at `sent` only waits for its turn: the upstream has answered since,
+    /// and none that was sent clearly later and is no more urgent.
+    pub fn is_busy(&self, rank: usize, sent: Duration, target: Duration) -> bool {
+        let later = sent + target.mul_f64(PASSED_PART);
+        let passed = self.sent.iter().skip(rank).flatten().any(|&at| at > later);
+        self.answered.is_some_and(|at| at > sent) && !passed
+    }
+}
--- a/tests/load/ladder.rs
+++ b/tests/load/ladder.rs
@@ -1,6 +1,9 @@
 //! Pattern: most requests are easy, a few are hard, and nobody says which.
 
+use std::time::Duration;
+
 use daisyquay::policy::ladder;
+use daisyquay::policy::ladder::Outlook;
 
 /// A request's hardness and the small model's opinion of its own answer, which is rough.
 fn requests(n: usize) -> Vec<(f64, f64)> {
@@ -36,7 +39,7 @@
     let requests = requests(20_000);
     let cascade = outcome(&requests, |confidence| {
         let first = ladder::first(3).unwrap();
-        match ladder::escalate(3, first, Some(confidence)) {
+        match ladder::escalate(3, first, Some(confidence), |_| None) {
             Some(larger) => vec![first, larger],
             None => vec![first],
         }
@@ -49,8 +52,49 @@
 
 #[test]
 fn the_largest_model_and_a_silent_one_are_not_doubted() {
-    assert_eq!(ladder::escalate(3, 2, Some(0.0)), None);
-    assert_eq!(ladder::escalate(3, 0, None), None);
-    assert_eq!(ladder::escalate(1, 0, Some(0.0)), None);
+    assert_eq!(ladder::escalate(3, 2, Some(0.0), |_| None), None);
+    assert_eq!(ladder::escalate(3, 0, None, |_| None), None);
+    assert_eq!(ladder::escalate(1, 0, Some(0.0), |_| None), None);
     assert_eq!(ladder::first(0), None);
 }
+
+fn outlook(queue_ms: u64, reading_ms: u64) -> Option<Outlook> {
+    Some(Outlook {
+        target: Duration::from_secs(4),
+        passed: Duration::from_millis(300),
+        queue: Duration::from_millis(queue_ms),
+        reading: Duration::from_millis(reading_ms),
+    })
+}
+
+/// Pattern: a crowd that comes back at once. A second reading would be late and delay the others.
+#[test]
+fn a_doubtful_answer_is_kept_where_a_larger_model_is_late_for_the_crowd() {
+    let ask = |queue_ms, reading_ms| {
+        ladder::escalate(3, 0, Some(20.0), |_| outlook(queue_ms, reading_ms))
+    };
+    assert_eq!(ask(200, 600), Some(2), "in time");
+    assert_eq!(ask(3_500, 600), None, "late behind others");
+    assert_eq!(ask(0, 6_000), Some(2), "late by its own length alone");
+}
+
+/// Pattern: a surge on few upstreams. Each escalation takes the room of many first answers.
+#[test]
+fn in_a_surge_more_first_answers_are_in_time_than_with_escalation_at_any_load() {
+    let in_time = |look: bool| {
+        let requests = requests(3_000);
+        let (mut queue, mut good) = (0.0_f64, 0);
+        for (_, confidence) in requests {
+            // One arrives each 20 ms; a first answer takes 15 ms, a second one 150 ms.
+            queue = (queue - 20.0).max(0.0) + 15.0;
+            good += u32::from(queue < 4_000.0);
+            let seen = outlook(queue as u64, 150);
+            if ladder::escalate(3, 0, Some(confidence), |_| seen.filter(|_| look)).is_some() {
+                queue += 150.0;
+            }
+        }
+        good
+    };
+    assert!(in_time(true) > 2_900, "{}", in_time(true));
+    assert!(in_time(false) < 1_000, "{}", in_time(false));
+}
--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -4,6 +4,7 @@
 
 mod budget;
 mod ladder;
+mod pace;
 mod patience;
 mod placement;
 mod release;
