Let heads of data centres pass on what many gateways tell each other

Cause: on the grown sites each of 88 gateways told all others, up to 43,000 datagrams a second.

Change: `policy::spread` decides whom a gateway tells. Up to 17 gateways tell each other as before. With more, the first gateway of a data centre that is heard passes things on.

Base sites have 9 and 10 gateways and go on as before.

--- a/src/gateway/loads.rs
+++ b/src/gateway/loads/mod.rs
@@ -3,9 +3,11 @@
 //!
 //! Reports of the upstreams are late, and every gateway reads the same ones. So each gateway tells
 //! the others how much of its own work lies where, in datagrams that say the state and not the change:
-//! one that is lost is made good by the next.
+//! one that is lost is made good by the next. `policy::spread` says whom it tells.
+
+mod mail;
+mod teller;
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,12 +15,17 @@
 use serde::Serialize;
 use tokio::net::UdpSocket;
 
+use self::mail::Mail;
+use self::teller::Teller;
 use super::Gateway;
 use crate::agreement::Index;
-use crate::codec;
 use crate::collections::HashMap;
 use crate::log::event;
 use crate::policy::sessions::Side;
+use crate::policy::spread;
+use crate::policy::spread::Pass;
+use crate::policy::spread::Peer;
+use crate::policy::spread::Routes;
 
 /// Least time between two tellings of one gateway.
 const TELL_LEAST: Duration = Duration::from_millis(10);
@@ -37,8 +44,17 @@
 /// read within milliseconds.
 const CHANGE_LEAST: u64 = 6_000;
 
-/// Most bytes of one datagram.
-const DATAGRAM_LIMIT: usize = 8 * 1024;
+/// Least time between two tellings where heads pass them on: three of them lie between two gateways,
+/// and a prompt is read in a few hundred milliseconds.
+const TELL_BY_HEADS: Duration = Duration::from_millis(40);
+
+/// Time for each other gateway between two tellings where heads pass them on: a gateway hears some
+/// 130 kB/s at most, however many there are.
+const TELL_BY_HEADS_PER_PEER: Duration = Duration::from_micros(450);
+
+/// Silence after which a gateway is not counted on to pass things on. A head passes on what its members
+/// tell, which is several times as often.
+const HEARD_WITHIN: Duration = Duration::from_millis(500);
 
 /// Upstreams in one datagram.
 const ROWS_LIMIT: usize = 256;
@@ -66,7 +82,7 @@
     }
 }
 
-#[derive(Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 struct Telling {
     /// The telling gateway's run.
     run: u64,
@@ -93,10 +109,11 @@
 }
 
 impl Others {
-    fn take(&mut self, telling: Telling, now: Duration) {
+    /// Takes a telling; `false` where it is known already.
+    fn take(&mut self, telling: Telling, now: Duration) -> bool {
         let other = self.gateways.entry(telling.run).or_default();
         if telling.seq <= other.seq {
-            return;
+            return false;
         }
         other.seq = telling.seq;
         other.heard = now;
@@ -106,6 +123,7 @@
         for (number, work) in telling.rows.into_iter().take(ROWS_LIMIT) {
             other.rows.insert(number, work);
         }
+        true
     }
 
     fn forget_silent(&mut self, now: Duration) {
@@ -127,32 +145,64 @@
 
 /// Listens to the other gateways and tells them, as long as the process runs.
 pub(super) async fn exchange(gateway: Rc<Gateway>, socket: UdpSocket) {
-    let socket = Rc::new(socket);
-    tokio::task::spawn_local(listen(gateway.clone(), socket.clone()));
+    let mail = Rc::new(Mail::new(socket));
+    tokio::task::spawn_local(listen(gateway.clone(), mail.clone()));
     let mut teller = Teller::default();
     loop {
-        let pause = TELL_LEAST.max(TELL_PER_PEER * u32::try_from(teller.peers).unwrap_or(u32::MAX));
-        tokio::time::sleep(pause).await;
+        let routes = routes(&gateway, &mail);
+        tokio::time::sleep(pause(&routes)).await;
         let woken = gateway.work_changed.notified();
         let _ = tokio::time::timeout(TELL_ALL, woken).await;
-        teller.tell(&gateway, &socket).await;
+        if let Some(telling) = teller.tell(&gateway) {
+            mail.tell(telling, &routes).await;
+        }
+        mail.pass_on(&routes).await;
         let now = gateway.now();
         gateway.others.borrow_mut().forget_silent(now);
     }
 }
 
-async fn listen(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
-    let mut buf = vec![0; DATAGRAM_LIMIT];
+fn pause(routes: &Routes) -> Duration {
+    let peers = u32::try_from(routes.peers).unwrap_or(u32::MAX);
+    if routes.by_heads {
+        TELL_BY_HEADS.max(TELL_BY_HEADS_PER_PEER.saturating_mul(peers))
+    } else {
+        TELL_LEAST.max(TELL_PER_PEER.saturating_mul(peers))
+    }
+}
+
+/// Whom to tell now.
+fn routes(gateway: &Gateway, mail: &Mail) -> Routes {
+    let own = &gateway.info;
+    let since = gateway.now().saturating_sub(HEARD_WITHIN);
+    let picture = gateway.picture();
+    let others = picture
+        .entries
+        .iter()
+        .filter(|info| info.address != own.address);
+    let peers: Vec<Peer> = others
+        .filter_map(|info| {
+            let address = info.loads?;
+            Some(Peer {
+                address,
+                data_centre: info.data_centre.clone(),
+                heard: mail.heard_since(address, since),
+            })
+        })
+        .collect();
+    let address = gateway.cfg.loads_listen;
+    spread::routes(address, &own.data_centre, &peers, mail.next_turn())
+}
+
+async fn listen(gateway: Rc<Gateway>, mail: Rc<Mail>) {
     loop {
-        match socket.recv_from(&mut buf).await {
-            Ok((n, from)) => match codec::decode::<Telling>(&buf[..n]) {
-                Ok(telling) => {
-                    let now = gateway.now();
-                    gateway.sessions.borrow_mut().take(&telling.sessions, now);
-                    gateway.others.borrow_mut().take(telling, now);
+        match mail.receive().await {
+            Ok((from, packet)) => {
+                mail.note_heard(from, gateway.now());
+                for telling in packet.tellings {
+                    take(&gateway, &mail, telling, packet.pass);
                 }
-                Err(e) => event!(Debug, "telling_unreadable", from = from, error = e),
-            },
+            }
             Err(e) => {
                 event!(Warn, "loads_not_heard", error = e);
                 tokio::time::sleep(TELL_ALL).await;
@@ -161,72 +211,16 @@
     }
 }
 
-#[derive(Default)]
-struct Teller {
-    seq: u64,
-    told: HashMap<Index, Work>,
-    told_all: Option<Duration>,
-    peers: usize,
-}
-
-impl Teller {
-    async fn tell(&mut self, gateway: &Gateway, socket: &UdpSocket) {
-        let now = gateway.now();
-        let peers: Vec<SocketAddr> = gateway
-            .picture()
-            .entries
-            .iter()
-            .filter(|info| info.address != gateway.info.address)
-            .filter_map(|info| info.loads)
-            .collect();
-        self.peers = peers.len();
-        let all = self.told_all.is_none_or(|at| now >= at + TELL_ALL);
-        let work = gateway.runners.borrow().own_work();
-        let rows = self.rows(&work, all);
-        let sessions = gateway.sessions.borrow_mut().take_news();
-        if rows.is_empty() && sessions.is_empty() && !all {
-            return;
-        }
-        self.seq += 1;
-        let telling = Telling {
-            run: gateway.run,
-            seq: self.seq,
-            all,
-            rows,
-            sessions,
-        };
-        let bytes = codec::encode(&telling);
-        for peer in peers {
-            if let Err(e) = socket.send_to(&bytes, peer).await {
-                // A later telling makes good for it.
-                event!(Debug, "loads_not_told", to = peer, error = e);
-            }
-        }
-        if all {
-            self.told_all = Some(now);
-        }
+fn take(gateway: &Gateway, mail: &Mail, telling: Telling, pass: Pass) {
+    if telling.run == gateway.run {
+        return;
     }
-
-    /// What to tell, and notes that it has been told.
-    fn rows(&mut self, work: &HashMap<Index, Work>, all: bool) -> Vec<(Index, Work)> {
-        if all {
-            self.told.clone_from(work);
-            return work.iter().map(|(&n, &w)| (n, w)).collect();
-        }
-        let mut rows = Vec::new();
-        for (&number, work) in work {
-            let told = self.told.entry(number).or_default();
-            if work.differs(told) {
-                *told = *work;
-                rows.push((number, *work));
-            }
-        }
-        for (&number, told) in &mut self.told {
-            if !work.contains_key(&number) && *told != Work::default() {
-                *told = Work::default();
-                rows.push((number, Work::default()));
-            }
-        }
-        rows
+    let now = gateway.now();
+    gateway.sessions.borrow_mut().take(&telling.sessions, now);
+    let passed = (pass != Pass::Nowhere).then(|| telling.clone());
+    let is_new = gateway.others.borrow_mut().take(telling, now);
+    if let Some(passed) = passed.filter(|_| is_new) {
+        mail.queue(passed, pass);
+        gateway.work_changed.notify_one();
     }
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -15,3 +15,4 @@
 pub mod rollout;
 pub mod sessions;
 pub mod share;
+pub mod spread;
--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -9,3 +9,4 @@
 mod placement;
 mod release;
 mod sessions;
+mod spread;
