--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -2,7 +2,8 @@
 //!
 //! Load patterns that this answers: many gateways that read the same lagged reports (nobody may run
 //! to the one that looks idle), prompts that share long parts (the upstream that has read them is
-//! worth a wait, until it is much fuller than others), an upstream that hangs or fails.
+//! worth a wait, until it is much fuller than others), data centres with traffic of their own (bytes
+//! between them are paid for), an upstream that hangs or fails.
 
 use std::hash::BuildHasher;
 use std::hash::Hash;
@@ -22,6 +23,10 @@
 /// that run there.
 const REREAD_FACTOR: f64 = 3.0;
 
+/// What another data centre costs a prompt, in tokens of the smallest model. Its bytes are paid for,
+/// so a short wait or a short shared part is no reason to leave; a long shared part is.
+const FAR_READING: u64 = 6_000;
+
 /// An upstream that could take the request.
 #[derive(Clone, Debug)]
 pub struct Spot {
@@ -118,7 +123,9 @@
     let has_room = |i: usize| spots[i].load < ROOM && spots[i].held < ROOM;
     let cost = |(rank, i): (usize, usize)| {
         let reread = if rank == 0 { 0 } else { reread };
-        (!has_room(i), spots[i].reading.saturating_add(reread))
+        let far = if spots[i].near { 0 } else { FAR_READING };
+        let reading = spots[i].reading.saturating_add(reread);
+        (!has_room(i), reading.saturating_add(far))
     };
     let best = order.iter().copied().enumerate().min_by_key(|&at| cost(at));
     best.map(|(_, i)| i)
--- a/tests/load/placement.rs
+++ b/tests/load/placement.rs
@@ -93,6 +93,22 @@
     );
 }
 
+/// Pattern: each data centre has traffic of its own, and bytes between them are paid for.
+#[test]
+fn short_prompts_stay_in_their_data_centre_until_it_is_busier() {
+    let mut spots = spots(12);
+    let near = |spots: &[Spot], tokens| {
+        let placed = (0..300).map(|part| place(spots, need(part, tokens), true, &mut rng()));
+        placed.flatten().filter(|&i| spots[i].near).count()
+    };
+    assert_eq!(near(&spots, 500), 300);
+    assert!(near(&spots, 5_000) < 200, "long parts go to who holds them");
+    for spot in spots.iter_mut().filter(|spot| spot.near) {
+        spot.reading = 20_000;
+    }
+    assert_eq!(near(&spots, 500), 0);
+}
+
 #[test]
 fn a_full_upstream_gets_work_only_when_all_are_full() {
     let mut spots = spots(4);
