Tell from logs what became of a request: `daisyquay explain`

Cause: on-call engineers have an id and the logs of many processes; docs/OPERATIONS.md asked them to grep and to know the codes.

Lines may carry a collector's label in front.

Tests: tests/cli/explain.rs, on refusals, a broken stream, a failure under a release, a late answer, an id that no line names.

--- a/src/cli/operator.rs
+++ b/src/cli/operator.rs
@@ -90,6 +90,24 @@
                         .help("Goes on with new lines until interrupted"),
                 ),
         )
+        .subcommand(
+            Command::new("explain")
+                .about("Tells from logs what became of a request")
+                .arg(
+                    Arg::new("request")
+                        .value_name("ID")
+                        .required(true)
+                        .help("Id of the request, as the caller sent it"),
+                )
+                .arg(
+                    Arg::new("logs")
+                        .value_name("FILE")
+                        .required(true)
+                        .num_args(1..)
+                        .value_parser(value_parser!(PathBuf))
+                        .help("Logs of gateways and replicas, each named after its VM"),
+                ),
+        )
         .subcommand(
             Command::new("hash-key")
                 .about("Prints the hash of a key that is read from standard input"),
@@ -226,6 +244,10 @@
         Some(("audit", matches)) => Action::Audit {
             follow: matches.get_flag("follow"),
         },
+        Some(("explain", matches)) => Action::Explain {
+            request: required(matches, "request"),
+            files: many(matches, "logs"),
+        },
         Some(("completions", matches)) => Action::Completions(required(matches, "shell")),
         _ => Action::HashKey,
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod dev;
 pub mod entry;
 pub mod experiment;
+pub mod explain;
 pub mod gateway;
 pub mod lease;
 pub mod listen;
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -20,6 +20,7 @@
 use crate::config::Inventory;
 use crate::config::KeyHash;
 use crate::config::VersionName;
+use crate::explain;
 use crate::peer::Operation;
 use crate::peer::OperationReply;
 use crate::state::command::Change;
@@ -102,6 +103,13 @@
         /// Whether to go on with new lines.
         follow: bool,
     },
+    /// Tells what became of a request.
+    Explain {
+        /// Request.
+        request: String,
+        /// Logs.
+        files: Vec<PathBuf>,
+    },
     /// Prints a key's hash.
     HashKey,
     /// Prints completions for a shell.
@@ -149,6 +157,7 @@
             Ok(ExitCode::Done)
         }
         Action::Audit { follow } => audit(cfg, &state, *follow).await,
+        Action::Explain { request, files } => explain(request, files, cfg.json),
         Action::HashKey => hash_key(),
         Action::Completions(shell) => {
             let mut command = crate::cli::operator::command();
@@ -183,6 +192,22 @@
         .map_err(|problems| usage(format!("{shown}: nothing was applied\n{problems}")))
 }
 
+fn explain(request: &str, files: &[PathBuf], json: bool) -> Result<ExitCode, Failure> {
+    let story = explain::explain(request, files).map_err(|e| Failure {
+        code: match e {
+            explain::Error::Read { .. } => ExitCode::Usage,
+            explain::Error::Unknown { .. } => ExitCode::Failed,
+        },
+        message: e.to_string(),
+    })?;
+    if json {
+        println!("{}", serde_json::json!(story));
+    } else {
+        print!("{story}");
+    }
+    Ok(ExitCode::Done)
+}
+
 fn hash_key() -> Result<ExitCode, Failure> {
     let mut key = String::new();
     let read = std::io::stdin().read_to_string(&mut key);
--- /dev/null
+++ b/tests/cli/explain.rs
@@ -0,0 +1,64 @@
+//! `daisyquay explain` on logs of a few processes.
+
+use std::path::PathBuf;
+
+use crate::operator;
+use crate::shown;
+
+const GATEWAY: &str = r#"time_ms=1000 level=info event=gateway_start vm=front-1 listen=10.1.0.1:80 run=7
+time_ms=1400 level=info event=config_taken revision=3
+time_ms=9000 level=info event=config_taken revision=5
+time_ms=9100 level=info event=attempt request=lost route=r-1 upstream=i-1 release=v1 run=1 outcome=lost reason="no answer before the connection ended" left_ms=1198
+time_ms=9101 level=info event=refused request=lost route=r-1 status=502 code=answer_lost
+time_ms=9150 level=info event=refused request=key route=- status=401 code=unknown_key
+time_ms=9200 level=info event=stream_broke request=broke upstream=i-2 reason="the answer broke off" events=8
+time_ms=9260 level=info event=attempt request=broke route=r-2 upstream=i-3 release=v1 run=2 outcome=not_run reason="the upstream refused it" left_ms=900
+time_ms=9270 level=info event=stream_given_up request=broke reason="the answer broke off" events=8
+time_ms=9300 level=info event=attempt request=new route=r-1 upstream=i-9 release=v2 run=1 outcome=failed reason=- left_ms=700
+time_ms=9400 level=info event=late request=late route=r-2 first_ms=5200 target_ms=4000 tokens_in=52000 model=large tried=i-4 refusals=0 last="no upstream is there"
+half a line without a
+time_ms=9500 level=info event=state_lost revision=5
+time_ms=99500 level=info event=state_found term=4
+"#;
+
+const REPLICA: &str = r#"   9.7000 control-1 time_ms=9700 level=info event=release_rolled_back service=s release=v2 route=r-1
+  88.7000 control-1 time_ms=88700 level=info event=leader_elected term=4
+"#;
+
+/// Two logs in a folder of their own.
+fn logs(name: &str) -> (PathBuf, [PathBuf; 2]) {
+    let dir = std::env::temp_dir().join(format!("daisyquay-{name}-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    let files = [dir.join("front-1.log"), dir.join("control.log")];
+    std::fs::write(&files[0], GATEWAY).unwrap();
+    std::fs::write(&files[1], REPLICA).unwrap();
+    (dir, files)
+}
+
+#[test]
+fn a_request_is_told_from_its_id_to_its_cause() {
+    let (dir, files) = logs("explain");
+    let mut text = String::new();
+    for request in ["lost", "key", "broke", "new", "late", "unknown"] {
+        let paths = files.each_ref().map(|path| path.to_str().unwrap());
+        let output = operator(&["explain", request, paths[0], paths[1]], "");
+        text.push_str(&format!("## {request}\n{}\n", shown(&output)));
+    }
+    std::fs::remove_dir_all(&dir).unwrap();
+    insta::assert_snapshot!(text);
+}
+
+#[test]
+fn json_has_the_same_and_a_missing_log_is_named() {
+    let (dir, files) = logs("explain-json");
+    let path = files[0].to_str().unwrap();
+    let output = operator(&["explain", "key", path, "--json"], "");
+    let story: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap();
+    assert_eq!(story["config"]["fields"]["revision"], "5");
+    assert_eq!(story["lines"][0]["event"], "refused");
+    assert_eq!(story["lines"][0]["node"], "front-1");
+    std::fs::remove_dir_all(&dir).unwrap();
+    let output = operator(&["explain", "key", path], "");
+    assert_eq!(output.status.code(), Some(2));
+    assert!(shown(&output).contains("check the path"));
+}
--- a/tests/cli/main.rs
+++ b/tests/cli/main.rs
@@ -2,6 +2,8 @@
 
 #![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
 
+mod explain;
+
 use std::io::Write;
 use std::process::Command;
 use std::process::Output;
