--- a/tests/process/streams.rs
+++ b/tests/process/streams.rs
@@ -29,7 +29,12 @@
     let runs = || cluster.seen_total(a, "runs") + cluster.seen_total(b, "runs");
     let mut sent = 1;
     while sent < 7 || runs() <= sent {
-        assert!(sent < 70, "no stream broke in {sent} requests");
+        assert!(
+            sent < 70,
+            "no stream broke in {sent} requests; runs: {} at the faulty runner, {} at the other",
+            cluster.seen_total(a, "runs"),
+            cluster.seen_total(b, "runs")
+        );
         sent += 1;
         let body = chat_body("notes@small", "resume me", 40, true);
         let reply = cluster.chat(0, &[], &body).unwrap();
