--- a/src/bin/daisyquay-entry.rs
+++ b/src/bin/daisyquay-entry.rs
@@ -13,11 +13,5 @@
     cli::start_log(&matches);
     let cfg = cli::entry::config(&matches);
     let ended = runtime::block_on("daisyquay-entry", entry::run(cfg, Arc::new(System::new())));
-    match ended {
-        Ok(()) => cli::ExitCode::Done.into(),
-        Err(e) => {
-            eprintln!("daisyquay-entry: {e}");
-            cli::ExitCode::Failed.into()
-        }
-    }
+    cli::report("daisyquay-entry", ended, cli::ExitCode::Failed)
 }
--- a/src/bin/daisyquay-experiment.rs
+++ b/src/bin/daisyquay-experiment.rs
@@ -8,11 +8,6 @@
 fn main() -> ExitCode {
     let matches = cli::experiment::command().get_matches();
     cli::start_log_aside(&matches);
-    match experiment::run(&cli::experiment::config(&matches)) {
-        Ok(()) => cli::ExitCode::Done.into(),
-        Err(e) => {
-            eprintln!("daisyquay-experiment: {e}");
-            cli::ExitCode::Failed.into()
-        }
-    }
+    let ended = experiment::run(&cli::experiment::config(&matches));
+    cli::report("daisyquay-experiment", ended, cli::ExitCode::Failed)
 }
--- a/src/bin/daisyquay-gateway.rs
+++ b/src/bin/daisyquay-gateway.rs
@@ -17,11 +17,5 @@
         running.finish().await;
         Ok::<_, gateway::Error>(())
     });
-    match ended {
-        Ok(()) => cli::ExitCode::Done.into(),
-        Err(e) => {
-            eprintln!("daisyquay-gateway: {e}");
-            cli::ExitCode::Failed.into()
-        }
-    }
+    cli::report("daisyquay-gateway", ended, cli::ExitCode::Failed)
 }
--- a/src/bin/daisyquay-standin.rs
+++ b/src/bin/daisyquay-standin.rs
@@ -11,11 +11,7 @@
     cli::start_log(&matches);
     let cfg = cli::standin::config(&matches);
     let tell = |address| println!("listening on {address}");
-    match runtime::block_on("daisyquay-standin", standin::run(cfg, tell)) {
-        Ok(()) => cli::ExitCode::Done.into(),
-        Err(e) => {
-            eprintln!("daisyquay-standin: {e}; choose another --listen");
-            cli::ExitCode::Failed.into()
-        }
-    }
+    let ended = runtime::block_on("daisyquay-standin", standin::run(cfg, tell))
+        .map_err(|e| format!("{e}; choose another --listen"));
+    cli::report("daisyquay-standin", ended, cli::ExitCode::Failed)
 }
--- a/src/bin/daisyquay-state.rs
+++ b/src/bin/daisyquay-state.rs
@@ -16,11 +16,5 @@
         "daisyquay-state",
         replica::run(cfg, Arc::new(System::new())),
     );
-    match ended {
-        Ok(()) => cli::ExitCode::Done.into(),
-        Err(e) => {
-            eprintln!("daisyquay-state: {e}");
-            cli::ExitCode::Storage.into()
-        }
-    }
+    cli::report("daisyquay-state", ended, cli::ExitCode::Storage)
 }
--- a/src/cli/exit.rs
+++ b/src/cli/exit.rs
@@ -51,3 +51,18 @@
         Self::from(u8::try_from(code.code()).unwrap_or(1))
     }
 }
+
+/// How a program ends whose work ended so; a failure is said on standard error.
+pub fn report<E: std::fmt::Display>(
+    program: &str,
+    ended: Result<(), E>,
+    failed: ExitCode,
+) -> std::process::ExitCode {
+    match ended {
+        Ok(()) => ExitCode::Done.into(),
+        Err(e) => {
+            eprintln!("{program}: {e}");
+            failed.into()
+        }
+    }
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -19,6 +19,7 @@
 use simplelog::LevelFilter;
 
 pub use self::exit::ExitCode;
+pub use self::exit::report;
 
 use crate::collections::Name;
 use crate::config::KeyHash;
--- a/src/entry/handlers.rs
+++ b/src/entry/handlers.rs
@@ -5,7 +5,6 @@
 use ntex::http::HeaderMap;
 use ntex::http::StatusCode;
 use ntex::util::Bytes;
-use ntex::util::BytesMut;
 use ntex::web::HttpRequest;
 use ntex::web::HttpResponse;
 use ntex::web::types::Payload;
@@ -21,6 +20,8 @@
 use crate::api::ModelRow;
 use crate::collections::Name;
 use crate::config::Organisation;
+use crate::listen;
+use crate::listen::BodyError;
 use crate::log::event;
 use crate::peer::LoadRow;
 use crate::peer::Reply;
@@ -76,21 +77,18 @@
         .ok_or_else(Refusal::unknown_key)
 }
 
-async fn read_body(worker: &Worker, mut payload: Payload) -> Result<Bytes, Refusal> {
+async fn read_body(worker: &Worker, payload: Payload) -> Result<Bytes, Refusal> {
     let limit = worker.shared.cfg.body_limit;
-    let mut body = BytesMut::new();
-    while let Some(chunk) = payload.recv().await {
-        let chunk = chunk.map_err(|_| {
+    let body = listen::read_body(payload.into_inner(), limit).await;
+    body.map(Bytes::from).map_err(|e| match e {
+        BodyError::BrokeOff => {
             Refusal::bad("invalid_body", "the body broke off; send the request again")
-        })?;
-        if body.len() + chunk.len() > limit {
+        }
+        BodyError::TooLong => {
             let message = format!("the body is over {limit} bytes; send less");
-            let status = StatusCode::PAYLOAD_TOO_LARGE;
-            return Err(Refusal::new(status, "body_too_large", message));
+            Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", message)
         }
-        body.extend_from_slice(&chunk);
-    }
-    Ok(body.freeze())
+    })
 }
 
 pub(super) async fn chat(
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -20,6 +20,8 @@
 use super::refusal::Refusal;
 use crate::collections::Name;
 use crate::config::Route;
+use crate::listen;
+use crate::listen::BodyError;
 use crate::policy::placement::stable_id;
 use crate::policy::prompt::Prompt;
 
@@ -190,25 +192,17 @@
 /// Reads the whole body of a request.
 pub(super) async fn read_body(gateway: &Rc<Gateway>, req: &mut Request) -> Result<Bytes, Refusal> {
     let limit = gateway.cfg.body_limit;
-    let mut payload = req.take_payload();
-    let mut buf = bytes::BytesMut::new();
-    while let Some(chunk) = payload.recv().await {
-        let chunk = chunk.map_err(|_| {
-            Refusal::refused(
-                StatusCode::BAD_REQUEST,
-                "broken_body",
-                "the body broke off; send the request again",
-            )
-        })?;
-        if buf.len() + chunk.len() > limit {
-            let message = format!("the body is over {limit} bytes; send less");
-            return Err(Refusal::refused(
-                StatusCode::PAYLOAD_TOO_LARGE,
-                "body_too_large",
-                message,
-            ));
-        }
-        buf.extend_from_slice(&chunk);
-    }
-    Ok(buf.freeze())
+    let body = listen::read_body(req.take_payload(), limit).await;
+    body.map(Bytes::from).map_err(|e| match e {
+        BodyError::BrokeOff => Refusal::refused(
+            StatusCode::BAD_REQUEST,
+            "broken_body",
+            "the body broke off; send the request again",
+        ),
+        BodyError::TooLong => Refusal::refused(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "body_too_large",
+            format!("the body is over {limit} bytes; send less"),
+        ),
+    })
 }
--- a/src/listen/mod.rs
+++ b/src/listen/mod.rs
@@ -12,6 +12,7 @@
 use ntex::SharedCfg;
 use ntex::http::HttpService;
 use ntex::http::HttpServiceConfig;
+use ntex::http::Payload;
 use ntex::http::Request;
 use ntex::http::Response;
 use ntex::service::Pipeline;
@@ -39,6 +40,32 @@
 /// Pause after a failed accept: the process is out of descriptors and must close some first.
 const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(20);
 
+/// Why a request's body is not whole.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum BodyError {
+    /// It broke off.
+    BrokeOff,
+    /// It has more bytes than may be read.
+    TooLong,
+}
+
+/// Reads a whole body of at most `limit` bytes.
+///
+/// # Errors
+///
+/// The body broke off or is longer.
+pub async fn read_body(mut payload: Payload, limit: usize) -> Result<Vec<u8>, BodyError> {
+    let mut buf = Vec::new();
+    while let Some(chunk) = payload.recv().await {
+        let chunk = chunk.map_err(|_| BodyError::BrokeOff)?;
+        if buf.len() + chunk.len() > limit {
+            return Err(BodyError::TooLong);
+        }
+        buf.extend_from_slice(&chunk);
+    }
+    Ok(buf)
+}
+
 /// What a handler returns.
 pub type Answering = Pin<Box<dyn Future<Output = Response>>>;
 
