Name the gateways' updates by the field's words

Cause: reading the change as a newcomer: tellings, tellers, mail and heads that pass on, where the field says updates, publisher, transport, hubs and fan-out; `head` also meant an answer's head. `is_head` and `by_heads` could be derived, and the turn counter stood in the socket's type.

Change: `policy::fanout` (was `spread`), `gateway::loads::{publisher, transport}`; two fields became queries; the turn is the loop's own. What is sent, when and to whom is as before.

--- a/src/gateway/loads/mod.rs
+++ b/src/gateway/loads/mod.rs
@@ -1,12 +1,12 @@
-//! What the gateways tell each other: their own requests at the upstreams, and sessions that a
+//! What the gateways publish to each other: their own requests at the upstreams, and sessions that a
 //! roll-out could choose.
 //!
-//! Reports of the upstreams are late, and every gateway reads the same ones. So each gateway tells
-//! the others how much of its own work lies where, in datagrams that say the state and not the change:
-//! one that is lost is made good by the next. `policy::spread` says whom it tells.
+//! Reports of the upstreams are late, and every gateway reads the same ones. So each gateway publishes
+//! how much of its own work lies where, in datagrams that hold the state and not the change: one that
+//! is lost is made good by the next. `policy::fanout` decides whom it sends to.
 
-mod mail;
-mod teller;
+mod publisher;
+mod transport;
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,45 +15,45 @@
 use serde::Serialize;
 use tokio::net::UdpSocket;
 
-use self::mail::Mail;
-use self::teller::Teller;
+use self::publisher::Publisher;
+use self::transport::Transport;
 use super::Gateway;
 use crate::agreement::Index;
 use crate::collections::HashMap;
 use crate::log::event;
+use crate::policy::fanout;
+use crate::policy::fanout::Fanout;
+use crate::policy::fanout::Forward;
+use crate::policy::fanout::Peer;
 use crate::policy::sessions::Side;
-use crate::policy::spread;
-use crate::policy::spread::Pass;
-use crate::policy::spread::Peer;
-use crate::policy::spread::Routes;
 
-/// Least time between two tellings of one gateway.
-const TELL_LEAST: Duration = Duration::from_millis(10);
+/// Least time between two updates of one gateway.
+const INTERVAL_LEAST: Duration = Duration::from_millis(10);
 
-/// Time for each other gateway between two tellings, so that many gateways send no more together
+/// Time for each other gateway between two updates, so that many gateways send no more together
 /// than few do.
-const TELL_PER_PEER: Duration = Duration::from_millis(2);
+const INTERVAL_PER_PEER: Duration = Duration::from_millis(2);
 
-/// Time after which everything is told again: a datagram may have been lost.
-const TELL_ALL: Duration = Duration::from_secs(1);
+/// Time after which a full update is due: a datagram may have been lost.
+const FULL_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Time after which a gateway that says nothing counts as gone, with all its requests.
 const FORGET_AFTER: Duration = Duration::from_millis(3500);
 
-/// Change of one upstream's work that is worth a telling, in tokens of the smallest model: less is
+/// Change of one upstream's work that is worth an update, in tokens of the smallest model: less is
 /// read within milliseconds.
 const CHANGE_LEAST: u64 = 6_000;
 
-/// Least time between two tellings where heads pass them on: three of them lie between two gateways,
+/// Least time between two updates where hubs forward them: three of them lie between two gateways,
 /// and a prompt is read in a few hundred milliseconds.
-const TELL_BY_HEADS: Duration = Duration::from_millis(40);
+const HUB_INTERVAL: Duration = Duration::from_millis(40);
 
-/// Time for each other gateway between two tellings where heads pass them on: a gateway hears some
+/// Time for each other gateway between two updates where hubs forward them: a gateway receives some
 /// 130 kB/s at most, however many there are.
-const TELL_BY_HEADS_PER_PEER: Duration = Duration::from_micros(450);
+const HUB_INTERVAL_PER_PEER: Duration = Duration::from_micros(450);
 
-/// Silence after which a gateway is not counted on to pass things on. A head passes on what its members
-/// tell, which is several times as often.
+/// Silence after which a gateway is not counted on to forward. A hub forwards the updates of all its
+/// members, which come several times as often.
 const HEARD_WITHIN: Duration = Duration::from_millis(500);
 
 /// Upstreams in one datagram.
@@ -71,8 +71,8 @@
 }
 
 impl Work {
-    fn differs(&self, told: &Self) -> bool {
-        self.reading.abs_diff(told.reading) >= CHANGE_LEAST
+    fn differs(&self, published: &Self) -> bool {
+        self.reading.abs_diff(published.reading) >= CHANGE_LEAST
     }
 
     pub(super) fn add(&mut self, other: &Self) {
@@ -83,15 +83,16 @@
 }
 
 #[derive(Clone, Debug, Deserialize, Serialize)]
-struct Telling {
-    /// The telling gateway's run.
+struct Update {
+    /// The publishing gateway's run.
     run: u64,
-    /// Grows with each telling.
+    /// Grows with each update.
     seq: u64,
     /// Whether the rows are all that it has.
     all: bool,
     rows: Vec<(Index, Work)>,
-    /// Sessions that took a side since the telling before.
+    /// Sessions that took a side since the update before; a full update repeats those since the last
+    /// full one.
     sessions: Vec<Side>,
 }
 
@@ -102,25 +103,25 @@
     rows: HashMap<Index, Work>,
 }
 
-/// What the other gateways told.
+/// What the other gateways published.
 #[derive(Debug, Default)]
 pub(super) struct Others {
     gateways: HashMap<u64, Other>,
 }
 
 impl Others {
-    /// Takes a telling; `false` where it is known already.
-    fn take(&mut self, telling: Telling, now: Duration) -> bool {
-        let other = self.gateways.entry(telling.run).or_default();
-        if telling.seq <= other.seq {
+    /// Takes an update; `false` where it is known already.
+    fn take(&mut self, update: Update, now: Duration) -> bool {
+        let other = self.gateways.entry(update.run).or_default();
+        if update.seq <= other.seq {
             return false;
         }
-        other.seq = telling.seq;
+        other.seq = update.seq;
         other.heard = now;
-        if telling.all {
+        if update.all {
             other.rows.clear();
         }
-        for (number, work) in telling.rows.into_iter().take(ROWS_LIMIT) {
+        for (number, work) in update.rows.into_iter().take(ROWS_LIMIT) {
             other.rows.insert(number, work);
         }
         true
@@ -143,36 +144,37 @@
     }
 }
 
-/// Listens to the other gateways and tells them, as long as the process runs.
+/// Receives the other gateways' updates and publishes its own, as long as the process runs.
 pub(super) async fn exchange(gateway: Rc<Gateway>, socket: UdpSocket) {
-    let mail = Rc::new(Mail::new(socket));
-    tokio::task::spawn_local(listen(gateway.clone(), mail.clone()));
-    let mut teller = Teller::default();
-    loop {
-        let routes = routes(&gateway, &mail);
-        tokio::time::sleep(pause(&routes)).await;
+    let transport = Rc::new(Transport::new(socket));
+    tokio::task::spawn_local(receive(gateway.clone(), transport.clone()));
+    let mut publisher = Publisher::default();
+    for turn in 0.. {
+        let fanout = fanout_now(&gateway, &transport, turn);
+        tokio::time::sleep(interval(&fanout)).await;
         let woken = gateway.work_changed.notified();
-        let _ = tokio::time::timeout(TELL_ALL, woken).await;
-        if let Some(telling) = teller.tell(&gateway) {
-            mail.tell(telling, &routes).await;
+        let _ = tokio::time::timeout(FULL_INTERVAL, woken).await;
+        if let Some(update) = publisher.next_update(&gateway) {
+            transport.publish(update, &fanout).await;
         }
-        mail.pass_on(&routes).await;
+        transport.forward(&fanout).await;
         let now = gateway.now();
         gateway.others.borrow_mut().forget_silent(now);
     }
 }
 
-fn pause(routes: &Routes) -> Duration {
-    let peers = u32::try_from(routes.peers).unwrap_or(u32::MAX);
-    if routes.by_heads {
-        TELL_BY_HEADS.max(TELL_BY_HEADS_PER_PEER.saturating_mul(peers))
+/// Time until the next update.
+fn interval(fanout: &Fanout) -> Duration {
+    let peers = u32::try_from(fanout.peers).unwrap_or(u32::MAX);
+    if fanout.has_hubs() {
+        HUB_INTERVAL.max(HUB_INTERVAL_PER_PEER.saturating_mul(peers))
     } else {
-        TELL_LEAST.max(TELL_PER_PEER.saturating_mul(peers))
+        INTERVAL_LEAST.max(INTERVAL_PER_PEER.saturating_mul(peers))
     }
 }
 
-/// Whom to tell now.
-fn routes(gateway: &Gateway, mail: &Mail) -> Routes {
+/// Whom to send to now.
+fn fanout_now(gateway: &Gateway, transport: &Transport, turn: usize) -> Fanout {
     let own = &gateway.info;
     let since = gateway.now().saturating_sub(HEARD_WITHIN);
     let picture = gateway.picture();
@@ -186,41 +188,41 @@
             Some(Peer {
                 address,
                 data_centre: info.data_centre.clone(),
-                heard: mail.heard_since(address, since),
+                heard: transport.heard_since(address, since),
             })
         })
         .collect();
     let address = gateway.cfg.loads_listen;
-    spread::routes(address, &own.data_centre, &peers, mail.next_turn())
+    fanout::fanout(address, &own.data_centre, &peers, turn)
 }
 
-async fn listen(gateway: Rc<Gateway>, mail: Rc<Mail>) {
+async fn receive(gateway: Rc<Gateway>, transport: Rc<Transport>) {
     loop {
-        match mail.receive().await {
+        match transport.receive().await {
             Ok((from, packet)) => {
-                mail.note_heard(from, gateway.now());
-                for telling in packet.tellings {
-                    take(&gateway, &mail, telling, packet.pass);
+                transport.note_heard(from, gateway.now());
+                for update in packet.updates {
+                    take(&gateway, &transport, update, packet.forward);
                 }
             }
             Err(e) => {
-                event!(Warn, "loads_not_heard", error = e);
-                tokio::time::sleep(TELL_ALL).await;
+                event!(Warn, "updates_not_received", error = e);
+                tokio::time::sleep(FULL_INTERVAL).await;
             }
         }
     }
 }
 
-fn take(gateway: &Gateway, mail: &Mail, telling: Telling, pass: Pass) {
-    if telling.run == gateway.run {
+fn take(gateway: &Gateway, transport: &Transport, update: Update, forward: Forward) {
+    if update.run == gateway.run {
         return;
     }
     let now = gateway.now();
-    gateway.sessions.borrow_mut().take(&telling.sessions, now);
-    let passed = (pass != Pass::Nowhere).then(|| telling.clone());
-    let is_new = gateway.others.borrow_mut().take(telling, now);
-    if let Some(passed) = passed.filter(|_| is_new) {
-        mail.queue(passed, pass);
+    gateway.sessions.borrow_mut().take(&update.sessions, now);
+    let forwarded = (forward != Forward::Nowhere).then(|| update.clone());
+    let is_new = gateway.others.borrow_mut().take(update, now);
+    if let Some(forwarded) = forwarded.filter(|_| is_new) {
+        transport.queue(forwarded, forward);
         gateway.work_changed.notify_one();
     }
 }
--- a/src/gateway/loads/teller.rs
+++ b/src/gateway/loads/publisher.rs
@@ -1,9 +1,9 @@
-//! What one gateway has to tell.
+//! What one gateway has to publish.
 
 use std::time::Duration;
 
-use super::TELL_ALL;
-use super::Telling;
+use super::FULL_INTERVAL;
+use super::Update;
 use super::Work;
 use crate::agreement::Index;
 use crate::collections::HashMap;
@@ -11,19 +11,19 @@
 use crate::policy::sessions::Side;
 
 #[derive(Default)]
-pub(super) struct Teller {
+pub(super) struct Publisher {
     seq: u64,
-    told: HashMap<Index, Work>,
-    told_all: Option<Duration>,
-    /// Sessions told since everything was told; they are told once more with it.
+    published: HashMap<Index, Work>,
+    full_at: Option<Duration>,
+    /// Sessions published since the last full update; the next one repeats them.
     sessions: Vec<Side>,
 }
 
-impl Teller {
-    /// The next telling; `None` where nothing has changed.
-    pub(super) fn tell(&mut self, gateway: &Gateway) -> Option<Telling> {
+impl Publisher {
+    /// The next update; `None` where nothing has changed.
+    pub(super) fn next_update(&mut self, gateway: &Gateway) -> Option<Update> {
         let now = gateway.now();
-        let all = self.told_all.is_none_or(|at| now >= at + TELL_ALL);
+        let all = self.full_at.is_none_or(|at| now >= at + FULL_INTERVAL);
         let work = gateway.runners.borrow().own_work();
         let rows = self.rows(&work, all);
         let news = gateway.sessions.borrow_mut().take_news();
@@ -33,12 +33,12 @@
         self.seq += 1;
         self.sessions.extend_from_slice(&news);
         let sessions = if all {
-            self.told_all = Some(now);
+            self.full_at = Some(now);
             std::mem::take(&mut self.sessions)
         } else {
             news
         };
-        Some(Telling {
+        Some(Update {
             run: gateway.run,
             seq: self.seq,
             all,
@@ -47,23 +47,23 @@
         })
     }
 
-    /// What to tell, and notes that it has been told.
+    /// Rows to publish, and notes that they have been.
     fn rows(&mut self, work: &HashMap<Index, Work>, all: bool) -> Vec<(Index, Work)> {
         if all {
-            self.told.clone_from(work);
+            self.published.clone_from(work);
             return work.iter().map(|(&n, &w)| (n, w)).collect();
         }
         let mut rows = Vec::new();
         for (&number, work) in work {
-            let told = self.told.entry(number).or_default();
-            if work.differs(told) {
-                *told = *work;
+            let published = self.published.entry(number).or_default();
+            if work.differs(published) {
+                *published = *work;
                 rows.push((number, *work));
             }
         }
-        for (&number, told) in &mut self.told {
-            if !work.contains_key(&number) && *told != Work::default() {
-                *told = Work::default();
+        for (&number, published) in &mut self.published {
+            if !work.contains_key(&number) && *published != Work::default() {
+                *published = Work::default();
                 rows.push((number, Work::default()));
             }
         }
--- a/src/gateway/loads/mail.rs
+++ b/src/gateway/loads/transport.rs
@@ -1,6 +1,5 @@
-//! Datagrams between the gateways, and what waits to be passed on.
+//! Datagrams between the gateways, and updates that wait to be forwarded.
 
-use std::cell::Cell;
 use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddr;
@@ -10,51 +9,49 @@
 use serde::Serialize;
 use tokio::net::UdpSocket;
 
-use super::Telling;
+use super::Update;
 use crate::codec;
 use crate::collections::HashMap;
 use crate::log::event;
-use crate::policy::spread::Pass;
-use crate::policy::spread::Routes;
+use crate::policy::fanout::Fanout;
+use crate::policy::fanout::Forward;
 
 /// Most bytes of a datagram that is received.
 const DATAGRAM_LIMIT: usize = 8 * 1024;
 
-/// Bytes up to which tellings share a datagram, so that links need not cut it.
+/// Bytes up to which updates share a datagram, so that links need not cut it.
 const PACKET_BYTES: usize = 1_200;
 
-/// Tellings that wait to be passed on; more than these come only while nothing is sent.
+/// Updates that wait to be forwarded; more than these come only while nothing is sent.
 const QUEUE_LIMIT: usize = 4_096;
 
-/// Bytes of a telling, and of each upstream and session in it, at most.
-const TELLING_BYTES: usize = 24;
+/// Bytes of an update, and of each upstream and session in it, about.
+const UPDATE_BYTES: usize = 24;
 const ROW_BYTES: usize = 24;
 const SESSION_BYTES: usize = 10;
 
 /// What one datagram carries.
 #[derive(Debug, Deserialize, Serialize)]
 pub(super) struct Packet {
-    pub(super) pass: Pass,
-    pub(super) tellings: Vec<Telling>,
+    pub(super) forward: Forward,
+    pub(super) updates: Vec<Update>,
 }
 
-/// The socket and the tellings to be passed on.
-pub(super) struct Mail {
+/// The socket and the updates to be forwarded.
+pub(super) struct Transport {
     socket: UdpSocket,
     buf: RefCell<Vec<u8>>,
     heard: RefCell<HashMap<SocketAddr, Duration>>,
-    queue: RefCell<Vec<(Telling, Pass)>>,
-    turn: Cell<usize>,
+    queue: RefCell<Vec<(Update, Forward)>>,
 }
 
-impl Mail {
+impl Transport {
     pub(super) fn new(socket: UdpSocket) -> Self {
         Self {
             socket,
             buf: RefCell::new(vec![0; DATAGRAM_LIMIT]),
             heard: RefCell::default(),
             queue: RefCell::default(),
-            turn: Cell::new(0),
         }
     }
 
@@ -64,13 +61,6 @@
         heard.get(&address).is_some_and(|&at| at >= since)
     }
 
-    /// A number that grows from call to call.
-    pub(super) fn next_turn(&self) -> usize {
-        let turn = self.turn.get();
-        self.turn.set(turn.wrapping_add(1));
-        turn
-    }
-
     /// Notes that something came from there.
     pub(super) fn note_heard(&self, address: SocketAddr, now: Duration) {
         self.heard.borrow_mut().insert(address, now);
@@ -88,42 +78,43 @@
             };
             match codec::decode::<Packet>(&self.buf.borrow()[..n]) {
                 Ok(packet) => return Ok((from, packet)),
-                Err(e) => event!(Debug, "telling_unreadable", from = from, error = e),
+                Err(e) => event!(Debug, "update_unreadable", from = from, error = e),
             }
         }
     }
 
-    /// Keeps a telling until the next [`Mail::pass_on`].
-    pub(super) fn queue(&self, telling: Telling, pass: Pass) {
+    /// Keeps an update until the next [`Transport::forward`].
+    pub(super) fn queue(&self, update: Update, forward: Forward) {
         let mut queue = self.queue.borrow_mut();
         if queue.len() < QUEUE_LIMIT {
-            queue.push((telling, pass));
+            queue.push((update, forward));
         }
     }
 
-    /// Sends what this gateway has to tell itself.
-    pub(super) async fn tell(&self, telling: Telling, routes: &Routes) {
-        for &(to, pass) in &routes.own {
-            let tellings = vec![telling.clone()];
-            self.send(to, &codec::encode(&Packet { pass, tellings }))
+    /// Sends an update of this gateway.
+    pub(super) async fn publish(&self, update: Update, fanout: &Fanout) {
+        for &(to, forward) in &fanout.own {
+            let updates = vec![update.clone()];
+            self.send(to, &codec::encode(&Packet { forward, updates }))
                 .await;
         }
-        if routes.is_head {
-            self.queue(telling, Pass::Everywhere);
+        if fanout.is_hub() {
+            self.queue(update, Forward::Everywhere);
         }
     }
 
-    /// Passes on what has come to be passed on.
-    pub(super) async fn pass_on(&self, routes: &Routes) {
+    /// Forwards what has come to be forwarded.
+    pub(super) async fn forward(&self, fanout: &Fanout) {
         let queue = std::mem::take(&mut *self.queue.borrow_mut());
-        let all = queue.iter().map(|(telling, _)| telling);
+        let all = queue.iter().map(|(update, _)| update);
         let own = queue
             .iter()
-            .filter(|(_, pass)| *pass == Pass::Everywhere)
-            .map(|(telling, _)| telling);
-        self.send_all(&routes.here, &packets(Pass::Nowhere, all))
+            .filter(|(_, forward)| *forward == Forward::Everywhere)
+            .map(|(update, _)| update);
+        self.send_all(&fanout.members, &packets(Forward::Nowhere, all))
+            .await;
+        self.send_all(&fanout.remote, &packets(Forward::DataCentre, own))
             .await;
-        self.send_all(&routes.far, &packets(Pass::Here, own)).await;
     }
 
     async fn send_all(&self, to: &[SocketAddr], packets: &[Vec<u8>]) {
@@ -136,30 +127,30 @@
 
     async fn send(&self, to: SocketAddr, packet: &[u8]) {
         if let Err(e) = self.socket.send_to(packet, to).await {
-            // A later telling makes good for it.
-            event!(Debug, "loads_not_told", to = to, error = e);
+            // A later update makes good for it.
+            event!(Debug, "update_not_sent", to = to, error = e);
         }
     }
 }
 
-/// Encodes tellings into as few datagrams as hold them.
-fn packets<'a>(pass: Pass, all: impl Iterator<Item = &'a Telling>) -> Vec<Vec<u8>> {
+/// Encodes updates into as few datagrams as hold them.
+fn packets<'a>(forward: Forward, all: impl Iterator<Item = &'a Update>) -> Vec<Vec<u8>> {
     let mut packets = Vec::new();
-    let mut tellings = Vec::new();
+    let mut updates = Vec::new();
     let mut bytes = 0;
-    for telling in all {
-        let rows = ROW_BYTES * telling.rows.len();
-        let more = TELLING_BYTES + rows + SESSION_BYTES * telling.sessions.len();
-        if bytes + more > PACKET_BYTES && !tellings.is_empty() {
-            let tellings = std::mem::take(&mut tellings);
-            packets.push(codec::encode(&Packet { pass, tellings }));
+    for update in all {
+        let rows = ROW_BYTES * update.rows.len();
+        let more = UPDATE_BYTES + rows + SESSION_BYTES * update.sessions.len();
+        if bytes + more > PACKET_BYTES && !updates.is_empty() {
+            let updates = std::mem::take(&mut updates);
+            packets.push(codec::encode(&Packet { forward, updates }));
             bytes = 0;
         }
-        tellings.push(telling.clone());
+        updates.push(update.clone());
         bytes += more;
     }
-    if !tellings.is_empty() {
-        packets.push(codec::encode(&Packet { pass, tellings }));
+    if !updates.is_empty() {
+        packets.push(codec::encode(&Packet { forward, updates }));
     }
     packets
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -3,6 +3,7 @@
 pub mod admission;
 pub mod budget;
 pub mod choice;
+pub mod fanout;
 pub mod ladder;
 pub mod pace;
 pub mod patience;
@@ -15,4 +16,3 @@
 pub mod rollout;
 pub mod sessions;
 pub mod share;
-pub mod spread;
--- a/tests/load/spread.rs
+++ b/tests/load/fanout.rs
@@ -1,13 +1,13 @@
-//! Pattern: fleets in which everyone telling everyone takes more than the requests do.
+//! Pattern: fleets in which full mesh takes more than the requests do.
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
 
-use daisyquay::policy::spread::DIRECT_LIMIT;
-use daisyquay::policy::spread::Pass;
-use daisyquay::policy::spread::Peer;
-use daisyquay::policy::spread::Routes;
-use daisyquay::policy::spread::routes;
+use daisyquay::policy::fanout::Fanout;
+use daisyquay::policy::fanout::Forward;
+use daisyquay::policy::fanout::MESH_LIMIT;
+use daisyquay::policy::fanout::Peer;
+use daisyquay::policy::fanout::fanout;
 
 /// A fleet of gateways, some of them dead, all of which think alike of who was heard.
 struct Fleet {
@@ -29,7 +29,7 @@
         }
     }
 
-    fn routes(&self, (address, data_centre): &(SocketAddr, String), turn: usize) -> Routes {
+    fn fanout(&self, (address, data_centre): &(SocketAddr, String), turn: usize) -> Fanout {
         let others = self.all.iter().filter(|(at, _)| at != address);
         let peers: Vec<Peer> = others
             .map(|(at, data_centre)| Peer {
@@ -38,31 +38,31 @@
                 heard: self.heard && !self.dead.contains(at),
             })
             .collect();
-        routes(*address, data_centre, &peers, turn)
+        fanout(*address, data_centre, &peers, turn)
     }
 
-    /// Tells something and returns who heard it, and how many datagrams that took.
-    fn tell(&self, from: &(SocketAddr, String), turn: usize) -> (HashSet<SocketAddr>, usize) {
+    /// Publishes an update and returns who heard it, and how many datagrams that took.
+    fn publish(&self, from: &(SocketAddr, String), turn: usize) -> (HashSet<SocketAddr>, usize) {
         let (mut heard, mut sent) = (HashSet::new(), 0);
-        let first = self.routes(from, turn);
+        let first = self.fanout(from, turn);
         let mut open = first.own.clone();
-        if first.is_head {
-            open.extend(first.here.iter().map(|&at| (at, Pass::Nowhere)));
-            open.extend(first.far.iter().map(|&at| (at, Pass::Here)));
+        if first.is_hub() {
+            open.extend(first.members.iter().map(|&at| (at, Forward::Nowhere)));
+            open.extend(first.remote.iter().map(|&at| (at, Forward::DataCentre)));
         }
-        while let Some((to, pass)) = open.pop() {
+        while let Some((to, forward)) = open.pop() {
             sent += 1;
             if self.dead.contains(&to) {
                 continue;
             }
             heard.insert(to);
             let at = self.all.iter().find(|(at, _)| *at == to).unwrap();
-            let next = self.routes(at, turn);
-            if pass != Pass::Nowhere {
-                open.extend(next.here.iter().map(|&at| (at, Pass::Nowhere)));
+            let next = self.fanout(at, turn);
+            if forward != Forward::Nowhere {
+                open.extend(next.members.iter().map(|&at| (at, Forward::Nowhere)));
             }
-            if pass == Pass::Everywhere {
-                open.extend(next.far.iter().map(|&at| (at, Pass::Here)));
+            if forward == Forward::Everywhere {
+                open.extend(next.remote.iter().map(|&at| (at, Forward::DataCentre)));
             }
         }
         heard.remove(&from.0);
@@ -84,7 +84,7 @@
             let alive: Vec<_> = alive.collect();
             for _ in 0..3 {
                 let from = alive[rng.usize(..alive.len())];
-                let (heard, _) = fleet.tell(from, usize::from(lost));
+                let (heard, _) = fleet.publish(from, usize::from(lost));
                 assert_eq!(heard.len(), fleet.alive() - 1, "{n} gateways, {lost} dead");
             }
             let next = fleet.all[rng.usize(..fleet.all.len())].0;
@@ -93,34 +93,39 @@
     }
 }
 
-/// Right after a start nobody has been heard: every gateway acts as a head.
+/// Right after a start nobody has been heard: every gateway acts as a hub.
 #[test]
 fn everyone_is_heard_before_anyone_was() {
     let mut fleet = Fleet::new(88, 4);
     fleet.heard = false;
     for from in &fleet.all {
-        assert_eq!(fleet.tell(from, 0).0.len(), 87);
+        assert_eq!(fleet.publish(from, 0).0.len(), 87);
     }
 }
 
 #[test]
-fn a_telling_to_many_takes_one_datagram_for_each_of_them_and_few_more() {
+fn an_update_to_many_takes_one_datagram_for_each_of_them_and_few_more() {
     let fleet = Fleet::new(88, 4);
     for from in &fleet.all {
-        let (_, sent) = fleet.tell(from, 0);
+        let (_, sent) = fleet.publish(from, 0);
         assert!(sent <= 90, "{sent}");
-        // Those for members are shared by all that is told within one pause.
-        let own = fleet.routes(from, 0).own.len();
+        // Those for members are shared by all updates of one interval.
+        let own = fleet.fanout(from, 0).own.len();
         assert!(own <= 1, "{own}");
     }
 }
 
 #[test]
-fn few_gateways_tell_each_other_directly() {
-    let fleet = Fleet::new(u16::try_from(DIRECT_LIMIT).unwrap() + 1, 3);
+fn few_gateways_send_to_each_other_directly() {
+    let fleet = Fleet::new(u16::try_from(MESH_LIMIT).unwrap() + 1, 3);
     for from in &fleet.all {
-        let routes = fleet.routes(from, 0);
-        assert_eq!(routes.own.len(), DIRECT_LIMIT);
-        assert!(routes.own.iter().all(|(_, pass)| *pass == Pass::Nowhere));
+        let fanout = fleet.fanout(from, 0);
+        assert_eq!(fanout.own.len(), MESH_LIMIT);
+        assert!(
+            fanout
+                .own
+                .iter()
+                .all(|(_, forward)| *forward == Forward::Nowhere)
+        );
     }
 }
--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -3,10 +3,10 @@
 #![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 mod budget;
+mod fanout;
 mod ladder;
 mod pace;
 mod patience;
 mod placement;
 mod release;
 mod sessions;
-mod spread;
