Split the gateway's counting and logging, and name what tells a queue from a hang

Cause: reading the change as a newcomer: `gateway/mod.rs` (397 lines) held the process, its budgets and its evidence; `exchange/mod.rs` (394) its logging too; `only_waits`, `look_again`, `patiently` and `told` did not say what they do. Change: `gateway::{repeats, evidence}`, `exchange::log`; `is_queued`, `recheck_interval`, `await_head`, `settle`, `may_fail_over`; constants of `policy::patience` stand first. No line of a decision changed.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -51,14 +51,14 @@
     pub(super) resume_after: Option<u64>,
 }
 
-/// Sends `call` to `runner` and waits for the head of the answer; where the request `may_leave`, no
+/// Sends `call` to `runner` and waits for the head of the answer; where the request `may_fail_over`, no
 /// longer than an upstream that does not hang would need.
 pub(super) async fn attempt(
     gateway: &Rc<Gateway>,
     call: &Call,
     runner: &Runner,
     extra: &Extra,
-    may_leave: bool,
+    may_fail_over: bool,
 ) -> Ended {
     let mut work = Sent::start(
         gateway,
@@ -73,8 +73,8 @@
     };
     let address = runner.address();
     let sent = gateway.pool.send(address, request, CONNECT_LIMIT.min(left));
-    let sent = if may_leave {
-        patiently(sent, &work, call.route.target()).await
+    let sent = if may_fail_over {
+        await_head(sent, &work, call.route.target()).await
     } else {
         sent.await
     };
@@ -96,7 +96,7 @@
 
 /// Waits for `sent` until its upstream seems to hang. What is known of its pace grows meanwhile, so
 /// the limit is looked at again when it has passed.
-async fn patiently(
+async fn await_head(
     sent: impl Future<Output = Result<Answer, Failure>>,
     work: &Sent,
     target: Duration,
@@ -105,10 +105,10 @@
     loop {
         let mut left = work.patience(target).saturating_sub(work.elapsed());
         if left.is_zero() {
-            if !work.only_waits(target) {
+            if !work.is_queued(target) {
                 return Err(Failure::Broken("no answer for too long"));
             }
-            left = patience::look_again(target);
+            left = patience::recheck_interval(target);
         }
         if let Ok(sent) = tokio::time::timeout(left, &mut sent).await {
             return sent;
--- a/src/gateway/exchange/choose.rs
+++ b/src/gateway/exchange/choose.rs
@@ -16,7 +16,7 @@
 
 impl Exchange {
     /// Whether the request may go elsewhere if its upstream is silent.
-    pub(super) fn may_leave(&self) -> bool {
+    pub(super) fn may_fail_over(&self) -> bool {
         let route = &self.call.route;
         route.may_rerun() && self.runs < route.attempts
     }
--- a/src/gateway/exchange/mod.rs
+++ b/src/gateway/exchange/mod.rs
@@ -1,6 +1,7 @@
 //! One request from its arrival to its final answer.
 
 mod choose;
+mod log;
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -162,7 +163,14 @@
             resume_after,
         };
         self.runs += 1;
-        let ended = attempt(&self.gateway, &self.call, runner, &extra, self.may_leave()).await;
+        let ended = attempt(
+            &self.gateway,
+            &self.call,
+            runner,
+            &extra,
+            self.may_fail_over(),
+        )
+        .await;
         self.log_attempt(runner, &ended);
         match ended {
             Ended::NotRun(reason) => {
@@ -306,44 +314,6 @@
         ))
     }
 
-    /// Says why the head of an answer came after the route's target.
-    fn log_late(&self, first: Duration) {
-        event!(
-            Info,
-            "late",
-            request = self.call.id,
-            route = self.call.route.name,
-            first_ms = first.as_millis(),
-            target_ms = self.call.route.target_ms,
-            tokens_in = self.call.prompt.tokens_in,
-            model = self.model_name(self.model).as_deref().unwrap_or("-"),
-            tried = self.tried.join(","),
-            refusals = self.refusals,
-            last = self.last
-        );
-    }
-
-    fn log_attempt(&self, runner: &Runner, ended: &Ended) {
-        let (outcome, reason) = match ended {
-            Ended::NotRun(reason) => ("not_run", *reason),
-            Ended::Lost(reason) => ("lost", *reason),
-            Ended::Whole(head, _) if head.status.is_server_error() => ("failed", "-"),
-            Ended::Whole(..) | Ended::Stream(..) => return,
-        };
-        event!(
-            Info,
-            "attempt",
-            request = self.call.id,
-            route = self.call.route.name,
-            upstream = runner.id(),
-            release = runner.announced.release.as_deref().unwrap_or("-"),
-            run = self.runs,
-            outcome = outcome,
-            reason = reason,
-            left_ms = self.call.left(self.gateway.now()).as_millis()
-        );
-    }
-
     pub(super) fn gateway(&self) -> &Rc<Gateway> {
         &self.gateway
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,12 +8,14 @@
 mod attempt;
 mod call;
 mod events;
+mod evidence;
 mod exchange;
 mod link;
 mod loads;
 mod names;
 mod picture;
 mod refusal;
+mod repeats;
 mod reply;
 mod runners;
 mod stop;
@@ -33,10 +35,8 @@
 
 pub use self::names::Names;
 
-use self::call::Call;
 use self::loads::Others;
 use self::picture::Picture;
-use self::picture::Runner;
 use self::runners::Runners;
 use crate::clock::Clock;
 use crate::collections::HashMap;
@@ -45,7 +45,6 @@
 use crate::log::event;
 use crate::metrics::Meters;
 use crate::peer::EntryInfo;
-use crate::peer::SeenRow;
 use crate::policy::budget;
 use crate::policy::budget::Budget;
 use crate::policy::pace::Pace;
@@ -53,10 +52,6 @@
 use crate::policy::sessions::Sessions;
 use crate::wire::Pool;
 
-/// Part of the deployment's bounds on repeats that is used: the gateways' windows don't begin at the
-/// same moment.
-const BOUNDS_USED: f64 = 0.92;
-
 /// How long a request waits for the first configuration after a start: a replica answers within
 /// milliseconds, and a restart of all of them takes about a second.
 const CONFIG_WAIT: Duration = Duration::from_millis(1200);
@@ -268,24 +263,6 @@
         addresses
     }
 
-    /// A request to the service makes its first attempt.
-    fn note_first(&self, service: &Name) {
-        self.budget(service, |budget, terms, now| {
-            budget.first(terms, now);
-            true
-        });
-    }
-
-    /// Takes a repeat after a failure.
-    fn may_repeat(&self, service: &Name) -> bool {
-        self.budget(service, Budget::repeat)
-    }
-
-    /// Takes a repeat that the request could do without.
-    fn may_choose(&self, service: &Name) -> bool {
-        self.budget(service, Budget::choose)
-    }
-
     /// Waits a little for the first configuration.
     async fn wait_for_config(&self) {
         let until = self.now() + CONFIG_WAIT;
@@ -293,105 +270,4 @@
             tokio::time::sleep(CONFIG_POLL).await;
         }
     }
-
-    fn budget(
-        &self,
-        service: &Name,
-        act: impl FnOnce(&mut Budget, &budget::Terms, Duration) -> bool,
-    ) -> bool {
-        let bounds = &self.cfg.repeats;
-        let gateways = self.picture.borrow().entries.len().max(1) as f64;
-        let terms = budget::Terms {
-            ratio: bounds.ratio * BOUNDS_USED,
-            slack: bounds.slack * BOUNDS_USED / gateways,
-            window: bounds.window,
-        };
-        let mut budgets = self.budgets.borrow_mut();
-        act(
-            budgets.entry(service.clone()).or_default(),
-            &terms,
-            self.now(),
-        )
-    }
-
-    /// A first token came from an upstream with so much to read.
-    fn learn_pace(&self, service: &Name, model: Option<Name>, reading: u64, took: Duration) {
-        let mut paces = self.paces.borrow_mut();
-        let pace = paces.entry((service.clone(), model)).or_default();
-        pace.learn(reading, took);
-    }
-
-    /// Time in which an upstream of the service reads so many tokens, as far as that is known.
-    fn forecast(&self, service: &Name, model: Option<Name>, reading: u64) -> Option<Duration> {
-        let paces = self.paces.borrow();
-        let own = paces.get(&(service.clone(), model));
-        let own = own.and_then(|pace| pace.forecast(reading));
-        // The models' tokens are scaled to be alike; right after a start any of them is a guess.
-        own.or_else(|| {
-            let mut same = paces.iter().filter(|((of, _), _)| of == service);
-            same.find_map(|(_, pace)| pace.forecast(reading))
-        })
-    }
-
-    /// An upstream answered, be it with a failure.
-    fn note_answer(&self, call: &Call, runner: &Runner, failed: bool, first: Duration) {
-        self.note(call, runner, |seen| {
-            seen.requests += 1;
-            seen.bad += u64::from(failed);
-            if !failed {
-                seen.timed += 1;
-                seen.first_s += first.as_secs_f64();
-            }
-        });
-    }
-
-    /// An upstream failed without an answer.
-    fn note_bad(&self, call: &Call, runner: &Runner) {
-        self.note(call, runner, |seen| {
-            seen.requests += 1;
-            seen.bad += 1;
-        });
-    }
-
-    /// Counts for the guard of roll-outs; outside one nobody asks.
-    fn note(&self, call: &Call, runner: &Runner, count: impl FnOnce(&mut Seen)) {
-        let Some(release) = &runner.announced.release else {
-            return;
-        };
-        let picture = self.picture();
-        let Some(service) = runner.service() else {
-            return;
-        };
-        if picture
-            .pool(service)
-            .is_none_or(|pool| pool.new_share.is_none())
-        {
-            return;
-        }
-        let slot = (service.clone(), call.route.name.clone(), release.clone());
-        count(self.seen.borrow_mut().entry(slot).or_default());
-    }
-
-    /// What was seen since the last time it was taken.
-    fn take_seen(&self) -> Vec<SeenRow> {
-        self.seen
-            .borrow_mut()
-            .drain()
-            .map(|((service, route, release), seen)| SeenRow {
-                service,
-                route,
-                release,
-                seen,
-            })
-            .collect()
-    }
-
-    /// Puts back what could not be told.
-    fn restore_seen(&self, rows: Vec<SeenRow>) {
-        let mut table = self.seen.borrow_mut();
-        for row in rows {
-            let slot = (row.service, row.route, row.release);
-            table.entry(slot).or_default().add(&row.seen);
-        }
-    }
 }
--- /dev/null
+++ b/src/gateway/repeats.rs
@@ -0,0 +1,52 @@
+//! Repeats that this gateway may still make.
+
+use std::time::Duration;
+
+use super::Gateway;
+use crate::collections::Name;
+use crate::policy::budget;
+use crate::policy::budget::Budget;
+
+/// Part of the deployment's bounds on repeats that is used: the gateways' windows don't begin at the
+/// same moment.
+const BOUNDS_USED: f64 = 0.92;
+
+impl Gateway {
+    /// A request to the service makes its first attempt.
+    pub(super) fn note_first(&self, service: &Name) {
+        self.budget(service, |budget, terms, now| {
+            budget.first(terms, now);
+            true
+        });
+    }
+
+    /// Takes a repeat after a failure.
+    pub(super) fn may_repeat(&self, service: &Name) -> bool {
+        self.budget(service, Budget::repeat)
+    }
+
+    /// Takes a repeat that the request could do without.
+    pub(super) fn may_choose(&self, service: &Name) -> bool {
+        self.budget(service, Budget::choose)
+    }
+
+    fn budget(
+        &self,
+        service: &Name,
+        act: impl FnOnce(&mut Budget, &budget::Terms, Duration) -> bool,
+    ) -> bool {
+        let bounds = &self.cfg.repeats;
+        let gateways = self.picture.borrow().entries.len().max(1) as f64;
+        let terms = budget::Terms {
+            ratio: bounds.ratio * BOUNDS_USED,
+            slack: bounds.slack * BOUNDS_USED / gateways,
+            window: bounds.window,
+        };
+        let mut budgets = self.budgets.borrow_mut();
+        act(
+            budgets.entry(service.clone()).or_default(),
+            &terms,
+            self.now(),
+        )
+    }
+}
--- a/src/gateway/runners.rs
+++ b/src/gateway/runners.rs
@@ -137,7 +137,7 @@
     gateway: Rc<Gateway>,
     pub(super) runner: Runner,
     started: Duration,
-    told: bool,
+    settled: bool,
     work: Work,
     model: Option<Name>,
     rank: usize,
@@ -171,7 +171,7 @@
             gateway: gateway.clone(),
             runner,
             started,
-            told: false,
+            settled: false,
             work,
             model,
             rank: rank as usize,
@@ -190,11 +190,11 @@
         patience::head(target, self.load, reading)
     }
 
-    /// Whether it waits for its turn at an upstream that does not hang.
-    pub(super) fn only_waits(&self, target: Duration) -> bool {
+    /// Whether it is still queued at an upstream that does not hang.
+    pub(super) fn is_queued(&self, target: Duration) -> bool {
         let runners = self.gateway.runners.borrow();
         let row = runners.rows.get(self.runner.id());
-        row.is_some_and(|row| row.progress.is_busy(self.rank, self.started, target))
+        row.is_some_and(|row| row.progress.is_queued(self.rank, self.started, target))
     }
 
     /// Its first token has come.
@@ -232,22 +232,22 @@
     pub(super) fn answered(&mut self) {
         let first = self.elapsed();
         self.read();
-        self.tell(|health, _| health.succeeded(first));
+        self.settle(|health, _| health.succeeded(first));
     }
 
     /// The attempt failed by the upstream's fault.
     pub(super) fn failed(&mut self) {
-        self.tell(|health, now| health.failed(now));
+        self.settle(|health, now| health.failed(now));
     }
 
-    fn tell(&mut self, tell: impl FnOnce(&mut Health, Duration)) {
-        if self.told {
+    fn settle(&mut self, note: impl FnOnce(&mut Health, Duration)) {
+        if self.settled {
             return;
         }
-        self.told = true;
+        self.settled = true;
         let now = self.gateway.now();
         let mut runners = self.gateway.runners.borrow_mut();
-        tell(&mut runners.row(&self.runner).health, now);
+        note(&mut runners.row(&self.runner).health, now);
     }
 
     /// Takes the load that the upstream tells with its answer.
@@ -280,7 +280,7 @@
         row.work.requests = row.work.requests.saturating_sub(self.work.requests);
         row.work.reading = row.work.reading.saturating_sub(self.work.reading);
         row.work.held = row.work.held.saturating_sub(self.work.held);
-        if !self.told {
+        if !self.settled {
             row.health.abandoned();
         }
         drop(runners);
--- a/src/policy/patience.rs
+++ b/src/policy/patience.rs
@@ -24,6 +24,16 @@
 /// may be told late, and other prompts go before.
 const FORECAST_FACTOR: f64 = 2.0;
 
+/// Ranks that requests at an upstream have; the most urgent is 0.
+pub const RANKS: usize = 10;
+
+/// Part of the target after which a request that is still queued at a busy upstream is checked again.
+const RECHECK_PART: f64 = 0.2;
+
+/// Part of the target by which an answered request must have been sent later to show that one before it
+/// is lost: shorter prompts may overtake a long one.
+const OVERTAKE_PART: f64 = 0.2;
+
 /// Time in which the head of an answer should come from an upstream of that load, which needs
 /// `reading` to read what it has, as far as that is known.
 pub fn head(target: Duration, load: f64, reading: Option<Duration>) -> Duration {
@@ -41,21 +51,11 @@
     (!longest.is_zero()).then(|| longest.mul_f64(GAP_PARTS))
 }
 
-/// Part of the target after which a request that still waits at a busy upstream is looked at again.
-const LOOK_PART: f64 = 0.2;
-
-/// Part of the target by which a request must have been sent later to tell that one before it is lost:
-/// shorter prompts may pass a long one.
-const PASSED_PART: f64 = 0.2;
-
-/// Time until the next look at an upstream that was busy.
-pub fn look_again(target: Duration) -> Duration {
-    target.mul_f64(LOOK_PART)
+/// Time until the next check of a request that is queued at a busy upstream.
+pub fn recheck_interval(target: Duration) -> Duration {
+    target.mul_f64(RECHECK_PART)
 }
 
-/// Ranks that requests at an upstream have; the most urgent is 0.
-pub const RANKS: usize = 10;
-
 /// How an upstream gets on with the requests of one gateway.
 #[derive(Clone, Debug, Default)]
 pub struct Progress {
@@ -74,11 +74,11 @@
         }
     }
 
-    /// Whether a silent request sent at `sent` only waits for its turn: the upstream has answered since,
-    /// and none that was sent clearly later and is no more urgent.
-    pub fn is_busy(&self, rank: usize, sent: Duration, target: Duration) -> bool {
-        let later = sent + target.mul_f64(PASSED_PART);
-        let passed = self.sent.iter().skip(rank).flatten().any(|&at| at > later);
-        self.answered.is_some_and(|at| at > sent) && !passed
+    /// Whether a request sent at `sent` that has no answer is still queued: the upstream has answered
+    /// others since, and none that was sent clearly later and is no more urgent.
+    pub fn is_queued(&self, rank: usize, sent: Duration, target: Duration) -> bool {
+        let later = sent + target.mul_f64(OVERTAKE_PART);
+        let overtaken = self.sent.iter().skip(rank).flatten().any(|&at| at > later);
+        self.answered.is_some_and(|at| at > sent) && !overtaken
     }
 }
--- a/tests/load/patience.rs
+++ b/tests/load/patience.rs
@@ -36,19 +36,22 @@
     let mut progress = Progress::default();
     progress.answered(3, at(1), at(9));
     assert!(
-        !progress.is_busy(3, at(10), target),
+        !progress.is_queued(3, at(10), target),
         "nothing has been heard since: it hangs"
     );
     progress.answered(3, at(8), at(12));
-    assert!(progress.is_busy(3, at(10), target), "those before it come");
+    assert!(
+        progress.is_queued(3, at(10), target),
+        "those before it come"
+    );
     progress.answered(0, at(12), at(13));
     assert!(
-        progress.is_busy(3, at(10), target),
+        progress.is_queued(3, at(10), target),
         "a more urgent one may pass it"
     );
     progress.answered(3, at(12), at(14));
     assert!(
-        !progress.is_busy(3, at(10), target),
+        !progress.is_queued(3, at(10), target),
         "one that came later is answered: ours is lost"
     );
 }
