Read the rest of a body that is too large before the connection is closed

Cause: an entry or gateway answered 413 as soon as a body exceeded the limit and closed the connection while the caller still sent. That resets it, and the caller loses the response. path::refuses_invalid_requests_without_running_them failed so once in a whole test run ("None" for a response; the case was not named, so that it was the 5 MB one is inferred: it alone closes early), and passed 6 of 6 alone.

Change: up to 16 MiB more are read and dropped, for 2 s at most. The new test, which holds back the end of the body, was reset each time before and receives 413 after. The old test's message now names its case.

--- a/src/listen/mod.rs
+++ b/src/listen/mod.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::time::Duration;
 
 use ntex::SharedCfg;
 use ntex::http::HttpService;
@@ -39,7 +40,14 @@
 
 /// Delay after a failed accept. The usual cause is a lack of file descriptors, and the process must
 /// close some first.
-const ACCEPT_RETRY_DELAY: std::time::Duration = std::time::Duration::from_millis(20);
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+
+/// Most bytes that are read and dropped after a body has exceeded its limit. Closing the connection
+/// while the caller still sends would reset it, and the caller might lose the response.
+const MAX_DISCARDED_BYTES: usize = 16 * 1024 * 1024;
+
+/// Longest time for which the rest of such a body is read.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Why a request body could not be read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -50,7 +58,8 @@
     TooLarge,
 }
 
-/// Reads a complete body of at most `limit` bytes.
+/// Reads a complete body of at most `limit` bytes. The rest of a larger one is read as well, within
+/// bounds, so that the caller receives the response.
 ///
 /// # Errors
 ///
@@ -60,6 +69,8 @@
     while let Some(chunk) = payload.recv().await {
         let chunk = chunk.map_err(|_| BodyError::Incomplete)?;
         if buf.len() + chunk.len() > limit {
+            drop(buf);
+            let _ = tokio::time::timeout(DISCARD_TIMEOUT, discard(payload)).await;
             return Err(BodyError::TooLarge);
         }
         buf.extend_from_slice(&chunk);
@@ -67,6 +78,17 @@
     Ok(buf)
 }
 
+/// Reads the rest of a body, up to [`MAX_DISCARDED_BYTES`].
+async fn discard(mut payload: Payload) {
+    let mut discarded = 0;
+    while let Some(Ok(chunk)) = payload.recv().await {
+        discarded += chunk.len();
+        if discarded > MAX_DISCARDED_BYTES {
+            return;
+        }
+    }
+}
+
 /// The future that a handler returns.
 pub type ResponseFuture = Pin<Box<dyn Future<Output = Response>>>;
 
--- a/tests/process/path.rs
+++ b/tests/process/path.rs
@@ -1,5 +1,10 @@
 //! Requests of callers and upstreams, end to end through real processes.
 
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream;
+use std::time::Duration;
+
 use serde_json::Value;
 
 use crate::support::AUTH_HEADER;
@@ -75,6 +80,30 @@
     assert_eq!(response["addresses"][0]["address"], own);
 }
 
+#[test]
+fn caller_that_is_still_sending_too_large_a_body_receives_the_refusal() {
+    let cluster = Cluster::start_with_inventory(1, 1);
+    let mut stream = TcpStream::connect(cluster.entry_addresses[0]).unwrap();
+    stream
+        .set_read_timeout(Some(Duration::from_secs(10)))
+        .unwrap();
+    let body = vec![b'x'; 5 << 20];
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\nauthorization: Bearer dev-lagon-key\r\n\
+         content-length: {}\r\n\r\n",
+        body.len()
+    );
+    stream.write_all(head.as_bytes()).unwrap();
+    let (first, rest) = body.split_at(body.len() - (512 << 10));
+    stream.write_all(first).unwrap();
+    // The entry has read more than it accepts, and the caller does not look for a response yet.
+    std::thread::sleep(Duration::from_millis(300));
+    stream.write_all(rest).unwrap();
+    let mut response = [0; 12];
+    stream.read_exact(&mut response).unwrap();
+    assert_eq!(std::str::from_utf8(&response).unwrap(), "HTTP/1.1 413");
+}
+
 #[test]
 fn refuses_invalid_requests_without_running_them() {
     let mut cluster = Cluster::start_with_inventory(1, 1);
@@ -111,7 +140,8 @@
     let mut report = String::new();
     for (name, key, body) in cases {
         let headers: Vec<_> = key.into_iter().collect();
-        let reply = post(entry, chat, &headers, body).unwrap();
+        let reply =
+            post(entry, chat, &headers, body).unwrap_or_else(|| panic!("{name}: no response"));
         let error = &reply.json()["error"];
         report.push_str(&format!(
             "{name}: {} ran={} retry={:?}\n  {} {}: {}\n",
