Send gateways what changed in the configuration, from any replica

Gateways that lagged answered 404 for new routes. Each resend of a change by the operator was a further entry of the log.

Change: - `peer::ConfigUpdate` is the difference of two revisions, compressed (lz4_flex). `replica::ConfigHistory` makes it once for all holders of a revision. - A grant carries an update up to 16 KiB; a larger one is fetched from any replica. Gateways start at different ones. - A gateway that knows of a newer revision, or has not heard of the leader for 1.2 s, answers 503 with Retry-After in place of 404 and 401. So does one whose revision has no route yet. - A retried change is answered from its record and costs no entry.

--- a/src/agreement/log.rs
+++ b/src/agreement/log.rs
@@ -89,6 +89,17 @@
         entries
     }
 
+    /// Returns the size of all commands after the snapshot, in bytes.
+    pub fn command_bytes(&self) -> usize {
+        self.entries
+            .iter()
+            .map(|entry| match &entry.payload {
+                Payload::Command(data) => data.len(),
+                Payload::Noop | Payload::Membership(_) => 0,
+            })
+            .sum()
+    }
+
     /// Appends an entry, whose index must follow the last one.
     pub fn push(&mut self, entry: Entry) {
         debug_assert_eq!(entry.index, self.last_index() + 1);
--- a/src/entry/link.rs
+++ b/src/entry/link.rs
@@ -15,6 +15,8 @@
 use crate::lease::RENEWAL_INTERVAL;
 use crate::log::event;
 use crate::peer::Client;
+use crate::peer::ConfigUpdate;
+use crate::peer::ConfigView;
 use crate::peer::Grant;
 use crate::peer::LeaderClient;
 use crate::peer::Renewal;
@@ -134,6 +136,7 @@
             info: (!self.is_introduced).then(|| shared.info.clone()),
             acked_revision,
             revision,
+            max_config_bytes: u32::MAX,
             term: self.term,
             directory_index: self.directory_index,
             loads_version: self.loads_version,
@@ -179,13 +182,9 @@
             view.entries = Arc::new(entries);
             changed = true;
         }
-        let config = grant.config.filter(|config| {
-            let known = view.config.revision;
-            config.revision > known
-        });
-        if let Some(config) = config {
+        if let Some(config) = updated_config(&view.config, grant.config.as_ref()) {
             let revision = config.revision;
-            view.config = Arc::from(config);
+            view.config = Arc::new(config);
             shared.set_view(view);
             shared.lease.lock().apply_revision(revision, now);
             shared
@@ -229,3 +228,16 @@
         }
     }
 }
+
+/// Returns the configuration after an update; `None` where there is none or it can't be applied.
+/// The leader's next update then starts from the revision that is still held.
+fn updated_config(held: &ConfigView, update: Option<&ConfigUpdate>) -> Option<ConfigView> {
+    let update = update.filter(|update| update.revision() > held.revision)?;
+    match update.apply(held) {
+        Ok(config) => Some(config),
+        Err(e) => {
+            event!(Warn, "config_update_rejected", error = e);
+            None
+        }
+    }
+}
--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -46,6 +46,10 @@
         "unknown_key" => {
             format!("its key is not in the gateway's configuration, revision {revision}")
         }
+        "outdated_configuration" => format!(
+            "its route or key is not in the gateway's configuration, revision {revision}, and a \
+             newer one was on its way or the leader was not reached"
+        ),
         "stopping" => "its gateway was shutting down".to_owned(),
         "no_upstream" => {
             let not_placed = lines.iter().rfind(|line| line.event == "not_placed");
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -58,7 +58,7 @@
     pub(super) fn read(gateway: &Gateway, req: &Request) -> Result<Self, Refusal> {
         let names = &gateway.cfg.header_names;
         let routing = gateway.routing();
-        if routing.config.is_none() {
+        if !routing.has_routes() {
             return Err(Refusal::unavailable(
                 "no_configuration",
                 "this gateway has no configuration yet; retry later or at another gateway",
@@ -69,13 +69,17 @@
         let path = path_and_query.split('?').next().unwrap_or_default();
         let host = header_text(req, &header::HOST).unwrap_or_default();
         let route = routing.route(host, path).cloned().ok_or_else(|| {
-            Refusal::new(
-                StatusCode::NOT_FOUND,
-                "no_route",
-                "no route matches this host and path; see `daisyquay show inventory`",
+            unless_outdated(
+                gateway,
+                Refusal::new(
+                    StatusCode::NOT_FOUND,
+                    "no_route",
+                    "no route matches this host and path; see `daisyquay show inventory`",
+                ),
             )
         })?;
-        let organisation = organisation(&routing, names, req, &route)?;
+        let organisation = organisation(&routing, names, req, &route)
+            .map_err(|refusal| unless_outdated(gateway, refusal))?;
         let id = header_text(req, &names.attempt_id).ok_or_else(|| {
             let message = format!(
                 "the attempt id is missing; send a unique id in the header `{}`",
@@ -133,13 +137,26 @@
     }
 }
 
+/// Returns the refusal if the configuration is known to be the newest. A newer one might permit the
+/// request, so the caller is told to retry otherwise.
+fn unless_outdated(gateway: &Gateway, refusal: Refusal) -> Refusal {
+    if !gateway.may_lag_behind() {
+        return refusal;
+    }
+    Refusal::unavailable(
+        "outdated_configuration",
+        "this gateway may lack the newest configuration; retry later or at another gateway",
+    )
+}
+
 fn path_and_query(req: &Request) -> &str {
     req.uri()
         .path_and_query()
         .map_or("/", |path_and_query| path_and_query.as_str())
 }
 
-fn header_text<'a>(req: &'a Request, name: &HeaderName) -> Option<&'a str> {
+/// Returns a header's value; `None` if it is missing or not text.
+pub(super) fn header_text<'a>(req: &'a Request, name: &HeaderName) -> Option<&'a str> {
     req.headers().get(name)?.to_str().ok()
 }
 
--- a/src/gateway/exchange/mod.rs
+++ b/src/gateway/exchange/mod.rs
@@ -18,6 +18,7 @@
 use crate::gateway::attempt::AttemptOverrides;
 use crate::gateway::attempt::attempt;
 use crate::gateway::call::Call;
+use crate::gateway::call::header_text;
 use crate::gateway::call::read_body;
 use crate::gateway::refusal::Refusal;
 use crate::gateway::response;
@@ -37,12 +38,19 @@
 /// count as a run, but puts load on the upstream.
 const MAX_REFUSALS: u32 = 4;
 
+/// Stands for an id or a route that is not known, in the log.
+const NOT_KNOWN: &str = "-";
+
 /// Handles one request and returns its final response.
 pub(super) async fn handle(gateway: Rc<Gateway>, mut req: Request) -> Response {
     gateway.wait_for_config().await;
     let call = match Call::read(&gateway, &req) {
         Ok(call) => call,
-        Err(refusal) => return refuse(&gateway, None, &refusal),
+        Err(refusal) => {
+            let names = &gateway.cfg.header_names;
+            let id = header_text(&req, &names.attempt_id).unwrap_or(NOT_KNOWN);
+            return refuse(&gateway, id, NOT_KNOWN, &refusal);
+        }
     };
     if gateway.refuses_new_requests(&call.route) {
         let refusal = Refusal::unavailable(
@@ -50,11 +58,11 @@
             "this gateway is shutting down; retry at another gateway",
         )
         .with_retry_after(Duration::ZERO);
-        return refuse(&gateway, Some(&call), &refusal);
+        return refuse(&gateway, &call.id, &call.route.name, &refusal);
     }
     let body = match read_body(&gateway, &mut req).await {
         Ok(body) => body,
-        Err(refusal) => return refuse(&gateway, Some(&call), &refusal),
+        Err(refusal) => return refuse(&gateway, &call.id, &call.route.name, &refusal),
     };
     let call = Rc::new(Call { body, ..call });
     let mut exchange = Exchange::new(&gateway, &call);
@@ -69,19 +77,20 @@
     match outcome {
         Ok(FinalResponse::Complete(head, body)) => response::complete(&gateway, &head, body),
         Ok(FinalResponse::Stream(relay)) => stream::response(&gateway, *relay, &req),
-        Err(refusal) => refuse(&gateway, Some(&call), &refusal),
+        Err(refusal) => refuse(&gateway, &call.id, &call.route.name, &refusal),
     }
 }
 
-fn refuse(gateway: &Gateway, call: Option<&Call>, refusal: &Refusal) -> Response {
+/// Logs and counts a refusal and returns its response. `id` is the caller's id of the attempt.
+fn refuse(gateway: &Gateway, id: &str, route: &str, refusal: &Refusal) -> Response {
     gateway
         .metrics
         .add_to_counter("daisyquay_refusals", 1, &[("reason", refusal.code)]);
     event!(
         Info,
         "refused",
-        request = call.map_or("-", |call| &*call.id),
-        route = call.map_or("-", |call| &*call.route.name),
+        request = id,
+        route = route,
         status = refusal.status.as_u16(),
         code = refusal.code
     );
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -61,6 +61,10 @@
 /// Interval between checks for the first configuration.
 const CONFIG_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Time without a grant after which the configuration counts as possibly outdated: three renewals,
+/// of which one may be lost.
+const LEADER_SILENCE_LIMIT: Duration = Duration::from_millis(1200);
+
 /// Interval between sweeps for expired connections and sessions.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -113,6 +117,9 @@
     /// What the gateway tells the leader about itself.
     info: EntryInfo,
     routing: RefCell<Arc<RoutingTable>>,
+    /// The leader's revision of the configuration and when it was received; `None` before the first
+    /// grant.
+    leader_revision: Cell<Option<(u64, Duration)>>,
     upstreams: RefCell<UpstreamTable>,
     peer_loads: RefCell<PeerLoads>,
     sessions: RefCell<Sessions>,
@@ -180,6 +187,7 @@
         run_id: fastrand::u64(1..),
         info,
         routing: RefCell::default(),
+        leader_revision: Cell::new(None),
         upstreams: RefCell::default(),
         peer_loads: RefCell::default(),
         sessions: RefCell::default(),
@@ -241,8 +249,28 @@
         self.routing.borrow().clone()
     }
 
+    fn set_routing(&self, routing: RoutingTable) {
+        *self.routing.borrow_mut() = Arc::new(routing);
+    }
+
+    /// Records the leader's revision of the configuration, as received now.
+    fn record_leader_revision(&self, revision: u64) {
+        self.leader_revision.set(Some((revision, self.now())));
+    }
+
+    /// Returns whether the configuration may be older than one that the leader has acknowledged: a
+    /// newer one is known and not received yet, or the leader was not heard of for a while.
+    fn may_lag_behind(&self) -> bool {
+        let held = self.routing().config.as_ref().map(|config| config.revision);
+        self.leader_revision
+            .get()
+            .is_none_or(|(revision, received_at)| {
+                held < Some(revision) || self.now() > received_at + LEADER_SILENCE_LIMIT
+            })
+    }
+
     fn is_ready(&self) -> bool {
-        self.routing().config.is_some() && !self.is_draining()
+        self.routing().has_routes() && !self.is_draining()
     }
 
     fn is_draining(&self) -> bool {
@@ -274,7 +302,7 @@
     /// Waits for the first configuration, up to [`CONFIG_WAIT_LIMIT`].
     async fn wait_for_config(&self) {
         let deadline = self.now() + CONFIG_WAIT_LIMIT;
-        while self.routing.borrow().config.is_none() && self.now() < deadline {
+        while !self.routing.borrow().has_routes() && self.now() < deadline {
             tokio::time::sleep(CONFIG_POLL_INTERVAL).await;
         }
     }
--- a/src/gateway/renewal.rs
+++ b/src/gateway/renewal.rs
@@ -9,17 +9,28 @@
 use crate::lease::RENEWAL_INTERVAL;
 use crate::log::event;
 use crate::peer::Client;
+use crate::peer::ConfigUpdate;
 use crate::peer::Grant;
 use crate::peer::LeaderClient;
 use crate::peer::Renewal;
 use crate::peer::Reply;
 use crate::peer::Request;
 
+/// Largest configuration update that a grant may carry, in bytes. A larger one is fetched from any
+/// replica, so that the leader does not send it to every gateway.
+const MAX_GRANTED_CONFIG_BYTES: u32 = 16 * 1024;
+
+/// Number of replicas asked for a configuration update before the next renewal.
+const UPDATE_ATTEMPTS: usize = 3;
+
 /// Sends renewals for as long as the process runs.
 pub(super) async fn run(gateway: Rc<Gateway>) {
     let client = Client::new(&gateway.cfg.peer_key);
     let leader = LeaderClient::new(client, gateway.cfg.state.clone());
-    let mut state = RenewalState::default();
+    let mut state = RenewalState {
+        update_source: gateway.run_id as usize,
+        ..RenewalState::default()
+    };
     loop {
         let sent_at = gateway.now();
         let renewal = state.next_renewal(&gateway);
@@ -32,6 +43,7 @@
             continue;
         };
         state.apply_grant(&gateway, &leader, *grant);
+        state.fetch_config(&gateway, &leader).await;
         let elapsed = gateway.now().saturating_sub(sent_at);
         tokio::time::sleep(RENEWAL_INTERVAL.saturating_sub(elapsed)).await;
     }
@@ -46,6 +58,10 @@
     is_introduced: bool,
     /// Revision of the configuration.
     revision: u64,
+    /// Newest revision of the configuration at the leader, as of the last grant.
+    leader_revision: u64,
+    /// Position of the replica that is asked next for a configuration update.
+    update_source: usize,
     /// Log index up to which changes of the directory have been received.
     directory_index: u64,
     /// The leader's change counter for its list of gateways.
@@ -63,6 +79,7 @@
             info: (!self.is_introduced).then(|| gateway.info.clone()),
             acked_revision: self.revision,
             revision: self.revision,
+            max_config_bytes: MAX_GRANTED_CONFIG_BYTES,
             term: self.term,
             directory_index: self.directory_index,
             loads_version: 0,
@@ -111,23 +128,63 @@
             routing.entries = Arc::new(entries);
             changed = true;
         }
-        if let Some(config) = grant.config.filter(|c| c.revision > self.revision) {
-            self.revision = config.revision;
-            event!(Info, "config_taken", revision = self.revision);
+        if changed {
+            let directory = routing.directory.clone();
+            gateway.set_routing(routing);
             gateway
-                .metrics
-                .set_gauge("daisyquay_revision", self.revision as f64);
-            routing = routing.with_config(Arc::from(config));
-            changed = true;
+                .upstreams
+                .borrow_mut()
+                .retain(|id| directory.get(id).is_some());
+        }
+        self.leader_revision = grant.revision;
+        if let Some(update) = grant.config {
+            self.apply_config(gateway, &update);
+        }
+        gateway.record_leader_revision(self.leader_revision);
+    }
+
+    /// Fetches the configuration from the replicas in turn, if the leader has a newer one. Gateways
+    /// start at different replicas, which share the load.
+    async fn fetch_config(&mut self, gateway: &Gateway, leader: &LeaderClient) {
+        for _ in 0..UPDATE_ATTEMPTS {
+            if self.revision >= self.leader_revision {
+                return;
+            }
+            let request = Request::ConfigUpdate {
+                held: self.revision,
+            };
+            let reply = leader.call_replica_at(self.update_source, &request).await;
+            match reply {
+                Some(Reply::ConfigUpdate(Some(update))) => self.apply_config(gateway, &update),
+                // The replica is not reached or is behind; the leader's own update comes in turn.
+                _ => self.update_source = self.update_source.wrapping_add(1),
+            }
         }
-        if !changed {
+    }
+
+    fn apply_config(&mut self, gateway: &Gateway, update: &ConfigUpdate) {
+        if update.revision() <= self.revision {
             return;
         }
-        let directory = routing.directory.clone();
-        *gateway.routing.borrow_mut() = Arc::new(routing);
+        let routing = (*gateway.routing()).clone();
+        let held = routing.config.clone().unwrap_or_default();
+        let config = match update.apply(&held) {
+            Ok(config) => config,
+            Err(e) => {
+                event!(Warn, "config_update_rejected", error = e);
+                return;
+            }
+        };
+        self.revision = config.revision;
+        event!(
+            Info,
+            "config_taken",
+            revision = self.revision,
+            bytes = update.size()
+        );
         gateway
-            .upstreams
-            .borrow_mut()
-            .retain(|id| directory.get(id).is_some());
+            .metrics
+            .set_gauge("daisyquay_revision", self.revision as f64);
+        gateway.set_routing(routing.with_config(Arc::new(config)));
     }
 }
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -171,6 +171,12 @@
         keep_stable(pool, releases.stable.as_ref());
     }
 
+    /// Returns whether a configuration with routes has been received. The system makes revisions of
+    /// its own, so the first one need not come from an operator.
+    pub(crate) fn has_routes(&self) -> bool {
+        !self.routes_by_host.is_empty()
+    }
+
     /// Returns the cost of a model relative to the cheapest model of its service, which
     /// approximates how much slower it is; 1 if the costs are not known.
     pub(crate) fn slowness(&self, service: &str, model: &str) -> f64 {
--- a/src/peer/leader.rs
+++ b/src/peer/leader.rs
@@ -91,6 +91,22 @@
         }
     }
 
+    /// Calls one of the replicas once, leader or not: the one at position `index`, counted over the
+    /// replicas again and again. Returns `None` where it does not reply.
+    pub async fn call_replica_at(&self, index: usize, request: &Request) -> Option<Reply> {
+        let replica = {
+            let candidates = self.candidates.borrow();
+            candidates.replicas[index % candidates.replicas.len()]
+        };
+        match self.client.call(replica, request, CALL_TIMEOUT).await {
+            Ok(reply) => Some(reply),
+            Err(e) => {
+                event!(Debug, "call_failed", error = e);
+                None
+            }
+        }
+    }
+
     /// Presumes the next replica to be the leader, unless another call has changed the presumed
     /// leader meanwhile.
     fn try_next_replica(&self, tried: SocketAddr) {
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -32,6 +32,8 @@
 use crate::upstream::LoadLevel;
 use crate::upstream::Upstream;
 
+use super::ConfigUpdate;
+
 /// A request to a state replica.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum Request {
@@ -54,6 +56,11 @@
     },
     /// Renews an entry's lease and exchanges updates.
     Renew(Box<Renewal>),
+    /// Asks any replica for the changes of the configuration since a revision.
+    ConfigUpdate {
+        /// Revision that the sender holds; 0 for none.
+        held: u64,
+    },
     /// Operations on the ledger.
     Ledger(Vec<LedgerOp>),
     /// Pins a session to a version.
@@ -89,6 +96,8 @@
     BootstrapStatus(BootstrapStatus),
     /// To `Renew`.
     Grant(Box<Grant>),
+    /// To `ConfigUpdate`; `None` where the replica has no newer revision.
+    ConfigUpdate(Option<ConfigUpdate>),
     /// To `Ledger`.
     Ledger(Vec<LedgerOutcome>),
     /// To `Pin`.
@@ -133,6 +142,9 @@
     pub acked_revision: u64,
     /// Newest revision that the holder has.
     pub revision: u64,
+    /// Largest [`Grant::config`] that the holder accepts, in bytes. It requests a larger one with
+    /// [`Request::ConfigUpdate`], so that the leader need not send it to every holder.
+    pub max_config_bytes: u32,
     /// Term of the leader whose change counters follow. They don't apply to another leader.
     pub term: u64,
     /// Log index up to which the holder's directory is current.
@@ -222,8 +234,11 @@
     pub term: u64,
     /// Whether the next renewal must have [`Renewal::info`].
     pub wants_info: bool,
-    /// Configuration; `None` where the entry has the newest revision.
-    pub config: Option<Box<ConfigView>>,
+    /// Newest revision of the configuration.
+    pub revision: u64,
+    /// Update to `revision`; `None` where the entry has it already, and where the update exceeds
+    /// [`Renewal::max_config_bytes`].
+    pub config: Option<ConfigUpdate>,
     /// Upstreams that changed after [`Renewal::directory_index`].
     pub upstreams: Vec<Upstream>,
     /// Log index up to which the entry's directory is current once `upstreams` are merged.
@@ -315,6 +330,7 @@
         Self {
             term,
             wants_info: false,
+            revision: 0,
             config: None,
             upstreams: Vec::new(),
             directory_index: 0,
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -2,12 +2,15 @@
 //! stream, authenticated by a key.
 
 mod client;
+mod config_update;
 mod leader;
 mod message;
 mod server;
 
 pub use self::client::CallError;
 pub use self::client::Client;
+pub use self::config_update::ConfigUpdate;
+pub use self::config_update::UpdateError;
 pub use self::leader::LeaderClient;
 pub use self::message::BootstrapStatus;
 pub use self::message::ConfigView;
--- a/src/replica/core.rs
+++ b/src/replica/core.rs
@@ -10,7 +10,9 @@
 use tokio::sync::oneshot;
 
 use super::Config;
+use super::config_history::ConfigHistory;
 use super::leader_state::LeaderState;
+use super::leader_state::config_view;
 use super::outbox::Outbox;
 use super::writer::SyncedBatch;
 use super::writer::WriteJob;
@@ -41,6 +43,10 @@
 /// Most commands that are queued or wait for their outcome; further ones are rejected.
 const MAX_PENDING_PROPOSALS: usize = 20_000;
 
+/// Size of the commands in the log, in bytes, from which the next snapshot is taken whatever their
+/// number. The log is held in memory and on a small disk, and large configurations come in series.
+const MAX_LOG_BYTES: usize = 4 * 1024 * 1024;
+
 /// Most senders whose address is remembered. Beyond it all are forgotten; the log resends what is
 /// lost by that.
 const MAX_REMEMBERED_SENDERS: usize = 64;
@@ -57,6 +63,7 @@
     pub(super) node: Node,
     pub(super) state: State,
     pub(super) leader_state: LeaderState,
+    pub(super) config_history: ConfigHistory,
     /// Replicas that asked to join the log, by address.
     pub(super) join_requests: BTreeMap<SocketAddr, ReplicaId>,
     pub(super) address: SocketAddr,
@@ -90,11 +97,14 @@
     ) -> Self {
         let now = clock.now();
         let state = decode_state(restored.log.snapshot());
+        let mut config_history = ConfigHistory::default();
+        config_history.record(config_view(&state));
         let node = Node::new(id, restored, cfg.settings, fastrand::u64(..), now);
         Self {
             node,
             state,
             leader_state: LeaderState::new(now),
+            config_history,
             join_requests: BTreeMap::new(),
             address: cfg.advertise,
             disk_bytes: 0,
@@ -244,6 +254,7 @@
         }
         if let Some(snapshot) = &effects.install_snapshot {
             self.state = decode_state(snapshot);
+            self.config_history.record(config_view(&self.state));
         }
         for entry in effects.committed {
             self.apply(entry);
@@ -260,6 +271,9 @@
         match codec::decode::<Command>(data) {
             Ok(command) => {
                 let outcome = self.state.apply(entry.index, command);
+                if self.state.revision > self.config_history.revision() {
+                    self.config_history.record(config_view(&self.state));
+                }
                 if let Some(waiter) = waiter.filter(|waiter| waiter.term == entry.term) {
                     let _ = waiter.tx.send(outcome);
                 }
@@ -307,11 +321,13 @@
         }
     }
 
-    /// Takes a snapshot and compacts the log once enough entries were applied since the last one.
+    /// Takes a snapshot and compacts the log once enough entries or bytes were applied since the
+    /// last one.
     pub(super) fn compact(&mut self) {
         let applied = self.state.applied;
         let since = applied.saturating_sub(self.node.log().snapshot().index);
-        if since < self.snapshot_every {
+        let is_large = since > 0 && self.node.log().command_bytes() > MAX_LOG_BYTES;
+        if since < self.snapshot_every && !is_large {
             return;
         }
         let data = codec::encode(&self.state);
--- a/src/replica/handler.rs
+++ b/src/replica/handler.rs
@@ -89,6 +89,9 @@
             }
             Reply::Grant(Box::new(core.renew(&renewal)))
         }
+        Request::ConfigUpdate { held } => {
+            Reply::ConfigUpdate(core.borrow_mut().config_history.update_from(held))
+        }
         Request::Ledger(ops) => propose(&core, Op::Ledger(ops)).await,
         Request::Pin(pin) => propose(&core, Op::Pin(pin)).await,
         Request::Announce(announcement) => announce(core, announcement).await,
@@ -166,12 +169,19 @@
         expected_revision: change.expected_revision,
         change: change.change,
     };
-    let rx = match submit(&core, Op::Change(request)) {
-        Ok(rx) => rx,
-        Err(reply) => return reply,
-    };
-    let Ok(Outcome::Change(outcome)) = rx.await else {
-        return Reply::OutcomeUnknown;
+    let recorded = recorded_outcome(&core.borrow(), &request);
+    let outcome = match recorded {
+        Some(outcome) => outcome,
+        None => {
+            let rx = match submit(&core, Op::Change(request)) {
+                Ok(rx) => rx,
+                Err(reply) => return reply,
+            };
+            let Ok(Outcome::Change(outcome)) = rx.await else {
+                return Reply::OutcomeUnknown;
+            };
+            outcome
+        }
     };
     let revision = core.borrow().state.revision;
     event!(
@@ -200,6 +210,16 @@
     Reply::Change(reply)
 }
 
+/// Returns the outcome of a change that was applied before, so that a retry costs no entry in the
+/// log; `None` for a new change, and where this replica can't know.
+fn recorded_outcome(core: &Core, request: &ChangeRequest) -> Option<ChangeOutcome> {
+    if !core.has_leader_lease() {
+        return None;
+    }
+    core.state
+        .recorded_outcome(&request.change_id, request.digest())
+}
+
 /// Waits until `revision` is in force or `wait` has passed. Returns the VMs that lag at the end, or
 /// `None` where this replica has lost the leadership and can't know.
 async fn wait_until_in_force(
--- a/src/replica/leader_state.rs
+++ b/src/replica/leader_state.rs
@@ -307,7 +307,8 @@
     slots
 }
 
-fn config_view(state: &State) -> ConfigView {
+/// Returns the part of the state that entries and gateways need as their configuration.
+pub(super) fn config_view(state: &State) -> ConfigView {
     let rollouts = state
         .rollouts
         .iter()
@@ -363,9 +364,11 @@
         grantor.grant(renewal.entry, &vm, renewal.acked_revision, now);
         let mut grant = Grant::empty(term);
         grant.wants_info = info.is_none();
-        if renewal.revision < self.state.revision {
-            grant.config = Some(Box::new(config_view(&self.state)));
-        }
+        grant.revision = self.state.revision;
+        grant.config = self
+            .config_history
+            .update_from(renewal.revision)
+            .filter(|update| update.size() <= renewal.max_config_bytes as usize);
         grant.upstreams = self.state.directory.changed_after(renewal.directory_index);
         grant.directory_index = self.state.applied;
         if let Some(record) = self.leader_state.entries.get_mut(&renewal.entry) {
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -4,6 +4,7 @@
 //! thread. No borrow of the core is held across an `.await`.
 
 mod bootstrap;
+mod config_history;
 mod core;
 mod handle;
 mod handler;
@@ -26,6 +27,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
+pub use self::config_history::ConfigHistory;
 use self::core::Core;
 pub use self::handle::Handle;
 use crate::agreement::ReplicaId;
--- a/src/state/command/change.rs
+++ b/src/state/command/change.rs
@@ -133,25 +133,39 @@
     },
 }
 
+impl ChangeRequest {
+    /// Returns a digest of all but the id, by which another change under the same id is recognised.
+    pub(crate) fn digest(&self) -> u32 {
+        crc32fast::hash(&codec::encode(&(
+            &self.who,
+            self.expected_revision,
+            &self.change,
+        )))
+    }
+}
+
 impl State {
+    /// Returns the outcome for a change whose id was used before; `None` for a new one. A change
+    /// other than the first under that id is refused.
+    pub(crate) fn recorded_outcome(&self, change_id: &Name, digest: u32) -> Option<ChangeOutcome> {
+        let record = self.changes.get(change_id)?;
+        if record.digest == digest {
+            return Some(record.outcome.clone());
+        }
+        let reason = "this change id was used for another change; choose a new --change-id";
+        Some(ChangeOutcome::Refused {
+            reason: reason.into(),
+        })
+    }
+
     pub(super) fn apply_change_request(
         &mut self,
         request: ChangeRequest,
         at_ms: u64,
     ) -> ChangeOutcome {
-        let digest = crc32fast::hash(&codec::encode(&(
-            &request.who,
-            request.expected_revision,
-            &request.change,
-        )));
-        if let Some(record) = self.changes.get(&request.change_id) {
-            if record.digest == digest {
-                return record.outcome.clone();
-            }
-            let reason = "this change id was used for another change; choose a new --change-id";
-            return ChangeOutcome::Refused {
-                reason: reason.into(),
-            };
+        let digest = request.digest();
+        if let Some(outcome) = self.recorded_outcome(&request.change_id, digest) {
+            return outcome;
         }
         let what: Name = request.change.to_string().into();
         let outcome = self.execute(&request, at_ms);
--- a/tests/fuzz/main.rs
+++ b/tests/fuzz/main.rs
@@ -7,6 +7,7 @@
 
 mod admission;
 mod agreement;
+mod config_update;
 mod lease;
 mod ledger;
 mod rollout;
--- a/tests/process/failures.rs
+++ b/tests/process/failures.rs
@@ -303,3 +303,20 @@
     assert_eq!(served.status, 200, "{}", served.body);
     assert_eq!(cluster.request_counts(app_address)["bodies"]["seat 8"], 1);
 }
+
+#[test]
+fn retried_change_takes_no_space_in_the_log() {
+    let cluster = Cluster::start(3, 0);
+    let mut inventory = INVENTORY.to_owned();
+    for i in 0..2000 {
+        inventory.push_str(&format!("\n[[services]]\nname = \"service-{i}\"\n"));
+    }
+    let disk_bytes = || cluster.show("status")["disk_bytes"].as_u64().unwrap();
+    cluster.apply(&inventory, &["--change-id", "large"]);
+    let after_first = disk_bytes();
+    for _ in 0..5 {
+        cluster.apply(&inventory, &["--change-id", "large"]);
+    }
+    let grown = disk_bytes() - after_first;
+    assert!(grown < inventory.len() as u64 / 2, "{grown} bytes");
+}
--- a/tests/process/gateway.rs
+++ b/tests/process/gateway.rs
@@ -357,3 +357,46 @@
     eventually("the gateway exits", || setup.gateway.try_exit_code());
     drop(setup.cluster);
 }
+
+#[test]
+fn gateway_that_may_lag_behind_the_replicas_refuses_unknown_routes_and_keys_temporarily() {
+    let upstream = Upstream::start(|seen, out| write(out, &ok_response(seen, "tile")));
+    let mut setup = Setup::new(&[&upstream]);
+    let unknown_key = [
+        ("authorization", "Bearer nobody"),
+        ("host", "previews.example"),
+        ("daisyquay-attempt", "id-1"),
+    ];
+    let address = setup.address;
+    let with_unknown_key = || send("POST", address, "/lookup/a", &unknown_key, "");
+    assert_eq!(with_unknown_key().unwrap().status, 401);
+    setup.cluster.replicas[0].kill();
+    eventually("an unknown route may be in a newer configuration", || {
+        let reply = setup.call("GET", "/nowhere/", "id-2", "")?;
+        (reply.status == 503 && !reply.header("retry-after").is_empty()).then_some(())
+    });
+    assert_eq!(with_unknown_key().unwrap().status, 503);
+    // Requests of the configuration that is held are served as before.
+    let reply = setup.call("POST", "/lookup/a", "id-3", "").unwrap();
+    assert_eq!(reply.status, 200);
+    setup.cluster.replicas[0] = setup.cluster.start_replica(0);
+    eventually("the route is known not to exist", || {
+        let reply = setup.call("GET", "/nowhere/", "id-4", "")?;
+        (reply.status == 404).then_some(())
+    });
+}
+
+#[test]
+fn gateway_without_routes_refuses_requests_temporarily() {
+    let cluster = Cluster::start(1, 1);
+    // The first revision, without a route.
+    cluster.apply(INVENTORY, &["--change-id", "first"]);
+    let (_gateway, address) = cluster.start_gateway();
+    let headers = [("host", "previews.example"), ("daisyquay-attempt", "id-1")];
+    for _ in 0..10 {
+        let reply = eventually("the gateway listens", || {
+            send("GET", address, "/lookup/a", &headers, "")
+        });
+        assert_eq!(reply.status, 503, "{}", reply.body);
+    }
+}
