Let escalations go on beside the retries after a crash

Retries after failures were charged to the escalations' share, so one crash left the hard prompts of a whole window to the smallest model.

Change: escalations may use their share of the budget whatever failures have used of the rest; all together stay within the budget.

--- a/src/policy/retry_budget.rs
+++ b/src/policy/retry_budget.rs
@@ -4,6 +4,10 @@
 //! retries keep the service overloaded. In any window, the retries are limited to a ratio of the
 //! first attempts plus a slack. Budget that normal operation leaves unused covers many streams that
 //! break at once.
+//!
+//! Escalations to a larger model are attempts as well. They may use part of the budget, whatever
+//! the failures have used of the rest: otherwise one crash would leave every hard prompt to the
+//! smallest model for a whole window.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -30,7 +34,9 @@
 struct Slice {
     number: u128,
     first_attempts: u32,
+    /// Retries after failures, and escalations.
     retries: u32,
+    escalations: u32,
 }
 
 /// First attempts and retries of the last window.
@@ -47,16 +53,36 @@
 
     /// Counts a retry after a failure and returns `true`, or `false` if the budget is used up.
     pub fn try_retry(&mut self, limits: &Limits, now: Duration) -> bool {
-        self.try_spend(limits, now, 1.0)
+        self.try_spend(limits, now)
     }
 
     /// Counts an escalation, which a request can do without, and returns `true`, or `false` if the
     /// escalations' share of the budget is used up.
     pub fn try_escalation(&mut self, limits: &Limits, now: Duration) -> bool {
-        self.try_spend(limits, now, ESCALATION_SHARE)
+        let allowed = self.allowed(limits, now);
+        let escalations: u32 = self.slices.iter().map(|slice| slice.escalations).sum();
+        if f64::from(escalations) + 1.0 > allowed * ESCALATION_SHARE {
+            return false;
+        }
+        let is_spent = self.try_spend(limits, now);
+        if is_spent {
+            self.slice(limits, now).escalations += 1;
+        }
+        is_spent
+    }
+
+    fn try_spend(&mut self, limits: &Limits, now: Duration) -> bool {
+        let allowed = self.allowed(limits, now);
+        let retries: u32 = self.slices.iter().map(|slice| slice.retries).sum();
+        if f64::from(retries) + 1.0 > allowed {
+            return false;
+        }
+        self.slice(limits, now).retries += 1;
+        true
     }
 
-    fn try_spend(&mut self, limits: &Limits, now: Duration, share: f64) -> bool {
+    /// Returns the retries that the first attempts of the window allow.
+    fn allowed(&mut self, limits: &Limits, now: Duration) -> f64 {
         let newest = self.slice(limits, now).number;
         let is_whole = |slice: &&Slice| slice.number + u128::from(SLICES) > newest;
         let first_attempts: u32 = self
@@ -65,13 +91,7 @@
             .filter(is_whole)
             .map(|slice| slice.first_attempts)
             .sum();
-        let retries: u32 = self.slices.iter().map(|slice| slice.retries).sum();
-        let allowed = f64::from(first_attempts) * limits.ratio + limits.slack;
-        if f64::from(retries) + 1.0 > allowed * share {
-            return false;
-        }
-        self.slice(limits, now).retries += 1;
-        true
+        f64::from(first_attempts) * limits.ratio + limits.slack
     }
 
     /// Returns the slice of `now`, after dropping the slices that have left the window.
--- a/tests/load/retry_budget.rs
+++ b/tests/load/retry_budget.rs
@@ -17,6 +17,7 @@
 enum Step {
     FirstAttempt,
     Retry,
+    Escalation,
     Wait(u8),
 }
 
@@ -24,7 +25,8 @@
     fn arbitrary(g: &mut Gen) -> Self {
         match u8::arbitrary(g) % 8 {
             0..=2 => Self::FirstAttempt,
-            3..=6 => Self::Retry,
+            3..=5 => Self::Retry,
+            6 => Self::Escalation,
             _ => Self::Wait(u8::arbitrary(g)),
         }
     }
@@ -46,6 +48,11 @@
                     retries.push(now);
                 }
             }
+            Step::Escalation => {
+                if budget.try_escalation(&LIMITS, now) {
+                    retries.push(now);
+                }
+            }
             Step::Wait(n) => now += Duration::from_millis(u64::from(n) * 40),
         }
     }
@@ -90,3 +97,33 @@
     let retried = (0..200).filter(|_| budget.try_retry(&LIMITS, now)).count();
     assert_eq!((escalated, retried), (72, 24));
 }
+
+/// Half of the responses of a steady load are doubtful. A crash breaks a third of a window's
+/// requests, which are retried at once. The escalations go on beside the retries.
+#[test]
+fn crash_does_not_keep_hard_prompts_on_the_smallest_model() {
+    let mut budget = SlidingWindow::default();
+    let mut now = Duration::from_secs(100);
+    let (mut doubtful, mut escalated) = (0, 0);
+    for second in 0..20 {
+        if second == 10 {
+            let retried = (0..33).filter(|_| budget.try_retry(&LIMITS, now)).count();
+            assert_eq!(
+                retried, 33,
+                "some requests that the crash broke were not retried"
+            );
+        }
+        for i in 0..10 {
+            budget.record_first_attempt(&LIMITS, now);
+            if i % 2 == 0 {
+                let is_escalated = budget.try_escalation(&LIMITS, now);
+                if second >= 10 {
+                    doubtful += 1;
+                    escalated += u32::from(is_escalated);
+                }
+            }
+            now += Duration::from_millis(100);
+        }
+    }
+    assert_eq!(escalated, doubtful);
+}
