Charge no retry for a refused connection, and share it among gateways

Each of 200 gateways learned of each crash by its own requests.

Change: an attempt whose connection was refused or never made is not charged and does not count as a refusal; eight such upstreams may be tried. A refused connection takes the upstream out of the choice for a second, and the other gateways, which are told with the loads, for two (`policy::reachability`).

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -32,7 +32,9 @@
 
 /// Result of one attempt, with the reason for the log if it has no response.
 pub(super) enum AttemptOutcome {
-    /// The upstream did not run the request.
+    /// Nothing of the request reached the upstream.
+    NotSent(&'static str),
+    /// The upstream received the request and did not run it.
     NotRun(&'static str),
     /// The request may have run, but there is no usable response.
     Lost(&'static str),
@@ -75,7 +77,7 @@
         overrides,
         time_left,
     ) else {
-        return AttemptOutcome::NotRun("invalid request target or header");
+        return AttemptOutcome::NotSent("invalid request target or header");
     };
     let address = upstream.address();
     let sent = gateway
@@ -92,7 +94,11 @@
             gateway.connections.close_idle(address);
             in_flight.record_failure();
             match e {
-                RequestError::NotSent(reason) => AttemptOutcome::NotRun(reason),
+                RequestError::Refused => {
+                    in_flight.record_refused_connection();
+                    AttemptOutcome::NotSent(e.reason())
+                }
+                RequestError::NotSent(reason) => AttemptOutcome::NotSent(reason),
                 RequestError::Interrupted(reason) => {
                     gateway.count_failure(call, upstream);
                     AttemptOutcome::Lost(reason)
--- a/src/gateway/exchange/choose.rs
+++ b/src/gateway/exchange/choose.rs
@@ -12,6 +12,7 @@
 use crate::policy::placement;
 use crate::policy::placement::Candidate;
 use crate::policy::placement::SharedPrefix;
+use crate::policy::reachability::Reachability;
 use crate::policy::release_rollout::TRIAL_SHARE;
 
 impl Exchange {
@@ -30,9 +31,10 @@
         let name = self.model_name(Some(model));
         let upstreams = gateway.upstreams.borrow();
         let peer_loads = gateway.peer_loads.borrow();
+        let reachability = gateway.reachability.borrow();
         let candidate = upstreams.placement_candidate(
             &upstream,
-            &self.placement_context(&peer_loads, None),
+            &self.placement_context(&peer_loads, &reachability, None),
             false,
         );
         let own_prefill_tokens =
@@ -48,10 +50,12 @@
     fn placement_context<'a>(
         &'a self,
         peer_loads: &'a PeerLoads,
+        reachability: &'a Reachability,
         kv_capacity_tokens: Option<u64>,
     ) -> PlacementContext<'a> {
         PlacementContext {
             peer_loads,
+            reachability,
             data_centre: &self.gateway.cfg.data_centre,
             kv_capacity_tokens,
             now: self.gateway.now(),
@@ -73,7 +77,8 @@
         let kv_capacity_tokens = routing.engine(service).map(|engine| engine.cache_tokens);
         let upstreams = gateway.upstreams.borrow();
         let peer_loads = gateway.peer_loads.borrow();
-        let context = self.placement_context(&peer_loads, kv_capacity_tokens);
+        let reachability = gateway.reachability.borrow();
+        let context = self.placement_context(&peer_loads, &reachability, kv_capacity_tokens);
         let choose = |wants_new: Option<bool>| -> Option<Upstream> {
             let eligible: Vec<&Upstream> = pool
                 .upstreams
--- a/src/gateway/exchange/log.rs
+++ b/src/gateway/exchange/log.rs
@@ -28,7 +28,9 @@
     /// Logs an attempt without a usable response, or with a server error.
     pub(super) fn log_attempt(&self, upstream: &Upstream, attempt: &AttemptOutcome) {
         let (outcome, reason) = match attempt {
-            AttemptOutcome::NotRun(reason) => ("not_run", *reason),
+            AttemptOutcome::NotSent(reason) | AttemptOutcome::NotRun(reason) => {
+                ("not_run", *reason)
+            }
             AttemptOutcome::Lost(reason) => ("lost", *reason),
             AttemptOutcome::Complete(head, _) if head.status.is_server_error() => ("failed", "-"),
             AttemptOutcome::Complete(..) | AttemptOutcome::Stream(..) => return,
--- a/src/gateway/exchange/mod.rs
+++ b/src/gateway/exchange/mod.rs
@@ -38,6 +38,9 @@
 /// count as a run, but puts load on the upstream.
 const MAX_REFUSALS: u32 = 4;
 
+/// Number of upstreams that may be unreachable for a request before the gateway gives up.
+const MAX_UNREACHABLE: u32 = 8;
+
 /// Stands for an id or a route that is not known, in the log.
 const NOT_KNOWN: &str = "-";
 
@@ -139,10 +142,13 @@
     tried: Vec<Name>,
     /// Attempts in which the request may have run.
     runs: u32,
-    /// Attempts in which it did not run.
+    /// Attempts in which an upstream received the request and did not run it.
     refusals: u32,
-    /// Whether the next attempt has already been charged to the retry budget.
-    is_retry_reserved: bool,
+    /// Attempts in which nothing reached the upstream.
+    unreachable: u32,
+    /// Whether the retry budget has been charged for an attempt that has not reached an upstream
+    /// yet. The budget bounds what the upstreams receive.
+    is_charged: bool,
     /// Reason why the last failed attempt failed, for the log.
     last_failure: &'static str,
 }
@@ -164,7 +170,8 @@
             tried: Vec::new(),
             runs: 0,
             refusals: 0,
-            is_retry_reserved: false,
+            unreachable: 0,
+            is_charged: false,
             last_failure: "no upstream available",
         }
     }
@@ -201,7 +208,13 @@
         )
         .await;
         self.log_attempt(upstream, &outcome);
+        self.is_charged = matches!(outcome, AttemptOutcome::NotSent(_));
         match outcome {
+            AttemptOutcome::NotSent(reason) => {
+                self.runs -= 1;
+                self.unreachable += 1;
+                self.last_failure = reason;
+            }
             AttemptOutcome::NotRun(reason) => {
                 self.runs -= 1;
                 self.refusals += 1;
@@ -220,7 +233,7 @@
                 return self.final_failure(failure);
             };
             match self.run_attempt(&upstream, None).await {
-                AttemptOutcome::NotRun(_) => {}
+                AttemptOutcome::NotSent(_) | AttemptOutcome::NotRun(_) => {}
                 AttemptOutcome::Lost(_) => {
                     if !self.call.route.is_safe_to_retry() {
                         return Err(Refusal::bad_gateway("answer_lost"));
@@ -260,7 +273,8 @@
             tried: self.tried.clone(),
             runs: self.runs,
             refusals: self.refusals,
-            is_retry_reserved: false,
+            unreachable: self.unreachable,
+            is_charged: false,
             last_failure: self.last_failure,
         }
     }
@@ -294,8 +308,8 @@
         let Some(service) = &self.service else {
             return false;
         };
-        self.is_retry_reserved = self.gateway.try_escalation(service);
-        self.is_retry_reserved
+        self.is_charged = self.gateway.try_escalation(service);
+        self.is_charged
     }
 
     fn model_name(&self, model: Option<usize>) -> Option<Name> {
@@ -305,8 +319,11 @@
     /// Returns the upstream for the next attempt; `None` if no attempt is allowed or no upstream is
     /// left.
     fn next_upstream(&mut self) -> Option<Upstream> {
-        let is_first = self.runs == 0 && self.refusals == 0;
-        if self.runs >= self.call.route.attempts || self.refusals >= MAX_REFUSALS {
+        let is_first = self.runs == 0 && self.refusals == 0 && self.unreachable == 0;
+        if self.runs >= self.call.route.attempts
+            || self.refusals >= MAX_REFUSALS
+            || self.unreachable >= MAX_UNREACHABLE
+        {
             return None;
         }
         if !is_first && self.call.time_left(self.gateway.now()) < MIN_TIME_LEFT {
@@ -316,12 +333,11 @@
         let upstream = self.choose_upstream(&service, self.model, &self.tried)?;
         if is_first {
             self.gateway.record_first_attempt(&service);
-        } else if std::mem::take(&mut self.is_retry_reserved) {
-            // Already charged by `reserve_escalation`.
-        } else if !self.gateway.try_retry(&service) {
+        } else if !self.is_charged && !self.gateway.try_retry(&service) {
             self.last_failure = "retry budget exhausted";
             return None;
         }
+        self.is_charged = true;
         self.tried.push(upstream.id().clone());
         Some(upstream)
     }
@@ -342,6 +358,7 @@
             "not_placed",
             request = self.call.id,
             refusals = self.refusals,
+            unreachable = self.unreachable,
             reason = self.last_failure
         );
         Err(Refusal::unavailable(
@@ -382,7 +399,9 @@
     ) -> Option<(UpstreamResponse, InFlightRequest)> {
         loop {
             match self.run_attempt(&upstream, after).await {
-                AttemptOutcome::NotRun(_) | AttemptOutcome::Lost(_) => {}
+                AttemptOutcome::NotSent(_)
+                | AttemptOutcome::NotRun(_)
+                | AttemptOutcome::Lost(_) => {}
                 AttemptOutcome::Stream(response, in_flight)
                     if response.status == StatusCode::OK =>
                 {
--- a/src/gateway/loads/mod.rs
+++ b/src/gateway/loads/mod.rs
@@ -1,5 +1,6 @@
-//! Updates that the gateways send each other: the load of their own requests at each upstream, and
-//! the releases of those sessions that the trial stage of a rollout may include.
+//! Updates that the gateways send each other: the load of their own requests at each upstream, the
+//! releases of those sessions that the trial stage of a rollout may include, and the upstreams that
+//! refuse connections.
 //!
 //! The upstreams' own load reports arrive late, and every gateway reads the same ones. So each
 //! gateway also publishes the load that it has sent to each upstream, in UDP datagrams with
@@ -100,6 +101,8 @@
     /// Sessions assigned to a release since the previous update; a full update repeats all since
     /// the last full one.
     sessions: Vec<Assignment>,
+    /// Upstreams that refused a connection since the previous update, by number.
+    refusing: Vec<Index>,
 }
 
 /// Loads of one other gateway.
@@ -168,6 +171,7 @@
         transport.forward(&fanout).await;
         let now = gateway.now();
         gateway.peer_loads.borrow_mut().remove_expired(now);
+        gateway.reachability.borrow_mut().remove_expired(now);
     }
 }
 
@@ -227,6 +231,11 @@
     }
     let now = gateway.now();
     gateway.sessions.borrow_mut().merge(&update.sessions, now);
+    let mut reachability = gateway.reachability.borrow_mut();
+    for &upstream in update.refusing.iter().take(MAX_ROWS) {
+        reachability.record_reported_refusal(upstream, now);
+    }
+    drop(reachability);
     let forwarded = (forward != Forward::Nowhere).then(|| update.clone());
     let is_new = gateway.peer_loads.borrow_mut().apply(update, now);
     if let Some(forwarded) = forwarded.filter(|_| is_new) {
--- a/src/gateway/loads/publisher.rs
+++ b/src/gateway/loads/publisher.rs
@@ -28,7 +28,8 @@
         let loads = gateway.upstreams.borrow().own_loads();
         let rows = self.rows_to_publish(&loads, is_full);
         let new_sessions = gateway.sessions.borrow_mut().take_unpublished();
-        if rows.is_empty() && new_sessions.is_empty() && !is_full {
+        let refusing = gateway.reachability.borrow_mut().take_unpublished();
+        if rows.is_empty() && new_sessions.is_empty() && refusing.is_empty() && !is_full {
             return None;
         }
         self.seq += 1;
@@ -45,6 +46,7 @@
             is_full,
             rows,
             sessions,
+            refusing,
         })
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -49,6 +49,7 @@
 use crate::metrics::Metrics;
 use crate::peer::EntryInfo;
 use crate::policy::prefill::RateEstimator;
+use crate::policy::reachability::Reachability;
 use crate::policy::release_rollout::RouteStats;
 use crate::policy::retry_budget;
 use crate::policy::retry_budget::SlidingWindow;
@@ -122,9 +123,11 @@
     leader_revision: Cell<Option<(u64, Duration)>>,
     upstreams: RefCell<UpstreamTable>,
     peer_loads: RefCell<PeerLoads>,
+    /// Upstreams that refuse connections, as seen by this gateway and the others.
+    reachability: RefCell<Reachability>,
     sessions: RefCell<Sessions>,
     /// Notified when there may be an update to send: this gateway's load at an upstream or the
-    /// release of a session has changed, or an update of another gateway is to be forwarded.
+    /// release of a session has changed, an upstream has refused a connection, or an update of another gateway is to be forwarded.
     load_changed: Notify,
     connections: ConnectionPool,
     retry_budgets: RefCell<HashMap<Name, SlidingWindow>>,
@@ -190,6 +193,7 @@
         leader_revision: Cell::new(None),
         upstreams: RefCell::default(),
         peer_loads: RefCell::default(),
+        reachability: RefCell::default(),
         sessions: RefCell::default(),
         load_changed: Notify::new(),
         connections: ConnectionPool::default(),
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -15,6 +15,7 @@
 use crate::collections::Name;
 use crate::policy::placement::Candidate;
 use crate::policy::placement::stable_hash;
+use crate::policy::reachability::Reachability;
 use crate::policy::timeouts;
 use crate::policy::timeouts::QueueProgress;
 use crate::upstream::Circuit;
@@ -111,7 +112,11 @@
             kv_cache_use: load.kv_tokens as f64
                 / context.kv_capacity_tokens.unwrap_or(u64::MAX).max(1) as f64,
             is_local: upstream.announced.data_centre == *context.data_centre,
-            circuit: row.map_or(Circuit::Closed, |row| row.health.circuit(now)),
+            circuit: if context.reachability.is_avoided(upstream.number, now) {
+                Circuit::Open
+            } else {
+                row.map_or(Circuit::Closed, |row| row.health.circuit(now))
+            },
             was_tried,
             is_suspect: upstream.is_suspect || self.suspects.contains(&upstream.number),
         }
@@ -121,6 +126,7 @@
 /// Further input of the placement, the same for all upstreams of a service.
 pub(super) struct PlacementContext<'a> {
     pub(super) peer_loads: &'a PeerLoads,
+    pub(super) reachability: &'a Reachability,
     pub(super) data_centre: &'a Name,
     /// Tokens that the KV cache of an upstream holds; `None` if not known.
     pub(super) kv_capacity_tokens: Option<u64>,
@@ -260,9 +266,21 @@
     pub(super) fn record_response(&mut self) {
         let time_to_head = self.elapsed();
         self.finish_prefill();
+        let mut reachability = self.gateway.reachability.borrow_mut();
+        reachability.record_response(self.upstream.number);
+        drop(reachability);
         self.record_result(|health, _| health.record_success(time_to_head));
     }
 
+    /// Records that the upstream refused the connection, for this gateway and the others.
+    pub(super) fn record_refused_connection(&self) {
+        let gateway = &self.gateway;
+        let now = gateway.now();
+        let mut reachability = gateway.reachability.borrow_mut();
+        reachability.record_refusal(self.upstream.number, now);
+        gateway.load_changed.notify_one();
+    }
+
     /// Records a failure that is attributed to the upstream.
     pub(super) fn record_failure(&mut self) {
         self.record_result(|health, now| health.record_failure(now));
--- a/src/http_client/mod.rs
+++ b/src/http_client/mod.rs
@@ -25,6 +25,9 @@
 /// Why a request has no response, or only part of one.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum RequestError {
+    /// The upstream refused the connection: no process listens there, or it has too many
+    /// connections.
+    Refused,
     /// No byte of the request reached the upstream.
     NotSent(&'static str),
     /// The request was sent at least in part, so the upstream may have run it.
@@ -35,6 +38,7 @@
     /// Returns the reason for the log.
     pub(crate) fn reason(self) -> &'static str {
         match self {
+            Self::Refused => "connection refused",
             Self::NotSent(reason) | Self::Interrupted(reason) => reason,
         }
     }
--- a/src/http_client/pool.rs
+++ b/src/http_client/pool.rs
@@ -1,6 +1,7 @@
 //! Pool of idle keep-alive connections, keyed by upstream address.
 
 use std::cell::RefCell;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -166,7 +167,10 @@
 async fn connect(address: SocketAddr) -> Result<Sender, RequestError> {
     let stream = TcpStream::connect(address)
         .await
-        .map_err(|_| RequestError::NotSent("connection failed"))?;
+        .map_err(|e| match e.kind() {
+            ErrorKind::ConnectionRefused => RequestError::Refused,
+            _ => RequestError::NotSent("connection failed"),
+        })?;
     socket::configure_connected_socket(&stream);
     let mut builder = http1::Builder::new();
     builder.max_buf_size(HEAD_LIMIT_BYTES);
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -12,6 +12,7 @@
 pub mod prefill;
 pub mod prompt;
 pub mod quality;
+pub mod reachability;
 pub mod release_rollout;
 pub mod retry;
 pub mod retry_budget;
--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -8,6 +8,7 @@
 mod load_balancing;
 mod placement;
 mod prefill;
+mod reachability;
 mod release_rollout;
 mod retry_budget;
 mod sessions;
--- a/tests/process/gateway.rs
+++ b/tests/process/gateway.rs
@@ -400,3 +400,26 @@
         assert_eq!(reply.status, 503, "{}", reply.body);
     }
 }
+
+#[test]
+fn serves_run_once_requests_while_most_upstreams_refuse_connections() {
+    let upstream = Upstream::start(|seen, out| write(out, &ok_response(seen, "tile")));
+    let setup = Setup::new(&[&upstream]);
+    // Nothing listens at the addresses of the others.
+    for i in 1..8 {
+        let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        announce(
+            &setup.cluster,
+            &format!("u{i}"),
+            closed.local_addr().unwrap(),
+        );
+    }
+    std::thread::sleep(Duration::from_secs(1));
+    for i in 0..30 {
+        let reply = setup
+            .call("POST", "/hold/a", &format!("id-{i}"), "")
+            .unwrap();
+        assert_eq!(reply.status, 200, "request {i}: {}", reply.body);
+    }
+    assert_eq!(upstream.received().len(), 30);
+}
