Leave the upstream of a shared prefix before the wait makes a response late

Cause: placement weighed the backlog of the upstream that holds a prefix against three prefills of it elsewhere, whatever the target.

Change: `policy::placement` takes the target into account: upstreams where the response would be on time come first, then the cost as before. The rate comes from `policy::prefill`.

Test: `load placement::prompts_leave_the_upstream_of_a_hot_prefix_before_they_are_late`.

--- a/src/gateway/exchange/choose.rs
+++ b/src/gateway/exchange/choose.rs
@@ -11,7 +11,7 @@
 use crate::policy::escalation::TtftForecast;
 use crate::policy::placement;
 use crate::policy::placement::Candidate;
-use crate::policy::placement::SharedPrefix;
+use crate::policy::placement::Prefill;
 use crate::policy::reachability::Reachability;
 use crate::policy::release_rollout::TRIAL_SHARE;
 
@@ -73,7 +73,7 @@
         let routing = gateway.routing();
         let pool = routing.pool(service)?;
         let wants_new = self.uses_new_release(pool);
-        let shared_prefix = self.shared_prefix(&routing, service, model);
+        let prefill = self.prefill(&routing, service, model);
         let kv_capacity_tokens = routing.engine(service).map(|engine| engine.cache_tokens);
         let upstreams = gateway.upstreams.borrow();
         let peer_loads = gateway.peer_loads.borrow();
@@ -93,7 +93,7 @@
                 .collect();
             let can_probe = self.call.route.is_safe_to_retry();
             let rng = &mut *gateway.rng.borrow_mut();
-            let index = placement::place(&candidates, shared_prefix, can_probe, rng)?;
+            let index = placement::place(&candidates, prefill, can_probe, rng)?;
             Some(eligible[index].clone())
         };
         choose(wants_new).or_else(|| {
@@ -121,23 +121,32 @@
         pool.new_share.map(|_| is_new)
     }
 
-    /// Returns the shared prefix of the prompt for placement; `None` for a route without affinity.
-    fn shared_prefix(
+    /// Returns the prefill of the prompt for placement; `None` for a route without affinity.
+    fn prefill(
         &self,
         routing: &RoutingTable,
         service: &Name,
         model: Option<usize>,
-    ) -> Option<SharedPrefix> {
-        if !self.call.route.affinity {
+    ) -> Option<Prefill> {
+        let route = &self.call.route;
+        if !route.affinity {
             return None;
         }
         let prompt = &self.call.prompt;
-        let slowness = self
-            .model_name(model)
-            .map_or(1.0, |model| routing.slowness(service, &model));
-        Some(SharedPrefix {
-            id: prompt.shared_prefix_id(),
-            prefill_tokens: (prompt.shared_prefix_tokens() as f64 * slowness) as u64,
+        let model = self.model_name(model);
+        let slowness = model
+            .as_ref()
+            .map_or(1.0, |model| routing.slowness(service, model));
+        let scaled = |tokens: u64| (tokens as f64 * slowness) as u64;
+        let prefix_tokens = prompt.shared_prefix_tokens();
+        let gateway = &self.gateway;
+        let elapsed = gateway.now().saturating_sub(self.call.received_at);
+        let time_left = route.target().saturating_sub(elapsed);
+        Some(Prefill {
+            prefix_id: prompt.shared_prefix_id(),
+            prefix_tokens: scaled(prefix_tokens),
+            own_tokens: scaled(prompt.tokens_in.saturating_sub(prefix_tokens)),
+            tokens_to_target: gateway.predict_prefill_tokens(service, model, time_left),
         })
     }
 }
--- a/src/gateway/observations.rs
+++ b/src/gateway/observations.rs
@@ -8,6 +8,7 @@
 use super::routing::Upstream;
 use crate::collections::Name;
 use crate::peer::ReleaseStats;
+use crate::policy::prefill::RateEstimator;
 use crate::policy::release_rollout::RouteStats;
 
 impl Gateway {
@@ -33,16 +34,35 @@
         model: Option<Name>,
         prefill_tokens: u64,
     ) -> Option<Duration> {
+        self.estimate_prefill(service, model, |rate| rate.predict(prefill_tokens))
+    }
+
+    /// Predicts how many tokens an upstream of the service prefills in `time`; `None` if its rate
+    /// is not known yet.
+    pub(super) fn predict_prefill_tokens(
+        &self,
+        service: &Name,
+        model: Option<Name>,
+        time: Duration,
+    ) -> Option<u64> {
+        self.estimate_prefill(service, model, |rate| rate.tokens_in(time))
+    }
+
+    /// Returns an estimate for a model. Token counts are scaled to the smallest model, so until
+    /// this model has samples, another model of the service serves as an estimate.
+    fn estimate_prefill<T>(
+        &self,
+        service: &Name,
+        model: Option<Name>,
+        estimate: impl Fn(&RateEstimator) -> Option<T>,
+    ) -> Option<T> {
         let prefill_rates = self.prefill_rates.borrow();
         let known = prefill_rates.get(&(service.clone(), model));
-        let known = known.and_then(|rate| rate.predict(prefill_tokens));
-        // Token counts are scaled to the smallest model, so until this model has samples, another
-        // model of the service serves as an estimate.
-        known.or_else(|| {
+        known.and_then(&estimate).or_else(|| {
             let mut same_service = prefill_rates
                 .iter()
                 .filter(|((name, _), _)| name == service);
-            same_service.find_map(|(_, rate)| rate.predict(prefill_tokens))
+            same_service.find_map(|(_, rate)| estimate(rate))
         })
     }
 
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -2,7 +2,8 @@
 //!
 //! Handles many gateways that read the same lagging load reports (none may send everything to the
 //! upstream that looks idle), prompts that share long prefixes (an upstream that has a prefix in
-//! its KV cache is worth a wait, until it is much busier than others), traffic of several data
+//! its KV cache is worth a wait, until it is much busier than others or the wait would make the
+//! response late), traffic of several data
 //! centres (bytes between them are paid for), and upstreams that hang or fail.
 
 use std::hash::BuildHasher;
@@ -50,13 +51,18 @@
     pub is_suspect: bool,
 }
 
-/// The part of a prompt that other prompts may share.
+/// The prefill of a prompt. Tokens are those that the smallest model prefills in the same time.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct SharedPrefix {
-    /// Identity of the prefix; `None` if the prompt shares nothing.
-    pub id: Option<u64>,
-    /// Length, in tokens that the smallest model prefills in the same time.
-    pub prefill_tokens: u64,
+pub struct Prefill {
+    /// Identity of the prefix that other prompts may share; `None` if the prompt shares nothing.
+    pub prefix_id: Option<u64>,
+    /// Tokens of that prefix.
+    pub prefix_tokens: u64,
+    /// Tokens after it.
+    pub own_tokens: u64,
+    /// Tokens that an upstream prefills in the time left to the request's target; `None` while its
+    /// rate is not known.
+    pub tokens_to_target: Option<u64>,
 }
 
 /// Returns a hash of `name` that is the same in every process.
@@ -70,11 +76,11 @@
 
 /// Chooses the index of a candidate; `None` if all have been tried.
 ///
-/// `prefix` is `None` for a request that is placed by load alone. `may_probe` is whether the
+/// `prefill` is `None` for a request that is placed by load alone. `may_probe` is whether the
 /// request can go to another upstream if this one fails.
 pub fn place(
     candidates: &[Candidate],
-    prefix: Option<SharedPrefix>,
+    prefill: Option<Prefill>,
     may_probe: bool,
     rng: &mut fastrand::Rng,
 ) -> Option<usize> {
@@ -87,8 +93,8 @@
     if let Some(half_open) = half_open {
         return Some(half_open);
     }
-    match prefix {
-        Some(prefix) => by_prefill(candidates, &eligible, prefix),
+    match prefill {
+        Some(prefill) => by_prefill(candidates, &eligible, prefill),
         None => by_load(candidates, &eligible, rng),
     }
 }
@@ -118,24 +124,36 @@
     Vec::new()
 }
 
-/// Returns the upstream that should finish the prefill first. The order of upstreams for a shared
+/// Returns the upstream that should finish the prefill first, of those where the response would be
+/// on time. The order of upstreams for a shared
 /// prefix is a rendezvous hash of the prefix, so all gateways send its prompts to the same few.
-fn by_prefill(candidates: &[Candidate], eligible: &[usize], prefix: SharedPrefix) -> Option<usize> {
+fn by_prefill(candidates: &[Candidate], eligible: &[usize], prefill: Prefill) -> Option<usize> {
     let mut order = eligible.to_vec();
-    let seed = prefix.id.unwrap_or_default();
+    let seed = prefill.prefix_id.unwrap_or_default();
     order.sort_unstable_by_key(|&i| std::cmp::Reverse(seeded_hash(&candidates[i].id, seed)));
-    let repeated_prefill = (prefix.prefill_tokens as f64 * REPEATED_PREFILL_FACTOR) as u64;
+    let repeated_cost = (prefill.prefix_tokens as f64 * REPEATED_PREFILL_FACTOR) as u64;
     let has_capacity =
         |i: usize| candidates[i].load < MAX_USE && candidates[i].kv_cache_use < MAX_USE;
     let cost = |(position, i): (usize, usize)| {
-        let repeated = if position == 0 { 0 } else { repeated_prefill };
+        let (repeated, repeated_cost) = if position == 0 {
+            (0, 0)
+        } else {
+            (prefill.prefix_tokens, repeated_cost)
+        };
         let remote = if candidates[i].is_local {
             0
         } else {
             REMOTE_PENALTY_TOKENS
         };
-        let prefill = candidates[i].prefill_tokens.saturating_add(repeated);
-        (!has_capacity(i), prefill.saturating_add(remote))
+        let backlog = candidates[i].prefill_tokens;
+        let until_first_token = backlog
+            .saturating_add(repeated)
+            .saturating_add(prefill.own_tokens);
+        let is_late = prefill
+            .tokens_to_target
+            .is_some_and(|limit| until_first_token > limit);
+        let cost = backlog.saturating_add(repeated_cost).saturating_add(remote);
+        (!has_capacity(i), is_late, cost)
     };
     let best = order.iter().copied().enumerate().min_by_key(|&at| cost(at));
     best.map(|(_, i)| i)
--- a/src/policy/prefill.rs
+++ b/src/policy/prefill.rs
@@ -46,4 +46,12 @@
         }
         Duration::try_from_secs_f64(self.seconds / self.tokens * prefill_tokens as f64).ok()
     }
+
+    /// Returns the tokens that an upstream prefills in `time`; `None` with too few samples.
+    pub fn tokens_in(&self, time: Duration) -> Option<u64> {
+        if self.samples < MIN_SAMPLES {
+            return None;
+        }
+        Some((time.as_secs_f64() * self.tokens / self.seconds) as u64)
+    }
 }
--- a/tests/load/placement.rs
+++ b/tests/load/placement.rs
@@ -2,7 +2,7 @@
 //! or have an open circuit.
 
 use daisyquay::policy::placement::Candidate;
-use daisyquay::policy::placement::SharedPrefix;
+use daisyquay::policy::placement::Prefill;
 use daisyquay::policy::placement::place;
 use daisyquay::policy::placement::stable_hash;
 use daisyquay::upstream::Circuit;
@@ -22,10 +22,12 @@
         .collect()
 }
 
-fn prefix(id: u64, tokens: u64) -> Option<SharedPrefix> {
-    Some(SharedPrefix {
-        id: Some(id),
-        prefill_tokens: tokens,
+fn prefix(id: u64, tokens: u64) -> Option<Prefill> {
+    Some(Prefill {
+        prefix_id: Some(id),
+        prefix_tokens: tokens,
+        own_tokens: 0,
+        tokens_to_target: None,
     })
 }
 
@@ -159,3 +161,44 @@
         assert_ne!(place(&candidates, None, false, &mut rng), Some(0));
     }
 }
+
+/// Long prompts with one shared prefix arrive faster than one upstream prefills them. Returns the
+/// share of the prompts that are late, and the share for which the prefix was prefilled again.
+fn hot_prefix(knows_target: bool) -> (f64, f64) {
+    const PROMPTS: u32 = 2_000;
+    const TARGET_TOKENS: u64 = 900_000;
+    let mut rng = rng();
+    let mut candidates = candidates(12);
+    let (mut late, mut repeated) = (0, 0);
+    let mut prefix_is_at = None;
+    for _ in 0..PROMPTS {
+        let prefill = Prefill {
+            prefix_id: Some(7),
+            prefix_tokens: 300_000,
+            own_tokens: 100_000,
+            tokens_to_target: knows_target.then_some(TARGET_TOKENS),
+        };
+        let at = place(&candidates, Some(prefill), true, &mut rng).unwrap();
+        let home = *prefix_is_at.get_or_insert(at);
+        let tokens = prefill.own_tokens + if at == home { 0 } else { prefill.prefix_tokens };
+        repeated += u32::from(at != home);
+        late += u32::from(candidates[at].prefill_tokens + tokens > TARGET_TOKENS);
+        candidates[at].prefill_tokens += tokens;
+        for candidate in &mut candidates {
+            candidate.prefill_tokens = candidate.prefill_tokens.saturating_sub(60_000);
+        }
+    }
+    (
+        f64::from(late) / f64::from(PROMPTS),
+        f64::from(repeated) / f64::from(PROMPTS),
+    )
+}
+
+#[test]
+fn prompts_leave_the_upstream_of_a_hot_prefix_before_they_are_late() {
+    let (late, repeated) = hot_prefix(true);
+    let (late_without, _) = hot_prefix(false);
+    assert_eq!(late, 0.0, "late: {late_without} without the target");
+    assert!(late_without > 0.5, "{late_without}");
+    assert!(repeated < 0.5, "{repeated}");
+}
