Give up escalations first when upstreams are backlogged, and sum peers' loads once

The forecast of the escalated request alone does not show what it takes from others.

Change: a request escalates only while the median prefill backlog of the upstreams is below 0.4 of its target, by 0.8 less for each further rank. `PeerLoads` keeps the sums by upstream: they were added up over 200 gateways for each of 78 candidates of each request.

Tests: `load escalation::escalations_give_way_to_first_responses_in_a_burst` (0.2 in time without, 0.99 with) and `all_doubtful_responses_escalate_at_moderate_load`.

--- a/src/gateway/exchange/choose.rs
+++ b/src/gateway/exchange/choose.rs
@@ -1,5 +1,7 @@
 //! Choice of the upstream and the release for an attempt.
 
+use std::time::Duration;
+
 use super::Exchange;
 use crate::collections::Name;
 use crate::gateway::attempt::estimate_load;
@@ -14,6 +16,7 @@
 use crate::policy::placement::Prefill;
 use crate::policy::reachability::Reachability;
 use crate::policy::release_rollout::TRIAL_SHARE;
+use crate::upstream::Circuit;
 
 impl Exchange {
     /// Returns whether the request may go to another upstream if its upstream does not respond.
@@ -47,6 +50,32 @@
         })
     }
 
+    /// Predicts the time in which `model` prefills the median backlog of the service's upstreams,
+    /// of those that can be chosen; `None` if there is none or the model's rate is not known.
+    pub(super) fn median_prefill_backlog(&self, model: usize) -> Option<Duration> {
+        let gateway = &self.gateway;
+        let service = self.service.as_ref()?;
+        let routing = gateway.routing();
+        let pool = routing.pool(service)?;
+        let upstreams = gateway.upstreams.borrow();
+        let peer_loads = gateway.peer_loads.borrow();
+        let reachability = gateway.reachability.borrow();
+        let context = self.placement_context(&peer_loads, &reachability, None);
+        let mut backlogs: Vec<u64> = pool
+            .upstreams
+            .iter()
+            .map(|upstream| upstreams.placement_candidate(upstream, &context, false))
+            .filter(|candidate| !candidate.is_suspect && candidate.circuit != Circuit::Open)
+            .map(|candidate| candidate.prefill_tokens)
+            .collect();
+        if backlogs.is_empty() {
+            return None;
+        }
+        let middle = backlogs.len() / 2;
+        let (_, &mut tokens, _) = backlogs.select_nth_unstable(middle);
+        gateway.predict_prefill_time(service, self.model_name(Some(model)), tokens)
+    }
+
     fn placement_context<'a>(
         &'a self,
         peer_loads: &'a PeerLoads,
--- a/src/gateway/exchange/mod.rs
+++ b/src/gateway/exchange/mod.rs
@@ -17,6 +17,7 @@
 use crate::gateway::attempt::AttemptOutcome;
 use crate::gateway::attempt::AttemptOverrides;
 use crate::gateway::attempt::attempt;
+use crate::gateway::attempt::rank;
 use crate::gateway::call::Call;
 use crate::gateway::call::header_text;
 use crate::gateway::call::read_body;
@@ -294,6 +295,13 @@
         let larger_model = escalation::next_model(ladder, self.model?, confidence, |model| {
             self.forecast_ttft(model)
         })?;
+        let target = self.call.route.target();
+        let is_affordable = self
+            .median_prefill_backlog(larger_model)
+            .is_none_or(|backlog| escalation::is_affordable(rank(&self.call), backlog, target));
+        if !is_affordable {
+            return None;
+        }
         event!(
             Debug,
             "escalated",
--- a/src/gateway/loads/mod.rs
+++ b/src/gateway/loads/mod.rs
@@ -81,9 +81,9 @@
     }
 
     pub(super) fn add(&mut self, other: &Self) {
-        self.requests += other.requests;
-        self.prefill_tokens += other.prefill_tokens;
-        self.kv_tokens += other.kv_tokens;
+        self.requests = self.requests.saturating_add(other.requests);
+        self.prefill_tokens = self.prefill_tokens.saturating_add(other.prefill_tokens);
+        self.kv_tokens = self.kv_tokens.saturating_add(other.kv_tokens);
     }
 }
 
@@ -117,6 +117,8 @@
 #[derive(Debug, Default)]
 pub(super) struct PeerLoads {
     gateways: HashMap<u64, PeerLoad>,
+    /// Sum over the gateways, by upstream: placement reads it for every upstream of a service.
+    totals: HashMap<Index, Load>,
 }
 
 impl PeerLoads {
@@ -129,28 +131,48 @@
         peer.seq = update.seq;
         peer.last_received = now;
         if update.is_full {
-            peer.rows.clear();
+            for (number, load) in peer.rows.drain() {
+                subtract(&mut self.totals, number, &load);
+            }
         }
         for (number, load) in update.rows.into_iter().take(MAX_ROWS) {
-            peer.rows.insert(number, load);
+            if let Some(previous) = peer.rows.insert(number, load) {
+                subtract(&mut self.totals, number, &previous);
+            }
+            self.totals.entry(number).or_default().add(&load);
         }
         true
     }
 
     fn remove_expired(&mut self, now: Duration) {
-        self.gateways
-            .retain(|_, peer| now <= peer.last_received + PEER_EXPIRY);
+        let totals = &mut self.totals;
+        self.gateways.retain(|_, peer| {
+            let is_live = now <= peer.last_received + PEER_EXPIRY;
+            if !is_live {
+                for (number, load) in peer.rows.drain() {
+                    subtract(totals, number, &load);
+                }
+            }
+            is_live
+        });
     }
 
     /// Returns the total load of all other gateways at one upstream.
     pub(super) fn total_at(&self, number: Index) -> Load {
-        let mut total = Load::default();
-        for peer in self.gateways.values() {
-            if let Some(load) = peer.rows.get(&number) {
-                total.add(load);
-            }
-        }
-        total
+        self.totals.get(&number).copied().unwrap_or_default()
+    }
+}
+
+/// Subtracts a load that was added to the total of an upstream before.
+fn subtract(totals: &mut HashMap<Index, Load>, number: Index, load: &Load) {
+    let Some(total) = totals.get_mut(&number) else {
+        return;
+    };
+    total.requests = total.requests.saturating_sub(load.requests);
+    total.prefill_tokens = total.prefill_tokens.saturating_sub(load.prefill_tokens);
+    total.kv_tokens = total.kv_tokens.saturating_sub(load.kv_tokens);
+    if *total == Load::default() {
+        totals.remove(&number);
     }
 }
 
--- a/src/policy/escalation.rs
+++ b/src/policy/escalation.rs
@@ -6,6 +6,11 @@
 //!
 //! Under load, a second prefill finishes late and delays the prompts behind it. A response with low
 //! confidence is then better than a late one, so it is kept.
+//!
+//! A prefill on the largest model takes the capacity of many first responses. When bursts or
+//! crashes leave every upstream with a backlog, escalations would take it from the least urgent
+//! requests, which then get no response at all. So escalations are given up first, those of the
+//! least urgent requests before the others.
 
 use std::time::Duration;
 
@@ -16,6 +21,13 @@
 /// the time in which a small model prefills one long prompt.
 const BACKLOG_SHARE: f64 = 0.05;
 
+/// Median prefill backlog of the upstreams, as a share of the target, up to which the most urgent
+/// requests escalate. A first response that waits for as long still has time to be retried.
+const MAX_BACKLOG_SHARE: f64 = 0.4;
+
+/// Factor of that share for each further scheduling rank.
+const RANK_FACTOR: f64 = 0.8;
+
 /// Forecast of the time to first token of a model.
 #[derive(Clone, Copy, Debug)]
 pub struct TtftForecast {
@@ -43,6 +55,15 @@
     (ladder > 0).then_some(0)
 }
 
+/// Returns whether the upstreams have the capacity for an escalation of a request of that scheduling
+/// rank, 0 for the most urgent. `backlog` is the time in which the larger model prefills the median
+/// backlog of the upstreams: it is zero while most of them are idle, however long single prompts
+/// are.
+pub fn is_affordable(rank: u32, backlog: Duration, target: Duration) -> bool {
+    let rank = i32::try_from(rank).unwrap_or(i32::MAX);
+    backlog <= target.mul_f64(MAX_BACKLOG_SHARE * RANK_FACTOR.powi(rank))
+}
+
 /// Returns the index of the model to escalate to; `None` if the response of `model` is kept.
 ///
 /// `ladder` is the number of models and `confidence` came with the response. `forecast` returns the
--- a/tests/load/escalation.rs
+++ b/tests/load/escalation.rs
@@ -127,3 +127,97 @@
         in_time(false)
     );
 }
+
+/// Forty upstreams with their backlogs in milliseconds, under traffic of three ranks in which half
+/// of the first responses are doubtful.
+struct Pool {
+    backlogs: Vec<f64>,
+    rng: fastrand::Rng,
+}
+
+const TARGET: Duration = Duration::from_secs(1);
+
+/// First responses within the target and escalations, by rank.
+#[derive(Debug, Default)]
+struct Outcome {
+    asked: [u32; 3],
+    in_time: [u32; 3],
+    escalated: [u32; 3],
+}
+
+impl Pool {
+    fn new() -> Self {
+        Self {
+            backlogs: vec![0.0; 40],
+            rng: fastrand::Rng::with_seed(3),
+        }
+    }
+
+    /// Adds work to the upstream with the least backlog of two; returns the wait before it.
+    fn add(&mut self, ms: f64) -> f64 {
+        let (a, b) = (self.rng.usize(..40), self.rng.usize(..40));
+        let at = if self.backlogs[a] <= self.backlogs[b] {
+            a
+        } else {
+            b
+        };
+        let wait = self.backlogs[at];
+        self.backlogs[at] += ms;
+        wait
+    }
+
+    /// Plays 20 s in which a first response takes 15 ms and an escalation 150 ms.
+    fn play(&mut self, requests_per_ms: f64, sheds: bool) -> Outcome {
+        let mut outcome = Outcome::default();
+        let mut due = 0.0;
+        for _ in 0..20_000 {
+            for backlog in &mut self.backlogs {
+                *backlog = (*backlog - 1.0).max(0.0);
+            }
+            due += requests_per_ms;
+            while due >= 1.0 {
+                due -= 1.0;
+                let rank = self.rng.usize(..3);
+                outcome.asked[rank] += 1;
+                outcome.in_time[rank] += u32::from(self.add(15.0) < TARGET.as_secs_f64() * 1000.0);
+                let mut sorted = self.backlogs.clone();
+                sorted.sort_unstable_by(f64::total_cmp);
+                let backlog = Duration::from_secs_f64(sorted[20] / 1000.0);
+                let is_affordable = escalation::is_affordable(rank as u32, backlog, TARGET);
+                if self.rng.bool() && (!sheds || is_affordable) {
+                    outcome.escalated[rank] += 1;
+                    self.add(150.0);
+                }
+            }
+        }
+        outcome
+    }
+}
+
+#[test]
+fn escalations_give_way_to_first_responses_in_a_burst() {
+    let all = Pool::new().play(0.6, false);
+    let shed = Pool::new().play(0.6, true);
+    let in_time = |outcome: &Outcome| -> f64 {
+        let (in_time, asked): (u32, u32) =
+            (outcome.in_time.iter().sum(), outcome.asked.iter().sum());
+        f64::from(in_time) / f64::from(asked)
+    };
+    assert!(in_time(&all) < 0.2, "{all:?}");
+    assert!(in_time(&shed) > 0.99, "{shed:?}");
+    // Half of the responses are doubtful. The least urgent requests give way first.
+    let share = |rank: usize| f64::from(shed.escalated[rank]) / f64::from(shed.asked[rank]);
+    assert!(share(0) > 0.45, "{shed:?}");
+    assert!(share(2) < 0.5 * share(0), "{shed:?}");
+}
+
+#[test]
+fn all_doubtful_responses_escalate_at_moderate_load() {
+    let outcome = Pool::new().play(0.2, true);
+    let escalated: u32 = outcome.escalated.iter().sum();
+    let asked: u32 = outcome.asked.iter().sum();
+    assert!(
+        f64::from(escalated) > 0.48 * f64::from(asked),
+        "{outcome:?}"
+    );
+}
