Compress large commands in the log, and renew before a slow fetch goes on

Cause: a configuration with 1,772 routes is a command of about 1 MB. The leader holds it in the log, in the write to the disk and in the messages to four followers, resent ones included, and each later configuration is as large.

Change: a command of 16 KiB and more is compressed in the log; a first byte that no command begins with marks it, so logs of earlier builds are read as before. A gateway that gets no reply to its request for an update renews before it asks the next replica: news of upstreams must not wait for two timeouts.

Test: `state documents::large_command_is_compressed_in_the_log_and_small_ones_are_not`.

--- a/src/codec.rs
+++ b/src/codec.rs
@@ -10,6 +10,9 @@
 /// huge allocation.
 pub(crate) const DECODE_LIMIT: usize = 256 * 1024 * 1024;
 
+/// Limit on the size of decompressed data, in bytes, for the same reason.
+const DECOMPRESSED_LIMIT: usize = 64 * 1024 * 1024;
+
 type BoundedConfig =
     Configuration<bincode::config::LittleEndian, bincode::config::Varint, Limit<DECODE_LIMIT>>;
 
@@ -36,3 +39,18 @@
 pub(crate) fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, DecodeError> {
     bincode::serde::decode_from_slice(bytes, bounded_config()).map(|(value, _)| value)
 }
+
+/// Compresses data, at little processor time rather than to the smallest size.
+pub(crate) fn compress(data: &[u8]) -> Vec<u8> {
+    lz4_flex::block::compress_prepend_size(data)
+}
+
+/// Decompresses what [`compress`] returned; `None` if it is damaged or exceeds
+/// [`DECOMPRESSED_LIMIT`].
+pub(crate) fn decompress(data: &[u8]) -> Option<Vec<u8>> {
+    let (size, compressed) = lz4_flex::block::uncompressed_size(data).ok()?;
+    if size > DECOMPRESSED_LIMIT {
+        return None;
+    }
+    lz4_flex::block::decompress(compressed, size).ok()
+}
--- a/src/gateway/renewal.rs
+++ b/src/gateway/renewal.rs
@@ -20,7 +20,7 @@
 /// replica, so that the leader does not send it to every gateway.
 const MAX_GRANTED_CONFIG_BYTES: u32 = 16 * 1024;
 
-/// Number of replicas asked for a configuration update before the next renewal.
+/// Number of replicas asked for a configuration update between two renewals.
 const UPDATE_ATTEMPTS: usize = 3;
 
 /// Sends renewals for as long as the process runs.
@@ -144,7 +144,8 @@
     }
 
     /// Fetches the configuration from the replicas in turn, if the leader has a newer one. Gateways
-    /// start at different replicas, which share the load.
+    /// start at different replicas, which share the load. One that does not reply ends the search
+    /// until after the next renewal, which brings the news of upstreams and must not wait for long.
     async fn fetch_config(&mut self, gateway: &Gateway, leader: &LeaderClient) {
         for _ in 0..UPDATE_ATTEMPTS {
             if self.revision >= self.leader_revision {
@@ -156,8 +157,12 @@
             let reply = leader.call_replica_at(self.update_source, &request).await;
             match reply {
                 Some(Reply::ConfigUpdate(Some(update))) => self.apply_config(gateway, &update),
-                // The replica is not reached or is behind; the leader's own update comes in turn.
-                _ => self.update_source = self.update_source.wrapping_add(1),
+                reply => {
+                    self.update_source = self.update_source.wrapping_add(1);
+                    if reply.is_none() {
+                        return;
+                    }
+                }
             }
         }
     }
--- a/src/peer/config_update.rs
+++ b/src/peer/config_update.rs
@@ -13,7 +13,6 @@
 
 use super::ConfigView;
 use super::RolloutView;
-use super::server::MAX_MESSAGE_BYTES;
 use crate::codec;
 use crate::collections::HashMap;
 use crate::collections::HashSet;
@@ -75,7 +74,7 @@
         Self {
             from: base.revision,
             revision: target.revision,
-            data: lz4_flex::block::compress_prepend_size(&codec::encode(&changes)).into(),
+            data: codec::compress(&codec::encode(&changes)).into(),
         }
     }
 
@@ -111,12 +110,7 @@
     }
 
     fn decode(&self) -> Option<Changes> {
-        let (size, compressed) = lz4_flex::block::uncompressed_size(&self.data).ok()?;
-        if size > MAX_MESSAGE_BYTES {
-            return None;
-        }
-        let encoded = lz4_flex::block::decompress(compressed, size).ok()?;
-        codec::decode(&encoded).ok()
+        codec::decode(&codec::decompress(&self.data)?).ok()
     }
 }
 
--- a/src/replica/core.rs
+++ b/src/replica/core.rs
@@ -177,7 +177,7 @@
         let mut commands = Vec::with_capacity(queue.len());
         let mut senders = Vec::with_capacity(queue.len());
         for (op, tx) in queue {
-            commands.push(codec::encode(&Command { at_ms, op }));
+            commands.push(Command { at_ms, op }.to_bytes());
             senders.push(tx);
         }
         let term = self.node.term();
@@ -268,8 +268,8 @@
             self.state.applied = entry.index;
             return;
         };
-        match codec::decode::<Command>(data) {
-            Ok(command) => {
+        match Command::from_bytes(data) {
+            Some(command) => {
                 let outcome = self.state.apply(entry.index, command);
                 if self.state.revision > self.config_history.revision() {
                     self.config_history.record(config_view(&self.state));
@@ -278,9 +278,9 @@
                     let _ = waiter.tx.send(outcome);
                 }
             }
-            Err(e) => {
+            None => {
                 // Skipping the entry would let the replicas' states diverge.
-                event!(Error, "command_unreadable", index = entry.index, error = e);
+                event!(Error, "command_unreadable", index = entry.index);
                 std::process::exit(crate::cli::ExitCode::Storage.code());
             }
         }
--- a/src/state/command/mod.rs
+++ b/src/state/command/mod.rs
@@ -25,6 +25,7 @@
 use super::Stage;
 use super::State;
 use crate::agreement::Index;
+use crate::codec;
 use crate::collections::Name;
 use crate::upstream::AnnounceOutcome;
 use crate::upstream::Announcement;
@@ -38,6 +39,35 @@
     pub op: Op,
 }
 
+/// Encoded size from which a command is compressed, in bytes. The log holds a large configuration
+/// several times: in memory, on disk and in the messages to the other replicas.
+const MIN_COMPRESSED_BYTES: usize = 16 * 1024;
+
+/// First byte of a compressed command. No encoded command begins with it: it is no marker of an
+/// integer, and the encoding begins with [`Command::at_ms`].
+const COMPRESSED: u8 = 0xff;
+
+impl Command {
+    /// Encodes the command for the log.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        let encoded = codec::encode(self);
+        if encoded.len() < MIN_COMPRESSED_BYTES {
+            return encoded;
+        }
+        let mut bytes = vec![COMPRESSED];
+        bytes.extend(codec::compress(&encoded));
+        bytes
+    }
+
+    /// Decodes a command of the log; `None` if the bytes are not one.
+    pub fn from_bytes(bytes: &[u8]) -> Option<Self> {
+        match bytes.split_first()? {
+            (&COMPRESSED, compressed) => codec::decode(&codec::decompress(compressed)?).ok(),
+            _ => codec::decode(bytes).ok(),
+        }
+    }
+}
+
 /// Operation of a command.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Op {
--- a/tests/state/documents.rs
+++ b/tests/state/documents.rs
@@ -5,6 +5,9 @@
 use daisyquay::state::Document;
 use daisyquay::state::command::Change;
 use daisyquay::state::command::ChangeOutcome;
+use daisyquay::state::command::ChangeRequest;
+use daisyquay::state::command::Command;
+use daisyquay::state::command::Op;
 use daisyquay::state::query::Query;
 use daisyquay::state::query::Report;
 use quickcheck::QuickCheck;
@@ -74,3 +77,39 @@
 fn highest_number_is_current_in_any_order() {
     QuickCheck::new().quickcheck(matches_model as fn(Vec<(u8, bool)>) -> bool);
 }
+
+/// A large configuration is stored in a fraction of its size, and read back as it was.
+#[test]
+fn large_command_is_compressed_in_the_log_and_small_ones_are_not() {
+    let names: Vec<String> = (0..2000).map(|i| format!("service-{i}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let text = names.join(" and a text that repeats itself, ");
+    let command = |text: &str, names: &[&str]| Command {
+        at_ms: 1_790_000_000_000,
+        op: Op::Change(ChangeRequest {
+            change_id: "a".into(),
+            who: "ann".into(),
+            expected_revision: None,
+            change: Change::Load {
+                inventory: Arc::new(inventory(names)),
+                document: Document {
+                    number: 7,
+                    text: text.into(),
+                },
+            },
+        }),
+    };
+    let large = command(&text, &names);
+    let bytes = large.to_bytes();
+    assert!(
+        4 * bytes.len() < text.len(),
+        "{} of {}",
+        bytes.len(),
+        text.len()
+    );
+    assert_eq!(Command::from_bytes(&bytes), Some(large));
+    let small = command("seven", &["seven"]);
+    assert_eq!(Command::from_bytes(&small.to_bytes()), Some(small));
+    assert_eq!(Command::from_bytes(&bytes[..bytes.len() / 2]), None);
+    assert_eq!(Command::from_bytes(&[]), None);
+}
