--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -127,7 +127,8 @@
     reachability: RefCell<Reachability>,
     sessions: RefCell<Sessions>,
     /// Notified when there may be an update to send: this gateway's load at an upstream or the
-    /// release of a session has changed, an upstream has refused a connection, or an update of another gateway is to be forwarded.
+    /// release of a session has changed, an upstream has refused a connection, or an update of
+    /// another gateway is to be forwarded.
     load_changed: Notify,
     connections: ConnectionPool,
     retry_budgets: RefCell<HashMap<Name, SlidingWindow>>,
--- a/src/replica/core.rs
+++ b/src/replica/core.rs
@@ -280,7 +280,12 @@
             }
             None => {
                 // Skipping the entry would let the replicas' states diverge.
-                event!(Error, "command_unreadable", index = entry.index);
+                event!(
+                    Error,
+                    "command_unreadable",
+                    index = entry.index,
+                    error = "damaged, or written by a newer build; run that build"
+                );
                 std::process::exit(crate::cli::ExitCode::Storage.code());
             }
         }
