Add failing tests for the directory at a start and for replicas that never join

The first grant of a gateway holds the whole directory, so 300 gateways with 3,000 upstreams take more than half of a replica's memory at once. A replica that was removed while it was away, and one with a new disk whose first known address follows no leader, are never members again.

--- /dev/null
+++ b/tests/process/directory.rs
@@ -0,0 +1,92 @@
+//! A large directory of upstreams that many gateways need at once.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use daisyquay::peer::Client;
+use daisyquay::peer::Renewal;
+use daisyquay::peer::Reply;
+use daisyquay::peer::Request;
+use daisyquay::upstream::Announcement;
+use daisyquay::upstream::Serves;
+
+use crate::support::Cluster;
+use crate::support::PEER_KEY;
+
+const UPSTREAMS: usize = 3_000;
+const GATEWAYS: usize = 300;
+
+/// Memory of a VM with a replica.
+const VM_MEMORY_BYTES: usize = 88 * 1024 * 1024;
+
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+
+fn announcement(number: usize) -> Announcement {
+    let number = u16::try_from(number).unwrap();
+    let [high, low] = number.to_be_bytes();
+    Announcement {
+        id: format!("i-{:010x}", u64::from(number) * 0x9e37_79b9).into(),
+        incarnation: 1,
+        address: SocketAddr::from(([10, 1, high, low], 8_000)),
+        data_centre: "dc1".into(),
+        serves: Serves::Service("previews".into()),
+        slots: 64,
+        fences_orders: false,
+        release: Some("v1".into()),
+        started_ms: Some(1_790_000_000_000),
+        draining: false,
+    }
+}
+
+/// The first renewal of a gateway, which holds nothing yet.
+fn first_renewal() -> Request {
+    Request::Renew(Box::new(Renewal {
+        entry: 1,
+        info: None,
+        acked_revision: 0,
+        revision: 0,
+        max_config_bytes: 16 * 1024,
+        term: 0,
+        directory_index: 0,
+        loads_version: 0,
+        entries_version: 0,
+        quality_version: 0,
+        replicas_digest: 0,
+        loads: Vec::new(),
+        demand: Vec::new(),
+        release_stats: Vec::new(),
+        is_leaving: false,
+        releases_lease: false,
+    }))
+}
+
+/// Announces all upstreams and returns the reply to a gateway's first renewal.
+async fn first_grant(replica: SocketAddr) -> Reply {
+    let client = Client::new(PEER_KEY);
+    for number in 0..UPSTREAMS {
+        let request = Request::Announce(announcement(number));
+        let reply = client.call(replica, &request, CALL_TIMEOUT).await.unwrap();
+        assert!(matches!(reply, Reply::Announce(_)), "{reply:?}");
+    }
+    client
+        .call(replica, &first_renewal(), CALL_TIMEOUT)
+        .await
+        .unwrap()
+}
+
+/// Guards against replicas that exit at the limit of their memory after a start: a reply stays in
+/// the leader's memory until the gateway's link has taken it.
+#[test]
+fn first_grants_of_300_gateways_with_3000_upstreams_fit_into_half_of_a_replicas_memory() {
+    let cluster = Cluster::start_with_inventory(1, 0);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    let tasks = tokio::task::LocalSet::new();
+    let reply = tasks.block_on(&runtime, first_grant(cluster.replica_addresses[0]));
+    assert!(matches!(reply, Reply::Grant(_)), "{reply:?}");
+    let encoded = bincode::serde::encode_to_vec(&reply, bincode::config::standard()).unwrap();
+    let total = GATEWAYS * encoded.len();
+    assert!(total < VM_MEMORY_BYTES / 2, "{total} bytes");
+}
--- a/tests/process/replacement.rs
+++ b/tests/process/replacement.rs
@@ -1,8 +1,23 @@
 //! Replacement of a permanently lost replica by a new one at another address.
 
 use std::collections::BTreeSet;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+
+use daisyquay::agreement::ReplicaId;
+use daisyquay::config::KeyHash;
+use daisyquay::peer::BootstrapStatus;
+use daisyquay::peer::Caller;
+use daisyquay::peer::Handler;
+use daisyquay::peer::Keys;
+use daisyquay::peer::Reply;
+use daisyquay::peer::Request;
 
 use crate::support::Cluster;
+use crate::support::PEER_KEY;
+use crate::support::Program;
 use crate::support::eventually;
 
 /// Returns the peer addresses of the voters, or `None` where the status lists no members.
@@ -33,3 +48,98 @@
     });
     drop(replacement);
 }
+
+/// Returns the identity under which replica `i` is a member of the log.
+fn member_id(cluster: &Cluster, i: usize) -> Option<String> {
+    let address = cluster.replica_addresses[i].to_string();
+    let status = cluster.show("status");
+    let members = status["members"].as_array()?;
+    let member = members.iter().find(|member| member[0] == address)?;
+    member[1].as_str().map(str::to_owned)
+}
+
+/// Replaces a lost replica, so that it is removed from the log; returns its position and the
+/// replacement.
+fn remove_lost_replica(cluster: &mut Cluster) -> (usize, Program) {
+    let lost = cluster.leader();
+    cluster.replicas[lost].kill();
+    let replacement = cluster.start_replacement();
+    let new = cluster.replica_addresses[3].to_string();
+    let old = cluster.replica_addresses[lost].to_string();
+    eventually("the replacement is a voter, the lost one removed", || {
+        let voters = voters(cluster)?;
+        (voters.contains(&new) && !voters.contains(&old)).then_some(())
+    });
+    (lost, replacement)
+}
+
+/// Guards against a replica that is removed while it has no power, finds itself in its own old log
+/// after the restart, and so is missing when further disks are lost.
+#[test]
+fn removed_replica_that_comes_back_with_its_disk_joins_again() {
+    let mut cluster = Cluster::start_with_inventory(3, 1);
+    let (lost, replacement) = remove_lost_replica(&mut cluster);
+    cluster.replicas[lost] = cluster.start_replica(lost);
+    eventually("the former member is a member again", || {
+        member_id(&cluster, lost)
+    });
+    drop(replacement);
+}
+
+/// A replica that has a log and follows no leader.
+struct Leaderless;
+
+impl Handler for Leaderless {
+    fn call(&self, _: Caller, request: Request) -> Pin<Box<dyn Future<Output = Reply>>> {
+        Box::pin(async move {
+            match request {
+                Request::BootstrapStatus => Reply::BootstrapStatus(BootstrapStatus {
+                    id: ReplicaId(1),
+                    has_log: true,
+                }),
+                _ => Reply::NotLeader { leader: None },
+            }
+        })
+    }
+}
+
+/// Serves [`Leaderless`] until the test program ends and returns its address.
+fn start_leaderless() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    listener.set_nonblocking(true).unwrap();
+    std::thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .unwrap();
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            let listener = tokio::net::TcpListener::from_std(listener).unwrap();
+            let keys = Keys {
+                peer: KeyHash::of(PEER_KEY),
+                operators: Vec::new(),
+            };
+            daisyquay::peer::serve(listener, Rc::new(keys), Rc::new(Leaderless)).await;
+        });
+    });
+    address
+}
+
+/// Guards against a replica with a new disk that asks only the first address with a log, which may
+/// be one that follows no leader.
+#[test]
+fn replica_with_a_new_disk_joins_although_the_first_address_follows_no_leader() {
+    let mut cluster = Cluster::start_with_inventory(3, 1);
+    let leader = cluster.leader();
+    let wiped = (0..3).find(|&i| i != leader).unwrap();
+    let old_id = member_id(&cluster, wiped);
+    assert!(old_id.is_some());
+    cluster.replicas[wiped].kill();
+    std::fs::remove_dir_all(cluster.data_folder(wiped)).unwrap();
+    let mut known = vec![start_leaderless()];
+    known.extend(&cluster.replica_addresses);
+    cluster.replicas[wiped] = cluster.start_replica_among(wiped, &known);
+    eventually("the replica is a member under its new identity", || {
+        member_id(&cluster, wiped).filter(|id| Some(id) != old_id.as_ref())
+    });
+}
--- a/tests/process/support/cluster.rs
+++ b/tests/process/support/cluster.rs
@@ -28,7 +28,8 @@
 /// Header with the key of the first organisation of the sample inventory.
 pub(crate) const AUTH_HEADER: (&str, &str) = ("authorization", "Bearer dev-lagon-key");
 
-const PEER_KEY: &str = "test-peer-key";
+/// Key of the processes of a cluster.
+pub(crate) const PEER_KEY: &str = "test-peer-key";
 const OPERATORS: [&str; 2] = ["ann", "bob"];
 
 /// Clusters that run concurrently; the limit keeps a busy machine usable.
@@ -136,7 +137,7 @@
     }
 
     /// Starts replica `i` with `replicas` in its flag `--replicas`.
-    fn start_replica_among(&self, i: usize, replicas: &[SocketAddr]) -> Program {
+    pub(crate) fn start_replica_among(&self, i: usize, replicas: &[SocketAddr]) -> Program {
         let operators: Vec<String> = OPERATORS
             .iter()
             .map(|name| format!("{name}={:x}", Sha256::digest(format!("key-of-{name}"))))
