Tell what takes the memory of a replica

The log and the metrics could not tell a grant's size, queued messages of the log and open connections apart as causes of an exit. Each second the metrics have resident memory, open connections, bytes of replies, bytes queued for the other replicas and bytes of the log; above 32 MB the same is logged, with the largest reply.

--- a/src/agreement/log.rs
+++ b/src/agreement/log.rs
@@ -77,9 +77,7 @@
         let mut entries = Vec::new();
         let mut next = first;
         while let Some(entry) = self.get(next) {
-            if let Payload::Command(data) = &entry.payload {
-                bytes += data.len();
-            }
+            bytes += entry.payload.size();
             if bytes > max_bytes && !entries.is_empty() {
                 break;
             }
@@ -91,13 +89,7 @@
 
     /// Returns the size of all commands after the snapshot, in bytes.
     pub fn command_bytes(&self) -> usize {
-        self.entries
-            .iter()
-            .map(|entry| match &entry.payload {
-                Payload::Command(data) => data.len(),
-                Payload::Noop | Payload::Membership(_) => 0,
-            })
-            .sum()
+        self.entries.iter().map(|entry| entry.payload.size()).sum()
     }
 
     /// Appends an entry, whose index must follow the last one.
--- a/src/agreement/message.rs
+++ b/src/agreement/message.rs
@@ -35,6 +35,16 @@
     Membership(Membership),
 }
 
+impl Payload {
+    /// Returns the size of the command, in bytes; 0 for other entries.
+    pub(crate) fn size(&self) -> usize {
+        match self {
+            Self::Command(data) => data.len(),
+            Self::Noop | Self::Membership(_) => 0,
+        }
+    }
+}
+
 /// One entry of the log.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Entry {
@@ -82,6 +92,19 @@
     pub body: Body,
 }
 
+impl Message {
+    /// Returns the size of the commands or of the snapshot in the message, in bytes.
+    pub(crate) fn payload_bytes(&self) -> usize {
+        match &self.body {
+            Body::AppendEntries { entries, .. } => {
+                entries.iter().map(|entry| entry.payload.size()).sum()
+            }
+            Body::InstallSnapshot { snapshot, .. } => snapshot.data.len(),
+            _ => 0,
+        }
+    }
+}
+
 /// Content of a message.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Body {
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -29,4 +29,5 @@
 pub use self::server::Caller;
 pub use self::server::Handler;
 pub use self::server::Keys;
+pub use self::server::Traffic;
 pub use self::server::serve;
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -1,5 +1,6 @@
 //! The server side: one encoded request and reply per `h2` stream.
 
+use std::cell::Cell;
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -43,6 +44,53 @@
     Operator(Name),
 }
 
+/// Counts of a listener since its start, for metrics and the log.
+#[derive(Debug, Default)]
+pub struct Traffic {
+    connections: Cell<usize>,
+    reply_bytes: Cell<u64>,
+    largest_reply_bytes: Cell<usize>,
+}
+
+impl Traffic {
+    /// Returns the number of open connections.
+    pub fn connections(&self) -> usize {
+        self.connections.get()
+    }
+
+    /// Returns the size of all replies, in bytes.
+    pub fn reply_bytes(&self) -> u64 {
+        self.reply_bytes.get()
+    }
+
+    /// Returns the size of the largest reply since the last call, in bytes.
+    pub fn take_largest_reply_bytes(&self) -> usize {
+        self.largest_reply_bytes.take()
+    }
+
+    fn record_reply(&self, bytes: usize) {
+        self.reply_bytes.set(self.reply_bytes.get() + bytes as u64);
+        let largest = self.largest_reply_bytes.get().max(bytes);
+        self.largest_reply_bytes.set(largest);
+    }
+}
+
+/// Counts a connection as open until it is dropped.
+struct OpenConnection(Rc<Traffic>);
+
+impl OpenConnection {
+    fn new(traffic: &Rc<Traffic>) -> Self {
+        traffic.connections.set(traffic.connections.get() + 1);
+        Self(traffic.clone())
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.connections.set(self.0.connections.get() - 1);
+    }
+}
+
 /// Hashes of the keys that the listener accepts.
 #[derive(Clone, Debug)]
 pub struct Keys {
@@ -77,25 +125,32 @@
 }
 
 /// Accepts and serves connections on the current thread; never returns.
-pub async fn serve(listener: TcpListener, keys: Rc<Keys>, handler: Rc<dyn Handler>) {
-    let open = Rc::new(());
+pub async fn serve(
+    listener: TcpListener,
+    keys: Rc<Keys>,
+    handler: Rc<dyn Handler>,
+    traffic: Rc<Traffic>,
+) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(Duration::from_millis(50)).await;
             continue;
         };
-        if Rc::strong_count(&open) > MAX_CONNECTIONS {
+        if traffic.connections() >= MAX_CONNECTIONS {
             continue;
         }
-        let (open, keys, handler) = (open.clone(), keys.clone(), handler.clone());
-        tokio::task::spawn_local(async move {
-            let _open = open;
-            serve_connection(stream, keys, handler).await;
-        });
+        let open = OpenConnection::new(&traffic);
+        let (keys, handler) = (keys.clone(), handler.clone());
+        tokio::task::spawn_local(serve_connection(stream, keys, handler, open));
     }
 }
 
-async fn serve_connection(stream: TcpStream, keys: Rc<Keys>, handler: Rc<dyn Handler>) {
+async fn serve_connection(
+    stream: TcpStream,
+    keys: Rc<Keys>,
+    handler: Rc<dyn Handler>,
+    open: OpenConnection,
+) {
     // Nagle's algorithm would delay small messages.
     let _ = stream.set_nodelay(true);
     let mut builder = h2::server::Builder::new();
@@ -109,7 +164,8 @@
     };
     while let Some(Ok((request, respond))) = connection.accept().await {
         let (keys, handler) = (keys.clone(), handler.clone());
-        tokio::task::spawn_local(serve_stream(request, respond, keys, handler));
+        let traffic = open.0.clone();
+        tokio::task::spawn_local(serve_stream(request, respond, keys, handler, traffic));
     }
 }
 
@@ -118,6 +174,7 @@
     mut respond: SendResponse<Bytes>,
     keys: Rc<Keys>,
     handler: Rc<dyn Handler>,
+    traffic: Rc<Traffic>,
 ) {
     let key = request
         .headers()
@@ -140,7 +197,9 @@
     let reply = handler.call(caller, decoded).await;
     let head = http::Response::new(());
     if let Ok(mut stream) = respond.send_response(head, false) {
-        let _ = stream.send_data(codec::encode(&reply).into(), true);
+        let body = codec::encode(&reply);
+        traffic.record_reply(body.len());
+        let _ = stream.send_data(body.into(), true);
     }
 }
 
--- a/src/replica/core.rs
+++ b/src/replica/core.rs
@@ -139,6 +139,15 @@
         }
     }
 
+    pub(super) fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
+    /// Returns the size of the log's commands and snapshots that wait to be sent, in bytes.
+    pub(super) fn queued_bytes(&self) -> usize {
+        self.outbox.queued_bytes()
+    }
+
     /// Returns whether this replica is the leader and its lease allows reads from its state.
     pub(super) fn has_leader_lease(&self) -> bool {
         self.node.has_lease(self.now())
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -14,6 +14,7 @@
 mod outbox;
 mod quality_publisher;
 mod reaper;
+mod usage;
 mod writer;
 
 use std::cell::RefCell;
@@ -152,10 +153,12 @@
         operators: cfg.operators.clone(),
     });
     let handler = Rc::new(handler::ReplicaHandler::new(core.clone()));
-    tokio::task::spawn_local(peer::serve(listener, keys, handler));
+    let traffic = Rc::new(peer::Traffic::default());
+    tokio::task::spawn_local(peer::serve(listener, keys, handler, traffic.clone()));
     tokio::task::spawn_local(housekeeping::process_synced(core.clone(), synced_rx));
     tokio::task::spawn_local(housekeeping::tick(core.clone()));
     tokio::task::spawn_local(housekeeping::run_housekeeping(core.clone()));
+    tokio::task::spawn_local(usage::report(core.clone(), traffic));
     tokio::task::spawn_local(bootstrap::bootstrap(
         core.clone(),
         client.clone(),
--- a/src/replica/outbox.rs
+++ b/src/replica/outbox.rs
@@ -57,6 +57,13 @@
         }
     }
 
+    /// Returns the size of the log's commands and snapshots in the queued messages, in bytes.
+    pub(super) fn queued_bytes(&self) -> usize {
+        let queues = self.queues.borrow();
+        let messages = queues.values().flat_map(|queue| &queue.messages);
+        messages.map(Message::payload_bytes).sum()
+    }
+
     async fn send_queued(self, to: SocketAddr) {
         loop {
             let batch = {
--- a/tests/process/replacement.rs
+++ b/tests/process/replacement.rs
@@ -119,7 +119,8 @@
                 peer: KeyHash::of(PEER_KEY),
                 operators: Vec::new(),
             };
-            daisyquay::peer::serve(listener, Rc::new(keys), Rc::new(Leaderless)).await;
+            daisyquay::peer::serve(listener, Rc::new(keys), Rc::new(Leaderless), Rc::default())
+                .await;
         });
     });
     address
