Send the directory of upstreams in bounded pieces, from any replica

What callers saw: no replica leads, no configuration is acknowledged, and requests are refused, on a fleet of hundreds of gateways and thousands of upstreams. Replicas exit at the limit of their memory, start, and exit again.

Cause: a grant held the whole directory for a gateway that had none. After a start or an election all gateways asked at once, and each reply stays in the leader's memory until the gateway's link has taken it. A call that took over 0.8 s was made anew on another connection.

Gateways fetch the rest from the replicas in turn; entries renew again at once.

The fuzz test of the directory now merges in pieces of two rows.

--- a/src/entry/link.rs
+++ b/src/entry/link.rs
@@ -105,6 +105,9 @@
             leader.wait_before_retry().await;
             continue;
         }
+        if !renewer.has_whole_directory {
+            continue;
+        }
         let passed = shared.now().saturating_sub(sent_at);
         tokio::time::sleep(RENEWAL_INTERVAL.saturating_sub(passed)).await;
     }
@@ -117,6 +120,8 @@
     /// Whether the leader has this entry's info.
     is_introduced: bool,
     directory_index: u64,
+    /// Whether the last grant had all changes of the directory.
+    has_whole_directory: bool,
     loads_version: u64,
     entries_version: u64,
     quality_version: u64,
@@ -155,7 +160,6 @@
     fn apply_grant(&mut self, shared: &Shared, grant: Grant, sent_at: Duration) {
         self.term = grant.term;
         self.is_introduced = !grant.wants_info;
-        self.directory_index = grant.directory_index;
         self.loads_version = grant.loads_version;
         self.entries_version = grant.entries_version;
         shared
@@ -164,11 +168,19 @@
         let now = shared.now();
         let mut view: View = (*shared.view()).clone();
         let mut changed = false;
-        if !grant.upstreams.is_empty() {
-            let mut directory = (*view.directory).clone();
-            directory.merge(grant.upstreams);
-            view = view.with_directory(directory);
-            changed = true;
+        self.has_whole_directory = true;
+        match grant.directory.rows() {
+            Ok(rows) => {
+                self.has_whole_directory = grant.directory.is_last();
+                self.directory_index = grant.directory.index();
+                if !rows.is_empty() {
+                    let mut directory = (*view.directory).clone();
+                    directory.merge(rows);
+                    view = view.with_directory(directory);
+                    changed = true;
+                }
+            }
+            Err(e) => event!(Warn, "directory_update_rejected", error = e),
         }
         self.quality_version = grant.quality_version;
         if !grant.quality.is_empty() {
--- a/src/gateway/renewal.rs
+++ b/src/gateway/renewal.rs
@@ -10,11 +10,13 @@
 use crate::log::event;
 use crate::peer::Client;
 use crate::peer::ConfigUpdate;
+use crate::peer::DirectoryUpdate;
 use crate::peer::Grant;
 use crate::peer::LeaderClient;
 use crate::peer::Renewal;
 use crate::peer::Reply;
 use crate::peer::Request;
+use crate::upstream::Upstream;
 
 /// Largest configuration update that a grant may carry, in bytes. A larger one is fetched from any
 /// replica, so that the leader does not send it to every gateway.
@@ -23,6 +25,10 @@
 /// Number of replicas asked for a configuration update between two renewals.
 const UPDATE_ATTEMPTS: usize = 3;
 
+/// Most updates of the directory that are fetched between two renewals, so that the leader hears of
+/// this gateway in time.
+const DIRECTORY_UPDATES: usize = 8;
+
 /// Sends renewals for as long as the process runs.
 pub(super) async fn run(gateway: Rc<Gateway>) {
     let client = Client::new(&gateway.cfg.peer_key);
@@ -43,12 +49,34 @@
             continue;
         };
         state.apply_grant(&gateway, &leader, *grant);
+        state.fetch_directory(&gateway, &leader).await;
         state.fetch_config(&gateway, &leader).await;
+        if !state.has_whole_directory {
+            continue;
+        }
         let elapsed = gateway.now().saturating_sub(sent_at);
         tokio::time::sleep(RENEWAL_INTERVAL.saturating_sub(elapsed)).await;
     }
 }
 
+impl Gateway {
+    /// Merges changed rows into the directory.
+    fn merge_into_directory(&self, rows: Vec<Upstream>) {
+        if rows.is_empty() {
+            return;
+        }
+        let routing = self.routing();
+        let mut directory = (*routing.directory).clone();
+        directory.merge(rows);
+        let routing = (*routing).clone().with_directory(directory);
+        let directory = routing.directory.clone();
+        self.set_routing(routing);
+        self.upstreams
+            .borrow_mut()
+            .retain(|id| directory.get(id).is_some());
+    }
+}
+
 /// What the gateway has received so far, for the next renewal to acknowledge.
 #[derive(Default)]
 struct RenewalState {
@@ -64,6 +92,8 @@
     update_source: usize,
     /// Log index up to which changes of the directory have been received.
     directory_index: u64,
+    /// Whether the last update of the directory was followed by no other.
+    has_whole_directory: bool,
     /// The leader's change counter for its list of gateways.
     entries_version: u64,
     /// Digest of the replicas' addresses.
@@ -108,7 +138,6 @@
         }
         self.term = grant.term;
         self.is_introduced = !grant.wants_info;
-        self.directory_index = grant.directory_index;
         self.entries_version = grant.entries_version;
         self.replicas_digest = grant.replicas_digest;
         gateway.upstreams.borrow_mut().set_suspects(&grant.suspects);
@@ -116,26 +145,13 @@
             event!(Info, "replicas_known", replicas = format!("{replicas:?}"));
             leader.set_replicas(replicas);
         }
-        let mut routing = (*gateway.routing()).clone();
-        let mut changed = false;
-        if !grant.upstreams.is_empty() {
-            let mut directory = (*routing.directory).clone();
-            directory.merge(grant.upstreams);
-            routing = routing.with_directory(directory);
-            changed = true;
-        }
         if let Some(entries) = grant.entries {
+            let mut routing = (*gateway.routing()).clone();
             routing.entries = Arc::new(entries);
-            changed = true;
-        }
-        if changed {
-            let directory = routing.directory.clone();
             gateway.set_routing(routing);
-            gateway
-                .upstreams
-                .borrow_mut()
-                .retain(|id| directory.get(id).is_some());
         }
+        let rows = self.read_directory_update(&grant.directory);
+        gateway.merge_into_directory(rows);
         self.leader_revision = grant.revision;
         if let Some(update) = grant.config {
             self.apply_config(gateway, &update);
@@ -143,6 +159,44 @@
         gateway.record_leader_revision(self.leader_revision);
     }
 
+    /// Fetches the rest of the directory from the replicas in turn, if the grant did not have all.
+    /// Gateways start at different replicas, which share the load.
+    async fn fetch_directory(&mut self, gateway: &Gateway, leader: &LeaderClient) {
+        let mut rows = Vec::new();
+        for _ in 0..DIRECTORY_UPDATES {
+            if self.has_whole_directory {
+                break;
+            }
+            let request = Request::DirectoryUpdate {
+                held: self.directory_index,
+            };
+            let reply = leader.call_replica_at(self.update_source, &request).await;
+            let Some(Reply::DirectoryUpdate(update)) = reply else {
+                self.update_source = self.update_source.wrapping_add(1);
+                break;
+            };
+            rows.extend(self.read_directory_update(&update));
+        }
+        gateway.merge_into_directory(rows);
+    }
+
+    /// Returns the rows of an update and records up to which log index they lead.
+    fn read_directory_update(&mut self, update: &DirectoryUpdate) -> Vec<Upstream> {
+        match update.rows() {
+            Ok(rows) => {
+                self.has_whole_directory = update.is_last();
+                self.directory_index = self.directory_index.max(update.index());
+                rows
+            }
+            Err(e) => {
+                event!(Warn, "directory_update_rejected", error = e);
+                // The next grant is asked for as usual, not at once.
+                self.has_whole_directory = true;
+                Vec::new()
+            }
+        }
+    }
+
     /// Fetches the configuration from the replicas in turn, if the leader has a newer one. Gateways
     /// start at different replicas, which share the load. One that does not reply ends the search
     /// until after the next renewal, which brings the news of upstreams and must not wait for long.
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -30,9 +30,9 @@
 use crate::upstream::AnnounceOutcome;
 use crate::upstream::Announcement;
 use crate::upstream::LoadLevel;
-use crate::upstream::Upstream;
 
 use super::ConfigUpdate;
+use super::DirectoryUpdate;
 
 /// A request to a state replica.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -61,6 +61,11 @@
         /// Revision that the sender holds; 0 for none.
         held: u64,
     },
+    /// Asks any replica for the next changes of the directory.
+    DirectoryUpdate {
+        /// Log index up to which the sender's directory is current; 0 for none.
+        held: Index,
+    },
     /// Operations on the ledger.
     Ledger(Vec<LedgerOp>),
     /// Pins a session to a version.
@@ -98,6 +103,8 @@
     Grant(Box<Grant>),
     /// To `ConfigUpdate`; `None` where the replica has no newer revision.
     ConfigUpdate(Option<ConfigUpdate>),
+    /// To `DirectoryUpdate`.
+    DirectoryUpdate(DirectoryUpdate),
     /// To `Ledger`.
     Ledger(Vec<LedgerOutcome>),
     /// To `Pin`.
@@ -187,7 +194,7 @@
 /// A load report or heartbeat of one upstream.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct UpstreamLoad {
-    /// [`Upstream::number`], which identifies the incarnation in a few bytes: load levels are the
+    /// [`crate::upstream::Upstream::number`], which identifies the incarnation in a few bytes: load levels are the
     /// largest part of the traffic between entries and leader.
     pub number: Index,
     /// Its load level; `None` for a heartbeat with an unchanged level.
@@ -239,10 +246,9 @@
     /// Update to `revision`; `None` where the entry has it already, and where the update exceeds
     /// [`Renewal::max_config_bytes`].
     pub config: Option<ConfigUpdate>,
-    /// Upstreams that changed after [`Renewal::directory_index`].
-    pub upstreams: Vec<Upstream>,
-    /// Log index up to which the entry's directory is current once `upstreams` are merged.
-    pub directory_index: Index,
+    /// Next changes of the directory after [`Renewal::directory_index`]. Further ones come with the
+    /// next grant or, from any replica, by [`Request::DirectoryUpdate`].
+    pub directory: DirectoryUpdate,
     /// Changed load levels of upstreams in the entry's data centre.
     pub loads: Vec<UpstreamLoad>,
     /// The leader's change counter of loads, for [`Renewal::loads_version`].
@@ -263,7 +269,7 @@
     pub replicas: Option<Vec<SocketAddr>>,
     /// Digest of the members' peer addresses, for [`Renewal::replicas_digest`].
     pub replicas_digest: u32,
-    /// Upstreams whose heartbeats are overdue, by [`Upstream::number`].
+    /// Upstreams whose heartbeats are overdue, by [`crate::upstream::Upstream::number`].
     pub suspects: Vec<Index>,
 }
 
@@ -332,8 +338,7 @@
             wants_info: false,
             revision: 0,
             config: None,
-            upstreams: Vec::new(),
-            directory_index: 0,
+            directory: DirectoryUpdate::empty(0),
             loads: Vec::new(),
             loads_version: 0,
             entries: None,
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -3,6 +3,7 @@
 
 mod client;
 mod config_update;
+mod directory_update;
 mod leader;
 mod message;
 mod server;
@@ -11,6 +12,7 @@
 pub use self::client::Client;
 pub use self::config_update::ConfigUpdate;
 pub use self::config_update::UpdateError;
+pub use self::directory_update::DirectoryUpdate;
 pub use self::leader::LeaderClient;
 pub use self::message::BootstrapStatus;
 pub use self::message::ConfigView;
--- a/src/replica/core.rs
+++ b/src/replica/core.rs
@@ -11,6 +11,7 @@
 
 use super::Config;
 use super::config_history::ConfigHistory;
+use super::directory_history::DirectoryHistory;
 use super::leader_state::LeaderState;
 use super::leader_state::config_view;
 use super::outbox::Outbox;
@@ -35,6 +36,7 @@
 use crate::log::event;
 use crate::metrics::Metrics;
 use crate::peer::Client;
+use crate::peer::DirectoryUpdate;
 use crate::state::State;
 use crate::state::command::Command;
 use crate::state::command::Op;
@@ -64,6 +66,7 @@
     pub(super) state: State,
     pub(super) leader_state: LeaderState,
     pub(super) config_history: ConfigHistory,
+    directory_history: DirectoryHistory,
     /// Replicas that asked to join the log, by address.
     pub(super) join_requests: BTreeMap<SocketAddr, ReplicaId>,
     pub(super) address: SocketAddr,
@@ -105,6 +108,7 @@
             state,
             leader_state: LeaderState::new(now),
             config_history,
+            directory_history: DirectoryHistory::default(),
             join_requests: BTreeMap::new(),
             address: cfg.advertise,
             disk_bytes: 0,
@@ -139,6 +143,12 @@
         }
     }
 
+    /// Returns the next changes of the directory for a holder that is current up to `held`.
+    pub(super) fn directory_update(&mut self, held: Index) -> DirectoryUpdate {
+        self.directory_history
+            .update_after(&self.state.directory, held, self.state.applied)
+    }
+
     pub(super) fn metrics(&self) -> &Metrics {
         &self.metrics
     }
--- a/src/replica/handler.rs
+++ b/src/replica/handler.rs
@@ -92,6 +92,9 @@
         Request::ConfigUpdate { held } => {
             Reply::ConfigUpdate(core.borrow_mut().config_history.update_from(held))
         }
+        Request::DirectoryUpdate { held } => {
+            Reply::DirectoryUpdate(core.borrow_mut().directory_update(held))
+        }
         Request::Ledger(ops) => propose(&core, Op::Ledger(ops)).await,
         Request::Pin(pin) => propose(&core, Op::Pin(pin)).await,
         Request::Announce(announcement) => announce(core, announcement).await,
--- a/src/replica/leader_state.rs
+++ b/src/replica/leader_state.rs
@@ -369,8 +369,7 @@
             .config_history
             .update_from(renewal.revision)
             .filter(|update| update.size() <= renewal.max_config_bytes as usize);
-        grant.upstreams = self.state.directory.changed_after(renewal.directory_index);
-        grant.directory_index = self.state.applied;
+        grant.directory = self.directory_update(renewal.directory_index);
         if let Some(record) = self.leader_state.entries.get_mut(&renewal.entry) {
             record.acked_entries_version = known_version(renewal.entries_version);
         }
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -6,6 +6,7 @@
 mod bootstrap;
 mod config_history;
 mod core;
+mod directory_history;
 mod handle;
 mod handler;
 mod housekeeping;
--- a/src/upstream/directory.rs
+++ b/src/upstream/directory.rs
@@ -255,13 +255,24 @@
         }
     }
 
-    /// Returns the rows that changed after `index`.
-    pub fn changed_after(&self, index: Index) -> Vec<Upstream> {
-        self.rows
+    /// Returns the rows that changed after `index`, the earliest changes first, and the index of the
+    /// last change among them if there are later ones. There are at most `limit` rows, but rows that
+    /// one command changed are not split.
+    pub fn changed_after(&self, index: Index, limit: usize) -> (Vec<Upstream>, Option<Index>) {
+        let mut changed: Vec<&Upstream> = self
+            .rows
             .values()
             .filter(|row| row.changed_at > index)
-            .cloned()
-            .collect()
+            .collect();
+        let mut rest = None;
+        if changed.len() > limit {
+            changed.sort_unstable_by_key(|row| row.changed_at);
+            let last = changed[limit.max(1) - 1].changed_at;
+            let end = changed.partition_point(|row| row.changed_at <= last);
+            rest = (end < changed.len()).then_some(last);
+            changed.truncate(end);
+        }
+        (changed.into_iter().cloned().collect(), rest)
     }
 
     /// Returns the upstream of that name.
--- a/tests/fuzz/upstream.rs
+++ b/tests/fuzz/upstream.rs
@@ -20,6 +20,10 @@
 
 const INVENTORY: &str = include_str!("../../examples/inventory.toml");
 const STEPS: usize = 80;
+
+/// Most rows that a follower merges at once.
+const PIECE_ROWS: usize = 2;
+
 const SCHEDULES: u64 = 1000;
 
 #[derive(Clone, Copy, Debug)]
@@ -33,7 +37,7 @@
         incarnation: u8,
     },
     Sweep,
-    /// A follower merges the rows that changed since its last merge.
+    /// A follower merges the rows that changed since its last merge, in pieces.
     Follow,
 }
 
@@ -105,8 +109,14 @@
             }
             Step::Sweep => Op::Sweep,
             Step::Follow => {
-                follower.merge(state.directory.changed_after(merged_index));
-                merged_index = state.applied;
+                loop {
+                    let (rows, rest) = state.directory.changed_after(merged_index, PIECE_ROWS);
+                    follower.merge(rows);
+                    merged_index = rest.unwrap_or(state.applied);
+                    if rest.is_none() {
+                        break;
+                    }
+                }
                 let is_same = state.directory.iter().all(|row| {
                     follower.get(&row.announced.id).is_some_and(|known| {
                         known.presence == row.presence && known.announced == row.announced
--- a/tests/process/directory.rs
+++ b/tests/process/directory.rs
@@ -4,10 +4,12 @@
 use std::time::Duration;
 
 use daisyquay::peer::Client;
+use daisyquay::peer::DirectoryUpdate;
 use daisyquay::peer::Renewal;
 use daisyquay::peer::Reply;
 use daisyquay::peer::Request;
 use daisyquay::upstream::Announcement;
+use daisyquay::upstream::Directory;
 use daisyquay::upstream::Serves;
 
 use crate::support::Cluster;
@@ -60,33 +62,73 @@
     }))
 }
 
-/// Announces all upstreams and returns the reply to a gateway's first renewal.
-async fn first_grant(replica: SocketAddr) -> Reply {
-    let client = Client::new(PEER_KEY);
+async fn announce_all(client: &Client, replica: SocketAddr) {
     for number in 0..UPSTREAMS {
         let request = Request::Announce(announcement(number));
         let reply = client.call(replica, &request, CALL_TIMEOUT).await.unwrap();
         assert!(matches!(reply, Reply::Announce(_)), "{reply:?}");
     }
-    client
-        .call(replica, &first_renewal(), CALL_TIMEOUT)
-        .await
-        .unwrap()
 }
 
-/// Guards against replicas that exit at the limit of their memory after a start: a reply stays in
-/// the leader's memory until the gateway's link has taken it.
-#[test]
-fn first_grants_of_300_gateways_with_3000_upstreams_fit_into_half_of_a_replicas_memory() {
+fn directory_update(reply: &Reply) -> &DirectoryUpdate {
+    match reply {
+        Reply::Grant(grant) => &grant.directory,
+        Reply::DirectoryUpdate(update) => update,
+        _ => panic!("{reply:?}"),
+    }
+}
+
+/// Fetches the directory as a gateway does that holds nothing, and returns the replies.
+async fn fetch_directory(client: &Client, replica: SocketAddr) -> Vec<Reply> {
+    let mut replies = Vec::new();
+    let mut request = first_renewal();
+    loop {
+        let reply = client.call(replica, &request, CALL_TIMEOUT).await.unwrap();
+        let update = directory_update(&reply);
+        request = Request::DirectoryUpdate {
+            held: update.index(),
+        };
+        let is_last = update.is_last();
+        replies.push(reply);
+        if is_last {
+            return replies;
+        }
+    }
+}
+
+fn start_fetch() -> (Cluster, Vec<Reply>) {
     let cluster = Cluster::start_with_inventory(1, 0);
+    let replica = cluster.replica_addresses[0];
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .unwrap();
-    let tasks = tokio::task::LocalSet::new();
-    let reply = tasks.block_on(&runtime, first_grant(cluster.replica_addresses[0]));
-    assert!(matches!(reply, Reply::Grant(_)), "{reply:?}");
-    let encoded = bincode::serde::encode_to_vec(&reply, bincode::config::standard()).unwrap();
-    let total = GATEWAYS * encoded.len();
-    assert!(total < VM_MEMORY_BYTES / 2, "{total} bytes");
+    let replies = tokio::task::LocalSet::new().block_on(&runtime, async {
+        let client = Client::new(PEER_KEY);
+        announce_all(&client, replica).await;
+        fetch_directory(&client, replica).await
+    });
+    (cluster, replies)
+}
+
+/// Guards against replicas that exit at the limit of their memory after a start: a reply stays in
+/// the leader's memory until the gateway's link has taken it.
+#[test]
+fn first_grants_of_300_gateways_with_3000_upstreams_fit_into_half_of_a_replicas_memory() {
+    let (_cluster, replies) = start_fetch();
+    for reply in &replies {
+        let encoded = bincode::serde::encode_to_vec(reply, bincode::config::standard()).unwrap();
+        let total = GATEWAYS * encoded.len();
+        assert!(total < VM_MEMORY_BYTES / 2, "{total} bytes");
+    }
+}
+
+#[test]
+fn pieces_of_a_large_directory_hold_every_upstream() {
+    let (_cluster, replies) = start_fetch();
+    let mut directory = Directory::default();
+    for reply in &replies {
+        directory.merge(directory_update(reply).rows().unwrap());
+    }
+    assert_eq!(directory.iter().count(), UPSTREAMS);
 }
