Join the log through any replica that knows its leader, also after a removal

Cause: a replica with a new disk asked only the first address that has a log, and one that was removed while it was away found itself in its own old log and asked nobody. The former may be told nothing by the latter: the two belong together, as the second is the first's unanswering address. Two of six replicas were missing when two more disks were lost.

Change: a replica asks all addresses that have a log until the leader has heard of it, those of its own log included; and one that follows no leader for a second asks as well. A log is created only by a replica that has none.

--- a/src/replica/bootstrap.rs
+++ b/src/replica/bootstrap.rs
@@ -3,12 +3,18 @@
 //! A replica with an empty disk can't tell whether it is new or has lost its data. So a log is
 //! created only when *all* configured addresses reply and *none* of them has a log. As soon as one
 //! of them has a log, the replica asks to join it as a learner, under its new identity.
+//!
+//! A replica that was removed while it was away finds itself in its own old log. So one that follows
+//! no leader for a while asks to join as well; the leader ignores this from a member.
 
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::time::MissedTickBehavior;
+
 use super::Config;
 use super::core::Core;
 use crate::agreement::HardState;
@@ -35,20 +41,27 @@
 /// Term and index of a new log's first snapshot.
 const INITIAL_POSITION: u64 = 1;
 
-/// Creates a log or joins one; returns once this replica is a member.
+/// Time without a leader after which a member asks to join: an election takes less.
+const LEADERLESS_LIMIT: Duration = Duration::from_secs(1);
+
+/// Creates a log or joins one, and joins again after a removal; never returns.
 pub(super) async fn bootstrap(core: Rc<RefCell<Core>>, client: Client, cfg: Config) {
+    let mut followed_at = core.borrow().now();
+    let mut rounds = tokio::time::interval(ROUND_INTERVAL);
+    rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
+        rounds.tick().await;
+        let now = core.borrow().now();
         if is_member(&core) {
-            return;
+            if core.borrow().leader_address().is_some() {
+                followed_at = now;
+            }
+            if now < followed_at + LEADERLESS_LIMIT {
+                continue;
+            }
         }
-        let others: Vec<SocketAddr> = cfg
-            .replicas
-            .iter()
-            .copied()
-            .filter(|&address| address != cfg.advertise)
-            .collect();
         let mut statuses = Vec::new();
-        for &address in &others {
+        for address in other_replicas(&core, &cfg) {
             statuses.push((address, fetch_status(&client, address).await));
         }
         let id = core.borrow().node.id();
@@ -58,17 +71,26 @@
             decide_join(&statuses)
         };
         match next_step {
-            NextStep::Bootstrap(members) if cfg.may_bootstrap => {
+            NextStep::Bootstrap(members) if cfg.may_bootstrap && !has_log(&core) => {
                 core.borrow_mut().bootstrap(members, &cfg);
-                return;
             }
             NextStep::Wait | NextStep::Bootstrap(_) => {}
-            NextStep::Join(address) => join(&core, &client, &cfg, address).await,
+            NextStep::Join(addresses) => join(&core, &client, &cfg, &addresses).await,
         }
-        tokio::time::sleep(ROUND_INTERVAL).await;
     }
 }
 
+/// Returns the addresses of the configured replicas and of the members of the own log, without this
+/// replica's.
+fn other_replicas(core: &Rc<RefCell<Core>>, cfg: &Config) -> BTreeSet<SocketAddr> {
+    let core = core.borrow();
+    let members = core.node.membership().members.values();
+    let mut addresses: BTreeSet<SocketAddr> = members.map(|member| member.address).collect();
+    addresses.extend(&cfg.replicas);
+    addresses.remove(&cfg.advertise);
+    addresses
+}
+
 /// What to do after one round of status requests.
 #[derive(Debug, Eq, PartialEq)]
 enum NextStep {
@@ -76,16 +98,21 @@
     Wait,
     /// Creates a log with these members.
     Bootstrap(Vec<(ReplicaId, SocketAddr)>),
-    /// Asks the replica at this address to join its log.
-    Join(SocketAddr),
+    /// Asks the replicas at these addresses, which have a log, to join it.
+    Join(Vec<SocketAddr>),
 }
 
 /// Decides for a replica outside the configured ones, which may join a log but not create one.
 fn decide_join(statuses: &[(SocketAddr, Option<BootstrapStatus>)]) -> NextStep {
-    statuses
+    let addresses: Vec<SocketAddr> = statuses
         .iter()
-        .find(|(_, status)| status.is_some_and(|status| status.has_log))
-        .map_or(NextStep::Wait, |(address, _)| NextStep::Join(*address))
+        .filter(|(_, status)| status.is_some_and(|status| status.has_log))
+        .map(|(address, _)| *address)
+        .collect();
+    if addresses.is_empty() {
+        return NextStep::Wait;
+    }
+    NextStep::Join(addresses)
 }
 
 fn decide(
@@ -93,8 +120,8 @@
     id: ReplicaId,
     statuses: &[(SocketAddr, Option<BootstrapStatus>)],
 ) -> NextStep {
-    if let NextStep::Join(address) = decide_join(statuses) {
-        return NextStep::Join(address);
+    if let NextStep::Join(addresses) = decide_join(statuses) {
+        return NextStep::Join(addresses);
     }
     let mut members = vec![(id, own_address)];
     for (address, status) in statuses {
@@ -118,6 +145,10 @@
     core.node.membership().members.contains_key(&id)
 }
 
+fn has_log(core: &Rc<RefCell<Core>>) -> bool {
+    !core.borrow().node.membership().members.is_empty()
+}
+
 async fn fetch_status(client: &Client, address: SocketAddr) -> Option<BootstrapStatus> {
     match client
         .call(address, &Request::BootstrapStatus, CALL_TIMEOUT)
@@ -128,17 +159,23 @@
     }
 }
 
-async fn join(core: &Rc<RefCell<Core>>, client: &Client, cfg: &Config, address: SocketAddr) {
+/// Asks the leader to join, through the first of the replicas that is the leader or knows it.
+async fn join(core: &Rc<RefCell<Core>>, client: &Client, cfg: &Config, replicas: &[SocketAddr]) {
     let request = Request::Join {
         id: core.borrow().node.id(),
         address: cfg.advertise,
     };
-    let reply = client.call(address, &request, CALL_TIMEOUT).await;
-    if let Ok(Reply::NotLeader {
-        leader: Some(leader),
-    }) = reply
-    {
-        let _ = client.call(leader, &request, CALL_TIMEOUT).await;
+    for &address in replicas {
+        let mut reply = client.call(address, &request, CALL_TIMEOUT).await;
+        if let Ok(Reply::NotLeader {
+            leader: Some(leader),
+        }) = reply
+        {
+            reply = client.call(leader, &request, CALL_TIMEOUT).await;
+        }
+        if let Ok(Reply::Done) = reply {
+            return;
+        }
     }
 }
 
