Bound the connections of a listener, and spread the heartbeats over the replicas

A connection with a request takes about 16 kB, without a leader all upstreams connect to each replica, and nothing bounded their number: the replicas that should elect a leader exited, each one that came back after the others.

Change: a replica answers a heartbeat that changes nothing in the directory itself, tells the leader of many at once, and names itself for the next one; one whose batches don't arrive stops doing so. A listener has at most 1,536 connections and closes further ones at once. At most 256 reports wait for the leader; more are refused at once.

--- a/src/listen/mod.rs
+++ b/src/listen/mod.rs
@@ -38,6 +38,10 @@
 /// were told; closing one while a request is arriving costs them a retry.
 const KEEP_ALIVE_TIMEOUT: Seconds = Seconds(75);
 
+/// Most connections of one listener; further ones are closed at once, and their callers turn to
+/// another process. Each takes 10 to 30 kB, and a small VM has less than 100 MB.
+const MAX_CONNECTIONS: usize = 1536;
+
 /// Delay after a failed accept. The usual cause is a lack of file descriptors, and the process must
 /// close some first.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -127,10 +131,22 @@
         .await
         .map_err(|()| io::Error::other("the HTTP service can't be created"))?;
     let service = Pipeline::new(service);
+    let open = Rc::new(());
+    let mut is_full = false;
     tokio::task::spawn_local(async move {
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
+                    let count = Rc::strong_count(&open) - 1;
+                    if count >= MAX_CONNECTIONS {
+                        if !is_full {
+                            event!(Warn, "connections_full", address = local, open = count);
+                        }
+                        is_full = true;
+                        continue;
+                    }
+                    is_full = false;
+                    let open = open.clone();
                     http_client::configure_accepted_socket(&stream);
                     let io = stream
                         .into_std()
@@ -143,6 +159,7 @@
                         // A connection error needs no log line: the outcome of the request itself
                         // is logged.
                         let _ = call.await;
+                        drop(open);
                     });
                 }
                 Err(e) => {
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -70,6 +70,9 @@
     Ledger(Vec<LedgerOp>),
     /// Pins a session to a version.
     Pin(PinRequest),
+    /// Tells the leader of heartbeats that the sender has answered: id and incarnation of the
+    /// upstreams.
+    Heartbeats(Vec<(Name, u64)>),
     /// Forwards an upstream's announcement.
     Announce(Announcement),
     /// Reports that an upstream leaves.
--- a/src/replica/core.rs
+++ b/src/replica/core.rs
@@ -12,6 +12,7 @@
 use super::Config;
 use super::config_history::ConfigHistory;
 use super::directory_history::DirectoryHistory;
+use super::heartbeats::Heartbeats;
 use super::leader_state::LeaderState;
 use super::leader_state::config_view;
 use super::outbox::Outbox;
@@ -67,6 +68,7 @@
     pub(super) leader_state: LeaderState,
     pub(super) config_history: ConfigHistory,
     directory_history: DirectoryHistory,
+    pub(super) heartbeats: Heartbeats,
     /// Replicas that asked to join the log, by address.
     pub(super) join_requests: BTreeMap<SocketAddr, ReplicaId>,
     pub(super) address: SocketAddr,
@@ -109,6 +111,7 @@
             leader_state: LeaderState::new(now),
             config_history,
             directory_history: DirectoryHistory::default(),
+            heartbeats: Heartbeats::default(),
             join_requests: BTreeMap::new(),
             address: cfg.advertise,
             disk_bytes: 0,
@@ -170,6 +173,12 @@
         Some(member.address)
     }
 
+    /// Returns the leader's peer address, where another replica is known to be it.
+    pub(super) fn remote_leader(&self) -> Option<SocketAddr> {
+        self.leader_address()
+            .filter(|&leader| leader != self.address)
+    }
+
     /// Queues a command. The receiver gets its outcome, or an error where the outcome is unknown.
     /// Returns `None` where this replica is not the leader, is stopping, or has too many pending
     /// commands.
--- a/src/replica/handle.rs
+++ b/src/replica/handle.rs
@@ -1,5 +1,6 @@
 //! Calls from inside a process to the leader, wherever it runs.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -19,10 +20,35 @@
 /// Time between two attempts to reach the leader.
 const RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Most upstreams' reports that wait for the leader at a time. Each holds the buffers of its
+/// connection, and without a leader thousands of upstreams report again and again.
+const MAX_WAITING_REPORTS: usize = 256;
+
 /// Calls the leader; clones share the replica or the connections.
 #[derive(Clone)]
 pub struct Handle {
     link: Link,
+    waiting_reports: Rc<Cell<usize>>,
+}
+
+/// Counts a report as waiting until it is dropped.
+struct WaitingReport(Rc<Cell<usize>>);
+
+impl WaitingReport {
+    /// Returns `None` where [`MAX_WAITING_REPORTS`] wait already.
+    fn new(waiting: &Rc<Cell<usize>>) -> Option<Self> {
+        if waiting.get() >= MAX_WAITING_REPORTS {
+            return None;
+        }
+        waiting.set(waiting.get() + 1);
+        Some(Self(waiting.clone()))
+    }
+}
+
+impl Drop for WaitingReport {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
 }
 
 #[derive(Clone)]
@@ -40,6 +66,7 @@
     pub(super) fn new(core: Rc<RefCell<Core>>, client: Client) -> Self {
         Self {
             link: Link::Local { core, client },
+            waiting_reports: Rc::default(),
         }
     }
 
@@ -48,17 +75,30 @@
     pub fn remote(peer_key: &str, replicas: Vec<SocketAddr>) -> Self {
         Self {
             link: Link::Remote(LeaderClient::new(Client::new(peer_key), replicas)),
+            waiting_reports: Rc::default(),
         }
     }
 
-    /// Returns the leader's peer address, or `None` where no leader is known.
-    pub fn leader_address(&self) -> Option<SocketAddr> {
+    /// Returns the peer address of the replica to which an upstream should send its next reports:
+    /// the one in this process, so that the upstreams stay spread over the replicas, or else the
+    /// leader. Returns `None` where no leader is known.
+    pub fn report_address(&self) -> Option<SocketAddr> {
         match &self.link {
-            Link::Local { core, .. } => core.borrow().leader_address(),
+            Link::Local { core, .. } => {
+                let core = core.borrow();
+                core.leader_address().map(|_| core.address)
+            }
             Link::Remote(leader) => leader.leader_address(),
         }
     }
 
+    /// Forwards an upstream's report to the leader. Returns `None` after `limit`, and at once where
+    /// too many reports wait already. `request` must be idempotent, as for [`Handle::call`].
+    pub async fn report(&self, request: Request, limit: Duration) -> Option<Reply> {
+        let _waiting = WaitingReport::new(&self.waiting_reports)?;
+        self.call(request, limit).await
+    }
+
     /// Calls the leader until it has replied, or returns `None` after `limit`. A request whose
     /// outcome is unknown is sent again, so `request` must be idempotent.
     pub async fn call(&self, request: Request, limit: Duration) -> Option<Reply> {
--- a/src/replica/handler.rs
+++ b/src/replica/handler.rs
@@ -97,6 +97,7 @@
         }
         Request::Ledger(ops) => propose(&core, Op::Ledger(ops)).await,
         Request::Pin(pin) => propose(&core, Op::Pin(pin)).await,
+        Request::Heartbeats(heartbeats) => record_heartbeats(&mut core.borrow_mut(), &heartbeats),
         Request::Announce(announcement) => announce(core, announcement).await,
         Request::Leave { id, incarnation } => propose(&core, Op::Leave { id, incarnation }).await,
         Request::OnBehalf { who, request } => handle_operator(core, who, *request).await,
@@ -106,20 +107,37 @@
     }
 }
 
+fn record_heartbeats(core: &mut Core, heartbeats: &[(Name, u64)]) -> Reply {
+    if !core.has_leader_lease() {
+        return not_leader(core);
+    }
+    let now = core.now();
+    for (id, incarnation) in heartbeats {
+        core.leader_state
+            .failure_detector
+            .record_heartbeat(id, *incarnation, now);
+    }
+    Reply::Done
+}
+
 /// Records the heartbeat, and proposes the announcement only if it changes the directory: one that
-/// changes nothing costs no write to the log.
+/// changes nothing costs no write to the log, and a follower answers it as well.
 async fn announce(core: Rc<RefCell<Core>>, announcement: Announcement) -> Reply {
     {
         let mut core = core.borrow_mut();
-        if core.has_leader_lease() {
+        let is_known = core.state.directory.contains(&announcement);
+        let (id, incarnation) = (&announcement.id, announcement.incarnation);
+        let is_recorded = if core.has_leader_lease() {
             let now = core.now();
-            let (id, incarnation) = (&announcement.id, announcement.incarnation);
             core.leader_state
                 .failure_detector
                 .record_heartbeat(id, incarnation, now);
-            if core.state.directory.contains(&announcement) {
-                return Reply::Announce(AnnounceOutcome::Accepted);
-            }
+            true
+        } else {
+            is_known && core.remote_leader().is_some() && core.heartbeats.record(id, incarnation)
+        };
+        if is_known && is_recorded {
+            return Reply::Announce(AnnounceOutcome::Accepted);
         }
     }
     propose(&core, Op::Announce(announcement)).await
@@ -135,9 +153,7 @@
 
 fn not_leader(core: &Core) -> Reply {
     Reply::NotLeader {
-        leader: core
-            .leader_address()
-            .filter(|&leader| leader != core.address),
+        leader: core.remote_leader(),
     }
 }
 
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -9,6 +9,7 @@
 mod directory_history;
 mod handle;
 mod handler;
+mod heartbeats;
 mod housekeeping;
 mod leader_state;
 mod membership;
@@ -166,6 +167,7 @@
         cfg.clone(),
     ));
     tokio::task::spawn_local(reaper::settle_orphans(core.clone()));
+    tokio::task::spawn_local(heartbeats::forward(core.clone(), client.clone()));
     let admin_status = core.borrow().admin_status();
     let address = cfg.admin_listen;
     let admin = crate::admin::serve(address, admin_status).context(ListenSnafu { address })?;
