Log what the active rollouts of releases are judged by

A log could not tell whether a bad release had failed unseen, had been seen too late or had been judged against a stable release that failed as well: the leader wrote the evidence only when it rolled back.

--- a/src/policy/release_rollout.rs
+++ b/src/policy/release_rollout.rs
@@ -125,6 +125,13 @@
         if is_new { new } else { old }.add(stats);
     }
 
+    /// Iterates over the routes with the results of the new and of the stable release.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (&Name, &RouteStats, &RouteStats)> + '_ {
+        self.routes
+            .iter()
+            .map(|(route, (new, old))| (route, new, old))
+    }
+
     /// Returns a route on which the new release is clearly worse, with the results of both.
     fn regression(&self) -> Option<(&Name, &RouteStats, &RouteStats)> {
         self.routes.iter().find_map(|(route, (new, old))| {
--- a/src/replica/housekeeping.rs
+++ b/src/replica/housekeeping.rs
@@ -27,6 +27,9 @@
 /// Rounds of housekeeping between two checks for changed rows of the quality table.
 const QUALITY_INTERVAL_ROUNDS: u64 = 5;
 
+/// Rounds of housekeeping between two log lines on the evidence for each active rollout.
+const EVIDENCE_INTERVAL_ROUNDS: u64 = 10;
+
 /// Rounds of housekeeping between two removals of expired records from the state.
 const SWEEP_INTERVAL_ROUNDS: u64 = 150;
 
@@ -95,6 +98,9 @@
         core.update_membership();
         core.mark_silent_upstreams();
         core.advance_releases();
+        if round % EVIDENCE_INTERVAL_ROUNDS == 0 {
+            core.log_release_evidence();
+        }
         if round % QUALITY_INTERVAL_ROUNDS == 0 {
             let core = &mut *core;
             core.leader_state
@@ -179,6 +185,24 @@
         }
     }
 
+    /// Logs what the active rollouts are judged by.
+    fn log_release_evidence(&self) {
+        for (service, release, stage, evidence) in self.leader_state.observed_rollouts() {
+            for (route, new, old) in evidence.iter() {
+                event!(
+                    Info,
+                    "release_evidence",
+                    service = service,
+                    release = release,
+                    stage = format!("{stage:?}"),
+                    route = route,
+                    new = new.log_text(),
+                    old = old.log_text()
+                );
+            }
+        }
+    }
+
     /// Proposes to mark upstreams as silent that the failure detector considers failed.
     fn mark_silent_upstreams(&mut self) {
         if !self.has_leader_lease() {
--- a/src/replica/leader_state.rs
+++ b/src/replica/leader_state.rs
@@ -160,6 +160,20 @@
         verdicts
     }
 
+    /// Iterates over the active rollouts: service, new release, stage and evidence.
+    pub(super) fn observed_rollouts(
+        &self,
+    ) -> impl Iterator<Item = (&Name, &Name, Stage, &Evidence)> + '_ {
+        self.rollouts.iter().map(|(service, observed)| {
+            (
+                service,
+                &observed.target,
+                observed.stage,
+                &observed.evidence,
+            )
+        })
+    }
+
     /// Returns the entries that address responses may list: neither leaving nor draining.
     pub(super) fn listed_entries(&self, state: &State) -> Vec<EntryInfo> {
         let mut entries: Vec<EntryInfo> = self
