--- a/tests/load/release_rollout.rs
+++ b/tests/load/release_rollout.rs
@@ -136,6 +136,14 @@
     }
 }
 
+/// Guards against a bad release that has all traffic for a large part of its rollout before its
+/// faults show.
+#[test]
+fn rolls_back_a_release_that_fails_only_near_the_end_of_its_rollout() {
+    let after = Duration::from_secs(19);
+    assert_rolled_back(&move |_, now| (if now > after { 0.5 } else { 0.01 }, 0.1));
+}
+
 #[test]
 fn keeps_a_release_if_the_stable_one_fails_as_often() {
     let mut evidence = Evidence::default();
