Give a new release all traffic only for the last part of its rollout

What callers saw: a bad release reaches too many requests (EXPOSURE) where its faults show late.

Cause: after the trial the new release had 30 in 100 requests, and all of them from 66 to 86 in 100 of the period: 28 in 100 requests of a rollout, where 9.75 or 15 are allowed, even if the release was rolled back before its end.

Change: 10 in 100 requests until 78 in 100 of the period, then all until 86. It is 14 in 100 of a whole rollout.

--- a/src/policy/release_rollout.rs
+++ b/src/policy/release_rollout.rs
@@ -22,15 +22,16 @@
 /// than half of a 15 % exposure allowance before there is enough evidence to roll it back.
 pub const TRIAL_SHARE: f64 = 0.07;
 
-/// Share of the traffic in the ramp stage: enough to put the new upstreams under their later load.
-const RAMP_SHARE: f64 = 0.3;
+/// Share of the traffic in the ramp stage. Both stages together cost half of a 15 % exposure
+/// allowance, so that a fault which shows only with all traffic leaves time to roll back.
+const RAMP_SHARE: f64 = 0.1;
 
 /// End of the trial stage, as a part of the period: sessions keep their release during the first
 /// half of a rollout.
 const TRIAL_END: f64 = 0.52;
 
 /// End of the ramp stage, as a part of the period.
-const RAMP_END: f64 = 0.66;
+const RAMP_END: f64 = 0.78;
 
 /// End of the stage in which the new release gets all traffic, as a part of the period. Only then
 /// is the old release dropped, because its last requests need time to finish.
