Judge the stable release by what is usual for its upstreams

Cause: the failure rate of the stable release was taken over all its requests. A disruption of some of its upstreams counted as a fault of the release, and upstreams that fail fast get most requests: a new release that failed in a third of its responses looked as good.

Change: results are counted by upstream. The stable release's rate is the one that a third of its upstreams do not exceed, and failures on a single upstream of the new release alone cause no rollback.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -134,8 +134,8 @@
     retry_budgets: RefCell<HashMap<Name, SlidingWindow>>,
     /// Prefill rates by service and model; the model is `None` unless the gateway chose it.
     prefill_rates: RefCell<HashMap<(Name, Option<Name>), RateEstimator>>,
-    /// Response statistics by service, route and release, since the last renewal.
-    release_stats: RefCell<HashMap<(Name, Name, Name), RouteStats>>,
+    /// Response statistics since the last renewal.
+    release_stats: RefCell<HashMap<observations::ReleaseStatsKey, RouteStats>>,
     rng: RefCell<fastrand::Rng>,
     metrics: Metrics,
     /// When the shutdown began; `None` before it.
--- a/src/gateway/observations.rs
+++ b/src/gateway/observations.rs
@@ -6,11 +6,22 @@
 use super::Gateway;
 use super::call::Call;
 use super::routing::Upstream;
+use crate::agreement::Index;
 use crate::collections::Name;
 use crate::peer::ReleaseStats;
 use crate::policy::prefill::RateEstimator;
 use crate::policy::release_rollout::RouteStats;
 
+/// What response statistics are kept by.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub(super) struct ReleaseStatsKey {
+    service: Name,
+    route: Name,
+    release: Name,
+    /// Number of the upstream, which runs the release.
+    upstream: Index,
+}
+
 impl Gateway {
     /// Records that the first token came after `elapsed` from an upstream that had `prefill_tokens`
     /// to process.
@@ -113,7 +124,12 @@
         {
             return;
         }
-        let key = (service.clone(), call.route.name.clone(), release.clone());
+        let key = ReleaseStatsKey {
+            service: service.clone(),
+            route: call.route.name.clone(),
+            release: release.clone(),
+            upstream: upstream.number,
+        };
         update(self.release_stats.borrow_mut().entry(key).or_default());
     }
 
@@ -122,10 +138,11 @@
         self.release_stats
             .borrow_mut()
             .drain()
-            .map(|((service, route, release), stats)| ReleaseStats {
-                service,
-                route,
-                release,
+            .map(|(key, stats)| ReleaseStats {
+                service: key.service,
+                route: key.route,
+                release: key.release,
+                upstream: key.upstream,
                 stats,
             })
             .collect()
@@ -135,7 +152,12 @@
     pub(super) fn restore_release_stats(&self, rows: Vec<ReleaseStats>) {
         let mut stats = self.release_stats.borrow_mut();
         for row in rows {
-            let key = (row.service, row.route, row.release);
+            let key = ReleaseStatsKey {
+                service: row.service,
+                route: row.route,
+                release: row.release,
+                upstream: row.upstream,
+            };
             stats.entry(key).or_default().add(&row.stats);
         }
     }
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -204,15 +204,17 @@
     pub level: Option<LoadLevel>,
 }
 
-/// An entry's statistics of one release of a service on one route.
+/// An entry's statistics of one upstream of a service on one route.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct ReleaseStats {
     /// Service.
     pub service: Name,
     /// Route.
     pub route: Name,
-    /// Release.
+    /// Release that the upstream runs.
     pub release: Name,
+    /// [`crate::upstream::Upstream::number`] of the upstream.
+    pub upstream: Index,
     /// Statistics of its requests.
     pub stats: RouteStats,
 }
--- a/src/policy/release_rollout.rs
+++ b/src/policy/release_rollout.rs
@@ -6,13 +6,16 @@
 //! The new release gets a small share of the traffic in the trial stage, a larger one in the ramp
 //! stage, and then all of it. Each stage lasts a fixed part of the rollout's period. The new
 //! release is compared route by route with the stable release over the same time, so a problem of
-//! both causes no rollback.
+//! both causes no rollback. A disruption of some upstreams is no problem of a release: the stable
+//! release is judged by what is usual for its upstreams, and one upstream of the new release alone
+//! causes no rollback for failures.
 
 use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::agreement::Index;
 use crate::collections::HashMap;
 use crate::collections::Name;
 use crate::state::ServiceRollout;
@@ -46,6 +49,10 @@
 /// Failed requests of one route on the new release below which its failure rate is not judged.
 const MIN_FAILURES: u64 = 4;
 
+/// Upstreams of the new release on which requests of one route must have failed, unless only one
+/// served any.
+const MIN_FAILING_UPSTREAMS: usize = 2;
+
 /// Excess of the new release's failure rate over the stable release's that causes a rollback.
 const FAILURE_RATE_EXCESS: f64 = 0.12;
 
@@ -95,10 +102,46 @@
     }
 }
 
+/// Results of one release on one route.
+#[derive(Clone, Debug, Default)]
+struct ReleaseResults {
+    total: RouteStats,
+    /// Requests and failures by the number of the upstream.
+    by_upstream: HashMap<Index, (u64, u64)>,
+}
+
+impl ReleaseResults {
+    fn add(&mut self, upstream: Index, stats: &RouteStats) {
+        self.total.add(stats);
+        let (requests, failed) = self.by_upstream.entry(upstream).or_default();
+        *requests += stats.requests;
+        *failed += stats.failed;
+    }
+
+    /// Returns the failure rate that a third of the upstreams do not exceed. A disruption of some
+    /// upstreams hardly changes it, even if they fail fast and so get most of the requests.
+    fn typical_failure_rate(&self) -> f64 {
+        let mut rates: Vec<f64> = self
+            .by_upstream
+            .values()
+            .filter(|(requests, _)| *requests > 0)
+            .map(|&(requests, failed)| failed as f64 / requests as f64)
+            .collect();
+        rates.sort_unstable_by(f64::total_cmp);
+        rates.get(rates.len() / 3).copied().unwrap_or_default()
+    }
+
+    /// Returns whether failures are not those of a single upstream among several.
+    fn has_spread_failures(&self) -> bool {
+        let failing = self.by_upstream.values().filter(|(_, failed)| *failed > 0);
+        failing.count() >= MIN_FAILING_UPSTREAMS.min(self.by_upstream.len())
+    }
+}
+
 /// Results of the new and the stable release during one rollout, by route.
 #[derive(Clone, Debug, Default)]
 pub struct Evidence {
-    routes: HashMap<Name, (RouteStats, RouteStats)>,
+    routes: HashMap<Name, (ReleaseResults, ReleaseResults)>,
 }
 
 /// What happens to the rollout.
@@ -120,24 +163,26 @@
 }
 
 impl Evidence {
-    /// Adds results of the new release or the stable one.
-    pub fn record(&mut self, route: &Name, is_new: bool, stats: &RouteStats) {
+    /// Adds results of an upstream of the new release or the stable one.
+    pub fn record(&mut self, route: &Name, is_new: bool, upstream: Index, stats: &RouteStats) {
         let (new, old) = self.routes.entry(route.clone()).or_default();
-        if is_new { new } else { old }.add(stats);
+        if is_new { new } else { old }.add(upstream, stats);
     }
 
     /// Iterates over the routes with the results of the new and of the stable release.
     pub(crate) fn iter(&self) -> impl Iterator<Item = (&Name, &RouteStats, &RouteStats)> + '_ {
         self.routes
             .iter()
-            .map(|(route, (new, old))| (route, new, old))
+            .map(|(route, (new, old))| (route, &new.total, &old.total))
     }
 
     /// Returns a route on which the new release is clearly worse, with the results of both.
     fn regression(&self) -> Option<(&Name, &RouteStats, &RouteStats)> {
         self.routes.iter().find_map(|(route, (new, old))| {
-            let is_failing = new.failed >= MIN_FAILURES
-                && new.failure_rate() > old.failure_rate() + FAILURE_RATE_EXCESS;
+            let is_failing = new.total.failed >= MIN_FAILURES
+                && new.has_spread_failures()
+                && new.total.failure_rate() > old.typical_failure_rate() + FAILURE_RATE_EXCESS;
+            let (new, old) = (&new.total, &old.total);
             let is_slow = match (new.mean_latency_s(), old.mean_latency_s()) {
                 (Some(new_s), Some(old_s)) => {
                     new.timed >= MIN_REQUESTS
--- a/src/replica/leader_state.rs
+++ b/src/replica/leader_state.rs
@@ -114,9 +114,13 @@
                 continue;
             };
             if row.release == observed.target {
-                observed.evidence.record(&row.route, true, &row.stats);
+                observed
+                    .evidence
+                    .record(&row.route, true, row.upstream, &row.stats);
             } else if releases.stable.as_ref() == Some(&row.release) {
-                observed.evidence.record(&row.route, false, &row.stats);
+                observed
+                    .evidence
+                    .record(&row.route, false, row.upstream, &row.stats);
             }
         }
     }
--- a/tests/load/release_rollout.rs
+++ b/tests/load/release_rollout.rs
@@ -15,6 +15,9 @@
 const PERIOD_MS: u64 = 24_000;
 const STEP: Duration = Duration::from_millis(200);
 
+/// Upstreams of each release.
+const UPSTREAMS: u64 = 18;
+
 /// Requests of one route in each step.
 const REQUESTS_PER_STEP: f64 = 4.0;
 
@@ -61,7 +64,9 @@
                     timed: n - failed,
                     latency_sum_s: mean_s * (n - failed) as f64,
                 };
-                evidence.record(&name.into(), is_new, &stats);
+                // Requests of a step go to the upstreams in turn.
+                let upstream = now.as_millis() as u64 / 200 % UPSTREAMS;
+                evidence.record(&name.into(), is_new, upstream, &stats);
                 total += n as f64;
                 exposed += if is_new { n as f64 } else { 0.0 };
             }
@@ -153,8 +158,47 @@
         timed: 60,
         latency_sum_s: 6.0,
     };
-    evidence.record(&"a".into(), true, &stats);
-    evidence.record(&"a".into(), false, &stats);
+    evidence.record(&"a".into(), true, 1, &stats);
+    evidence.record(&"a".into(), false, 2, &stats);
+    let verdict = evaluate(&rollout(), &evidence, Duration::ZERO, true);
+    assert_eq!(verdict, Verdict::Wait);
+}
+
+fn stats(requests: u64, failed: u64) -> RouteStats {
+    RouteStats {
+        requests,
+        failed,
+        timed: requests - failed,
+        latency_sum_s: 0.1 * (requests - failed) as f64,
+    }
+}
+
+/// Guards against a bad release that is completed because a disruption makes as many requests to
+/// some upstreams of the stable release fail.
+#[test]
+fn rolls_back_a_bad_release_while_half_of_the_stable_upstreams_are_disrupted() {
+    let mut evidence = Evidence::default();
+    for upstream in 0..UPSTREAMS {
+        // Upstreams that fail fast look idle, and get more requests.
+        let (requests, failed) = if upstream % 2 == 0 { (20, 12) } else { (10, 0) };
+        evidence.record(&"a".into(), false, upstream, &stats(requests, failed));
+        evidence.record(&"a".into(), true, upstream, &stats(3, 1));
+    }
+    let verdict = evaluate(&rollout(), &evidence, Duration::ZERO, true);
+    assert!(
+        matches!(verdict, Verdict::RollBack { .. }),
+        "{verdict:?} for a third of the requests failed"
+    );
+}
+
+#[test]
+fn keeps_a_release_while_only_one_of_its_upstreams_is_disrupted() {
+    let mut evidence = Evidence::default();
+    for upstream in 0..UPSTREAMS {
+        let (requests, failed) = if upstream == 3 { (5, 5) } else { (1, 0) };
+        evidence.record(&"a".into(), false, upstream, &stats(10, 0));
+        evidence.record(&"a".into(), true, upstream, &stats(requests, failed));
+    }
     let verdict = evaluate(&rollout(), &evidence, Duration::ZERO, true);
     assert_eq!(verdict, Verdict::Wait);
 }
