Judge a new release's latency over all routes too

Cause: the means were compared route by route, with a factor of 3 that one route's few responses need. Four times the time for half of the responses is a mean of 2.5.

Change: in the trial and the ramp, while both releases serve, 1.8 times over all routes and 24 responses or more rolls a release back.

rolls_back_a_release_that_takes_four_times_as_long_for_half_of_its_responses failed before and passes.

--- a/src/policy/release_rollout.rs
+++ b/src/policy/release_rollout.rs
@@ -60,6 +60,13 @@
 /// rolled back.
 const SLOW_FACTOR: f64 = 3.0;
 
+/// The same factor for the mean over all routes. Many more responses take part, so it can be lower;
+/// an empty KV cache makes a good release slower by less.
+const OVERALL_SLOW_FACTOR: f64 = 1.8;
+
+/// Timed responses of the new release over all routes below which that mean is not judged.
+const OVERALL_MIN_REQUESTS: u64 = 24;
+
 /// Difference of the mean latencies up to which slowness is harmless, in seconds.
 const MIN_SLOWDOWN_S: f64 = 0.1;
 
@@ -177,7 +184,13 @@
     }
 
     /// Returns a route on which the new release is clearly worse, with the results of both.
-    fn regression(&self) -> Option<(&Name, &RouteStats, &RouteStats)> {
+    fn regression(&self, stage: Stage) -> Option<(&Name, &RouteStats, &RouteStats)> {
+        // Without requests to the stable release, a change of the load would look like one of the
+        // release.
+        let is_compared = matches!(stage, Stage::Trial | Stage::Ramp);
+        if is_compared && self.overall_slowdown() > OVERALL_SLOW_FACTOR {
+            return self.slowest_route();
+        }
         self.routes.iter().find_map(|(route, (new, old))| {
             let is_failing = new.total.failed >= MIN_FAILURES
                 && new.has_spread_failures()
@@ -197,6 +210,37 @@
     }
 }
 
+impl Evidence {
+    /// Iterates over the routes that are served often enough by the stable release, with the factor
+    /// between the mean latencies of the releases.
+    fn slowdowns(&self) -> impl Iterator<Item = (&Name, &RouteStats, &RouteStats, f64)> + '_ {
+        self.iter().filter_map(|(route, new, old)| {
+            let slowdown = new.mean_latency_s()? / old.mean_latency_s()?;
+            (old.timed >= MIN_REQUESTS).then_some((route, new, old, slowdown))
+        })
+    }
+
+    /// Returns the mean of the routes' slowdowns, weighted by the new release's responses; 1 if there
+    /// are too few.
+    fn overall_slowdown(&self) -> f64 {
+        let (mut responses, mut sum) = (0, 0.0);
+        for (_, new, _, slowdown) in self.slowdowns() {
+            responses += new.timed;
+            sum += slowdown * new.timed as f64;
+        }
+        if responses < OVERALL_MIN_REQUESTS {
+            return 1.0;
+        }
+        sum / responses as f64
+    }
+
+    fn slowest_route(&self) -> Option<(&Name, &RouteStats, &RouteStats)> {
+        self.slowdowns()
+            .max_by(|a, b| a.3.total_cmp(&b.3))
+            .map(|(route, new, old, _)| (route, new, old))
+    }
+}
+
 /// Returns the new release's share of the traffic.
 pub fn traffic_share(rollout: &ServiceRollout) -> f64 {
     match rollout.stage {
@@ -235,7 +279,7 @@
     in_stage: Duration,
     is_ready: bool,
 ) -> Verdict {
-    if let Some((route, &new, &old)) = evidence.regression() {
+    if let Some((route, &new, &old)) = evidence.regression(rollout.stage) {
         let route = route.clone();
         return Verdict::RollBack { route, new, old };
     }
--- a/tests/load/release_rollout.rs
+++ b/tests/load/release_rollout.rs
@@ -125,6 +125,12 @@
     assert_rolled_back(&|_, _| (0.01, 0.8));
 }
 
+/// Guards against a bad release that is completed because only half of its responses are slow.
+#[test]
+fn rolls_back_a_release_that_takes_four_times_as_long_for_half_of_its_responses() {
+    assert_rolled_back(&|_, _| (0.01, 0.25));
+}
+
 #[test]
 fn rolls_back_a_release_that_fails_after_some_time() {
     for after_s in [3, 6, 10] {
