Log the limits that upstreams name, and count the attempts at limited upstreams

No log line or metric had a limit, and none told first attempts at an upstream from retries and escalations: upstream_limit, and daisyquay_limited_attempts by attempt. Nothing obeys the limit yet.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -44,13 +44,15 @@
     Stream(Box<UpstreamResponse>, InFlightRequest),
 }
 
-/// Headers that the gateway sets for one attempt, in place of the caller's.
+/// What differs between the attempts for one request.
 #[derive(Clone, Debug, Default)]
 pub(super) struct AttemptOverrides {
     /// Model, if the gateway chose it.
     pub(super) model: Option<Name>,
     /// Id of the last event of an interrupted stream, to resume after it.
     pub(super) last_event_id: Option<u64>,
+    /// Whether this is the first attempt for the request.
+    pub(super) is_first: bool,
 }
 
 /// Sends `call` to `upstream` and waits for the response. If the request `can_fail_over`, gives up
@@ -68,6 +70,7 @@
         overrides.model.clone(),
         rank(call),
         estimate_load(gateway, call, upstream, overrides.model.clone()),
+        overrides.is_first,
     );
     let time_left = call.time_left(gateway.now());
     let Some(request) = build_request(
@@ -161,6 +164,7 @@
 ) -> AttemptOutcome {
     let names = &gateway.cfg.header_names;
     in_flight.record_load_report(&response.headers);
+    in_flight.record_rate_limit(&response.headers);
     if !matches_attempt(names, call, &response) {
         // The response belongs to another request. Dropping it closes the connection; the request
         // itself may still be running.
--- a/src/gateway/exchange/mod.rs
+++ b/src/gateway/exchange/mod.rs
@@ -198,6 +198,7 @@
         let overrides = AttemptOverrides {
             model: self.model_name(self.model),
             last_event_id,
+            is_first: self.runs == 0 && self.refusals == 0 && self.unreachable == 0,
         };
         self.runs += 1;
         let outcome = attempt(
--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -25,6 +25,9 @@
     /// Running requests, waiting requests and slots of the upstream that responds, separated by
     /// commas.
     pub load: HeaderName,
+    /// Requests a second that the upstream which responds takes from all gateways together, for as
+    /// long as its responses say so.
+    pub rate_limit: HeaderName,
     /// Requested model, or `*` to let the gateway choose.
     pub model: HeaderName,
     /// Number of prompt tokens and maximum number of output tokens, separated by a comma.
@@ -56,6 +59,7 @@
             upstream: name("daisyquay-upstream"),
             answered_by: name("daisyquay-answered-by"),
             load: name("daisyquay-load"),
+            rate_limit: name("daisyquay-rate-limit"),
             model: name("daisyquay-model"),
             token_counts: name("daisyquay-tokens"),
             prompt: name("daisyquay-prompt"),
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -13,6 +13,7 @@
 use crate::collections::HashMap;
 use crate::collections::HashSet;
 use crate::collections::Name;
+use crate::log::event;
 use crate::policy::placement::Candidate;
 use crate::policy::placement::stable_hash;
 use crate::policy::reachability::Reachability;
@@ -44,6 +45,8 @@
     report: Option<LoadReport>,
     load: Load,
     progress: QueueProgress,
+    /// Limit that the last response named, in requests a second.
+    rate_limit: Option<f64>,
 }
 
 /// State of all upstreams, by id.
@@ -170,13 +173,15 @@
 }
 
 impl InFlightRequest {
-    /// Adds the request to the load of the upstream.
+    /// Adds the request to the load of the upstream. `is_first` is whether no other attempt was made
+    /// for it.
     pub(super) fn start(
         gateway: &Rc<Gateway>,
         upstream: Upstream,
         model: Option<Name>,
         rank: u32,
         load: Load,
+        is_first: bool,
     ) -> Self {
         let sent_at = gateway.now();
         let mut upstreams = gateway.upstreams.borrow_mut();
@@ -185,6 +190,12 @@
         let row = upstreams.row(&upstream);
         let utilization = row.expected_requests(peer_load.requests, sent_at) / slots;
         row.in_flight.increment(sent_at);
+        if row.rate_limit.is_some() {
+            let attempt = if is_first { "first" } else { "further" };
+            let labels = [("attempt", attempt)];
+            let metrics = &gateway.metrics;
+            metrics.add_to_counter("daisyquay_limited_attempts", 1, &labels);
+        }
         row.health.record_start();
         row.load.add(&load);
         let prefill_tokens_ahead = row
@@ -297,6 +308,27 @@
         update(&mut upstreams.row(&self.upstream).health, now);
     }
 
+    /// Records the limit on requests that the upstream names in its response headers, if any.
+    pub(super) fn record_rate_limit(&self, headers: &HeaderMap) {
+        let name = &self.gateway.cfg.header_names.rate_limit;
+        let limit: Option<f64> = headers
+            .get(name)
+            .and_then(|value| value.to_str().ok())
+            .and_then(|text| text.trim().parse().ok());
+        let mut upstreams = self.gateway.upstreams.borrow_mut();
+        let row = upstreams.row(&self.upstream);
+        if row.rate_limit == limit {
+            return;
+        }
+        row.rate_limit = limit;
+        event!(
+            Info,
+            "upstream_limit",
+            upstream = self.upstream.id(),
+            per_s = limit.map_or("none".to_owned(), |limit| limit.to_string())
+        );
+    }
+
     /// Records the load that the upstream reports in its response headers, if any.
     pub(super) fn record_load_report(&self, headers: &HeaderMap) {
         let names = &self.gateway.cfg.header_names;
