Keep the limit that an upstream names, over all gateways together

What callers saw: none of theirs failed; an upstream in need got 12 to 14 requests in 4 s where it had asked for 1 to 1.4 a second, and 11 to 13 were allowed (LIMIT).

Cause: nothing read the limit.

Change: policy::backpressure divides a limit evenly. Each gateway has a turn every gateways/limit seconds, at a phase of its own, and a turn that isn't used lapses after a second, so that a burst after an idle time does not use those of all gateways at once. Gateways tell each other of limits in their updates, with the age of the response: the latest response counts, and one without a limit lifts it. An upstream without a turn is no candidate; where all are so, the caller is refused at once and told when the next turn is.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -164,7 +164,10 @@
 ) -> AttemptOutcome {
     let names = &gateway.cfg.header_names;
     in_flight.record_load_report(&response.headers);
-    in_flight.record_rate_limit(&response.headers);
+    if response.status != StatusCode::MISDIRECTED_REQUEST {
+        // Such a response comes from another upstream at the same address.
+        gateway.record_backpressure(&in_flight.upstream, &response.headers);
+    }
     if !matches_attempt(names, call, &response) {
         // The response belongs to another request. Dropping it closes the connection; the request
         // itself may still be running.
--- a/src/gateway/exchange/choose.rs
+++ b/src/gateway/exchange/choose.rs
@@ -10,6 +10,7 @@
 use crate::gateway::routing::ServicePool;
 use crate::gateway::routing::Upstream;
 use crate::gateway::upstreams::PlacementContext;
+use crate::policy::backpressure::Backpressure;
 use crate::policy::escalation::TtftForecast;
 use crate::policy::placement;
 use crate::policy::placement::Candidate;
@@ -35,9 +36,10 @@
         let upstreams = gateway.upstreams.borrow();
         let peer_loads = gateway.peer_loads.borrow();
         let reachability = gateway.reachability.borrow();
+        let backpressure = gateway.backpressure.borrow();
         let candidate = upstreams.placement_candidate(
             &upstream,
-            &self.placement_context(&peer_loads, &reachability, None),
+            &self.placement_context(&peer_loads, &reachability, &backpressure, None),
             false,
         );
         let own_prefill_tokens =
@@ -60,12 +62,14 @@
         let upstreams = gateway.upstreams.borrow();
         let peer_loads = gateway.peer_loads.borrow();
         let reachability = gateway.reachability.borrow();
-        let context = self.placement_context(&peer_loads, &reachability, None);
+        let backpressure = gateway.backpressure.borrow();
+        let context = self.placement_context(&peer_loads, &reachability, &backpressure, None);
         let mut backlogs: Vec<u64> = pool
             .upstreams
             .iter()
             .map(|upstream| upstreams.placement_candidate(upstream, &context, false))
-            .filter(|candidate| !candidate.is_suspect && candidate.circuit != Circuit::Open)
+            .filter(|candidate| !candidate.is_suspect && !candidate.is_blocked)
+            .filter(|candidate| candidate.circuit != Circuit::Open)
             .map(|candidate| candidate.prefill_tokens)
             .collect();
         if backlogs.is_empty() {
@@ -80,11 +84,14 @@
         &'a self,
         peer_loads: &'a PeerLoads,
         reachability: &'a Reachability,
+        backpressure: &'a Backpressure,
         kv_capacity_tokens: Option<u64>,
     ) -> PlacementContext<'a> {
         PlacementContext {
             peer_loads,
             reachability,
+            backpressure,
+            sharing: self.gateway.sharing(),
             data_centre: &self.gateway.cfg.data_centre,
             kv_capacity_tokens,
             now: self.gateway.now(),
@@ -107,7 +114,13 @@
         let upstreams = gateway.upstreams.borrow();
         let peer_loads = gateway.peer_loads.borrow();
         let reachability = gateway.reachability.borrow();
-        let context = self.placement_context(&peer_loads, &reachability, kv_capacity_tokens);
+        let backpressure = gateway.backpressure.borrow();
+        let context = self.placement_context(
+            &peer_loads,
+            &reachability,
+            &backpressure,
+            kv_capacity_tokens,
+        );
         let choose = |wants_new: Option<bool>| -> Option<Upstream> {
             let eligible: Vec<&Upstream> = pool
                 .upstreams
--- a/src/gateway/exchange/mod.rs
+++ b/src/gateway/exchange/mod.rs
@@ -370,10 +370,18 @@
             unreachable = self.unreachable,
             reason = self.last_failure
         );
-        Err(Refusal::unavailable(
+        let refusal = Refusal::unavailable(
             "no_upstream",
             "no upstream accepts the request now; retry later",
-        ))
+        );
+        let wait = self
+            .service
+            .as_ref()
+            .and_then(|service| self.gateway.backpressure_wait(service));
+        Err(match wait {
+            Some(wait) => refusal.with_retry_after(wait),
+            None => refusal,
+        })
     }
 
     pub(super) fn gateway(&self) -> &Rc<Gateway> {
--- a/src/gateway/loads/mod.rs
+++ b/src/gateway/loads/mod.rs
@@ -1,6 +1,6 @@
 //! Updates that the gateways send each other: the load of their own requests at each upstream, the
-//! releases of those sessions that the trial stage of a rollout may include, and the upstreams that
-//! refuse connections.
+//! releases of those sessions that the trial stage of a rollout may include, the upstreams that
+//! refuse connections, and the limits that upstreams name.
 //!
 //! The upstreams' own load reports arrive late, and every gateway reads the same ones. So each
 //! gateway also publishes the load that it has sent to each upstream, in UDP datagrams with
@@ -23,6 +23,7 @@
 use crate::agreement::Index;
 use crate::collections::HashMap;
 use crate::log::event;
+use crate::policy::backpressure::LimitNotice;
 use crate::policy::fanout;
 use crate::policy::fanout::Fanout;
 use crate::policy::fanout::Forward;
@@ -103,6 +104,8 @@
     sessions: Vec<Assignment>,
     /// Upstreams that refused a connection since the previous update, by number.
     refusing: Vec<Index>,
+    /// Limits that upstreams have named or lifted, if one has changed; a full update repeats all.
+    limits: Vec<LimitNotice>,
 }
 
 /// Loads of one other gateway.
@@ -258,6 +261,8 @@
         reachability.record_reported_refusal(upstream, now);
     }
     drop(reachability);
+    let limits = update.limits.len().min(MAX_ROWS);
+    gateway.apply_limit_notices(&update.limits[..limits]);
     let forwarded = (forward != Forward::Nowhere).then(|| update.clone());
     let is_new = gateway.peer_loads.borrow_mut().apply(update, now);
     if let Some(forwarded) = forwarded.filter(|_| is_new) {
--- a/src/gateway/loads/publisher.rs
+++ b/src/gateway/loads/publisher.rs
@@ -29,7 +29,12 @@
         let rows = self.rows_to_publish(&loads, is_full);
         let new_sessions = gateway.sessions.borrow_mut().take_unpublished();
         let refusing = gateway.reachability.borrow_mut().take_unpublished();
-        if rows.is_empty() && new_sessions.is_empty() && refusing.is_empty() && !is_full {
+        let limits = gateway.limit_notices(is_full);
+        let has_news = !(rows.is_empty()
+            && new_sessions.is_empty()
+            && refusing.is_empty()
+            && limits.is_empty());
+        if !has_news && !is_full {
             return None;
         }
         self.seq += 1;
@@ -47,6 +52,7 @@
             rows,
             sessions,
             refusing,
+            limits,
         })
     }
 
--- a/src/gateway/loads/transport.rs
+++ b/src/gateway/loads/transport.rs
@@ -26,11 +26,12 @@
 /// further updates are dropped.
 const FORWARD_QUEUE_LIMIT: usize = 4_096;
 
-/// Approximate encoded size of an update, and of each load, session and upstream number in it.
+/// Approximate encoded size of an update, and of each load, session, upstream number and limit in it.
 const UPDATE_BYTES_ESTIMATE: usize = 24;
 const ROW_BYTES_ESTIMATE: usize = 24;
 const SESSION_BYTES_ESTIMATE: usize = 10;
 const NUMBER_BYTES_ESTIMATE: usize = 9;
+const LIMIT_BYTES_ESTIMATE: usize = 24;
 
 /// Content of one datagram.
 #[derive(Debug, Deserialize, Serialize)]
@@ -152,7 +153,8 @@
         let more = UPDATE_BYTES_ESTIMATE
             + rows
             + SESSION_BYTES_ESTIMATE * update.sessions.len()
-            + NUMBER_BYTES_ESTIMATE * update.refusing.len();
+            + NUMBER_BYTES_ESTIMATE * update.refusing.len()
+            + LIMIT_BYTES_ESTIMATE * update.limits.len();
         if bytes + more > DATAGRAM_TARGET_BYTES && !updates.is_empty() {
             let updates = std::mem::take(&mut updates);
             datagrams.push(codec::encode(&Datagram { forward, updates }));
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 
 mod admin;
 mod attempt;
+mod backpressure;
 mod call;
 mod events;
 mod exchange;
@@ -48,6 +49,7 @@
 use crate::log::event;
 use crate::metrics::Metrics;
 use crate::peer::EntryInfo;
+use crate::policy::backpressure::Backpressure;
 use crate::policy::prefill::RateEstimator;
 use crate::policy::reachability::Reachability;
 use crate::policy::release_rollout::RouteStats;
@@ -125,10 +127,16 @@
     peer_loads: RefCell<PeerLoads>,
     /// Upstreams that refuse connections, as seen by this gateway and the others.
     reachability: RefCell<Reachability>,
+    /// What upstreams have asked for in their responses.
+    backpressure: RefCell<Backpressure>,
+    /// Whether a limit has changed that the other gateways have not been told of.
+    limits_changed: Cell<bool>,
+    /// When in an interval this gateway's turns at limited upstreams begin, from 0 to 1.
+    turn_phase: f64,
     sessions: RefCell<Sessions>,
     /// Notified when there may be an update to send: this gateway's load at an upstream or the
-    /// release of a session has changed, an upstream has refused a connection, or an update of
-    /// another gateway is to be forwarded.
+    /// release of a session has changed, an upstream has refused a connection or named a limit, or an
+    /// update of another gateway is to be forwarded.
     load_changed: Notify,
     connections: ConnectionPool,
     retry_budgets: RefCell<HashMap<Name, SlidingWindow>>,
@@ -195,6 +203,9 @@
         upstreams: RefCell::default(),
         peer_loads: RefCell::default(),
         reachability: RefCell::default(),
+        backpressure: RefCell::default(),
+        limits_changed: Cell::new(false),
+        turn_phase: fastrand::f64(),
         sessions: RefCell::default(),
         load_changed: Notify::new(),
         connections: ConnectionPool::default(),
@@ -242,6 +253,7 @@
         gateway.connections.close_expired();
         let now = gateway.now();
         gateway.sessions.borrow_mut().remove_expired(now);
+        gateway.forget_backpressure();
     }
 }
 
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -13,7 +13,8 @@
 use crate::collections::HashMap;
 use crate::collections::HashSet;
 use crate::collections::Name;
-use crate::log::event;
+use crate::policy::backpressure::Backpressure;
+use crate::policy::backpressure::Sharing;
 use crate::policy::placement::Candidate;
 use crate::policy::placement::stable_hash;
 use crate::policy::reachability::Reachability;
@@ -45,8 +46,6 @@
     report: Option<LoadReport>,
     load: Load,
     progress: QueueProgress,
-    /// Limit that the last response named, in requests a second.
-    rate_limit: Option<f64>,
 }
 
 /// State of all upstreams, by id.
@@ -122,6 +121,10 @@
             },
             was_tried,
             is_suspect: upstream.is_suspect || self.suspects.contains(&upstream.number),
+            is_blocked: context
+                .backpressure
+                .wait(upstream.number, &context.sharing, now)
+                .is_none_or(|wait| !wait.is_zero()),
         }
     }
 }
@@ -130,6 +133,8 @@
 pub(super) struct PlacementContext<'a> {
     pub(super) peer_loads: &'a PeerLoads,
     pub(super) reachability: &'a Reachability,
+    pub(super) backpressure: &'a Backpressure,
+    pub(super) sharing: Sharing,
     pub(super) data_centre: &'a Name,
     /// Tokens that the KV cache of an upstream holds; `None` if not known.
     pub(super) kv_capacity_tokens: Option<u64>,
@@ -190,12 +195,6 @@
         let row = upstreams.row(&upstream);
         let utilization = row.expected_requests(peer_load.requests, sent_at) / slots;
         row.in_flight.increment(sent_at);
-        if row.rate_limit.is_some() {
-            let attempt = if is_first { "first" } else { "further" };
-            let labels = [("attempt", attempt)];
-            let metrics = &gateway.metrics;
-            metrics.add_to_counter("daisyquay_limited_attempts", 1, &labels);
-        }
         row.health.record_start();
         row.load.add(&load);
         let prefill_tokens_ahead = row
@@ -203,6 +202,7 @@
             .prefill_tokens
             .saturating_add(peer_load.prefill_tokens);
         drop(upstreams);
+        gateway.record_sent(upstream.number, is_first, sent_at);
         gateway.load_changed.notify_one();
         Self {
             gateway: gateway.clone(),
@@ -308,27 +308,6 @@
         update(&mut upstreams.row(&self.upstream).health, now);
     }
 
-    /// Records the limit on requests that the upstream names in its response headers, if any.
-    pub(super) fn record_rate_limit(&self, headers: &HeaderMap) {
-        let name = &self.gateway.cfg.header_names.rate_limit;
-        let limit: Option<f64> = headers
-            .get(name)
-            .and_then(|value| value.to_str().ok())
-            .and_then(|text| text.trim().parse().ok());
-        let mut upstreams = self.gateway.upstreams.borrow_mut();
-        let row = upstreams.row(&self.upstream);
-        if row.rate_limit == limit {
-            return;
-        }
-        row.rate_limit = limit;
-        event!(
-            Info,
-            "upstream_limit",
-            upstream = self.upstream.id(),
-            per_s = limit.map_or("none".to_owned(), |limit| limit.to_string())
-        );
-    }
-
     /// Records the load that the upstream reports in its response headers, if any.
     pub(super) fn record_load_report(&self, headers: &HeaderMap) {
         let names = &self.gateway.cfg.header_names;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -4,6 +4,7 @@
 //! tests can replay load patterns and faults without a network.
 
 pub mod admission;
+pub mod backpressure;
 pub mod escalation;
 pub mod fanout;
 pub mod load_balancing;
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -49,6 +49,8 @@
     pub was_tried: bool,
     /// Whether its heartbeats are overdue.
     pub is_suspect: bool,
+    /// Whether it has asked for no request now (see `policy::backpressure`).
+    pub is_blocked: bool,
 }
 
 /// The prefill of a prompt. Tokens are those that the smallest model prefills in the same time.
@@ -99,7 +101,7 @@
     }
 }
 
-/// Returns the untried upstreams that are neither suspect nor cut off by their circuit breaker. If
+/// Returns the untried upstreams, without those that have asked for no request, that are neither suspect nor cut off by their circuit breaker. If
 /// there are none, it admits suspect ones and then all: an attempt there is better than a rejection
 /// without one.
 fn eligible(candidates: &[Candidate], may_probe: bool) -> Vec<usize> {
@@ -115,7 +117,10 @@
     ];
     for accepts in filters {
         let eligible: Vec<usize> = (0..candidates.len())
-            .filter(|&i| !candidates[i].was_tried && accepts(&candidates[i]))
+            .filter(|&i| {
+                let candidate = &candidates[i];
+                !candidate.was_tried && !candidate.is_blocked && accepts(candidate)
+            })
             .collect();
         if !eligible.is_empty() {
             return eligible;
--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -2,6 +2,7 @@
 
 #![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
 
+mod backpressure;
 mod config_distribution;
 mod escalation;
 mod fanout;
--- a/tests/load/placement.rs
+++ b/tests/load/placement.rs
@@ -18,6 +18,7 @@
             circuit: Circuit::Closed,
             was_tried: false,
             is_suspect: false,
+            is_blocked: false,
         })
         .collect()
 }
--- a/tests/load/reachability.rs
+++ b/tests/load/reachability.rs
@@ -54,6 +54,7 @@
                     },
                     was_tried: tried.contains(&id),
                     is_suspect: false,
+                    is_blocked: false,
                 })
                 .collect();
             let chosen = placement::place(&candidates, None, true, &mut rng).unwrap();
