--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -166,7 +166,7 @@
     in_flight.record_load_report(&response.headers);
     if response.status != StatusCode::MISDIRECTED_REQUEST {
         // Such a response comes from another upstream at the same address.
-        gateway.record_backpressure(&in_flight.upstream, &response.headers);
+        gateway.record_backpressure(&in_flight.upstream, response.status, &response.headers);
     }
     if !matches_attempt(names, call, &response) {
         // The response belongs to another request. Dropping it closes the connection; the request
--- a/src/gateway/backpressure.rs
+++ b/src/gateway/backpressure.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use http::HeaderMap;
+use http::StatusCode;
 
 use super::Gateway;
 use super::routing::Upstream;
@@ -23,10 +24,27 @@
     }
 
     /// Records what a response of an upstream asks for.
-    pub(super) fn record_backpressure(&self, upstream: &Upstream, headers: &HeaderMap) {
+    pub(super) fn record_backpressure(
+        &self,
+        upstream: &Upstream,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) {
         let names = &self.cfg.header_names;
         let now = self.now();
         let number = upstream.number;
+        let pause = decimal(headers, &http::header::RETRY_AFTER)
+            .and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
+        if let Some(pause) = pause.filter(|_| status == StatusCode::SERVICE_UNAVAILABLE) {
+            event!(
+                Info,
+                "upstream_pause",
+                upstream = upstream.id(),
+                ms = pause.as_millis()
+            );
+            let mut backpressure = self.backpressure.borrow_mut();
+            backpressure.record_pause(number, pause, now);
+        }
         let notice = LimitNotice {
             upstream: number,
             limit: decimal(headers, &names.rate_limit),
--- a/src/policy/backpressure.rs
+++ b/src/policy/backpressure.rs
@@ -29,6 +29,9 @@
 /// Smallest limit that is obeyed as named, in requests a second; smaller ones count as this one.
 const MIN_LIMIT: f64 = 0.001;
 
+/// Longest pause that an upstream can ask for.
+const MAX_PAUSE: Duration = Duration::from_secs(3600);
+
 /// A limit as one gateway has it, for the others.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 pub struct LimitNotice {
@@ -81,6 +84,7 @@
 #[derive(Debug, Default)]
 pub struct Backpressure {
     limits: HashMap<Index, Limit>,
+    paused_until: HashMap<Index, Duration>,
 }
 
 impl Backpressure {
@@ -122,6 +126,12 @@
         has_changed
     }
 
+    /// Records that an upstream wants no request of this gateway for `pause`.
+    pub fn record_pause(&mut self, upstream: Index, pause: Duration, now: Duration) {
+        let until = now + pause.min(MAX_PAUSE);
+        self.paused_until.insert(upstream, until);
+    }
+
     /// Records that a request is sent to an upstream; returns whether that is limited.
     pub fn record_sent(&mut self, upstream: Index, sharing: &Sharing, now: Duration) -> bool {
         let Some(limit) = self.limits.get_mut(&upstream) else {
@@ -137,9 +147,10 @@
     /// Returns how long an upstream takes no request of this gateway: zero if it takes one now, `None`
     /// if it takes none any more.
     pub fn wait(&self, upstream: Index, sharing: &Sharing, now: Duration) -> Option<Duration> {
+        let paused_until = self.paused_until.get(&upstream).copied();
         let limit = self.limits.get(&upstream);
         let turn = limit.and_then(|limit| limit.next_turn(sharing, now));
-        let at = turn.unwrap_or_default();
+        let at = paused_until.max(turn).unwrap_or_default();
         Some(at.saturating_sub(now))
     }
 
@@ -161,5 +172,7 @@
             let is_current = limit.per_s.is_some() || now < limit.said_at + LIFTED_TTL;
             is_current && keep(upstream)
         });
+        self.paused_until
+            .retain(|&upstream, until| now < *until && keep(upstream));
     }
 }
--- a/tests/load/backpressure.rs
+++ b/tests/load/backpressure.rs
@@ -140,3 +140,18 @@
     assert_eq!(table.wait(UPSTREAM, &SHARING, later), Some(Duration::ZERO));
     assert_eq!(table.notices(later), [notice(None, Duration::from_secs(1))]);
 }
+
+#[test]
+fn upstream_that_asks_for_a_pause_gets_nothing_until_its_end() {
+    let mut table = Backpressure::default();
+    let at = Duration::from_secs(5);
+    table.record_pause(UPSTREAM, Duration::from_millis(1500), at);
+    let before_end = at + Duration::from_secs(1);
+    let wait = table.wait(UPSTREAM, &SHARING, before_end);
+    assert_eq!(wait, Some(Duration::from_millis(500)));
+    let after_end = at + Duration::from_secs(2);
+    assert_eq!(
+        table.wait(UPSTREAM, &SHARING, after_end),
+        Some(Duration::ZERO)
+    );
+}
