Send nothing to an upstream that says in a response that it is leaving

Cause: only heartbeats told of a leave; one told in a response was ignored.

Change: the gateway that got it sends no further request to that start of the upstream.

--- a/src/gateway/backpressure.rs
+++ b/src/gateway/backpressure.rs
@@ -33,6 +33,10 @@
         let names = &self.cfg.header_names;
         let now = self.now();
         let number = upstream.number;
+        if headers.contains_key(&names.leaving) {
+            event!(Info, "upstream_leaving", upstream = upstream.id());
+            self.backpressure.borrow_mut().record_leaving(number);
+        }
         let pause = decimal(headers, &http::header::RETRY_AFTER)
             .and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
         if let Some(pause) = pause.filter(|_| status == StatusCode::SERVICE_UNAVAILABLE) {
--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -28,6 +28,8 @@
     /// Requests a second that the upstream which responds takes from all gateways together, for as
     /// long as its responses say so.
     pub rate_limit: HeaderName,
+    /// Present if the upstream which responds is leaving.
+    pub leaving: HeaderName,
     /// Requested model, or `*` to let the gateway choose.
     pub model: HeaderName,
     /// Number of prompt tokens and maximum number of output tokens, separated by a comma.
@@ -60,6 +62,7 @@
             answered_by: name("daisyquay-answered-by"),
             load: name("daisyquay-load"),
             rate_limit: name("daisyquay-rate-limit"),
+            leaving: name("daisyquay-leaving"),
             model: name("daisyquay-model"),
             token_counts: name("daisyquay-tokens"),
             prompt: name("daisyquay-prompt"),
--- a/src/policy/backpressure.rs
+++ b/src/policy/backpressure.rs
@@ -15,6 +15,7 @@
 
 use crate::agreement::Index;
 use crate::collections::HashMap;
+use crate::collections::HashSet;
 
 /// Time for which a gateway may use its turn to send to a limited upstream.
 const TURN_TTL: Duration = Duration::from_secs(1);
@@ -85,6 +86,7 @@
 pub struct Backpressure {
     limits: HashMap<Index, Limit>,
     paused_until: HashMap<Index, Duration>,
+    leaving: HashSet<Index>,
 }
 
 impl Backpressure {
@@ -132,6 +134,11 @@
         self.paused_until.insert(upstream, until);
     }
 
+    /// Records that an upstream is leaving. It gets no further request.
+    pub fn record_leaving(&mut self, upstream: Index) {
+        self.leaving.insert(upstream);
+    }
+
     /// Records that a request is sent to an upstream; returns whether that is limited.
     pub fn record_sent(&mut self, upstream: Index, sharing: &Sharing, now: Duration) -> bool {
         let Some(limit) = self.limits.get_mut(&upstream) else {
@@ -147,6 +154,9 @@
     /// Returns how long an upstream takes no request of this gateway: zero if it takes one now, `None`
     /// if it takes none any more.
     pub fn wait(&self, upstream: Index, sharing: &Sharing, now: Duration) -> Option<Duration> {
+        if self.leaving.contains(&upstream) {
+            return None;
+        }
         let paused_until = self.paused_until.get(&upstream).copied();
         let limit = self.limits.get(&upstream);
         let turn = limit.and_then(|limit| limit.next_turn(sharing, now));
@@ -172,6 +182,7 @@
             let is_current = limit.per_s.is_some() || now < limit.said_at + LIFTED_TTL;
             is_current && keep(upstream)
         });
+        self.leaving.retain(|&upstream| keep(upstream));
         self.paused_until
             .retain(|&upstream, until| now < *until && keep(upstream));
     }
--- a/tests/load/backpressure.rs
+++ b/tests/load/backpressure.rs
@@ -155,3 +155,15 @@
         Some(Duration::ZERO)
     );
 }
+
+#[test]
+fn leaving_upstream_gets_nothing_until_it_is_forgotten() {
+    let mut table = Backpressure::default();
+    table.record_leaving(UPSTREAM);
+    assert_eq!(table.wait(UPSTREAM, &SHARING, Duration::ZERO), None);
+    table.retain(Duration::ZERO, |_| false);
+    assert_eq!(
+        table.wait(UPSTREAM, &SHARING, Duration::ZERO),
+        Some(Duration::ZERO)
+    );
+}
