--- a/src/gateway/backpressure.rs
+++ b/src/gateway/backpressure.rs
@@ -33,9 +33,10 @@
         let names = &self.cfg.header_names;
         let now = self.now();
         let number = upstream.number;
-        if headers.contains_key(&names.leaving) {
+        if headers.contains_key(&names.leaving)
+            && self.backpressure.borrow_mut().record_leaving(number)
+        {
             event!(Info, "upstream_leaving", upstream = upstream.id());
-            self.backpressure.borrow_mut().record_leaving(number);
         }
         let pause = decimal(headers, &http::header::RETRY_AFTER)
             .and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -221,7 +221,7 @@
     let handler = Rc::new(move |req| -> listen::ResponseFuture {
         Box::pin(exchange::handle(shared.clone(), req))
     });
-    listen::serve(address, handler)
+    listen::serve(address, listen::MAX_CONNECTIONS, handler)
         .await
         .context(ListenSnafu { address })?;
     if let Some(address) = gateway.cfg.admin_listen {
@@ -230,7 +230,7 @@
             let response = admin::handle(&shared, &req);
             Box::pin(async move { response })
         };
-        listen::serve(address, Rc::new(handler))
+        listen::serve(address, listen::MAX_CONNECTIONS, Rc::new(handler))
             .await
             .context(ListenSnafu { address })?;
     }
--- a/src/listen/mod.rs
+++ b/src/listen/mod.rs
@@ -38,9 +38,9 @@
 /// were told; closing one while a request is arriving costs them a retry.
 const KEEP_ALIVE_TIMEOUT: Seconds = Seconds(75);
 
-/// Most connections of one listener; further ones are closed at once, and their callers turn to
-/// another process. Each takes 10 to 30 kB, and a small VM has less than 100 MB.
-const MAX_CONNECTIONS: usize = 1536;
+/// Most connections of a listener for callers: three quarters of the descriptors of a small VM's
+/// process.
+pub const MAX_CONNECTIONS: usize = 3072;
 
 /// Delay after a failed accept. The usual cause is a lack of file descriptors, and the process must
 /// close some first.
@@ -108,12 +108,18 @@
     }
 }
 
-/// Listens on `address` until the process ends; returns the bound address.
+/// Listens on `address` until the process ends; returns the bound address. Connections beyond
+/// `max_connections` are closed at once, so that their callers turn to another process: each takes
+/// 10 to 30 kB of memory.
 ///
 /// # Errors
 ///
 /// The address can't be bound.
-pub async fn serve(address: SocketAddr, handler: Rc<dyn Handler>) -> io::Result<SocketAddr> {
+pub async fn serve(
+    address: SocketAddr,
+    max_connections: usize,
+    handler: Rc<dyn Handler>,
+) -> io::Result<SocketAddr> {
     let listener = TcpListener::bind(address).await?;
     let local = listener.local_addr()?;
     let http = HttpServiceConfig::new()
@@ -138,7 +144,7 @@
             match listener.accept().await {
                 Ok((stream, _)) => {
                     let count = Rc::strong_count(&open) - 1;
-                    if count >= MAX_CONNECTIONS {
+                    if count >= max_connections {
                         if !is_full {
                             event!(Warn, "connections_full", address = local, open = count);
                         }
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -197,7 +197,7 @@
 /// A load report or heartbeat of one upstream.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct UpstreamLoad {
-    /// [`crate::upstream::Upstream::number`], which identifies the incarnation in a few bytes: load levels are the
+    /// Number of the upstream, which identifies the incarnation in a few bytes: load levels are the
     /// largest part of the traffic between entries and leader.
     pub number: Index,
     /// Its load level; `None` for a heartbeat with an unchanged level.
@@ -213,7 +213,7 @@
     pub route: Name,
     /// Release that the upstream runs.
     pub release: Name,
-    /// [`crate::upstream::Upstream::number`] of the upstream.
+    /// Number of the upstream.
     pub upstream: Index,
     /// Statistics of its requests.
     pub stats: RouteStats,
--- a/src/policy/backpressure.rs
+++ b/src/policy/backpressure.rs
@@ -27,8 +27,9 @@
 /// Time for which a lifted limit is remembered, so that late news of it is recognised.
 const LIFTED_TTL: Duration = Duration::from_secs(30);
 
-/// Smallest limit that is obeyed as named, in requests a second; smaller ones count as this one.
+/// Limits that are obeyed as named, in requests a second; others count as the nearest of these.
 const MIN_LIMIT: f64 = 0.001;
+const MAX_LIMIT: f64 = 1e6;
 
 /// Longest pause that an upstream can ask for.
 const MAX_PAUSE: Duration = Duration::from_secs(3600);
@@ -56,7 +57,7 @@
 impl Sharing {
     /// Returns the time between two turns of one gateway.
     fn turn_interval(&self, limit: f64) -> Duration {
-        Duration::from_secs_f64(self.gateways.max(1) as f64 / limit.max(MIN_LIMIT))
+        Duration::from_secs_f64(self.gateways.max(1) as f64 / limit.clamp(MIN_LIMIT, MAX_LIMIT))
     }
 }
 
@@ -134,9 +135,10 @@
         self.paused_until.insert(upstream, until);
     }
 
-    /// Records that an upstream is leaving. It gets no further request.
-    pub fn record_leaving(&mut self, upstream: Index) {
-        self.leaving.insert(upstream);
+    /// Records that an upstream is leaving, and returns whether that is new. It gets no further
+    /// request.
+    pub fn record_leaving(&mut self, upstream: Index) -> bool {
+        self.leaving.insert(upstream)
     }
 
     /// Records that a request is sent to an upstream; returns whether that is limited.
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -101,9 +101,9 @@
     }
 }
 
-/// Returns the untried upstreams, without those that have asked for no request, that are neither suspect nor cut off by their circuit breaker. If
+/// Returns the untried upstreams that are neither suspect nor cut off by their circuit breaker. If
 /// there are none, it admits suspect ones and then all: an attempt there is better than a rejection
-/// without one.
+/// without one. Upstreams that have asked for no request are never admitted.
 fn eligible(candidates: &[Candidate], may_probe: bool) -> Vec<usize> {
     let is_allowed = |candidate: &Candidate| match candidate.circuit {
         Circuit::Closed => true,
--- a/tests/load/backpressure.rs
+++ b/tests/load/backpressure.rs
@@ -113,6 +113,26 @@
     }
 }
 
+#[test]
+fn extreme_limits_are_obeyed_within_bounds() {
+    for limit in [0.0, 1e-300, 1e300] {
+        let mut table = Backpressure::default();
+        table.apply_limit(
+            &notice(Some(limit), Duration::ZERO),
+            &SHARING,
+            Duration::ZERO,
+        );
+        let later = Duration::from_secs(1_000_000);
+        let wait = table.wait(UPSTREAM, &SHARING, later);
+        assert_eq!(
+            wait == Some(Duration::ZERO),
+            limit > 1.0,
+            "{limit}: {wait:?}"
+        );
+        assert!(table.record_sent(UPSTREAM, &SHARING, later));
+    }
+}
+
 #[test]
 fn limit_is_lifted_by_a_later_response_without_one() {
     let now = Duration::from_secs(1);
