--- a/src/gateway/loads/transport.rs
+++ b/src/gateway/loads/transport.rs
@@ -26,7 +26,8 @@
 /// further updates are dropped.
 const FORWARD_QUEUE_LIMIT: usize = 4_096;
 
-/// Approximate encoded size of an update, and of each load, session, upstream number and limit in it.
+/// Approximate encoded size of an update, and of each load, session, upstream number and limit in
+/// it.
 const UPDATE_BYTES_ESTIMATE: usize = 24;
 const ROW_BYTES_ESTIMATE: usize = 24;
 const SESSION_BYTES_ESTIMATE: usize = 10;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -135,8 +135,8 @@
     turn_phase: f64,
     sessions: RefCell<Sessions>,
     /// Notified when there may be an update to send: this gateway's load at an upstream or the
-    /// release of a session has changed, an upstream has refused a connection or named a limit, or an
-    /// update of another gateway is to be forwarded.
+    /// release of a session has changed, an upstream has refused a connection or named a limit, or
+    /// an update of another gateway is to be forwarded.
     load_changed: Notify,
     connections: ConnectionPool,
     retry_budgets: RefCell<HashMap<Name, SlidingWindow>>,
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -178,8 +178,8 @@
 }
 
 impl InFlightRequest {
-    /// Adds the request to the load of the upstream. `is_first` is whether no other attempt was made
-    /// for it.
+    /// Adds the request to the load of the upstream. `is_first` is whether no other attempt was
+    /// made for it.
     pub(super) fn start(
         gateway: &Rc<Gateway>,
         upstream: Upstream,
--- a/src/policy/backpressure.rs
+++ b/src/policy/backpressure.rs
@@ -5,8 +5,8 @@
 //! one that says that it is leaving.
 //!
 //! A limit is divided evenly: each gateway may send one request in each interval of
-//! `gateways / limit`, at a phase of its own. A turn that is not used lapses soon. Otherwise a burst
-//! after an idle time would use the turns of all gateways at once.
+//! `gateways / limit`, at a phase of its own. A turn that is not used lapses soon. Otherwise a
+//! burst after an idle time would use the turns of all gateways at once.
 
 use std::time::Duration;
 
@@ -153,8 +153,8 @@
         true
     }
 
-    /// Returns how long an upstream takes no request of this gateway: zero if it takes one now, `None`
-    /// if it takes none any more.
+    /// Returns how long an upstream takes no request of this gateway: zero if it takes one now,
+    /// `None` if it takes none any more.
     pub fn wait(&self, upstream: Index, sharing: &Sharing, now: Duration) -> Option<Duration> {
         if self.leaving.contains(&upstream) {
             return None;
--- a/src/policy/release_rollout.rs
+++ b/src/policy/release_rollout.rs
@@ -220,8 +220,8 @@
         })
     }
 
-    /// Returns the mean of the routes' slowdowns, weighted by the new release's responses; 1 if there
-    /// are too few.
+    /// Returns the mean of the routes' slowdowns, weighted by the new release's responses; 1 if
+    /// there are too few.
     fn overall_slowdown(&self) -> f64 {
         let (mut responses, mut sum) = (0, 0.0);
         for (_, new, _, slowdown) in self.slowdowns() {
--- a/src/replica/bootstrap.rs
+++ b/src/replica/bootstrap.rs
@@ -4,8 +4,8 @@
 //! created only when *all* configured addresses reply and *none* of them has a log. As soon as one
 //! of them has a log, the replica asks to join it as a learner, under its new identity.
 //!
-//! A replica that was removed while it was away finds itself in its own old log. So one that follows
-//! no leader for a while asks to join as well; the leader ignores this from a member.
+//! A replica that was removed while it was away finds itself in its own old log. So one that
+//! follows no leader for a while asks to join as well; the leader ignores this from a member.
 
 use std::cell::RefCell;
 use std::collections::BTreeSet;
--- a/src/upstream/directory.rs
+++ b/src/upstream/directory.rs
@@ -255,9 +255,9 @@
         }
     }
 
-    /// Returns the rows that changed after `index`, the earliest changes first, and the index of the
-    /// last change among them if there are later ones. There are at most `limit` rows, but rows that
-    /// one command changed are not split.
+    /// Returns the rows that changed after `index`, the earliest changes first, and the index of
+    /// the last change among them if there are later ones. There are at most `limit` rows, but rows
+    /// that one command changed are not split.
     pub fn changed_after(&self, index: Index, limit: usize) -> (Vec<Upstream>, Option<Index>) {
         let mut changed: Vec<&Upstream> = self
             .rows
