--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -44,7 +44,7 @@
     Stream(Box<UpstreamResponse>, InFlightRequest),
 }
 
-/// What differs between the attempts for one request.
+/// Properties in which the attempts for one request differ.
 #[derive(Clone, Debug, Default)]
 pub(super) struct AttemptOverrides {
     /// Model, if the gateway chose it.
--- a/src/gateway/backpressure.rs
+++ b/src/gateway/backpressure.rs
@@ -1,4 +1,5 @@
-//! What upstreams ask for in their responses, and what the other gateways were told.
+//! Limits, pauses and leaves that upstreams name in their responses, and the exchange of the limits
+//! with the other gateways.
 
 use std::time::Duration;
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -127,7 +127,7 @@
     peer_loads: RefCell<PeerLoads>,
     /// Upstreams that refuse connections, as seen by this gateway and the others.
     reachability: RefCell<Reachability>,
-    /// What upstreams have asked for in their responses.
+    /// Limits, pauses and leaves that upstreams have named in their responses.
     backpressure: RefCell<Backpressure>,
     /// Whether a limit has changed that the other gateways have not been told of.
     limits_changed: Cell<bool>,
--- a/src/gateway/observations.rs
+++ b/src/gateway/observations.rs
@@ -12,7 +12,7 @@
 use crate::policy::prefill::RateEstimator;
 use crate::policy::release_rollout::RouteStats;
 
-/// What response statistics are kept by.
+/// Key of the response statistics.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub(super) struct ReleaseStatsKey {
     service: Name,
--- a/src/policy/backpressure.rs
+++ b/src/policy/backpressure.rs
@@ -82,7 +82,7 @@
     }
 }
 
-/// What the upstreams have asked for, by the number of their incarnation.
+/// Limits, pauses and leaves of the upstreams, by the number of their incarnation.
 #[derive(Debug, Default)]
 pub struct Backpressure {
     limits: HashMap<Index, Limit>,
