Log which request a lost attempt was, and add failing tests for one that crashes upstreams

Change: a fingerprint of caller, method, target and body, in the lines of lost attempts. No logic changes.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -1,5 +1,6 @@
 //! A caller's request, parsed into typed fields.
 
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,6 +23,7 @@
 use crate::config::Route;
 use crate::listen;
 use crate::listen::BodyError;
+use crate::policy::fingerprint;
 use crate::policy::placement::stable_hash;
 use crate::policy::prompt::Prompt;
 
@@ -37,6 +39,7 @@
     /// Organisation and its rank, 0 for the most urgent; `None` for an anonymous caller.
     pub(super) organisation: Option<(Name, u32)>,
     pub(super) method: Method,
+    host: Name,
     /// Path and query, forwarded as received.
     pub(super) path_and_query: Name,
     /// Headers that are forwarded to any upstream.
@@ -51,6 +54,7 @@
     pub(super) prompt: Prompt,
     /// Session that the request belongs to, if any.
     pub(super) session: Option<Name>,
+    fingerprint: OnceCell<u64>,
 }
 
 impl Call {
@@ -113,9 +117,11 @@
             headers: forwarded_headers(names, req, gateway_chooses_model),
             organisation,
             method,
+            host: host.into(),
             path_and_query: path_and_query.into(),
             route,
             body: Bytes::new(),
+            fingerprint: OnceCell::new(),
         })
     }
 
@@ -131,6 +137,20 @@
         stable_hash(self.session.as_ref().unwrap_or(&self.id))
     }
 
+    /// Returns the call with its body.
+    pub(super) fn with_body(self, body: Bytes) -> Self {
+        Self { body, ..self }
+    }
+
+    /// Returns the request's [`fingerprint`]. The body must have been read.
+    pub(super) fn fingerprint(&self) -> u64 {
+        *self.fingerprint.get_or_init(|| {
+            let organisation = self.organisation.as_ref().map(|(name, _)| &**name);
+            let target = format!("{}{}", self.host, self.path_and_query);
+            fingerprint::compute(organisation, self.method.as_str(), &target, &self.body)
+        })
+    }
+
     /// Returns the time left until the deadline.
     pub(super) fn time_left(&self, now: Duration) -> Duration {
         self.deadline.saturating_sub(now)
--- a/src/gateway/exchange/log.rs
+++ b/src/gateway/exchange/log.rs
@@ -6,6 +6,7 @@
 use crate::gateway::attempt::AttemptOutcome;
 use crate::gateway::routing::Upstream;
 use crate::log::event;
+use crate::policy::fingerprint;
 
 impl Exchange {
     /// Logs what delayed a response head that came after the route's target.
@@ -35,6 +36,10 @@
             AttemptOutcome::Complete(head, _) if head.status.is_server_error() => ("failed", "-"),
             AttemptOutcome::Complete(..) | AttemptOutcome::Stream(..) => return,
         };
+        let fingerprint = match attempt {
+            AttemptOutcome::Lost(_) => fingerprint::log_text(self.call.fingerprint()),
+            _ => "-".to_owned(),
+        };
         event!(
             Info,
             "attempt",
@@ -46,6 +51,7 @@
             outcome = outcome,
             reason = reason,
             segments = self.call.prompt.shared_log_text(),
+            fingerprint = fingerprint,
             left_ms = self.call.time_left(self.gateway.now()).as_millis()
         );
     }
--- a/src/gateway/exchange/mod.rs
+++ b/src/gateway/exchange/mod.rs
@@ -69,7 +69,7 @@
         Ok(body) => body,
         Err(refusal) => return refuse(&gateway, &call.id, &call.route.name, &refusal),
     };
-    let call = Rc::new(Call { body, ..call });
+    let call = Rc::new(call.with_body(body));
     let mut exchange = Exchange::new(&gateway, &call);
     let limit = call.time_left(gateway.now());
     let outcome = tokio::time::timeout(limit, exchange.run()).await;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -7,6 +7,7 @@
 pub mod backpressure;
 pub mod escalation;
 pub mod fanout;
+pub mod fingerprint;
 pub mod load_balancing;
 pub mod placement;
 pub mod plan;
--- a/tests/process/quarantine.rs
+++ b/tests/process/quarantine.rs
@@ -1,4 +1,4 @@
-//! Upstreams that crash under requests with one segment in their prompts.
+//! Upstreams that crash under requests with one segment in their prompts, or under one request.
 
 use std::io::BufReader;
 use std::net::SocketAddr;
@@ -43,14 +43,41 @@
 
 const DEADLY_SEGMENT: &str = "dead";
 
+/// Last part of the path of a request that crashes each upstream which runs it.
+const DEADLY_PATH: &str = "/deadly";
+
 #[derive(Default)]
 struct Log {
     crashes: Mutex<Vec<Instant>>,
     deadly_arrivals: Mutex<Vec<Instant>>,
+    /// Requests to a [`DEADLY_PATH`] that upstreams received, and those under which one crashed.
+    arrivals_by_path: Mutex<Vec<(String, Instant)>>,
+    crashes_by_path: Mutex<Vec<(String, Instant)>>,
 }
 
-/// An upstream that crashes when it begins a response to a prompt with [`DEADLY_SEGMENT`], or when
-/// a test says so, and starts again as another incarnation.
+impl Log {
+    /// Returns when the path's third crash was and how many requests arrived once the gateways must
+    /// know of it.
+    fn late_arrivals(&self, path: &str) -> (Instant, usize) {
+        let times = |rows: &Mutex<Vec<(String, Instant)>>| -> Vec<Instant> {
+            let rows = rows.lock().unwrap();
+            let mut times: Vec<Instant> = rows
+                .iter()
+                .filter(|(known, _)| known == path)
+                .map(|(_, at)| *at)
+                .collect();
+            times.sort_unstable();
+            times
+        };
+        let third = times(&self.crashes_by_path)[2];
+        let arrivals = times(&self.arrivals_by_path);
+        let late = arrivals.iter().filter(|at| **at > third + CONTACT_TIME);
+        (third, late.count())
+    }
+}
+
+/// An upstream that crashes when it begins a response to a prompt with [`DEADLY_SEGMENT`] or to a
+/// request for a [`DEADLY_PATH`], or when a test says so, and starts again as another incarnation.
 struct CrashingUpstream {
     is_crashing: Arc<AtomicBool>,
     is_stopped: Arc<AtomicBool>,
@@ -148,6 +175,16 @@
         if is_deadly {
             log.deadly_arrivals.lock().unwrap().push(Instant::now());
         }
+        let target = request.request_line.split(' ').nth(1).unwrap_or_default();
+        if target.ends_with(DEADLY_PATH) {
+            let row = || (target.to_owned(), Instant::now());
+            log.arrivals_by_path.lock().unwrap().push(row());
+            thread::sleep(Duration::from_millis(40));
+            if !is_crashing.swap(true, Ordering::SeqCst) {
+                log.crashes_by_path.lock().unwrap().push(row());
+            }
+            return;
+        }
         thread::sleep(Duration::from_millis(20));
         if !write(&mut out, &stream_response_head(&request)) {
             return;
@@ -178,12 +215,16 @@
 
 impl Setup {
     fn new() -> Self {
+        Self::with_upstreams(UPSTREAMS)
+    }
+
+    fn with_upstreams(count: usize) -> Self {
         let cluster = Cluster::start(1, 1);
         let inventory = format!("{INVENTORY}{ROUTES}");
         cluster.apply(&inventory, &["--change-id", "first"]);
         let log: Arc<Log> = Arc::default();
         let entry = cluster.entry_addresses[0];
-        let upstreams = (0..UPSTREAMS)
+        let upstreams = (0..count)
             .map(|i| CrashingUpstream::start(entry, format!("u{i}"), log.clone()))
             .collect();
         let mut setup = Self {
@@ -341,3 +382,109 @@
     let crashes = setup.log.crashes.lock().unwrap().len();
     assert!(crashes >= 20, "only {crashes} crashes");
 }
+
+/// Sends a request without a prompt.
+fn call_path(gateway: SocketAddr, method: &str, path: &str, body: &str) -> Option<Response> {
+    let id = format!("{:016x}", fastrand::u64(..));
+    let headers = [
+        AUTH_HEADER,
+        ("host", "previews.example"),
+        ("daisyquay-attempt", &id),
+        ("daisyquay-deadline-ms", "6000"),
+    ];
+    send(method, gateway, path, &headers, body)
+}
+
+/// Sends the same request to the gateways in turn, each time under a new id, `interval` after the
+/// response to the one before.
+fn repeat_for(
+    gateways: &[SocketAddr],
+    time: Duration,
+    interval: Duration,
+    (method, path, body): (&str, &str, &str),
+) -> Vec<Sent> {
+    let until = Instant::now() + time;
+    let mut sent = Vec::new();
+    for i in 0.. {
+        let at = Instant::now();
+        if at >= until {
+            break;
+        }
+        sent.push((
+            at,
+            call_path(gateways[i % gateways.len()], method, path, body),
+        ));
+        thread::sleep(interval);
+    }
+    sent
+}
+
+/// Guards against a request that crashes each upstream which runs it reaching one after the other,
+/// whatever its kind and wherever its caller sends it again, and against refusing sound requests.
+#[test]
+fn request_that_crashes_upstreams_is_quarantined_at_all_gateways() {
+    let mut setup = Setup::new();
+    let gateways: Vec<SocketAddr> = setup.gateways.iter().map(|(_, address)| *address).collect();
+    let time = Duration::from_secs(14);
+    let deadly = [
+        ("GET", "/lookup/deadly", ""),
+        ("POST", "/hold/deadly", "hold"),
+        ("POST", "/notes/deadly", "note"),
+    ];
+    let (repeated, sound) = thread::scope(|scope| {
+        let interval = Duration::from_millis(330);
+        let repeats = deadly.map(|request| {
+            let gateways = &gateways;
+            scope.spawn(move || repeat_for(gateways, time, interval, request))
+        });
+        let interval = Duration::from_millis(60);
+        let sound = repeat_for(&gateways, time, interval, ("GET", "/lookup/sound", ""));
+        (repeats.map(|repeat| repeat.join().unwrap()), sound)
+    });
+    setup.add_gateway();
+    let (_, newest) = setup.gateways[GATEWAYS];
+    for ((method, path, body), sent) in deadly.into_iter().zip(&repeated) {
+        let newest_reply = call_path(newest, method, path, body);
+        let (third, late) = setup.log.late_arrivals(path);
+        assert!(
+            late <= ALLOWED_LATER,
+            "{path}: {late} requests reached upstreams later"
+        );
+        let replies = sent
+            .iter()
+            .filter(|(at, _)| *at > third + CONTACT_TIME)
+            .map(|(_, reply)| reply);
+        for reply in replies.chain([&newest_reply]) {
+            let reply = reply.as_ref().unwrap();
+            assert!(is_quarantined(reply), "{path}: {reply:?}");
+            assert!(!reply.header("retry-after").is_empty());
+        }
+        for (at, reply) in sound.iter().filter(|(at, _)| *at > third + CONTACT_TIME) {
+            let is_served = reply.as_ref().is_some_and(is_served);
+            assert!(is_served, "{at:?}: {reply:?}");
+        }
+    }
+}
+
+/// Guards against one request that takes down all upstreams of a small service at once, and so the
+/// requests of all others.
+#[test]
+fn request_that_crashes_upstreams_leaves_one_of_a_small_service() {
+    let setup = Setup::with_upstreams(3);
+    let gateways: Vec<SocketAddr> = setup.gateways.iter().map(|(_, address)| *address).collect();
+    let time = Duration::from_secs(10);
+    let interval = Duration::from_millis(200);
+    repeat_for(
+        &gateways,
+        time,
+        interval,
+        ("GET", "/lookup/deadly", "small"),
+    );
+    let mut crashes = setup.log.crashes.lock().unwrap().clone();
+    crashes.sort_unstable();
+    assert!(crashes.len() >= 2, "{} crashes", crashes.len());
+    for three in crashes.windows(3) {
+        let within = three[2] - three[0];
+        assert!(within > DOWN_TIME, "three crashes within {within:?}");
+    }
+}
