Quarantine a request by its path where its caller varies the query

Change: a request also has a fingerprint without its query. The one with the query is blamed where it explains the crashes, so that other queries on the path are served; progress of any of them clears the path. The newest clearances are told first: with many requests under suspicion, those of a popular one could be left out. The first probe after a doubtful verdict may be sent by any gateway.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -23,7 +23,7 @@
 use crate::config::Route;
 use crate::listen;
 use crate::listen::BodyError;
-use crate::policy::fingerprint;
+use crate::policy::fingerprint::Fingerprints;
 use crate::policy::placement::stable_hash;
 use crate::policy::prompt::Prompt;
 
@@ -54,7 +54,7 @@
     pub(super) prompt: Prompt,
     /// Session that the request belongs to, if any.
     pub(super) session: Option<Name>,
-    fingerprint: OnceCell<u64>,
+    fingerprints: OnceCell<Fingerprints>,
 }
 
 impl Call {
@@ -121,7 +121,7 @@
             path_and_query: path_and_query.into(),
             route,
             body: Bytes::new(),
-            fingerprint: OnceCell::new(),
+            fingerprints: OnceCell::new(),
         })
     }
 
@@ -142,12 +142,16 @@
         Self { body, ..self }
     }
 
-    /// Returns the request's [`fingerprint`]. The body must have been read.
-    pub(super) fn fingerprint(&self) -> u64 {
-        *self.fingerprint.get_or_init(|| {
-            let organisation = self.organisation.as_ref().map(|(name, _)| &**name);
-            let target = format!("{}{}", self.host, self.path_and_query);
-            fingerprint::compute(organisation, self.method.as_str(), &target, &self.body)
+    /// Returns the request's fingerprints. The body must have been read.
+    pub(super) fn fingerprints(&self) -> &Fingerprints {
+        self.fingerprints.get_or_init(|| {
+            Fingerprints::compute(
+                self.organisation.as_ref().map(|(name, _)| &**name),
+                self.method.as_str(),
+                &self.host,
+                &self.path_and_query,
+                &self.body,
+            )
         })
     }
 
--- a/src/gateway/exchange/log.rs
+++ b/src/gateway/exchange/log.rs
@@ -37,7 +37,7 @@
             AttemptOutcome::Complete(..) | AttemptOutcome::Stream(..) => return,
         };
         let fingerprint = match attempt {
-            AttemptOutcome::Lost(_) => fingerprint::log_text(self.call.fingerprint()),
+            AttemptOutcome::Lost(_) => fingerprint::log_text(self.call.fingerprints().target),
             _ => "-".to_owned(),
         };
         event!(
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -30,7 +30,7 @@
     /// Records that a response of an upstream of the service made progress.
     pub(super) fn record_progress(&self, service: &Name, call: &Call) {
         if !self.crashing_requests.borrow().is_empty() {
-            let request = call.fingerprint();
+            let request = call.fingerprints();
             self.update_crashing_requests(|requests, now| requests.record_progress(request, now));
         }
         if call.prompt.shared_segments().is_empty() {
@@ -63,14 +63,14 @@
             }
             in_flight.record_refused_connection();
         }
-        let request = call.fingerprint();
+        let request = call.fingerprints();
         event!(
             Info,
             "crash_suspected",
             request = call.id,
             upstream = upstream.id(),
             segments = prompt::log_text(&segments),
-            fingerprint = fingerprint::log_text(request)
+            fingerprint = fingerprint::log_text(request.target)
         );
         let sent_at = in_flight.sent_at();
         self.update_crashing_requests(|requests, now| {
@@ -79,7 +79,7 @@
         if !segments.is_empty() {
             // The same request, sent again, is no further evidence against its segments.
             self.update_quarantine(service, |quarantine, now| {
-                quarantine.record_crash(upstream.number, request, &segments, now);
+                quarantine.record_crash(upstream.number, request.target, &segments, now);
             });
         }
     }
@@ -89,7 +89,7 @@
         let by_itself = {
             let requests = self.crashing_requests.borrow();
             let has_verdict = requests.verdicts().next().is_some();
-            has_verdict.then(|| requests.quarantined_for(call.fingerprint(), self.now()))
+            has_verdict.then(|| requests.quarantined_for(call.fingerprints(), self.now()))
         };
         by_itself
             .flatten()
@@ -105,13 +105,14 @@
     }
 
     /// Returns whether a quarantined request may be sent to see whether the verdict on it or its
-    /// prompt still holds. Except early on, one of the gateways that know each other does that for all.
+    /// prompt still holds. Where the verdict is certain, one of the gateways that know each other does
+    /// that for all.
     pub(super) fn try_quarantine_probe(&self, service: &Name, call: &Call) -> bool {
         let is_prober = {
             let peer_loads = self.peer_loads.borrow();
             peer_loads.run_ids().all(|run_id| self.run_id <= run_id)
         };
-        let (request, now) = (call.fingerprint(), self.now());
+        let (request, now) = (call.fingerprints(), self.now());
         let mut requests = self.crashing_requests.borrow_mut();
         let is_probe = if requests.quarantined_for(request, now).is_some() {
             requests.try_probe(request, is_prober, now)
@@ -127,7 +128,7 @@
                 "quarantine_probe",
                 request = call.id,
                 segments = call.prompt.shared_log_text(),
-                fingerprint = fingerprint::log_text(request)
+                fingerprint = fingerprint::log_text(request.target)
             );
         }
         is_probe
@@ -136,7 +137,7 @@
     /// Returns whether the evidence allows to send the request again after an interruption.
     pub(super) fn quarantine_allows_retry(&self, service: &Name, call: &Call) -> bool {
         let requests = self.crashing_requests.borrow();
-        if !requests.is_empty() && !requests.allows_retry(call.fingerprint()) {
+        if !requests.is_empty() && !requests.allows_retry(call.fingerprints()) {
             return false;
         }
         let quarantines = self.quarantines.borrow();
@@ -152,7 +153,7 @@
         if requests.is_empty() {
             return None;
         }
-        requests.recent_crashes(call.fingerprint(), self.now())
+        requests.recent_crashes(call.fingerprints(), self.now())
     }
 
     /// Waits until the request is quarantined.
--- a/src/policy/crashing_requests.rs
+++ b/src/policy/crashing_requests.rs
@@ -4,6 +4,9 @@
 //! sends again, under a new id and to any gateway. [`quarantine`](super::quarantine) handles prompts
 //! that have a segment in common.
 //!
+//! A request is known by its [`Fingerprints`]: one with its query, and one without, in case its caller
+//! varies the query. The narrower one is blamed where it explains the crashes.
+//!
 //! Evidence is a crash while the request was there without progress. A request is quarantined after
 //! three crashes that followed each other, with no progress of it anywhere meanwhile. Copies that
 //! were at several upstreams when these were lost together count as one, so that a popular request
@@ -22,6 +25,8 @@
 use crate::agreement::Index;
 use crate::collections::HashMap;
 use crate::collections::HashSet;
+use crate::policy::fingerprint;
+use crate::policy::fingerprint::Fingerprints;
 
 /// Crashes in a row after which a request is quarantined.
 const MIN_CRASHES: usize = 3;
@@ -65,7 +70,8 @@
 /// crash an upstream.
 const PROBE_TIMES: [Duration; 2] = [Duration::from_secs(60), Duration::from_secs(600)];
 
-/// The same for a verdict that was doubtful: the first one comes as soon as upstreams should be back.
+/// The same for a verdict that was doubtful: the first one comes as soon as upstreams should be back,
+/// at any gateway, so that a sound request does not wait until it comes to that one.
 const DOUBTFUL_PROBE_TIMES: [Duration; 2] = [Duration::from_secs(5), Duration::from_secs(1800)];
 
 /// Time from a crash in which the upstream may not be back. Meanwhile the request must not go to the
@@ -76,19 +82,19 @@
 /// lost.
 const REPEAT_TTL: Duration = Duration::from_secs(5);
 
-/// Maximum number of requests that are kept, of crashes of one request, and of verdicts.
-const REQUEST_LIMIT: usize = 512;
+/// Maximum number of fingerprints that are kept, of crashes of one request, and of verdicts.
+const REQUEST_LIMIT: usize = 1024;
 const CRASH_LIMIT: usize = 16;
 const VERDICT_LIMIT: usize = 128;
 
 /// Maximum number of crashes, of clearances and of verdicts in one notice.
-const NOTICE_CRASH_LIMIT: usize = 24;
+const NOTICE_CRASH_LIMIT: usize = 32;
 const NOTICE_LIMIT: usize = 16;
 
 /// A crash under a request, for the other gateways.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CrashNotice {
-    /// Fingerprint of the request.
+    /// One of the request's fingerprints.
     pub request: u64,
     /// Number of the upstream's incarnation.
     pub upstream: Index,
@@ -101,7 +107,7 @@
 /// A verdict on a request, for the other gateways.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct VerdictNotice {
-    /// Fingerprint of the request.
+    /// One of the request's fingerprints.
     pub request: u64,
     /// Time since the verdict.
     pub age: Duration,
@@ -260,7 +266,7 @@
     /// progress.
     pub fn record_crash(
         &mut self,
-        request: u64,
+        request: &Fingerprints,
         upstream: Index,
         sent_at: Duration,
         now: Duration,
@@ -272,16 +278,20 @@
             at: now,
             is_own: true,
         };
-        self.add_crash(request, crash);
+        for fingerprint in request.iter() {
+            self.add_crash(fingerprint, crash);
+        }
         self.evaluate(now);
     }
 
     /// Records that a response to the request is complete or has gone on for a while.
-    pub fn record_progress(&mut self, request: u64, now: Duration) {
-        if let Some(record) = self.records.get_mut(&request) {
-            // Full notices bring the others the later times.
-            self.has_news |= !record.crashes.is_empty() || record.verdict.is_some();
-            record.clear(now, true);
+    pub fn record_progress(&mut self, request: &Fingerprints, now: Duration) {
+        for fingerprint in request.iter() {
+            if let Some(record) = self.records.get_mut(&fingerprint) {
+                // Full notices bring the others the later times.
+                self.has_news |= !record.crashes.is_empty() || record.verdict.is_some();
+                record.clear(now, true);
+            }
         }
     }
 
@@ -337,64 +347,79 @@
     }
 
     /// Returns whether the request must not be sent; if so, for how long from now on at least.
-    pub fn quarantined_for(&self, request: u64, now: Duration) -> Option<Duration> {
-        let verdict = self.records.get(&request)?.verdict?;
-        let ends_at = verdict.since + VERDICT_TTL;
-        if now >= ends_at {
-            return None;
-        }
-        let early_probe_at = verdict.since + EARLY_PROBE_TIMES[0];
-        let probe_at = [
-            (verdict.is_doubtful && !verdict.was_probed_early).then_some(early_probe_at),
-            verdict.next_probe_at(),
-        ];
-        let next_at = probe_at.into_iter().flatten().find(|&at| at > now);
-        Some(next_at.unwrap_or(ends_at).saturating_sub(now))
+    pub fn quarantined_for(&self, request: &Fingerprints, now: Duration) -> Option<Duration> {
+        let verdicts = request.iter().filter_map(|f| self.records.get(&f)?.verdict);
+        verdicts
+            .filter_map(|verdict| {
+                let ends_at = verdict.since + VERDICT_TTL;
+                let can_probe_early = verdict.is_doubtful && !verdict.was_probed_early;
+                let probe_times = [
+                    can_probe_early.then_some(verdict.since + EARLY_PROBE_TIMES[0]),
+                    verdict.next_probe_at(),
+                ];
+                let next_at = probe_times.into_iter().flatten().find(|&at| at > now);
+                next_at.unwrap_or(ends_at).checked_sub(now)
+            })
+            .filter(|left| !left.is_zero())
+            .max()
     }
 
     /// Returns whether a quarantined request may be sent to see whether the verdict holds, and counts
-    /// it as sent if so. Early probes aside, only one gateway `is_prober`.
-    pub fn try_probe(&mut self, request: u64, is_prober: bool, now: Duration) -> bool {
-        let verdict = self.records.get_mut(&request);
-        let Some(verdict) = verdict.and_then(|record| record.verdict.as_mut()) else {
-            return false;
+    /// it as sent if so. Only one gateway `is_prober`; the first probes of a doubtful verdict may be
+    /// sent by any.
+    pub fn try_probe(&mut self, request: &Fingerprints, is_prober: bool, now: Duration) -> bool {
+        let is_due = |verdict: &Verdict| {
+            let may_probe = is_prober || verdict.is_doubtful && verdict.probes == 0;
+            let next_at = verdict.next_probe_at().filter(|_| may_probe);
+            verdict.is_early_probe_due(now) || next_at.is_some_and(|at| now >= at)
         };
-        let is_early = verdict.is_early_probe_due(now);
-        let is_due = verdict.next_probe_at().is_some_and(|at| now >= at);
-        if is_early {
-            verdict.was_probed_early = true;
-        } else if is_prober && is_due {
-            verdict.probes += 1;
-        } else {
+        let verdicts = request.iter().filter_map(|f| self.records.get(&f)?.verdict);
+        let mut verdicts = verdicts.peekable();
+        if verdicts.peek().is_none() || !verdicts.all(|verdict| is_due(&verdict)) {
             return false;
         }
+        for fingerprint in request.iter() {
+            let record = self.records.get_mut(&fingerprint);
+            let Some(verdict) = record.and_then(|record| record.verdict.as_mut()) else {
+                continue;
+            };
+            if verdict.is_early_probe_due(now) {
+                verdict.was_probed_early = true;
+            } else {
+                verdict.probes += 1;
+            }
+        }
         self.has_news = true;
         true
     }
 
     /// Returns whether the request may be sent again, without its caller asking, after it was
     /// interrupted.
-    pub fn allows_retry(&self, request: u64) -> bool {
-        self.crash_count(request) < MIN_CRASHES
+    pub fn allows_retry(&self, request: &Fingerprints) -> bool {
+        request.iter().all(|f| self.crash_count(f) < MIN_CRASHES)
     }
 
     /// Returns the upstreams that crashed under the request and may not be back, and for how long;
     /// `None` if there are none.
-    pub fn recent_crashes(&self, request: u64, now: Duration) -> Option<(Vec<Index>, Duration)> {
-        let record = self.records.get(&request)?;
-        let until = record.last_crash_at()? + RESTART_TIME;
+    pub fn recent_crashes(
+        &self,
+        request: &Fingerprints,
+        now: Duration,
+    ) -> Option<(Vec<Index>, Duration)> {
+        let records = request.iter().filter_map(|f| self.records.get(&f));
+        let crashes: Vec<&Crash> = records.flat_map(|record| &record.crashes).collect();
+        let until = crashes.iter().map(|crash| crash.at).max()? + RESTART_TIME;
         let left = until.checked_sub(now).filter(|left| !left.is_zero())?;
-        let crashes = record.crashes.iter().map(|crash| crash.upstream);
-        Some((crashes.collect(), left))
+        Some((crashes.iter().map(|crash| crash.upstream).collect(), left))
     }
 
-    /// Iterates over the requests that are quarantined.
+    /// Iterates over the fingerprints of requests that are quarantined.
     pub fn verdicts(&self) -> impl Iterator<Item = u64> + '_ {
         let records = self.records.iter();
         records.filter_map(|(&request, record)| record.verdict.map(|_| request))
     }
 
-    /// Returns the number of crashes that count against a request.
+    /// Returns the number of crashes that count against a fingerprint.
     pub fn crash_count(&self, request: u64) -> usize {
         let record = self.records.get(&request);
         record.map_or(0, |record| record.crashes.len())
@@ -512,7 +537,10 @@
             if record.count_sequence(until, &HashSet::default()) < MIN_CRASHES {
                 continue;
             }
-            let others = suspects.iter().filter(|(other, _)| *other != request);
+            let others = suspects.iter().filter(|(other, _)| {
+                let is_narrow_enough = !fingerprint::is_of_path(*other);
+                *other != request && (is_narrow_enough || fingerprint::is_of_path(request))
+            });
             let explained: HashSet<Index> = others
                 .flat_map(|(_, other)| other.crashes.iter().map(|crash| crash.upstream))
                 .filter(|&upstream| record.was_at(upstream))
@@ -565,14 +593,18 @@
         notices.collect()
     }
 
+    /// Returns the newest clearances by progress at this gateway.
     fn recent_own_clearances(&self, now: Duration) -> Vec<(u64, Duration)> {
-        self.records
+        let mut cleared: Vec<(u64, Duration)> = self
+            .records
             .iter()
             .filter(|(_, record)| record.is_own_progress)
             .filter_map(|(&request, record)| Some((request, now.checked_sub(record.cleared_at?)?)))
             .filter(|(_, age)| *age <= REPEAT_TTL)
-            .take(NOTICE_LIMIT)
-            .collect()
+            .collect();
+        cleared.sort_unstable_by_key(|&(request, age)| (age, request));
+        cleared.truncate(NOTICE_LIMIT);
+        cleared
     }
 
     /// Returns the newest verdicts, and others in turn.
