--- a/src/policy/crashing_requests.rs
+++ b/src/policy/crashing_requests.rs
@@ -4,15 +4,16 @@
 //! sends again, under a new id and to any gateway. [`quarantine`](super::quarantine) handles prompts
 //! that have a segment in common.
 //!
-//! A request is known by its [`Fingerprints`]: one with its query, and one without, in case its caller
-//! varies the query. The narrower one is blamed where it explains the crashes.
+//! A request is known by its [`Fingerprints`]: one with its query, and one without, in case its
+//! caller varies the query. The narrower one is blamed where it explains the crashes.
 //!
 //! Evidence is a crash while the request was there without progress. A request is quarantined after
 //! three crashes that followed each other, with no progress of it anywhere meanwhile. Copies that
 //! were at several upstreams when these were lost together count as one, so that a popular request
-//! is not blamed for the loss of a data centre. A request that was there each time by chance, beside
-//! the one at fault, is told apart by its next attempts: where several requests were at the same crashes, a
-//! verdict needs more of them. Where upstreams also crash under others, it is put to the test at once.
+//! is not blamed for the loss of a data centre. A request that was there each time by chance,
+//! beside the one at fault, is told apart by its next attempts: where several requests were at the
+//! same crashes, a verdict needs more of them. Where upstreams also crash under others, a verdict
+//! is put to the test at once.
 //!
 //! Gateways tell each other of crashes, of progress that clears a request under suspicion, and of
 //! verdicts. Requests at which nothing crashed cost neither state nor messages.
@@ -66,12 +67,12 @@
 /// the upstreams must be safe from the request.
 const EARLY_PROBE_TIMES: [Duration; 2] = [Duration::from_millis(300), Duration::from_millis(1800)];
 
-/// Times from a verdict at which one gateway lets one attempt through. They are few, because each may
-/// crash an upstream.
+/// Times from a verdict at which one gateway lets one attempt through. They are few, because each
+/// may crash an upstream.
 const PROBE_TIMES: [Duration; 2] = [Duration::from_secs(60), Duration::from_secs(600)];
 
-/// The same for a verdict that was doubtful: the first one comes as soon as upstreams should be back,
-/// at any gateway, so that a sound request does not wait until it comes to that one.
+/// The same for a verdict that was doubtful: the first one comes as soon as upstreams should be
+/// back, at any gateway, so that a sound request does not wait until it comes to that one.
 const DOUBTFUL_PROBE_TIMES: [Duration; 2] = [Duration::from_secs(5), Duration::from_secs(1800)];
 
 /// Time from a crash in which the upstream may not be back. Meanwhile the request must not go to the
