--- a/src/policy/crashing_requests.rs
+++ b/src/policy/crashing_requests.rs
@@ -120,7 +120,7 @@
     pub was_probed_early: bool,
 }
 
-/// What one gateway tells the others.
+/// Message with the evidence and the verdicts of one gateway, for the others.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Notice {
     /// Crashes that this gateway has noticed.
--- a/src/policy/quarantine.rs
+++ b/src/policy/quarantine.rs
@@ -128,7 +128,7 @@
     pub age: Duration,
 }
 
-/// What one gateway tells the others.
+/// Message with the evidence and the verdicts of one gateway, for the others.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Notice {
     /// Crashes that this gateway has noticed.
