--- a/benches/capacity/sizes.rs
+++ b/benches/capacity/sizes.rs
@@ -63,6 +63,7 @@
             release: None,
             started_ms: None,
             draining: false,
+            cold_ms: 0,
         },
         presence: Presence::Live,
         number: 1_000_000_000,
--- a/src/cli/gateway.rs
+++ b/src/cli/gateway.rs
@@ -5,12 +5,14 @@
 use clap::Arg;
 use clap::ArgMatches;
 use clap::Command;
+use clap::builder::PossibleValuesParser;
 use clap::value_parser;
 
 use super::address_arg;
 use super::address_list_arg;
 use super::optional;
 use super::parse_name;
+use super::parse_regions;
 use super::parse_seconds;
 use super::peer_key_arg;
 use super::program;
@@ -105,6 +107,23 @@
             .default_value("0.5")
             .help("Retries allowed per request to a service within 10 s, across all gateways"),
     )
+    .arg(
+        Arg::new("admission")
+            .long("admission")
+            .env("DAISYQUAY_ADMISSION")
+            .value_parser(PossibleValuesParser::new(["on", "off"]))
+            .default_value("off")
+            .help("Whether requests wait here, most urgent first, while no upstream has room"),
+    )
+    .arg(
+        Arg::new("regions")
+            .long("regions")
+            .env("DAISYQUAY_REGIONS")
+            .value_name("DATA_CENTRE=REGION,...")
+            .value_parser(parse_regions)
+            .default_value("")
+            .help("Region of each data centre; others are regions of their own name"),
+    )
 }
 
 /// The settings resolved from the command line, the environment and defaults.
@@ -125,6 +144,8 @@
             slack: RETRY_SLACK,
             window: RETRY_WINDOW,
         },
+        admission: required::<String>(matches, "admission") == "on",
+        regions: required(matches, "regions"),
         header_names: HeaderNames::default(),
     }
 }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -22,6 +22,7 @@
 pub use self::exit::ExitCode;
 pub use self::exit::report_result;
 
+use crate::collections::HashMap;
 use crate::collections::Name;
 use crate::config::KeyHash;
 
@@ -110,6 +111,23 @@
     Ok(text.into())
 }
 
+/// Parses a list of regions, `DATA_CENTRE=REGION` separated by commas; empty text is an empty list.
+///
+/// # Errors
+///
+/// The entry that is not of that form.
+pub fn parse_regions(text: &str) -> Result<HashMap<Name, Name>, String> {
+    let entries = text.split(',').filter(|entry| !entry.is_empty());
+    entries
+        .map(|entry| {
+            let (data_centre, region) = entry
+                .split_once('=')
+                .ok_or_else(|| format!("`{entry}` is no region; write DATA_CENTRE=REGION"))?;
+            Ok((parse_name(data_centre)?, parse_name(region)?))
+        })
+        .collect()
+}
+
 fn parse_operator(text: &str) -> Result<(Name, KeyHash), String> {
     let (name, hash) = text
         .split_once('=')
--- a/src/config/inventory.rs
+++ b/src/config/inventory.rs
@@ -55,6 +55,9 @@
     pub quality_target: f64,
     /// Models (`name`), versions (`name@version`) and services that it may use.
     pub allowed: Vec<Name>,
+    /// Regions in which its requests may run; empty for any.
+    #[serde(default)]
+    pub regions: Vec<Name>,
 }
 
 /// A model with its versions.
@@ -113,6 +116,12 @@
     /// Capacity and models of its engines; `None` for a plain service.
     #[serde(default)]
     pub engine: Option<EngineSpec>,
+    /// Requests a second that a cold upstream tolerates from all gateways together; 0 for no limit.
+    #[serde(default)]
+    pub cold_per_s: f64,
+    /// How long an upstream is cold after a start, in milliseconds; 0 if it starts warm.
+    #[serde(default)]
+    pub cold_start_ms: u64,
 }
 
 /// Capacity and models of a service's engines.
--- a/src/config/route.rs
+++ b/src/config/route.rs
@@ -72,6 +72,9 @@
     /// Longest time between events of a stream that counts as on time, in milliseconds; 0 for none.
     #[serde(default)]
     pub gap_ms: u64,
+    /// Regions in which its requests may run; empty for any.
+    #[serde(default)]
+    pub regions: Vec<Name>,
 }
 
 fn default_attempts() -> u32 {
--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -30,10 +30,14 @@
     pub rate_limit: HeaderName,
     /// Present if the upstream which responds is leaving.
     pub leaving: HeaderName,
+    /// How much longer the upstream which responds is cold, in milliseconds.
+    pub cold_ms: HeaderName,
     /// Requested model, or `*` to let the gateway choose.
     pub model: HeaderName,
     /// Number of prompt tokens and maximum number of output tokens, separated by a comma.
     pub token_counts: HeaderName,
+    /// The caller's estimate of the number of output tokens, which is often far off.
+    pub length_hint: HeaderName,
     /// Parts of the prompt in order, as `ID:TOKENS` separated by commas; the id is hexadecimal.
     pub prompt: HeaderName,
     /// Rank of the request at the upstream, 0 for the most urgent.
@@ -63,8 +67,10 @@
             load: name("daisyquay-load"),
             rate_limit: name("daisyquay-rate-limit"),
             leaving: name("daisyquay-leaving"),
+            cold_ms: name("daisyquay-cold-ms"),
             model: name("daisyquay-model"),
             token_counts: name("daisyquay-tokens"),
+            length_hint: name("daisyquay-length-hint"),
             prompt: name("daisyquay-prompt"),
             rank: name("daisyquay-rank"),
             confidence: name("daisyquay-confidence"),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -97,6 +97,10 @@
     pub stop_limit: Duration,
     /// Retry budget of each service, over all gateways together.
     pub retry_budget: retry_budget::Limits,
+    /// Whether requests wait at the gateway, in an order by urgency, while no upstream has room.
+    pub admission: bool,
+    /// Region of each data centre; one that is not listed is a region of its own name.
+    pub regions: HashMap<Name, Name>,
     /// Names of the headers on requests and responses.
     pub header_names: HeaderNames,
 }
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -126,6 +126,7 @@
                 .backpressure
                 .wait(upstream.number, &context.sharing, now)
                 .is_none_or(|wait| !wait.is_zero()),
+            slowness: 1.0,
         }
     }
 }
--- a/src/peer/config_update.rs
+++ b/src/peer/config_update.rs
@@ -63,6 +63,7 @@
     inventory: Option<Inventory>,
     withdrawn: BTreeSet<VersionName>,
     draining: BTreeSet<Name>,
+    evacuated: BTreeSet<Name>,
     rollouts: BTreeMap<Name, RolloutView>,
     releases: Releases,
 }
@@ -142,6 +143,7 @@
             inventory: (rest != without_routes(&base.inventory)).then_some(rest),
             withdrawn: target.withdrawn.clone(),
             draining: target.draining.clone(),
+            evacuated: target.evacuated.clone(),
             rollouts: target.rollouts.clone(),
             releases: target.releases.clone(),
         }
@@ -170,6 +172,7 @@
             inventory: Arc::new(Inventory { routes, ..rest }),
             withdrawn: self.withdrawn,
             draining: self.draining,
+            evacuated: self.evacuated,
             rollouts: self.rollouts,
             releases: self.releases,
         }
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -289,6 +289,8 @@
     pub withdrawn: BTreeSet<VersionName>,
     /// VMs whose entries are draining.
     pub draining: BTreeSet<Name>,
+    /// Data centres whose upstreams must not get requests.
+    pub evacuated: BTreeSet<Name>,
     /// Active version rollouts, by model.
     pub rollouts: BTreeMap<Name, RolloutView>,
     /// Releases of services.
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -51,6 +51,8 @@
     pub is_suspect: bool,
     /// Whether it has asked for no request now (see `policy::backpressure`).
     pub is_blocked: bool,
+    /// Time that work takes there, as a multiple of the usual time.
+    pub slowness: f64,
 }
 
 /// The prefill of a prompt. Tokens are those that the smallest model prefills in the same time.
--- a/src/replica/leader_state.rs
+++ b/src/replica/leader_state.rs
@@ -401,6 +401,7 @@
         inventory: state.inventory.clone(),
         withdrawn: state.withdrawn.clone(),
         draining: state.draining.clone(),
+        evacuated: state.evacuated.clone(),
         rollouts,
         releases: state.releases.clone(),
     }
--- a/src/standin/announce.rs
+++ b/src/standin/announce.rs
@@ -47,6 +47,7 @@
         release: None,
         started_ms: None,
         draining: false,
+        cold_ms: 0,
     }
 }
 
--- a/src/state/tables.rs
+++ b/src/state/tables.rs
@@ -213,6 +213,8 @@
     pub withdrawn: BTreeSet<VersionName>,
     /// Entry VMs that are draining.
     pub draining: BTreeSet<Name>,
+    /// Data centres that are evacuated: their upstreams must not get requests.
+    pub evacuated: BTreeSet<Name>,
     /// Rollouts by model name; the latest of each model.
     pub rollouts: BTreeMap<Name, Rollout>,
     /// Document that the inventory was loaded from; `None` if it came without one.
--- a/src/upstream/directory.rs
+++ b/src/upstream/directory.rs
@@ -62,6 +62,9 @@
     /// Whether it is about to leave: it finishes its requests and accepts no new ones.
     #[serde(default)]
     pub draining: bool,
+    /// How much longer it expects to be cold, in milliseconds; 0 while it is warm.
+    #[serde(default)]
+    pub cold_ms: u64,
 }
 
 impl Announcement {
--- a/tests/fuzz/upstream.rs
+++ b/tests/fuzz/upstream.rs
@@ -66,6 +66,7 @@
         release: None,
         started_ms: None,
         draining: false,
+        cold_ms: 0,
     }
 }
 
--- a/tests/load/config_distribution.rs
+++ b/tests/load/config_distribution.rs
@@ -45,6 +45,7 @@
         affinity: false,
         resume: false,
         gap_ms: 0,
+        regions: Vec::new(),
     }
 }
 
@@ -63,6 +64,7 @@
             rank: 0,
             quality_target: 0.5,
             allowed: Vec::new(),
+            regions: Vec::new(),
         })
         .collect();
     ConfigView {
--- a/tests/load/placement.rs
+++ b/tests/load/placement.rs
@@ -19,6 +19,7 @@
             was_tried: false,
             is_suspect: false,
             is_blocked: false,
+            slowness: 1.0,
         })
         .collect()
 }
--- a/tests/load/reachability.rs
+++ b/tests/load/reachability.rs
@@ -55,6 +55,7 @@
                     was_tried: tried.contains(&id),
                     is_suspect: false,
                     is_blocked: false,
+                    slowness: 1.0,
                 })
                 .collect();
             let chosen = placement::place(&candidates, None, true, &mut rng).unwrap();
--- a/tests/process/directory.rs
+++ b/tests/process/directory.rs
@@ -37,6 +37,7 @@
         release: Some("v1".into()),
         started_ms: Some(1_790_000_000_000),
         draining: false,
+        cold_ms: 0,
     }
 }
 
--- a/tests/state/announcements.rs
+++ b/tests/state/announcements.rs
@@ -30,6 +30,7 @@
         release: Some("v1".into()),
         started_ms: Some(incarnation),
         draining: false,
+        cold_ms: 0,
     }
 }
 
--- a/tests/state/main.rs
+++ b/tests/state/main.rs
@@ -51,6 +51,8 @@
         not_repeatable: Vec::new(),
         connections: 0,
         engine: None,
+        cold_per_s: 0.0,
+        cold_start_ms: 0,
     };
     Inventory {
         services: services.iter().map(service).collect(),
--- a/tests/state/releases.rs
+++ b/tests/state/releases.rs
@@ -27,6 +27,7 @@
         release: Some(release.into()),
         started_ms: None,
         draining: false,
+        cold_ms: 0,
     }));
 }
 
