Add the pure decision among models by expected value

The limit on the backlog relative to the request's own target drops the escalations of short urgent prompts first. This module compares expected values instead; the gateway does not use it yet.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -10,6 +10,7 @@
 pub mod fanout;
 pub mod fingerprint;
 pub mod load_balancing;
+pub mod model_choice;
 pub mod placement;
 pub mod plan;
 pub mod prefill;
--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -8,6 +8,7 @@
 mod escalation;
 mod fanout;
 mod load_balancing;
+mod models_under_load;
 mod placement;
 mod prefill;
 mod quarantine;
