Choose among models by expected value where the gateway manages load

With the setting `admission`, `Exchange` decides by `policy::model_choice` instead of the limit on the backlog; without it, the present rule stays in force.

--- a/src/gateway/exchange/choose.rs
+++ b/src/gateway/exchange/choose.rs
@@ -102,7 +102,7 @@
         (usable < 2 && pool.upstreams.len() > 1).then_some(left)
     }
 
-    fn placement_context<'a>(
+    pub(super) fn placement_context<'a>(
         &'a self,
         peer_loads: &'a PeerLoads,
         reachability: &'a Reachability,
--- a/src/gateway/exchange/mod.rs
+++ b/src/gateway/exchange/mod.rs
@@ -2,6 +2,7 @@
 
 mod choose;
 mod log;
+mod models;
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -260,9 +261,7 @@
                     }
                 }
                 AttemptOutcome::Stream(response, in_flight) => {
-                    if let Some(larger_model) = self.escalation_target(&response.headers)
-                        && self.reserve_escalation()
-                    {
+                    if let Some(larger_model) = self.try_escalate(&response.headers) {
                         self.model = Some(larger_model);
                         self.tried.clear();
                         continue;
@@ -293,17 +292,24 @@
         }
     }
 
+    /// Returns the model to escalate to, if the response is not kept; the escalation has then been
+    /// charged to the retry budget.
+    fn try_escalate(&mut self, headers: &http::HeaderMap) -> Option<usize> {
+        let service = self.service.as_ref()?;
+        if self.gateway.manages_load(service) {
+            return self.escalate_by_value(headers);
+        }
+        let larger_model = self.escalation_target(headers)?;
+        self.reserve_escalation().then_some(larger_model)
+    }
+
     /// Returns the largest model, to escalate to, if the response of a smaller one has low
     /// confidence and another attempt is allowed.
     fn escalation_target(&self, headers: &http::HeaderMap) -> Option<usize> {
         if self.runs >= self.call.route.attempts {
             return None;
         }
-        let names = &self.gateway.cfg.header_names;
-        let confidence = headers
-            .get(&names.confidence)
-            .and_then(|value| value.to_str().ok())
-            .and_then(|text| text.trim().parse().ok());
+        let confidence = self.confidence(headers);
         let ladder = self.call.route.ladder.len();
         let larger_model = escalation::next_model(ladder, self.model?, confidence, |model| {
             self.forecast_ttft(model)
@@ -324,6 +330,12 @@
         Some(larger_model)
     }
 
+    /// Returns the model's confidence in its response; `None` if it has not stated one.
+    fn confidence(&self, headers: &http::HeaderMap) -> Option<f64> {
+        let value = headers.get(&self.gateway.cfg.header_names.confidence)?;
+        value.to_str().ok()?.trim().parse().ok()
+    }
+
     /// Charges an escalation to the retry budget, if that leaves enough for retries after failures.
     fn reserve_escalation(&mut self) -> bool {
         let Some(service) = &self.service else {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod exchange;
 mod headers;
 mod loads;
+mod model_choices;
 mod observations;
 mod quarantine;
 mod refusal;
@@ -40,6 +41,7 @@
 pub use self::headers::HeaderNames;
 
 use self::loads::PeerLoads;
+use self::model_choices::ModelChoices;
 use self::routing::RoutingTable;
 use self::upstreams::UpstreamTable;
 use crate::clock::Clock;
@@ -155,6 +157,8 @@
     retry_budgets: RefCell<HashMap<Name, SlidingWindow>>,
     /// Prefill rates by service and model; the model is `None` unless the gateway chose it.
     prefill_rates: RefCell<HashMap<(Name, Option<Name>), RateEstimator>>,
+    /// What the choice among models needs of earlier requests.
+    model_choices: RefCell<ModelChoices>,
     /// Response statistics since the last renewal.
     release_stats: RefCell<HashMap<observations::ReleaseStatsKey, RouteStats>>,
     rng: RefCell<fastrand::Rng>,
@@ -227,6 +231,7 @@
         connections: ConnectionPool::default(),
         retry_budgets: RefCell::default(),
         prefill_rates: RefCell::default(),
+        model_choices: RefCell::default(),
         release_stats: RefCell::default(),
         rng: RefCell::new(fastrand::Rng::new()),
         metrics: Metrics::new(),
@@ -279,6 +284,11 @@
         self.clock.now()
     }
 
+    /// Returns whether the gateway decides by the load of the service over all gateways.
+    fn manages_load(&self, _service: &Name) -> bool {
+        self.cfg.admission
+    }
+
     fn routing(&self) -> Arc<RoutingTable> {
         self.routing.borrow().clone()
     }
--- a/src/gateway/retries.rs
+++ b/src/gateway/retries.rs
@@ -16,7 +16,6 @@
     pub(super) fn record_first_attempt(&self, service: &Name) {
         self.with_budget(service, |budget, limits, now| {
             budget.record_first_attempt(limits, now);
-            true
         });
     }
 
@@ -32,12 +31,17 @@
         self.with_budget(service, SlidingWindow::try_escalation)
     }
 
+    /// Returns the share of the escalations' part of the budget that is left, 0 to 1.
+    pub(super) fn escalations_left(&self, service: &Name) -> f64 {
+        self.with_budget(service, SlidingWindow::escalations_left)
+    }
+
     /// Calls `apply` with the budget of the service and this gateway's share of the limits.
-    fn with_budget(
+    fn with_budget<T>(
         &self,
         service: &Name,
-        apply: impl FnOnce(&mut SlidingWindow, &retry_budget::Limits, Duration) -> bool,
-    ) -> bool {
+        apply: impl FnOnce(&mut SlidingWindow, &retry_budget::Limits, Duration) -> T,
+    ) -> T {
         let total = &self.cfg.retry_budget;
         let gateways = self.routing.borrow().entries.len().max(1) as f64;
         let limits = retry_budget::Limits {
--- a/src/policy/model_choice.rs
+++ b/src/policy/model_choice.rs
@@ -54,8 +54,10 @@
 /// Utilisation up to which capacity has no price.
 const FREE_UTILISATION: f64 = 2.0 / 3.0;
 
-/// Requests that a delay reaches beyond the present backlog, at full utilisation.
-const CONGESTION: f64 = 3.0;
+/// Factor of a delay's cost at full utilisation: it reaches not only the requests of the present
+/// backlog but also those that arrive until it has been worked off. With 3, half of the second rank
+/// was late in a lasting overload (`tests/load/models_under_load.rs`).
+const CONGESTION: f64 = 20.0;
 
 /// Price of the usual work of a request while all slots are in use.
 const SLOT_PRICE: f64 = 0.3;
@@ -80,7 +82,7 @@
 const AMPLE_BUDGET: f64 = 0.5;
 
 /// Gain that an escalation must exceed to take the last of the retry budget.
-const LAST_BUDGET_GAIN: f64 = 0.5;
+const LAST_BUDGET_GAIN: f64 = 0.8;
 
 /// A mean over about the last hundred requests.
 #[derive(Clone, Copy, Debug, Default)]
@@ -189,7 +191,7 @@
         let backlog = if self.median_backlog.is_zero() {
             0.0
         } else {
-            (self.median_backlog + self.mean_backlog).as_secs_f64() / 2.0
+            (self.median_backlog.as_secs_f64() + self.mean_backlog.as_secs_f64()) / 2.0
         };
         let excess = |utilisation: f64| {
             ((utilisation - FREE_UTILISATION) / (1.0 - FREE_UTILISATION)).clamp(0.0, 1.0)
@@ -373,6 +375,19 @@
     }
 }
 
+impl Decision {
+    /// Returns the outcome as metrics and the log name it.
+    pub fn outcome(self) -> &'static str {
+        match self {
+            Self::KeptGood => "kept_good",
+            Self::KeptLate => "kept_late",
+            Self::KeptLoad => "kept_load",
+            Self::KeptBudget => "kept_budget",
+            Self::Escalate(_) => "escalated",
+        }
+    }
+}
+
 /// Decides whether to keep the present answer or to run one of the larger models.
 pub fn decide(present: &Present, options: &[LargerModel]) -> Decision {
     let kept = present.kept_value();
--- a/src/policy/retry_budget.rs
+++ b/src/policy/retry_budget.rs
@@ -71,6 +71,18 @@
         is_spent
     }
 
+    /// Returns the share of the escalations' part of the budget that is left, 0 to 1.
+    pub fn escalations_left(&mut self, limits: &Limits, now: Duration) -> f64 {
+        let allowed = self.allowed(limits, now);
+        if allowed <= 0.0 {
+            return 0.0;
+        }
+        let retries: u32 = self.slices.iter().map(|slice| slice.retries).sum();
+        let escalations: u32 = self.slices.iter().map(|slice| slice.escalations).sum();
+        let left = 1.0 - f64::from(escalations) / (allowed * ESCALATION_SHARE);
+        left.min(1.0 - f64::from(retries) / allowed).max(0.0)
+    }
+
     fn try_spend(&mut self, limits: &Limits, now: Duration) -> bool {
         let allowed = self.allowed(limits, now);
         let retries: u32 = self.slices.iter().map(|slice| slice.retries).sum();
--- a/tests/load/models_under_load.rs
+++ b/tests/load/models_under_load.rs
@@ -221,9 +221,8 @@
     fn end_prefill(&mut self, at: usize, job: &Job, now: u64) {
         let request = self.requests[job.request].clone();
         let route = ROUTES[request.route];
-        let confidence = 50.0
-            + 120.0 * (QUALITY[job.model] - request.hardness)
-            + request.noise[job.model];
+        let confidence =
+            50.0 + 120.0 * (QUALITY[job.model] - request.hardness) + request.noise[job.model];
         let elapsed = now - request.arrived;
         let larger = match self.policy {
             Policy::Smallest | Policy::Largest => None,
@@ -309,9 +308,7 @@
                 steps: model - job.model,
                 is_largest: model == 2,
                 relative_cost: COST[model] / COST[2],
-                wait: from_ms(
-                    queue + route.tokens_in as f64 * slowness(model) / TOKENS_PER_MS,
-                ),
+                wait: from_ms(queue + route.tokens_in as f64 * slowness(model) / TOKENS_PER_MS),
                 opportunity_cost: self.price.opportunity_cost(
                     size.escalation_work(slowness(model), slowness(job.model)),
                     job.rank as u32,
@@ -351,7 +348,8 @@
         let outcome = Simulation::play(policy, rates, ms);
         let ranks = [0, 1, 2].map(|rank| format!("{:.3}", outcome.share(rank)));
         let escalated = [0, 1, 2].map(|rank| format!("{:.2}", outcome.escalated_share(rank)));
-        let late = [0, 1, 2].map(|rank| format!("{:.2}", outcome.late[rank] / outcome.requests[rank]));
+        let late =
+            [0, 1, 2].map(|rank| format!("{:.2}", outcome.late[rank] / outcome.requests[rank]));
         println!(
             "{policy:?}: value {:.3}, by rank {ranks:?}, escalated {escalated:?}, late {late:?}",
             outcome.total()
