--- a/tests/load/retry_budget.rs
+++ b/tests/load/retry_budget.rs
@@ -91,9 +91,11 @@
     for _ in 0..100 {
         budget.record_first_attempt(&LIMITS, now);
     }
+    let left = budget.escalations_left(&LIMITS, now);
     let escalated = (0..200)
         .filter(|_| budget.try_escalation(&LIMITS, now))
         .count();
+    assert_eq!((left, budget.escalations_left(&LIMITS, now)), (1.0, 0.0));
     let retried = (0..200).filter(|_| budget.try_retry(&LIMITS, now)).count();
     assert_eq!((escalated, retried), (72, 24));
 }
