--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -8,6 +8,7 @@
 use criterion::BenchmarkId;
 use criterion::Criterion;
 use daisyquay::policy::load_balancing;
+use daisyquay::policy::model_choice;
 use daisyquay::policy::plan;
 use daisyquay::policy::quality::QualityTable;
 use daisyquay::upstream::Circuit;
@@ -88,9 +89,58 @@
     group.finish();
 }
 
+/// Measures the choice among three models, with the price of capacity for the load of 830 upstreams.
+fn bench_model_choice(c: &mut Criterion) {
+    let ms = Duration::from_millis;
+    let mut usual = model_choice::UsualSize::default();
+    let size = model_choice::Size::new(2_000, 300, Some(200), &usual);
+    usual.record(&size);
+    let backlogs: Vec<u64> = (0..830).map(|i| i * 7_919 % 60_000).collect();
+    let mut price = model_choice::ServicePrice::default();
+    let mut now = Duration::ZERO;
+    c.bench_function("model_choice/830", |b| {
+        b.iter(|| {
+            now += ms(20);
+            price.record_request(size.first_work(), ms(2_000));
+            let mut backlogs = black_box(&backlogs).clone();
+            let sum: u64 = backlogs.iter().sum();
+            let (_, &mut median, _) = backlogs.select_nth_unstable(415);
+            let load = model_choice::ServiceLoad {
+                median_backlog: ms(median / 150),
+                mean_backlog: ms(sum / 830 / 150),
+                slots_in_use: 0.7,
+                usual_work: ms(100),
+                usual_target: price.usual_target(),
+            };
+            price.record_load(&load, now);
+            let options =
+                [(1, 7.5), (2, 15.0)].map(|(model, slowness)| model_choice::LargerModel {
+                    model,
+                    steps: model,
+                    is_largest: model == 2,
+                    relative_cost: slowness / 15.0,
+                    wait: ms(300),
+                    opportunity_cost: price
+                        .opportunity_cost(size.escalation_work(slowness, 1.0), 2),
+                });
+            let present = model_choice::Present {
+                confidence: 45.0,
+                elapsed: ms(200),
+                target: ms(2_000),
+                deadline: ms(10_000),
+                size,
+                usual,
+                budget_left: 0.8,
+            };
+            model_choice::decide(black_box(&present), black_box(&options))
+        });
+    });
+}
+
 fn main() {
     let mut c = Criterion::default().configure_from_args().sample_size(30);
     bench_choose(&mut c);
     bench_select(&mut c);
+    bench_model_choice(&mut c);
     c.final_summary();
 }
--- a/src/gateway/exchange/models.rs
+++ b/src/gateway/exchange/models.rs
@@ -209,7 +209,7 @@
         let slowness = ladder
             .get(model)
             .map(|name| routing.slowness(service, name));
-        slowness.unwrap_or(1.0)
+        slowness.filter(|value| value.is_finite()).unwrap_or(1.0)
     }
 
     /// Logs and counts a decision.
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -8,6 +8,7 @@
 mod framing;
 mod gateway;
 mod golden;
+mod models;
 mod path;
 mod quarantine;
 mod replacement;
--- a/tests/process/support/cluster.rs
+++ b/tests/process/support/cluster.rs
@@ -65,7 +65,7 @@
 ///
 /// The IP address derives from the process id, so that only this process uses it. Outgoing
 /// connections start from 127.0.0.1, so they can't take the port before the program listens on it.
-fn free_address() -> SocketAddr {
+pub(crate) fn free_address() -> SocketAddr {
     let [_, high, middle, low] = std::process::id().to_be_bytes();
     let ip = Ipv4Addr::new(127, 64 | (high & 63), middle, low);
     loop {
@@ -189,7 +189,12 @@
 
     /// Starts a gateway that listens on `address`.
     pub(crate) fn start_gateway_at(&self, address: SocketAddr) -> Program {
-        let args = flags(&[
+        self.start_gateway_with(address, &[])
+    }
+
+    /// Starts a gateway that listens on `address`, with further flags.
+    pub(crate) fn start_gateway_with(&self, address: SocketAddr, extra_args: &[&str]) -> Program {
+        let mut args = flags(&[
             ("listen", address.to_string()),
             ("loads-listen", free_address().to_string()),
             ("vm", "gateway".to_owned()),
@@ -198,6 +203,7 @@
             ("peer-key", PEER_KEY.to_owned()),
             ("stop-limit", "8".to_owned()),
         ]);
+        args.extend(extra_args.iter().copied().map(str::to_owned));
         let log = self.folder.join(format!("gateway-{}.log", address.port()));
         let path = env!("CARGO_BIN_EXE_daisyquay-gateway");
         Program::start(path, &args, &log)
--- a/tests/process/support/mod.rs
+++ b/tests/process/support/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) use self::cluster::Cluster;
 pub(crate) use self::cluster::INVENTORY;
 pub(crate) use self::cluster::PEER_KEY;
+pub(crate) use self::cluster::free_address;
 pub(crate) use self::http::Response;
 pub(crate) use self::http::chat_body;
 pub(crate) use self::http::get;
