Keep an answer where no further attempt would be allowed

The choice by value discards the present answer before `next_upstream` checks the time left and the quarantines. With less than 20 ms left, or with a quarantined prompt, the caller got 502 answer_lost instead of that answer. The decision now checks these conditions first: `kept_late` or `kept_load`.

`cargo check` passes; no test covers these two conditions through the gateway.

--- a/src/gateway/exchange/models.rs
+++ b/src/gateway/exchange/models.rs
@@ -5,6 +5,7 @@
 use http::HeaderMap;
 
 use super::Exchange;
+use super::MIN_TIME_LEFT;
 use crate::collections::Name;
 use crate::gateway::attempt::rank;
 use crate::log::event;
@@ -34,6 +35,10 @@
         if !present.is_good_enough(&options) {
             decision = if self.runs >= self.call.route.attempts {
                 Decision::KeptBudget
+            } else if self.call.time_left(self.gateway.now()) < MIN_TIME_LEFT {
+                Decision::KeptLate
+            } else if !self.may_run_again(&service) {
+                Decision::KeptLoad
             } else if self.predict_waits(&service, &mut options) {
                 self.price_capacity(&service, model, &present.size, &mut options);
                 model_choice::decide(&present, &options)
@@ -58,6 +63,15 @@
         Some(larger_model)
     }
 
+    /// Returns whether the quarantines allow another attempt. `next_upstream` would otherwise refuse
+    /// it after the present answer has been discarded.
+    fn may_run_again(&self, service: &Name) -> bool {
+        let gateway = &self.gateway;
+        gateway.quarantined_for(service, &self.call).is_none()
+            && gateway.quarantine_allows_retry(service, &self.call)
+            && self.must_spare_last_upstream(service).is_none()
+    }
+
     /// Returns the inputs of the decision that concern the present answer. Records the size of the
     /// request if this is its first answer.
     fn present_answer(&self, service: &Name, model: usize, confidence: f64) -> Present {
