Keep an answer if the larger model's would not end before the deadline

The decision compared only the first token with the deadline, and let a wait of up to 1.2 of the time left count in part, so that it discarded an answer for one that `stream` cuts off at the deadline (prompt of 300 tokens, 7.65 s of 7.7 s predicted for the first token, 0.1 s for the output: escalated). The predicted output time is now an input, and such a model is not an option.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -126,6 +126,7 @@
                     is_largest: model == 2,
                     relative_cost: slowness / 15.0,
                     wait: ms(300),
+                    output: ms(100),
                     opportunity_cost: price.opportunity_cost(work, 2),
                 }
             });
--- a/src/gateway/exchange/models.rs
+++ b/src/gateway/exchange/models.rs
@@ -39,7 +39,7 @@
                 Decision::KeptLate
             } else if !self.may_run_again(&service) {
                 Decision::KeptLoad
-            } else if self.predict_waits(&service, &mut options) {
+            } else if self.predict_times(&service, &present.size, &mut options) {
                 self.price_capacity(&service, model, &present.size, &mut options);
                 model_choice::decide(&present, &options)
             } else {
@@ -115,14 +115,15 @@
                 is_largest: larger == largest,
                 relative_cost: self.slowness(service, larger) / largest_slowness,
                 wait: Duration::ZERO,
+                output: Duration::ZERO,
                 opportunity_cost: 0.0,
             })
             .collect()
     }
 
-    /// Predicts the times to first token at the upstream that would be chosen for the largest model;
-    /// zero while the prefill rate is not known. Returns `false` if there is no upstream.
-    fn predict_waits(&self, service: &Name, options: &mut [LargerModel]) -> bool {
+    /// Predicts the times to the first and the last token at the upstream that would be chosen for
+    /// the largest model; zero while the prefill rate is not known. Returns `false` if there is no upstream.
+    fn predict_times(&self, service: &Name, size: &Size, options: &mut [LargerModel]) -> bool {
         let gateway = &self.gateway;
         let largest = options.last().map(|option| option.model);
         let Some(upstream) = self.choose_upstream(service, largest, &[]) else {
@@ -135,13 +136,18 @@
         let context = self.placement_context(&peer_loads, &reachability, &backpressure, None);
         let candidate = upstreams.placement_candidate(&upstream, &context, false);
         for option in options {
-            let own_tokens =
-                self.call.prompt.tokens_in as f64 * self.slowness(service, option.model);
+            let slowness = self.slowness(service, option.model);
+            let own_tokens = self.call.prompt.tokens_in as f64 * slowness;
             let tokens = (candidate.prefill_tokens as f64 + own_tokens) * candidate.slowness;
+            let output_tokens = size.output_work() * slowness * candidate.slowness;
             let model = self.model_name(Some(option.model));
-            option.wait = gateway
-                .predict_prefill_time(service, model, tokens as u64)
-                .unwrap_or_default();
+            let predict = |tokens: f64| {
+                gateway
+                    .predict_prefill_time(service, model.clone(), tokens as u64)
+                    .unwrap_or_default()
+            };
+            option.wait = predict(tokens);
+            option.output = predict(output_tokens);
         }
         true
     }
@@ -251,6 +257,7 @@
             target_ms = present.target.as_millis(),
             deadline_ms = present.deadline.as_millis(),
             wait_ms = largest.map_or(0, |option| option.wait.as_millis()),
+            output_ms = largest.map_or(0, |option| option.output.as_millis()),
             price = self
                 .gateway
                 .model_choices
--- a/src/policy/model_choice.rs
+++ b/src/policy/model_choice.rs
@@ -148,7 +148,8 @@
         self.tokens_in * slowness + self.output_work() * added
     }
 
-    fn output_work(&self) -> f64 {
+    /// Returns the work of the output, in prompt tokens of the smallest model.
+    pub fn output_work(&self) -> f64 {
         self.tokens_out * OUTPUT_TOKEN_WORK
     }
 }
@@ -309,6 +310,8 @@
     pub relative_cost: f64,
     /// Predicted time to its first token; zero if it is not known.
     pub wait: Duration,
+    /// Predicted time from its first to its last token; zero if it is not known.
+    pub output: Duration,
     /// Price of the capacity that it takes (see [`ServicePrice::opportunity_cost`]).
     pub opportunity_cost: f64,
 }
@@ -348,6 +351,13 @@
         by_target * in_time(self.deadline)
     }
 
+    /// Returns whether a larger model's whole answer fits into the time left: a stream that is
+    /// still open at the deadline is cut off.
+    fn has_time_for(&self, option: &LargerModel) -> bool {
+        let time_left = self.deadline.saturating_sub(self.elapsed);
+        option.wait.saturating_add(option.output) < time_left
+    }
+
     /// Returns the expected value of a larger model's answer after `wait`, less its cost.
     fn escalated_value(&self, option: &LargerModel, wait: Duration) -> f64 {
         let probability = if option.is_largest {
@@ -395,12 +405,14 @@
         return Decision::KeptGood;
     }
     let gain = |option: &LargerModel| present.escalated_value(option, option.wait) - kept;
-    if options.iter().all(|option| gain(option) <= 0.0) {
+    let is_in_time = |option: &&LargerModel| present.has_time_for(option) && gain(option) > 0.0;
+    if !options.iter().any(|option| is_in_time(&option)) {
         return Decision::KeptLate;
     }
     let net_gain = |option: &LargerModel| gain(option) - option.opportunity_cost;
     let best = options
         .iter()
+        .filter(is_in_time)
         .max_by(|a, b| net_gain(a).total_cmp(&net_gain(b)));
     let Some(best) = best.filter(|best| net_gain(best) > 0.0) else {
         return Decision::KeptLoad;
--- a/tests/load/models_under_load.rs
+++ b/tests/load/models_under_load.rs
@@ -260,6 +260,7 @@
                     is_largest: model == 2,
                     relative_cost: COST[model] / COST[2],
                     wait: queue + prefill,
+                    output: work_time(size.output_work() * slowness(model)),
                     opportunity_cost: self.price.opportunity_cost(work(model), job.rank as u32),
                 }
             })
@@ -395,6 +396,7 @@
         is_largest: true,
         relative_cost: 1.0,
         wait,
+        output: ms(100),
         opportunity_cost: 0.0,
     };
     model_choice::decide(&present, &[largest])
@@ -412,6 +414,9 @@
     assert_eq!(decide(35.0, ms(2_000), 2_400, 1.0), escalated);
     assert_eq!(decide(55.0, ms(2_000), 2_400, 1.0), Decision::KeptLate);
     assert_eq!(decide(0.0, ms(10_000), 2_400, 1.0), Decision::KeptLate);
+    // The deadline is 7.7 s away and the output takes 0.1 s: it would be cut off.
+    assert_eq!(decide(0.0, ms(7_500), 300, 1.0), escalated);
+    assert_eq!(decide(0.0, ms(7_650), 300, 1.0), Decision::KeptLate);
     // The last of the budget is for the poorest answers.
     assert_eq!(decide(55.0, ms(200), 2_400, 0.1), Decision::KeptBudget);
     assert_eq!(decide(20.0, ms(200), 2_400, 0.1), escalated);
