Count requests without an answer in the comparison of ranks

The attainable value was added when an answer came, so a rank whose requests got none by the end of the simulation would have looked better. It is now added at the arrival.

--- a/tests/load/models_under_load.rs
+++ b/tests/load/models_under_load.rs
@@ -85,6 +85,15 @@
     COST[model] / COST[0]
 }
 
+/// Returns the value of an answer in time.
+fn answer_value(model: usize, hardness: f64) -> f64 {
+    if QUALITY[model] >= hardness {
+        1.0
+    } else {
+        0.05
+    }
+}
+
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
@@ -124,11 +133,13 @@
             let rates = if now < 25_000 { rates(now) } else { [0.0; 3] };
             for (rank, rate) in rates.into_iter().enumerate() {
                 if rng.f64() < rate {
+                    let hardness = rng.f64() * 1.1;
                     simulation.requests[rank] += 1.0;
+                    simulation.attainable[rank] += answer_value(2, hardness);
                     simulation.send(Job {
                         rank,
                         arrived: now,
-                        hardness: rng.f64() * 1.1,
+                        hardness,
                         noise: [(); 3].map(|()| (rng.f64() - 0.5) * 40.0),
                         model: if policy == Policy::Largest { 2 } else { 0 },
                         left_ms: 0.0,
@@ -178,20 +189,12 @@
             is_output: true,
             ..job
         });
-        let value = |model: usize| {
-            if QUALITY[model] >= job.hardness {
-                1.0
-            } else {
-                0.05
-            }
-        };
         let in_time = match elapsed {
             _ if elapsed <= target => 1.0,
             _ if elapsed <= deadline => 0.4,
             _ => 0.0,
         };
-        self.value[job.rank] += in_time * value(job.model);
-        self.attainable[job.rank] += value(2);
+        self.value[job.rank] += in_time * answer_value(job.model, job.hardness);
     }
 
     /// Predicts the queue and the prefill time of a job's prompt with `model`.
