Count the work of a first answer by the model that gives it

Work is in prompt tokens of the service's cheapest model, but a first answer counted as that model's also where the ladder starts with a larger one. The usual work was then too small, and with it the price and the opportunity cost too high by the slowness of the ladder's first model.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -117,7 +117,7 @@
     });
     c.bench_function("model_choice/decide", |b| {
         b.iter(|| {
-            price.record_request(size.first_work(), ms(2_000));
+            price.record_request(size.first_work(1.0), ms(2_000));
             let options = [(1, 7.5), (2, 15.0)].map(|(model, slowness)| {
                 let work = size.escalation_work(slowness, 1.0);
                 model_choice::LargerModel {
--- a/src/gateway/exchange/models.rs
+++ b/src/gateway/exchange/models.rs
@@ -92,7 +92,7 @@
         let usual = *usual;
         if model == 0 {
             let price = choices.price(service);
-            price.record_request(size.first_work(), target);
+            price.record_request(size.first_work(self.slowness(service, model)), target);
         }
         Present {
             confidence,
--- a/src/policy/model_choice.rs
+++ b/src/policy/model_choice.rs
@@ -135,20 +135,21 @@
         self.tokens_out + self.tokens_in / OUTPUT_TOKEN_WORK
     }
 
-    /// Returns the work of a first answer, in prompt tokens of the smallest model.
-    pub fn first_work(&self) -> f64 {
-        self.tokens_in + self.output_work()
+    /// Returns the work of a first answer, in prompt tokens of the service's cheapest model. A ladder
+    /// may start with another one; the slowness is relative to the cheapest.
+    pub fn first_work(&self, slowness: f64) -> f64 {
+        (self.tokens_in + self.output_work()) * slowness
     }
 
-    /// Returns the work that an escalation adds, in prompt tokens of the smallest model: the second
+    /// Returns the work that an escalation adds, in prompt tokens of the cheapest model: the second
     /// prefill, and the output less that of the present answer. The slownesses are relative to the
-    /// smallest model.
+    /// cheapest model.
     pub fn escalation_work(&self, slowness: f64, present_slowness: f64) -> f64 {
         let added = (slowness - present_slowness).max(0.0);
         self.tokens_in * slowness + self.output_work() * added
     }
 
-    /// Returns the work of the output, in prompt tokens of the smallest model.
+    /// Returns the work of the output, in prompt tokens of the cheapest model.
     pub fn output_work(&self) -> f64 {
         self.tokens_out * OUTPUT_TOKEN_WORK
     }
@@ -220,20 +221,20 @@
 }
 
 impl ServicePrice {
-    /// Records the work of a first answer, in prompt tokens of the smallest model, and the target of
+    /// Records the work of a first answer, in prompt tokens of the cheapest model, and the target of
     /// its request.
     pub fn record_request(&mut self, work_tokens: f64, target: Duration) {
         self.work_tokens.record(work_tokens);
         self.target_s.record(target.as_secs_f64());
     }
 
-    /// Adds the work of an escalation to that of its request, in prompt tokens of the smallest
+    /// Adds the work of an escalation to that of its request, in prompt tokens of the cheapest
     /// model.
     pub fn record_escalation(&mut self, work_tokens: f64) {
         self.work_tokens.add_to_last(work_tokens);
     }
 
-    /// Returns the usual work of a request, in prompt tokens of the smallest model.
+    /// Returns the usual work of a request, in prompt tokens of the cheapest model.
     pub fn usual_work_tokens(&self) -> f64 {
         self.work_tokens.mean
     }
--- a/tests/load/models_under_load.rs
+++ b/tests/load/models_under_load.rs
@@ -242,7 +242,8 @@
         let size = Size::new(tokens_in, tokens_out, None, &self.usual[job.rank]);
         if job.model == 0 {
             self.usual[job.rank].record(&size);
-            self.price.record_request(size.first_work(), ms(target));
+            self.price
+                .record_request(size.first_work(slowness(0)), ms(target));
         }
         let (median_backlog, mean_backlog) = self.backlogs();
         let requests: usize = self.upstreams.iter().map(Vec::len).sum();
@@ -446,7 +447,17 @@
     let size = |hint| Size::new(1_000, 0, Some(hint), &usual);
     assert_eq!(size(u64::MAX), size(800));
     assert_eq!(size(0), size(50));
-    assert!(Size::new(u64::MAX, u64::MAX, None, &usual).first_work() < 1e8);
+    assert!(Size::new(u64::MAX, u64::MAX, None, &usual).first_work(1.0) < 1e8);
+}
+
+/// A ladder need not start with the cheapest model of the service. If the usual work were counted as
+/// that model's, escalations would look larger than they are.
+#[test]
+fn first_work_and_escalation_add_up_on_any_ladder() {
+    let size = Size::new(1_000, 200, None, &UsualSize::default());
+    let whole = size.first_work(7.5) + size.escalation_work(15.0, 7.5);
+    let second_prefill = 1_000.0 * 7.5;
+    assert_eq!(whole, size.first_work(15.0) + second_prefill);
 }
 
 #[test]
