Evacuate data centres by an order of the replicated log

Cause: operators take a data centre out of service before maintenance. Releases are judged without these upstreams. A request of the platform applies only to the revision that was current when it arrived, so that a late copy does not undo a later order.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -10,6 +10,7 @@
 pub mod standin;
 pub mod state;
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -128,6 +129,18 @@
         .collect()
 }
 
+/// Parses a list of data centres separated by commas; empty text is an empty list.
+///
+/// # Errors
+///
+/// The entry that is not a name.
+pub fn parse_data_centres(text: &str) -> Result<BTreeSet<Name>, String> {
+    let entries = text.split(',').filter(|entry| !entry.is_empty());
+    entries
+        .map(|entry| parse_name(entry).map_err(|e| format!("`{entry}`: {e}")))
+        .collect()
+}
+
 fn parse_operator(text: &str) -> Result<(Name, KeyHash), String> {
     let (name, hash) = text
         .split_once('=')
--- a/src/cli/operator.rs
+++ b/src/cli/operator.rs
@@ -80,6 +80,7 @@
                         .help("Add the entry VM to address responses again"),
                 ),
         ))
+        .subcommand(evacuate())
         .subcommand(
             Command::new("audit")
                 .about("Shows the audit trail: who changed what, when, and the outcome")
@@ -216,6 +217,30 @@
         ))
 }
 
+fn evacuate() -> Command {
+    let subcommand = |name: &'static str, about: &'static str| {
+        with_change_flags(
+            Command::new(name).about(about).arg(
+                Arg::new("data-centre")
+                    .value_name("DATA_CENTRE")
+                    .required(true)
+                    .value_parser(parse_name),
+            ),
+        )
+    };
+    Command::new("evacuate")
+        .about("Takes the upstreams of a data centre out of service, or puts them back")
+        .subcommand_required(true)
+        .subcommand(subcommand(
+            "begin",
+            "Starts an evacuation: upstreams in the data centre get no new requests",
+        ))
+        .subcommand(subcommand(
+            "finish",
+            "Ends an evacuation: upstreams in the data centre get requests again",
+        ))
+}
+
 fn parse_version(text: &str) -> Result<VersionName, String> {
     text.parse()
 }
@@ -251,6 +276,7 @@
             undo: matches.get_flag("undo"),
             options: change_options(matches),
         },
+        Some(("evacuate", matches)) => evacuate_action(matches),
         Some(("audit", matches)) => Action::Audit {
             follow: matches.get_flag("follow"),
         },
@@ -274,6 +300,15 @@
     }
 }
 
+fn evacuate_action(matches: &ArgMatches) -> Action {
+    let (name, matches) = matches.subcommand().expect("clap requires a subcommand");
+    Action::Evacuate {
+        data_centre: required(matches, "data-centre"),
+        active: name == "begin",
+        options: change_options(matches),
+    }
+}
+
 fn rollout_action(matches: &ArgMatches) -> Action {
     let (name, matches) = matches.subcommand().expect("clap requires a subcommand");
     let command = match name {
--- a/src/cli/state.rs
+++ b/src/cli/state.rs
@@ -11,6 +11,7 @@
 use super::address_arg;
 use super::address_list_arg;
 use super::optional;
+use super::parse_data_centres;
 use super::parse_operator;
 use super::peer_key_arg;
 use super::program;
@@ -79,6 +80,15 @@
             .default_value("20000")
             .help("Number of log entries after which a snapshot replaces them"),
     )
+    .arg(
+        Arg::new("data-centres")
+            .long("data-centres")
+            .env("DAISYQUAY_DATA_CENTRES")
+            .value_name("NAME,...")
+            .value_parser(parse_data_centres)
+            .default_value("")
+            .help("Data centres that can be evacuated before an upstream is announced in them"),
+    )
 }
 
 /// The settings resolved from the command line, the environment and defaults.
@@ -95,6 +105,7 @@
         data: required(matches, "data"),
         peer_key: required(matches, "peer-key"),
         operators: values(matches, "operators"),
+        data_centres: required(matches, "data-centres"),
         snapshot_every: required(matches, "snapshot-every"),
         settings: Settings::default(),
     }
--- a/src/dev.rs
+++ b/src/dev.rs
@@ -1,6 +1,7 @@
 //! A state replica, an entry, stand-ins and the sample inventory in one process on loopback, for
 //! development.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -56,6 +57,7 @@
         may_bootstrap: true,
         target_voters: 1,
         snapshot_every: 20_000,
+        data_centres: BTreeSet::new(),
         settings: Settings::default(),
     };
     let rater = start_standin(
--- a/src/entry/link.rs
+++ b/src/entry/link.rs
@@ -12,6 +12,7 @@
 use super::Shared;
 use super::ledger::Batcher;
 use super::view::View;
+use crate::evacuation;
 use crate::lease::RENEWAL_INTERVAL;
 use crate::log::event;
 use crate::peer::Client;
@@ -196,8 +197,8 @@
         }
         if let Some(config) = updated_config(&view.config, grant.config.as_ref()) {
             let revision = config.revision;
-            view.config = Arc::new(config);
-            shared.set_view(view);
+            evacuation::report(&shared.metrics, &view.config, &config);
+            shared.set_view(view.with_config(Arc::new(config)));
             shared.lease.lock().apply_revision(revision, now);
             shared
                 .metrics
--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -50,6 +50,10 @@
             "its route or key is not in the gateway's configuration, revision {revision}, and a \
              newer one was on its way or the leader was not reached"
         ),
+        "evacuated" => format!(
+            "all upstreams of its service were in evacuated data centres in the gateway's \
+             configuration, revision {revision}"
+        ),
         "stopping" => "its gateway was shutting down".to_owned(),
         "no_upstream" => {
             let not_placed = lines.iter().rfind(|line| line.event == "not_placed");
--- a/src/gateway/exchange/mod.rs
+++ b/src/gateway/exchange/mod.rs
@@ -2,6 +2,7 @@
 
 mod choose;
 mod log;
+mod placement_refusal;
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -240,6 +241,9 @@
     }
 
     async fn run(&mut self) -> Result<FinalResponse, Refusal> {
+        if let Some(refusal) = self.placement_refusal() {
+            return Err(refusal);
+        }
         let mut failure: Option<(ResponseHead, Bytes)> = None;
         loop {
             let Some(upstream) = self.next_upstream() else {
@@ -391,6 +395,9 @@
         if self.runs > 0 {
             return Err(Refusal::bad_gateway("answer_lost"));
         }
+        if let Some(refusal) = self.placement_refusal() {
+            return Err(refusal);
+        }
         let service = self.service.as_ref();
         let quarantined_for =
             service.and_then(|service| self.gateway.quarantined_for(service, &self.call));
--- a/src/gateway/renewal.rs
+++ b/src/gateway/renewal.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use super::Gateway;
+use crate::evacuation;
 use crate::lease::RENEWAL_INTERVAL;
 use crate::log::event;
 use crate::peer::Client;
@@ -210,7 +211,13 @@
             };
             let reply = leader.call_replica_at(self.update_source, &request).await;
             match reply {
-                Some(Reply::ConfigUpdate(Some(update))) => self.apply_config(gateway, &update),
+                // A replica that lags behind may not know of an evacuation yet. While nothing else
+                // is held, nothing is served, so its configuration is no improvement.
+                Some(Reply::ConfigUpdate(Some(update)))
+                    if self.revision > 0 || update.revision() >= self.leader_revision =>
+                {
+                    self.apply_config(gateway, &update);
+                }
                 reply => {
                     self.update_source = self.update_source.wrapping_add(1);
                     if reply.is_none() {
@@ -245,5 +252,8 @@
             .metrics
             .set_gauge("daisyquay_revision", self.revision as f64);
         gateway.set_routing(routing.with_config(Arc::new(config)));
+        if let Some(config) = &gateway.routing().config {
+            evacuation::report(&gateway.metrics, &held, config);
+        }
     }
 }
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -56,6 +56,8 @@
     pub(crate) on_trial: bool,
     /// The release that gets the rest of the traffic.
     pub(crate) stable_release: Option<Name>,
+    /// Whether it has upstreams, all of them in evacuated data centres.
+    pub(crate) is_evacuated: bool,
 }
 
 /// An immutable snapshot; each update from the leader replaces it.
@@ -128,6 +130,7 @@
         }
         for (service, pool) in &mut pools {
             self.apply_releases(service, pool);
+            self.remove_evacuated(pool);
         }
         self.pools = pools
             .into_iter()
@@ -171,6 +174,18 @@
         keep_stable(pool, releases.stable.as_ref());
     }
 
+    /// Removes upstreams in evacuated data centres. This comes after the releases: while those of the
+    /// stable release are evacuated, a release that has not been rolled out must not replace it.
+    fn remove_evacuated(&self, pool: &mut ServicePool) {
+        let Some(config) = &self.config else {
+            return;
+        };
+        let had_upstreams = !pool.upstreams.is_empty();
+        pool.upstreams
+            .retain(|upstream| !config.evacuated.contains(&upstream.announced.data_centre));
+        pool.is_evacuated = had_upstreams && pool.upstreams.is_empty();
+    }
+
     /// Returns whether a configuration with routes has been received. The system makes revisions of
     /// its own, so the first one need not come from an operator.
     pub(crate) fn has_routes(&self) -> bool {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,6 +30,7 @@
 pub(crate) mod api;
 pub(crate) mod codec;
 pub(crate) mod engine;
+pub(crate) mod evacuation;
 pub(crate) mod http_client;
 pub(crate) mod lock_rank;
 pub(crate) mod log;
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -98,6 +98,15 @@
         /// Flags of the change.
         options: ChangeOptions,
     },
+    /// Starts or ends the evacuation of a data centre.
+    Evacuate {
+        /// Data centre.
+        data_centre: Name,
+        /// Whether to start the evacuation; false ends it.
+        active: bool,
+        /// Flags of the change.
+        options: ChangeOptions,
+    },
     /// Prints the audit trail.
     Audit {
         /// Whether to keep printing new records.
@@ -151,6 +160,17 @@
             };
             submit_change(cfg, &state, options, change).await
         }
+        Action::Evacuate {
+            data_centre,
+            active,
+            options,
+        } => {
+            let change = Change::Evacuate {
+                data_centre: data_centre.clone(),
+                active: *active,
+            };
+            submit_change(cfg, &state, options, change).await
+        }
         Action::Show(query) => {
             let report = state.query(query.clone()).await?;
             print!("{}", output::report(&report, cfg.json));
--- a/src/operator/output.rs
+++ b/src/operator/output.rs
@@ -258,6 +258,9 @@
     if !status.draining.is_empty() {
         let _ = writeln!(text, "draining: {}", status.draining.join(", "));
     }
+    if !status.evacuated.is_empty() {
+        let _ = writeln!(text, "evacuated: {}", status.evacuated.join(", "));
+    }
     let members: Vec<Vec<String>> = status
         .members
         .iter()
--- a/src/relay/app.rs
+++ b/src/relay/app.rs
@@ -69,6 +69,13 @@
     let path_only = call.path.split('?').next().unwrap_or_default();
     let at_most_once = service.runs_at_most_once(call.method.as_str(), path_only);
     let target = Target::Service(call.service.clone());
+    if view.is_target_evacuated(&target) {
+        return Err(super::select::no_upstream_for(
+            &view,
+            &target,
+            worker.draw(),
+        ));
+    }
     let queue_ms = view.config.inventory.rules.queue_ms;
     let queue_deadline = (shared.now() + Duration::from_millis(queue_ms)).min(call.deadline);
     let slot_request = admission::AdmissionRequest {
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -103,7 +103,8 @@
         load_balancing::choose(&candidates, affinity_hash, &self.tried_upstreams, &mut rng)
             .map(|i| upstreams[i].clone())
             .ok_or_else(|| {
-                let refusal = select::no_upstream(&self.upstream_request.target.to_string());
+                let target = &self.upstream_request.target;
+                let refusal = select::no_upstream_for(&view, target, rng.f64());
                 refusal.ran(self.ran())
             })
     }
@@ -203,6 +204,9 @@
             head_timeout: left.min(upstream_request.head_timeout),
         };
         self.check_may_start()?;
+        if shared.view().is_evacuated(&upstream) {
+            return Ok(Err(("its data centre is evacuated", Execution::NotStarted)));
+        }
         if self.attempts_made == 0 {
             shared.earn_retry(&upstream_request.organisation);
         }
--- a/src/relay/select.rs
+++ b/src/relay/select.rs
@@ -78,7 +78,7 @@
     let session: Name = format!("{}/{session}", call.model).into();
     let organisation = &call.organisation.name;
     if let Some(version) = shared.cached_pin(organisation, &session) {
-        return select_version(&view, call, version, None);
+        return select_version(&view, call, version, None, worker.draw());
     }
     let proposed = propose(worker, &view, call, exclude_rollouts, false)?;
     let request = Request::Pin(PinRequest {
@@ -93,7 +93,7 @@
             moved_from,
         })) => {
             shared.cache_pin(organisation, &session, version.clone());
-            select_version(&shared.view(), call, version, moved_from)
+            select_version(&shared.view(), call, version, moved_from, worker.draw())
         }
         Some(Reply::Pin(PinOutcome::Refused)) => {
             let message = "the selected version has just been withdrawn; retry the request";
@@ -111,18 +111,21 @@
     }
 }
 
-/// Selects `version` itself, if the organisation may use it and an upstream serves it.
+/// Selects `version` itself, if the organisation may use it and an upstream serves it. `draw` is a
+/// random number from 0 to 1 that spreads the retries of refused callers.
 fn select_version(
     view: &View,
     call: &ChatCall,
     version: VersionName,
     moved_from: Option<VersionName>,
+    draw: f64,
 ) -> Result<Selection, Refusal> {
     if !call.organisation.allows_version(&version) {
         return Err(not_allowed(&version.to_string()));
     }
-    if view.upstreams(&Target::Version(version.clone())).is_empty() {
-        return Err(no_upstream(&version.to_string()));
+    let target = Target::Version(version.clone());
+    if view.upstreams(&target).is_empty() {
+        return Err(no_upstream_for(view, &target, draw));
     }
     let is_rollout = view
         .config
@@ -145,9 +148,9 @@
     may_cascade: bool,
 ) -> Result<Selection, Refusal> {
     if call.model.contains('@') {
-        return select_named(view, call);
+        return select_named(view, call, worker.draw());
     }
-    let usable_versions = usable_versions(view, call)?;
+    let usable_versions = usable_versions(view, call, worker.draw())?;
     if !exclude_rollouts && let Some(version) = sample_rollout(worker, view, call) {
         return Ok(Selection {
             is_rollout: true,
@@ -175,7 +178,7 @@
 }
 
 /// Selects the version that the caller named.
-fn select_named(view: &View, call: &ChatCall) -> Result<Selection, Refusal> {
+fn select_named(view: &View, call: &ChatCall, draw: f64) -> Result<Selection, Refusal> {
     let unknown = || model_not_found(&call.model);
     let version: VersionName = call.model.parse().map_err(|_| unknown())?;
     if view.config.inventory.version(&version).is_none() {
@@ -187,12 +190,12 @@
     if !view.config.is_available(&version) {
         return Err(withdrawn(&call.model));
     }
-    select_version(view, call, version, None)
+    select_version(view, call, version, None, draw)
 }
 
 /// Returns the active versions that match the request's model, that the organisation may use and
 /// that at least one upstream serves.
-fn usable_versions(view: &View, call: &ChatCall) -> Result<Vec<VersionName>, Refusal> {
+fn usable_versions(view: &View, call: &ChatCall, draw: f64) -> Result<Vec<VersionName>, Refusal> {
     let inventory = &view.config.inventory;
     let in_scope = |name: &VersionName| &*call.model == "auto" || name.model == call.model;
     let scope: Vec<_> = inventory
@@ -219,12 +222,21 @@
     if active.is_empty() {
         return Err(withdrawn(&call.model));
     }
+    let targets: Vec<Target> = active.iter().cloned().map(Target::Version).collect();
     let served: Vec<VersionName> = active
         .into_iter()
-        .filter(|name| !view.upstreams(&Target::Version(name.clone())).is_empty())
+        .zip(&targets)
+        .filter(|(_, target)| !view.upstreams(target).is_empty())
+        .map(|(name, _)| name)
         .collect();
     if served.is_empty() {
-        return Err(no_upstream(&call.model));
+        let evacuated = targets
+            .iter()
+            .find(|target| view.is_target_evacuated(target));
+        return Err(evacuated.map_or_else(
+            || no_upstream(&call.model),
+            |target| no_upstream_for(view, target, draw),
+        ));
     }
     Ok(served)
 }
@@ -289,3 +301,17 @@
     let message = format!("no upstream serves `{model}` at the moment; retry the request");
     Refusal::unavailable("no_upstream", message)
 }
+
+/// Returns the refusal of a request to a target without a usable upstream.
+pub(super) fn no_upstream_for(view: &View, target: &Target, draw: f64) -> Refusal {
+    if !view.is_target_evacuated(target) {
+        return no_upstream(&target.to_string());
+    }
+    let message =
+        format!("all upstreams of `{target}` are in evacuated data centres; retry the request");
+    Refusal {
+        // The header has whole seconds; two values still keep callers from retrying all at once.
+        retry_after: Some(Duration::from_secs(if draw < 0.5 { 1 } else { 2 })),
+        ..Refusal::unavailable("evacuated", message)
+    }
+}
--- a/src/replica/core.rs
+++ b/src/replica/core.rs
@@ -1,6 +1,7 @@
 //! The state of one replica: its node of the log, the state machine and the leader's extra state.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -34,6 +35,7 @@
 use crate::agreement::Term;
 use crate::clock::Clock;
 use crate::codec;
+use crate::collections::Name;
 use crate::log::event;
 use crate::metrics::Metrics;
 use crate::peer::Client;
@@ -75,6 +77,8 @@
     pub(super) disk_bytes: u64,
     pub(super) is_stopping: bool,
     pub(super) target_voters: usize,
+    /// Data centres named in the settings.
+    data_centres: BTreeSet<Name>,
     clock: Arc<dyn Clock>,
     writer: Writer,
     outbox: Outbox,
@@ -117,6 +121,7 @@
             disk_bytes: 0,
             is_stopping: false,
             target_voters: cfg.target_voters,
+            data_centres: cfg.data_centres.clone(),
             clock,
             writer,
             outbox: Outbox::new(cfg.advertise, client),
@@ -161,6 +166,12 @@
         self.outbox.queued_bytes()
     }
 
+    /// Returns whether a data centre can be evacuated: the directory or the settings have it, or it
+    /// is evacuated now.
+    pub(super) fn knows_data_centre(&self, data_centre: &Name) -> bool {
+        self.data_centres.contains(data_centre) || self.state.knows_data_centre(data_centre)
+    }
+
     /// Returns whether this replica is the leader and its lease allows reads from its state.
     pub(super) fn has_leader_lease(&self) -> bool {
         self.node.has_lease(self.now())
--- a/src/replica/handle.rs
+++ b/src/replica/handle.rs
@@ -11,8 +11,13 @@
 use crate::collections::Name;
 use crate::peer::Client;
 use crate::peer::LeaderClient;
+use crate::peer::OperatorChange;
 use crate::peer::Reply;
 use crate::peer::Request;
+use crate::state::command::Change;
+use crate::state::command::ChangeOutcome;
+use crate::state::query::Query;
+use crate::state::query::Report;
 
 /// Time within which the leader must reply to one call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
@@ -51,6 +56,15 @@
     }
 }
 
+/// An order to start or end the evacuation of a data centre.
+#[derive(Clone, Debug)]
+pub struct Evacuation {
+    /// Data centre.
+    pub data_centre: Name,
+    /// Whether to start the evacuation; false ends it.
+    pub active: bool,
+}
+
 #[derive(Clone)]
 enum Link {
     /// Through the replica in this process, which may be the leader itself.
@@ -121,6 +135,63 @@
         self.call(request, limit).await
     }
 
+    /// Starts or ends the evacuation of a data centre; `None` if the outcome is not known after
+    /// `limit`.
+    ///
+    /// The same order may be given again after an opposite one, so each call is a change of its own.
+    /// It applies only to the revision that was current when the call began: a copy that a broken
+    /// link delivers later must not undo an order given since.
+    pub async fn evacuate(
+        &self,
+        who: &Name,
+        order: &Evacuation,
+        limit: Duration,
+    ) -> Option<ChangeOutcome> {
+        tokio::time::timeout(limit, self.evacuate_at_current_revision(who, order))
+            .await
+            .ok()?
+    }
+
+    async fn evacuate_at_current_revision(
+        &self,
+        who: &Name,
+        order: &Evacuation,
+    ) -> Option<ChangeOutcome> {
+        let on_behalf = |request| Request::OnBehalf {
+            who: who.clone(),
+            request: Box::new(request),
+        };
+        let status = on_behalf(Request::Query(Query::Status));
+        let Reply::Report(report) = self.call_until_reply(status).await else {
+            return None;
+        };
+        let Report::Status(status) = *report else {
+            return None;
+        };
+        let mut revision = status.revision;
+        loop {
+            let change = on_behalf(Request::Change(OperatorChange {
+                change_id: format!("evacuation-{:016x}", fastrand::u64(..)).into(),
+                expected_revision: Some(revision),
+                change: Change::Evacuate {
+                    data_centre: order.data_centre.clone(),
+                    active: order.active,
+                },
+                wait_ms: 0,
+            }));
+            let Reply::Change(reply) = self.call_until_reply(change).await else {
+                return None;
+            };
+            match reply.outcome {
+                // Another change came first.
+                ChangeOutcome::Conflict {
+                    revision: current, ..
+                } => revision = current,
+                outcome => return Some(outcome),
+            }
+        }
+    }
+
     async fn call_until_reply(&self, request: Request) -> Reply {
         loop {
             match self.try_call(&request).await {
--- a/src/replica/handler.rs
+++ b/src/replica/handler.rs
@@ -19,6 +19,7 @@
 use crate::peer::OperatorChangeReply;
 use crate::peer::Reply;
 use crate::peer::Request;
+use crate::state::command::Change;
 use crate::state::command::ChangeOutcome;
 use crate::state::command::ChangeRequest;
 use crate::state::command::Op;
@@ -188,10 +189,20 @@
         expected_revision: change.expected_revision,
         change: change.change,
     };
+    let evacuation = match &request.change {
+        Change::Evacuate {
+            data_centre,
+            active,
+        } => Some((data_centre.clone(), *active)),
+        _ => None,
+    };
     let recorded = recorded_outcome(&core.borrow(), &request);
     let outcome = match recorded {
         Some(outcome) => outcome,
         None => {
+            if let Some(refusal) = refusal_of_unknown_data_centre(&core.borrow(), &request.change) {
+                return refusal;
+            }
             let rx = match submit(&core, Op::Change(request)) {
                 Ok(rx) => rx,
                 Err(reply) => return reply,
@@ -210,6 +221,17 @@
         change_id = change_id,
         revision = revision
     );
+    if let (Some((data_centre, active)), ChangeOutcome::Accepted { revision }) =
+        (evacuation, &outcome)
+    {
+        event!(
+            Info,
+            "evacuation_ordered",
+            data_centre = data_centre,
+            active = active,
+            revision = revision
+        );
+    }
     let mut reply = OperatorChangeReply {
         outcome,
         in_force: None,
@@ -229,6 +251,31 @@
     Reply::Change(reply)
 }
 
+/// Returns the reply to an order to evacuate a data centre, or to put one back into service, that
+/// nobody knows; `None` for any other change. Only the leader's directory is current.
+fn refusal_of_unknown_data_centre(core: &Core, change: &Change) -> Option<Reply> {
+    let Change::Evacuate { data_centre, .. } = change else {
+        return None;
+    };
+    if !core.has_leader_lease() {
+        return Some(not_leader(core));
+    }
+    if core.knows_data_centre(data_centre) {
+        return None;
+    }
+    let reason = format!(
+        "data centre `{data_centre}` is not known; write one that `daisyquay show upstreams` \
+         lists, or add it to --data-centres of the state replicas"
+    );
+    Some(Reply::Change(OperatorChangeReply {
+        outcome: ChangeOutcome::Refused {
+            reason: reason.into(),
+        },
+        in_force: None,
+        lagging: Vec::new(),
+    }))
+}
+
 /// Returns the outcome of a change that was applied before, so that a retry costs no entry in the
 /// log; `None` for a new change, and where this replica can't know.
 fn recorded_outcome(core: &Core, request: &ChangeRequest) -> Option<ChangeOutcome> {
--- a/src/replica/leader_state.rs
+++ b/src/replica/leader_state.rs
@@ -352,11 +352,13 @@
 }
 
 /// Returns whether the new release has at least half as many upstreams as the service's other
-/// releases together.
+/// releases together. Upstreams in evacuated data centres don't count.
 fn has_enough_upstreams(state: &State, service: &Name, target: &Name) -> bool {
     let (mut new, mut old) = (0_usize, 0_usize);
     for announced in state.directory.live() {
-        if !matches!(&announced.serves, Serves::Service(name) if name == service) {
+        if !matches!(&announced.serves, Serves::Service(name) if name == service)
+            || state.is_evacuated(&announced.data_centre)
+        {
             continue;
         }
         if announced.release.as_ref() == Some(target) {
@@ -370,7 +372,8 @@
 
 fn slots_by_target(state: &State) -> BTreeMap<Target, u64> {
     let mut slots = BTreeMap::new();
-    for announced in state.directory.live() {
+    let live = state.directory.live();
+    for announced in live.filter(|announced| !state.is_evacuated(&announced.data_centre)) {
         let targets = match &announced.serves {
             Serves::Versions(versions) => versions.iter().cloned().map(Target::Version).collect(),
             Serves::Service(service) => vec![Target::Service(service.clone())],
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -20,6 +20,7 @@
 mod writer;
 
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -32,6 +33,7 @@
 
 pub use self::config_history::ConfigHistory;
 use self::core::Core;
+pub use self::handle::Evacuation;
 pub use self::handle::Handle;
 use crate::agreement::ReplicaId;
 use crate::agreement::Settings;
@@ -67,6 +69,8 @@
     pub settings: Settings,
     /// Whether this replica may create a new log; true only at the first start of the whole system.
     pub may_bootstrap: bool,
+    /// Data centres that can be evacuated although the directory has no upstream in them.
+    pub data_centres: BTreeSet<Name>,
     /// Number of voters to aim at; further replicas stay learners.
     pub target_voters: usize,
 }
--- a/src/state/command/change.rs
+++ b/src/state/command/change.rs
@@ -24,6 +24,12 @@
 /// Records of the audit trail that are kept.
 const AUDIT_RECORD_LIMIT: usize = 50_000;
 
+/// Most data centres that may be evacuated at the same time.
+pub const EVACUATED_LIMIT: usize = 256;
+
+/// Longest name of a data centre, in characters.
+const DATA_CENTRE_NAME_LIMIT: usize = 64;
+
 /// Change that an operator can request.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Change {
@@ -67,6 +73,14 @@
         /// Whether the VM drains; false puts it back into service.
         draining: bool,
     },
+    /// Starts or ends the evacuation of a data centre. An order that changes nothing is accepted
+    /// and makes no new revision.
+    Evacuate {
+        /// Data centre.
+        data_centre: Name,
+        /// Whether it is evacuated; false puts it back into service.
+        active: bool,
+    },
 }
 
 impl fmt::Display for Change {
@@ -93,6 +107,13 @@
             Self::Withdraw(version) => write!(f, "rollout withdraw {version}"),
             Self::Drain { vm, draining: true } => write!(f, "drain {vm}"),
             Self::Drain { vm, .. } => write!(f, "drain {vm} --undo"),
+            Self::Evacuate {
+                data_centre,
+                active,
+            } => {
+                let action = if *active { "begin" } else { "finish" };
+                write!(f, "evacuate {action} {data_centre}")
+            }
         }
     }
 }
@@ -116,7 +137,7 @@
 pub enum ChangeOutcome {
     /// The change was applied.
     Accepted {
-        /// Revision that the change made.
+        /// Revision that the change made, or the current one if it changed nothing.
         revision: u64,
     },
     /// The expected revision is not the current one.
@@ -188,8 +209,10 @@
             };
         }
         match self.apply_change(&request.change, at_ms) {
-            Ok(()) => {
-                self.increment_revision(&request.change_id);
+            Ok(is_new) => {
+                if is_new {
+                    self.increment_revision(&request.change_id);
+                }
                 ChangeOutcome::Accepted {
                     revision: self.revision,
                 }
@@ -200,37 +223,64 @@
         }
     }
 
-    fn apply_change(&mut self, change: &Change, at_ms: u64) -> Result<(), String> {
+    /// Applies a change and returns whether it makes a new revision.
+    fn apply_change(&mut self, change: &Change, at_ms: u64) -> Result<bool, String> {
         match change {
             Change::Apply(inventory) => {
                 self.replace_inventory(inventory.clone())?;
                 self.document = None;
-                Ok(())
             }
             Change::Load {
                 inventory,
                 document,
-            } => self.replace_document(inventory, document),
+            } => self.replace_document(inventory, document)?,
             Change::ReleaseStart {
                 service,
                 target,
                 period_ms,
             } => self
                 .releases
-                .start_rollout(service, target, *period_ms, at_ms),
-            Change::RolloutStart { version, stages } => self.start_rollout(version, stages),
-            Change::RolloutPause(version) => self.pause_rollout(version),
-            Change::RolloutResume(version) => self.resume_rollout(version),
-            Change::Withdraw(version) => self.withdraw(version),
+                .start_rollout(service, target, *period_ms, at_ms)?,
+            Change::RolloutStart { version, stages } => self.start_rollout(version, stages)?,
+            Change::RolloutPause(version) => self.pause_rollout(version)?,
+            Change::RolloutResume(version) => self.resume_rollout(version)?,
+            Change::Withdraw(version) => self.withdraw(version)?,
             Change::Drain { vm, draining: true } => {
                 self.draining.insert(vm.clone());
-                Ok(())
             }
             Change::Drain { vm, .. } => {
                 self.draining.remove(vm);
-                Ok(())
             }
+            Change::Evacuate {
+                data_centre,
+                active,
+            } => return self.set_evacuated(data_centre, *active),
+        }
+        Ok(true)
+    }
+
+    /// Starts or ends an evacuation and returns whether that changed anything.
+    fn set_evacuated(&mut self, data_centre: &Name, active: bool) -> Result<bool, String> {
+        let length = data_centre.chars().count();
+        if !(1..=DATA_CENTRE_NAME_LIMIT).contains(&length) {
+            return Err(format!(
+                "the name of a data centre has 1 to {DATA_CENTRE_NAME_LIMIT} characters; write \
+                 one that `daisyquay show upstreams` lists"
+            ));
+        }
+        if !active {
+            return Ok(self.evacuated.remove(data_centre));
+        }
+        if self.evacuated.contains(data_centre) {
+            return Ok(false);
+        }
+        if self.evacuated.len() >= EVACUATED_LIMIT {
+            return Err(format!(
+                "{EVACUATED_LIMIT} data centres are evacuated already; finish one with `daisyquay \
+                 evacuate finish DATA_CENTRE`"
+            ));
         }
+        Ok(self.evacuated.insert(data_centre.clone()))
     }
 
     fn replace_inventory(&mut self, inventory: Arc<Inventory>) -> Result<(), String> {
--- a/src/state/command/mod.rs
+++ b/src/state/command/mod.rs
@@ -12,6 +12,7 @@
 pub use self::change::Change;
 pub use self::change::ChangeOutcome;
 pub use self::change::ChangeRequest;
+pub use self::change::EVACUATED_LIMIT;
 pub use self::ledger::CascadeStep;
 pub use self::ledger::ClaimOutcome;
 pub use self::ledger::Ending;
--- a/src/state/query/report.rs
+++ b/src/state/query/report.rs
@@ -62,6 +62,8 @@
     pub entries: Vec<(Name, Name, String)>,
     /// Entry VMs that are draining.
     pub draining: Vec<Name>,
+    /// Data centres that are evacuated.
+    pub evacuated: Vec<Name>,
     /// Model versions of the inventory.
     pub versions: Vec<VersionRow>,
     /// Number of open claims.
@@ -146,6 +148,7 @@
         StatusReport {
             revision: self.revision,
             draining: self.draining.iter().cloned().collect(),
+            evacuated: self.evacuated.iter().cloned().collect(),
             versions: self.version_rows(),
             open_claims: self.claims.len() as u64,
             sessions: self.pins.len() as u64,
--- a/src/state/tables.rs
+++ b/src/state/tables.rs
@@ -246,6 +246,20 @@
         is_available(&self.inventory, &self.withdrawn, name)
     }
 
+    /// Returns whether upstreams in a data centre must not get requests.
+    pub(crate) fn is_evacuated(&self, data_centre: &Name) -> bool {
+        self.evacuated.contains(data_centre)
+    }
+
+    /// Returns whether a data centre is evacuated or has upstreams in the directory.
+    pub fn knows_data_centre(&self, data_centre: &Name) -> bool {
+        self.is_evacuated(data_centre)
+            || self
+                .directory
+                .iter()
+                .any(|row| row.announced.data_centre == *data_centre)
+    }
+
     /// Iterates over the open claims in no particular order.
     pub fn open_claims(&self) -> impl Iterator<Item = &Claim> + '_ {
         self.claims.values().map(|open| &open.claim)
