--- /dev/null
+++ b/tests/fuzz/evacuation.rs
@@ -0,0 +1,277 @@
+//! Evacuations through failovers, lost replies and late copies of orders, against the plain rule
+//! that an acknowledged order holds until the next order for its data centre.
+
+use daisyquay::collections::Name;
+use daisyquay::peer::ConfigView;
+use daisyquay::replica::ConfigHistory;
+use daisyquay::state::State;
+use daisyquay::state::command::Change;
+use daisyquay::state::command::ChangeOutcome;
+use daisyquay::state::command::ChangeRequest;
+use daisyquay::state::command::Command;
+use daisyquay::state::command::Op;
+use daisyquay::state::command::Outcome;
+use quickcheck::Arbitrary;
+use quickcheck::Gen;
+
+use crate::assert_finds_fault;
+use crate::assert_holds;
+
+const DATA_CENTRES: usize = 3;
+
+/// Gateways that follow the configuration.
+const GATEWAYS: usize = 2;
+
+/// Schedules within which an injected fault must be found.
+const FAULT_SCHEDULES: u64 = 2000;
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// The caller of a data centre gives an order, or sends the one in progress again.
+    Order(u8, bool),
+    /// One copy of a request reaches the leader.
+    Deliver(u16),
+    /// One copy reaches the leader and another one is still on its way.
+    Duplicate(u16),
+    /// One copy of a request is lost.
+    Drop(u16),
+    /// The leader commits its first entry that is not committed, and replies unless the reply is
+    /// lost.
+    Commit { loses_reply: bool },
+    /// Another leader takes over, which has only this many of the entries that are not committed.
+    Failover(u8),
+    /// Another change makes a revision.
+    OtherChange,
+    /// A gateway fetches an update from the replicas.
+    Update(u8),
+    /// A replica loads its snapshot, and its history starts anew.
+    Restart,
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let pick = u16::arbitrary(g);
+        let small = u8::arbitrary(g);
+        match u8::arbitrary(g) % 24 {
+            0..=4 => Self::Order(small, bool::arbitrary(g)),
+            5..=10 => Self::Deliver(pick),
+            11 => Self::Duplicate(pick),
+            12 => Self::Drop(pick),
+            13..=17 => Self::Commit {
+                loses_reply: small % 4 == 0,
+            },
+            18 => Self::Failover(small % 3),
+            19 => Self::OtherChange,
+            20..=22 => Self::Update(small),
+            _ => Self::Restart,
+        }
+    }
+}
+
+/// A request that a replica sends to the leader for a caller.
+#[derive(Clone, Debug)]
+struct Request {
+    /// Data centre whose caller waits for the outcome.
+    caller: usize,
+    /// Number of the caller's attempt; a reply to an earlier one is ignored.
+    attempt: u64,
+    change: ChangeRequest,
+}
+
+/// The caller that gives the orders for one data centre, one after the other.
+#[derive(Clone, Copy, Debug, Default)]
+struct Caller {
+    /// Order without an acknowledgement.
+    in_progress: Option<bool>,
+    /// Last order that was acknowledged.
+    acknowledged: bool,
+    attempt: u64,
+}
+
+struct World {
+    state: State,
+    index: u64,
+    uncommitted: Vec<Request>,
+    in_flight: Vec<Request>,
+    callers: [Caller; DATA_CENTRES],
+    history: ConfigHistory,
+    gateways: Vec<ConfigView>,
+    next_id: u64,
+    /// Whether orders apply to any revision: the fault that must be found.
+    ignores_revision: bool,
+}
+
+fn data_centre(i: usize) -> Name {
+    format!("dc{i}").into()
+}
+
+fn view(state: &State) -> ConfigView {
+    ConfigView {
+        revision: state.revision,
+        evacuated: state.evacuated.clone(),
+        ..ConfigView::default()
+    }
+}
+
+impl World {
+    fn new(ignores_revision: bool) -> Self {
+        Self {
+            state: State::default(),
+            index: 0,
+            uncommitted: Vec::new(),
+            in_flight: Vec::new(),
+            callers: [Caller::default(); DATA_CENTRES],
+            history: ConfigHistory::default(),
+            gateways: vec![ConfigView::default(); GATEWAYS],
+            next_id: 0,
+            ignores_revision,
+        }
+    }
+
+    /// Sends the order of a caller, as `Handle::evacuate` does, for that revision.
+    fn send(&mut self, caller: usize, revision: u64) {
+        let Some(active) = self.callers[caller].in_progress else {
+            return;
+        };
+        self.next_id += 1;
+        self.callers[caller].attempt = self.next_id;
+        let change = ChangeRequest {
+            change_id: format!("order-{}", self.next_id).into(),
+            who: "test".into(),
+            expected_revision: (!self.ignores_revision).then_some(revision),
+            change: Change::Evacuate {
+                data_centre: data_centre(caller),
+                active,
+            },
+        };
+        self.in_flight.push(Request {
+            caller,
+            attempt: self.next_id,
+            change,
+        });
+    }
+
+    fn apply(&mut self, change: ChangeRequest) -> ChangeOutcome {
+        self.index += 1;
+        let command = Command {
+            at_ms: self.index,
+            op: Op::Change(change),
+        };
+        let Outcome::Change(outcome) = self.state.apply(self.index, command) else {
+            panic!("a change has another outcome");
+        };
+        self.history.record(view(&self.state));
+        outcome
+    }
+
+    fn commit_first(&mut self, loses_reply: bool) -> Result<(), String> {
+        if self.uncommitted.is_empty() {
+            return Ok(());
+        }
+        let request = self.uncommitted.remove(0);
+        let outcome = self.apply(request.change);
+        let caller = &mut self.callers[request.caller];
+        if loses_reply || caller.attempt != request.attempt {
+            return Ok(());
+        }
+        match outcome {
+            ChangeOutcome::Accepted { .. } => {
+                if let Some(active) = caller.in_progress.take() {
+                    caller.acknowledged = active;
+                }
+            }
+            ChangeOutcome::Conflict { revision, .. } => self.send(request.caller, revision),
+            ChangeOutcome::Refused { reason } => return Err(format!("refused: {reason}")),
+        }
+        Ok(())
+    }
+
+    fn take_in_flight(&mut self, pick: u16) -> Option<Request> {
+        let count = self.in_flight.len();
+        (count > 0).then(|| self.in_flight.remove(usize::from(pick) % count))
+    }
+
+    fn step(&mut self, step: Step) -> Result<(), String> {
+        match step {
+            Step::Order(pick, active) => {
+                let caller = usize::from(pick) % DATA_CENTRES;
+                self.callers[caller].in_progress.get_or_insert(active);
+                self.send(caller, self.state.revision);
+            }
+            Step::Deliver(pick) => {
+                let request = self.take_in_flight(pick);
+                self.uncommitted.extend(request);
+            }
+            Step::Duplicate(pick) => {
+                let request = self.take_in_flight(pick);
+                self.in_flight.extend(request.clone());
+                self.uncommitted.extend(request);
+            }
+            Step::Drop(pick) => {
+                self.take_in_flight(pick);
+            }
+            Step::Commit { loses_reply } => self.commit_first(loses_reply)?,
+            Step::Failover(kept) => {
+                self.uncommitted.truncate(kept.into());
+                // The new leader commits what it has and knows none of the callers.
+                while !self.uncommitted.is_empty() {
+                    self.commit_first(true)?;
+                }
+            }
+            Step::OtherChange => {
+                self.next_id += 1;
+                self.apply(ChangeRequest {
+                    change_id: format!("drain-{}", self.next_id).into(),
+                    who: "test".into(),
+                    expected_revision: None,
+                    change: Change::Drain {
+                        vm: "vm".into(),
+                        draining: true,
+                    },
+                });
+            }
+            Step::Update(pick) => {
+                let held = &mut self.gateways[usize::from(pick) % GATEWAYS];
+                if let Some(update) = self.history.update_from(held.revision) {
+                    *held = update.apply(held).map_err(|e| e.to_string())?;
+                }
+                if held.revision == self.state.revision && held.evacuated != self.state.evacuated {
+                    return Err(format!("a gateway has {:?}", held.evacuated));
+                }
+            }
+            Step::Restart => {
+                self.history = ConfigHistory::default();
+                self.history.record(view(&self.state));
+            }
+        }
+        self.check()
+    }
+
+    fn check(&self) -> Result<(), String> {
+        for (i, caller) in self.callers.iter().enumerate() {
+            let is_evacuated = self.state.evacuated.contains(&data_centre(i));
+            if caller.in_progress.is_none() && is_evacuated != caller.acknowledged {
+                return Err(format!("dc{i} is evacuated: {is_evacuated}, {caller:?}"));
+            }
+        }
+        Ok(())
+    }
+}
+
+fn run(steps: &[Step], ignores_revision: bool) -> Result<(), String> {
+    let mut world = World::new(ignores_revision);
+    steps.iter().try_for_each(|&step| world.step(step))
+}
+
+#[test]
+fn acknowledged_order_holds_until_the_next_one_for_its_data_centre() {
+    assert_holds(200, 600, |steps: &[Step]| run(steps, false));
+}
+
+/// An order that applies to any revision is undone or redone by a late copy of an earlier one.
+#[test]
+fn finds_late_copy_of_an_order_that_applies_to_any_revision() {
+    assert_finds_fault("any revision", 200, FAULT_SCHEDULES, |steps: &[Step]| {
+        run(steps, true)
+    });
+}
--- a/tests/fuzz/main.rs
+++ b/tests/fuzz/main.rs
@@ -8,6 +8,7 @@
 mod admission;
 mod agreement;
 mod config_update;
+mod evacuation;
 mod lease;
 mod ledger;
 mod rollout;
--- /dev/null
+++ b/tests/process/evacuation.rs
@@ -0,0 +1,221 @@
+//! Evacuation of data centres: the whole path from the order to the upstreams, through a restart of
+//! everything.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Barrier;
+use std::thread;
+use std::time::Duration;
+
+use serde_json::json;
+
+use crate::gateway::ROUTES;
+use crate::gateway::announce_in;
+use crate::gateway::send_heartbeat;
+use crate::support::AUTH_HEADER;
+use crate::support::Cluster;
+use crate::support::INVENTORY;
+use crate::support::Program;
+use crate::support::Response;
+use crate::support::Upstream;
+use crate::support::chunk;
+use crate::support::eventually;
+use crate::support::ok_response;
+use crate::support::send;
+use crate::support::sse_event;
+use crate::support::stream_response_head;
+use crate::support::write;
+
+/// Longest time from the acknowledgement of an order until it is in force.
+const IN_FORCE: Duration = Duration::from_secs(5);
+
+const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Requests sent to see which data centre they reach.
+const SAMPLE: usize = 30;
+
+/// A cluster of three replicas and a gateway in front of one upstream in each of two data centres.
+struct Setup {
+    cluster: Cluster,
+    gateway: Program,
+    address: SocketAddr,
+    upstreams: [Upstream; 2],
+    /// The upstreams send heartbeats until it is dropped.
+    _is_running: Arc<()>,
+}
+
+fn call(address: SocketAddr, path: &str, id: &str) -> Option<Response> {
+    let headers = [
+        AUTH_HEADER,
+        ("host", "previews.example"),
+        ("daisyquay-attempt", id),
+        ("daisyquay-deadline-ms", "60000"),
+    ];
+    send("POST", address, path, &headers, "")
+}
+
+impl Setup {
+    /// Streams send their second half only after `gate` was passed.
+    fn new(gate: &Arc<Barrier>) -> Self {
+        let upstreams = [(), ()].map(|()| {
+            let gate = gate.clone();
+            Upstream::start(move |request, out| {
+                if !request.request_line.contains("/notes/") {
+                    return write(out, &ok_response(request, "ok"));
+                }
+                write(out, &stream_response_head(request));
+                write(out, &chunk(&sse_event(1)));
+                gate.wait();
+                write(out, &chunk(&sse_event(2))) && write(out, "0\r\n\r\n")
+            })
+        });
+        let cluster = Cluster::start(3, 1);
+        let inventory = format!("{INVENTORY}{ROUTES}")
+            .replace("gap_ms = 400", "gap_ms = 60000")
+            .replace("timeout_ms = 8000", "timeout_ms = 60000");
+        cluster.apply(&inventory, &["--change-id", "first"]);
+        for (i, upstream) in upstreams.iter().enumerate() {
+            let data_centre = format!("dc{}", i + 1);
+            announce_in(&cluster, &data_centre, &format!("u{i}"), upstream.address);
+        }
+        let is_running = Arc::new(());
+        for (i, upstream) in upstreams.iter().enumerate() {
+            let is_running = Arc::downgrade(&is_running);
+            let (entry, address) = (cluster.entry_addresses[0], upstream.address);
+            thread::spawn(move || {
+                while is_running.upgrade().is_some() {
+                    thread::sleep(HEARTBEAT_INTERVAL);
+                    send_heartbeat(entry, &format!("dc{}", i + 1), &format!("u{i}"), address);
+                }
+            });
+        }
+        let (gateway, address) = cluster.start_gateway();
+        let setup = Self {
+            _is_running: is_running,
+            cluster,
+            gateway,
+            address,
+            upstreams,
+        };
+        setup.wait_until_served();
+        setup
+    }
+
+    fn wait_until_served(&self) {
+        eventually("a request is served", || {
+            let response = call(self.address, "/lookup/a", "probe")?;
+            (response.status == 200).then_some(())
+        });
+    }
+
+    fn order(&self, action: &str, data_centre: &str) -> String {
+        let output = self.cluster.run_cli(&["evacuate", action, data_centre]);
+        let text = String::from_utf8_lossy(&output.stdout).into_owned()
+            + &String::from_utf8_lossy(&output.stderr);
+        assert!(output.status.success(), "{text}");
+        text
+    }
+
+    /// Returns how many of `SAMPLE` requests reach each data centre.
+    fn sample(&self) -> [usize; 2] {
+        let before = self.upstreams.each_ref().map(|u| u.received().len());
+        for i in 0..SAMPLE {
+            let response = call(self.address, "/lookup/a", &format!("sample-{i}")).unwrap();
+            assert_eq!(response.status, 200, "{}", response.body);
+        }
+        let after = self.upstreams.each_ref().map(|u| u.received().len());
+        [after[0] - before[0], after[1] - before[1]]
+    }
+
+    fn wait_until_only(&self, data_centre: usize) {
+        eventually("requests reach one data centre only", || {
+            (self.sample()[1 - data_centre] == 0).then_some(())
+        });
+    }
+}
+
+/// Guards against an evacuation that cuts off running streams, lets a request through, or is
+/// forgotten when all replicas or the gateway start anew.
+#[test]
+fn evacuated_data_centre_gets_no_request_until_the_evacuation_is_finished() {
+    let gate = Arc::new(Barrier::new(2));
+    let mut setup = Setup::new(&gate);
+    // The gateway prefers its own data centre.
+    assert_eq!(setup.sample(), [SAMPLE, 0]);
+    let address = setup.address;
+    let stream = thread::spawn(move || call(address, "/notes/a", "stream"));
+    eventually("the stream runs in dc1", || {
+        let received = setup.upstreams[0].received();
+        received
+            .iter()
+            .any(|request| request.attempt_id() == "stream")
+            .then_some(())
+    });
+    setup.order("begin", "dc1");
+    thread::sleep(IN_FORCE);
+    assert_eq!(setup.sample(), [0, SAMPLE]);
+    gate.wait();
+    let response = stream.join().unwrap().unwrap();
+    assert_eq!(response.body, format!("{}{}", sse_event(1), sse_event(2)));
+    assert!(!response.is_truncated);
+
+    for replica in &mut setup.cluster.replicas {
+        replica.kill();
+    }
+    setup.gateway.kill();
+    for i in 0..3 {
+        setup.cluster.replicas[i] = setup.cluster.start_replica(i);
+    }
+    setup.gateway = setup.cluster.start_gateway_at(setup.address);
+    setup.wait_until_served();
+    assert_eq!(setup.sample(), [0, SAMPLE]);
+    let status = eventually("there is a leader", || {
+        let status = setup.cluster.show("status");
+        status.is_object().then_some(status)
+    });
+    assert_eq!(status["evacuated"], json!(["dc1"]));
+
+    setup.order("finish", "dc1");
+    setup.wait_until_only(0);
+}
+
+/// Guards against requests that wait for their deadline, or are sent all the same, while no data
+/// centre may serve them, and against callers that all retry at the same moment.
+#[test]
+fn refuses_requests_at_once_while_all_upstreams_are_evacuated() {
+    let setup = Setup::new(&Arc::new(Barrier::new(1)));
+    setup.order("begin", "dc1");
+    setup.order("begin", "dc2");
+    let unchanged = setup.order("begin", "dc2");
+    assert!(unchanged.contains("revision 3"), "{unchanged}");
+    thread::sleep(IN_FORCE);
+    let before = setup.upstreams.each_ref().map(|u| u.received().len());
+    let mut waits = Vec::new();
+    for i in 0..SAMPLE {
+        let start = std::time::Instant::now();
+        let response = call(setup.address, "/lookup/a", &format!("r{i}")).unwrap();
+        assert!(start.elapsed() < Duration::from_millis(500));
+        assert_eq!(response.status, 503);
+        assert_eq!(response.json()["error"]["code"], "evacuated");
+        waits.push(response.header("retry-after").parse().unwrap());
+    }
+    assert!(waits.iter().all(|wait: &f64| (1.0..=2.0).contains(wait)));
+    waits.sort_by(f64::total_cmp);
+    waits.dedup();
+    assert!(waits.len() > SAMPLE / 2, "{waits:?}");
+    assert_eq!(
+        setup.upstreams.each_ref().map(|u| u.received().len()),
+        before
+    );
+    let unknown = setup.cluster.run_cli(&["evacuate", "begin", "dc9"]);
+    let text = String::from_utf8_lossy(&unknown.stdout).into_owned()
+        + &String::from_utf8_lossy(&unknown.stderr);
+    assert!(!unknown.status.success());
+    assert!(
+        text.contains("dc9") && text.contains("--data-centres"),
+        "{text}"
+    );
+    setup.order("finish", "dc2");
+    setup.wait_until_served();
+    setup.wait_until_only(1);
+}
--- a/tests/process/gateway.rs
+++ b/tests/process/gateway.rs
@@ -110,20 +110,34 @@
 }
 
 pub(crate) fn announce(cluster: &Cluster, id: &str, address: SocketAddr) {
+    announce_in(cluster, "dc1", id, address);
+}
+
+pub(crate) fn announce_in(cluster: &Cluster, data_centre: &str, id: &str, address: SocketAddr) {
+    eventually("the upstream is announced", || {
+        let entry = cluster.entry_addresses[0];
+        send_heartbeat(entry, data_centre, id, address).then_some(())
+    });
+}
+
+/// Announces an upstream once; returns whether that was accepted.
+pub(crate) fn send_heartbeat(
+    entry: SocketAddr,
+    data_centre: &str,
+    id: &str,
+    address: SocketAddr,
+) -> bool {
     let body = json!({
         "id": id,
         "incarnation": 1,
         "address": address.to_string(),
-        "data_centre": "dc1",
+        "data_centre": data_centre,
         "serves": { "service": "previews" },
         "slots": 8,
     });
     let headers = [("authorization", "Bearer dev-upstream-key")];
-    eventually("the upstream is announced", || {
-        let entry = cluster.entry_addresses[0];
-        let reply = post(entry, "/upstream/announce", &headers, &body.to_string())?;
-        (reply.status == 204).then_some(())
-    });
+    post(entry, "/upstream/announce", &headers, &body.to_string())
+        .is_some_and(|reply| reply.status == 204)
 }
 
 #[test]
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -4,6 +4,7 @@
 
 mod backpressure;
 mod directory;
+mod evacuation;
 mod failures;
 mod framing;
 mod gateway;
--- a/tests/state/main.rs
+++ b/tests/state/main.rs
@@ -4,6 +4,7 @@
 
 mod announcements;
 mod documents;
+mod evacuations;
 mod releases;
 
 use daisyquay::config::Inventory;
