--- a/src/replica/leader_state.rs
+++ b/src/replica/leader_state.rs
@@ -166,7 +166,7 @@
                 observed.stage = rollout.stage;
             }
             let in_stage = now.saturating_sub(observed.stage_since);
-            let ready = has_enough_upstreams(state, service, &rollout.target);
+            let ready = state.has_enough_upstreams(service, &rollout.target);
             let verdict = release_rollout::evaluate(rollout, &observed.evidence, in_stage, ready);
             verdicts.push((service.clone(), rollout.target.clone(), verdict));
         }
@@ -351,25 +351,6 @@
     }
 }
 
-/// Returns whether the new release has at least half as many upstreams as the service's other
-/// releases together. Upstreams in evacuated data centres don't count.
-fn has_enough_upstreams(state: &State, service: &Name, target: &Name) -> bool {
-    let (mut new, mut old) = (0_usize, 0_usize);
-    for announced in state.directory.live() {
-        if !matches!(&announced.serves, Serves::Service(name) if name == service)
-            || state.is_evacuated(&announced.data_centre)
-        {
-            continue;
-        }
-        if announced.release.as_ref() == Some(target) {
-            new += 1;
-        } else {
-            old += 1;
-        }
-    }
-    new > 0 && 2 * new >= old
-}
-
 fn slots_by_target(state: &State) -> BTreeMap<Target, u64> {
     let mut slots = BTreeMap::new();
     let live = state.directory.live();
--- a/src/state/tables.rs
+++ b/src/state/tables.rs
@@ -20,6 +20,7 @@
 use crate::policy::quality::QualityTable;
 use crate::policy::version_rollout::Evidence;
 use crate::upstream::Directory;
+use crate::upstream::Serves;
 
 /// Identity of one request, chosen by the entry that receives it; displayed as 32 hex digits.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
@@ -260,6 +261,25 @@
                 .any(|row| row.announced.data_centre == *data_centre)
     }
 
+    /// Returns whether the new release of a service has at least half as many upstreams as its other
+    /// releases together. Upstreams in evacuated data centres don't count.
+    pub fn has_enough_upstreams(&self, service: &Name, target: &Name) -> bool {
+        let (mut new, mut old) = (0_usize, 0_usize);
+        for announced in self.directory.live() {
+            if !matches!(&announced.serves, Serves::Service(name) if name == service)
+                || self.is_evacuated(&announced.data_centre)
+            {
+                continue;
+            }
+            if announced.release.as_ref() == Some(target) {
+                new += 1;
+            } else {
+                old += 1;
+            }
+        }
+        new > 0 && 2 * new >= old
+    }
+
     /// Iterates over the open claims in no particular order.
     pub fn open_claims(&self) -> impl Iterator<Item = &Claim> + '_ {
         self.claims.values().map(|open| &open.claim)
--- a/tests/process/soak.rs
+++ b/tests/process/soak.rs
@@ -17,8 +17,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use serde_json::json;
+
 use crate::gateway::ROUTES;
-use crate::gateway::announce;
+use crate::gateway::announce_in;
 use crate::support::AUTH_HEADER;
 use crate::support::Cluster;
 use crate::support::INVENTORY;
@@ -50,6 +52,15 @@
 const GATEWAYS: usize = 2;
 const REPLICAS: usize = 3;
 
+/// Data centre of the gateways, which is evacuated at times.
+const EVACUATED_DATA_CENTRE: &str = "dc1";
+
+/// Upstreams in that data centre; the others are in another one.
+const LOCAL_UPSTREAMS: usize = 2;
+
+/// Longest time from the acknowledgement of an evacuation until it is in force.
+const EVACUATION_LIMIT: Duration = Duration::from_secs(5);
+
 /// Events of a complete stream.
 const EVENTS: u64 = 12;
 
@@ -60,6 +71,8 @@
     is_healthy: AtomicBool,
     /// Ids of requests that an upstream rejected as not run, one entry for each rejection.
     rejected: Mutex<Vec<String>>,
+    /// When each request arrived at an upstream in [`EVACUATED_DATA_CENTRE`], with its id.
+    arrivals: Mutex<Vec<(Instant, String)>>,
 }
 
 /// Serves a request, or fails in a random way. The response to a request has its id as the body.
@@ -198,6 +211,12 @@
     /// Proxies between the gateways and the upstreams.
     upstream_proxies: Vec<PartitionProxy>,
     gateways: Vec<(Program, SocketAddr)>,
+    /// Decides on evacuations, apart from the faults, so that these stay the same for a seed.
+    evacuation_rng: fastrand::Rng,
+    /// Evacuations: when the begin was acknowledged, and when the finish was sent.
+    evacuations: Vec<(Instant, Option<Instant>)>,
+    /// Number of acknowledged orders.
+    orders: u64,
 }
 
 impl Soak {
@@ -244,6 +263,45 @@
         }
     }
 
+    /// Begins an evacuation, or finishes the one in force.
+    fn toggle_evacuation(&mut self) {
+        let is_active = matches!(self.evacuations.last(), Some((_, None)));
+        let action = if is_active { "finish" } else { "begin" };
+        let id = format!("order-{}", self.orders);
+        let sent_at = Instant::now();
+        eventually("an order to evacuate is acknowledged", || {
+            let args = [
+                "evacuate",
+                action,
+                EVACUATED_DATA_CENTRE,
+                "--change-id",
+                &id,
+            ];
+            let output = self.cluster.run_cli(&args);
+            output.status.success().then_some(())
+        });
+        self.orders += 1;
+        match self.evacuations.last_mut() {
+            Some((_, end)) if is_active => *end = Some(sent_at),
+            _ => self.evacuations.push((Instant::now(), None)),
+        }
+    }
+
+    /// Adds the requests that reached the evacuated data centre as violations.
+    fn check_evacuations(&self, arrivals: &[(Instant, String)], results: &Results) {
+        for &(begin, end) in &self.evacuations {
+            for (arrived_at, id) in arrivals {
+                if *arrived_at > begin + EVACUATION_LIMIT && end.is_none_or(|end| *arrived_at < end)
+                {
+                    let late = arrived_at.duration_since(begin);
+                    results.add_violation(format!(
+                        "{id}: reached {EVACUATED_DATA_CENTRE} {late:?} after its evacuation"
+                    ));
+                }
+            }
+        }
+    }
+
     /// Ends gateway `i` by `end` and starts it again at the same address after `pause`.
     fn restart_gateway(&mut self, i: usize, pause: Duration, end: impl FnOnce(&mut Program)) {
         let address = self.gateways[i].1;
@@ -259,11 +317,18 @@
         rng: Mutex::new(fastrand::Rng::with_seed(seed)),
         is_healthy: AtomicBool::new(false),
         rejected: Mutex::default(),
+        arrivals: Mutex::default(),
     });
     let upstreams: Vec<Upstream> = (0..UPSTREAMS)
-        .map(|_| {
+        .map(|i| {
             let shared = shared.clone();
-            Upstream::start(move |request, out| serve(request, out, &shared))
+            Upstream::start(move |request, out| {
+                if i < LOCAL_UPSTREAMS {
+                    let arrival = (Instant::now(), request.attempt_id().to_owned());
+                    shared.arrivals.lock().unwrap().push(arrival);
+                }
+                serve(request, out, &shared)
+            })
         })
         .collect();
     let cluster = Cluster::start(REPLICAS, 1);
@@ -273,7 +338,12 @@
         .map(|u| PartitionProxy::start(u.address))
         .collect();
     for (i, proxy) in upstream_proxies.iter().enumerate() {
-        announce(&cluster, &format!("u{i}"), proxy.address);
+        let data_centre = if i < LOCAL_UPSTREAMS {
+            EVACUATED_DATA_CENTRE
+        } else {
+            "dc2"
+        };
+        announce_in(&cluster, data_centre, &format!("u{i}"), proxy.address);
     }
     let gateways: Vec<_> = (0..GATEWAYS).map(|_| cluster.start_gateway()).collect();
     let addresses: Vec<SocketAddr> = gateways.iter().map(|(_, address)| *address).collect();
@@ -282,6 +352,9 @@
         cluster,
         upstream_proxies,
         gateways,
+        evacuation_rng: fastrand::Rng::with_seed(!seed),
+        evacuations: Vec::new(),
+        orders: 0,
     };
     let results = Results::default();
     let (next_number, stop) = (AtomicU64::new(0), AtomicBool::new(false));
@@ -296,8 +369,15 @@
             });
         }
         let faults_end = Instant::now() + FAULT_PERIOD;
+        // A long evacuation in half of the seeds, short ones in all.
+        if soak.evacuation_rng.bool() {
+            soak.toggle_evacuation();
+        }
         while Instant::now() < faults_end {
             soak.inject_fault();
+            if soak.evacuation_rng.u8(..10) == 0 {
+                soak.toggle_evacuation();
+            }
             thread::sleep(Duration::from_millis(soak.rng.u64(..400)));
         }
         shared.is_healthy.store(true, Ordering::SeqCst);
@@ -308,10 +388,19 @@
         stop.store(true, Ordering::SeqCst);
     });
     check_runs(&upstreams, &shared, &results);
-    let revision = soak.cluster.show("status")["revision"].as_u64();
-    if revision != Some(1) {
+    soak.check_evacuations(&shared.arrivals.lock().unwrap(), &results);
+    let status = soak.cluster.show("status");
+    let (revision, expected) = (status["revision"].as_u64(), 1 + soak.orders);
+    if revision != Some(expected) {
+        results.add_violation(format!(
+            "revision {expected} was accepted, but the status reports {revision:?}"
+        ));
+    }
+    let is_active = matches!(soak.evacuations.last(), Some((_, None)));
+    if (status["evacuated"] == json!([EVACUATED_DATA_CENTRE])) != is_active {
         results.add_violation(format!(
-            "revision 1 was accepted, but the status reports {revision:?}"
+            "evacuated: {is_active}, but the status reports {}",
+            status["evacuated"]
         ));
     }
     results.violations.into_inner().unwrap()
--- a/tests/state/evacuations.rs
+++ b/tests/state/evacuations.rs
@@ -1,11 +1,17 @@
 //! Orders to evacuate data centres.
 
+use std::sync::Arc;
+
 use daisyquay::collections::Name;
 use daisyquay::state::command::Change;
 use daisyquay::state::command::ChangeOutcome;
 use daisyquay::state::command::EVACUATED_LIMIT;
+use daisyquay::state::command::Op;
+use daisyquay::upstream::Announcement;
+use daisyquay::upstream::Serves;
 
 use crate::Machine;
+use crate::inventory;
 
 fn order(data_centre: &str, active: bool) -> Change {
     Change::Evacuate {
@@ -68,3 +74,54 @@
     let accepted = machine.change("again", order("one-more", true));
     assert!(matches!(accepted, ChangeOutcome::Accepted { .. }));
 }
+
+fn announce(machine: &mut Machine, number: u8, data_centre: &str, release: &str) {
+    machine.apply(Op::Announce(Announcement {
+        id: format!("u{number}").into(),
+        incarnation: 1,
+        address: format!("10.0.0.{number}:80").parse().unwrap(),
+        data_centre: data_centre.into(),
+        serves: Serves::Service("notes".into()),
+        slots: 4,
+        fences_orders: false,
+        release: Some(release.into()),
+        started_ms: None,
+        draining: false,
+        cold_ms: 0,
+    }));
+}
+
+/// Guards against a rollout that goes on, or waits, because of upstreams that get no requests.
+#[test]
+fn upstreams_in_an_evacuated_data_centre_count_neither_for_nor_against_a_release() {
+    let mut machine = Machine::default();
+    machine.change("a", Change::Apply(Arc::new(inventory(&["notes"]))));
+    for number in 1..=4 {
+        announce(&mut machine, number, "dc1", "v1");
+    }
+    announce(&mut machine, 5, "dc2", "v1");
+    announce(&mut machine, 6, "dc2", "v2");
+    let is_ready = |machine: &Machine| {
+        machine
+            .state
+            .has_enough_upstreams(&"notes".into(), &"v2".into())
+    };
+    assert!(!is_ready(&machine));
+    machine.change("b", order("dc1", true));
+    assert!(is_ready(&machine));
+    machine.change("c", order("dc2", true));
+    assert!(!is_ready(&machine));
+    machine.change("d", order("dc1", false));
+    assert!(!is_ready(&machine));
+}
+
+/// Guards against an evacuation that can't be finished once its upstreams are forgotten.
+#[test]
+fn data_centres_of_the_directory_and_evacuated_ones_are_known() {
+    let mut machine = Machine::default();
+    machine.change("a", Change::Apply(Arc::new(inventory(&["notes"]))));
+    announce(&mut machine, 1, "dc1", "v1");
+    machine.change("b", order("dc2", true));
+    let knows = |data_centre: &str| machine.state.knows_data_centre(&data_centre.into());
+    assert_eq!(["dc1", "dc2", "dc3"].map(knows), [true, true, false]);
+}
