--- a/tests/cli/main.rs
+++ b/tests/cli/main.rs
@@ -157,7 +157,7 @@
 #[test]
 fn help_texts_match_snapshot() {
     let mut text = format_output(&operator(&["--help"], ""));
-    for command in ["apply", "rollout", "show", "drain", "audit"] {
+    for command in ["apply", "rollout", "show", "drain", "evacuate", "audit"] {
         text.push_str(&format_output(&operator(&[command, "--help"], "")));
     }
     insta::assert_snapshot!(text);
