--- a/src/cli/entry.rs
+++ b/src/cli/entry.rs
@@ -12,6 +12,7 @@
 use super::parse_seconds;
 use super::peer_key_arg;
 use super::program;
+use super::regions_arg;
 use super::required;
 use super::values;
 use crate::entry::Config;
@@ -49,6 +50,7 @@
         "DAISYQUAY_DATA_CENTRE",
         "Data centre of this VM",
     ))
+    .arg(regions_arg())
     .arg(address_list_arg(
         "state",
         "DAISYQUAY_STATE",
@@ -150,6 +152,7 @@
         admin_listen: required(matches, "admin-listen"),
         vm: required(matches, "vm"),
         data_centre: required(matches, "data-centre"),
+        regions: required(matches, "regions"),
         state: values(matches, "state"),
         peer_key: required(matches, "peer-key"),
         rater: optional(matches, "rater"),
--- a/src/cli/gateway.rs
+++ b/src/cli/gateway.rs
@@ -12,10 +12,10 @@
 use super::address_list_arg;
 use super::optional;
 use super::parse_name;
-use super::parse_regions;
 use super::parse_seconds;
 use super::peer_key_arg;
 use super::program;
+use super::regions_arg;
 use super::required;
 use super::values;
 use crate::collections::Name;
@@ -115,15 +115,7 @@
             .default_value("off")
             .help("Whether requests wait here, most urgent first, while no upstream has room"),
     )
-    .arg(
-        Arg::new("regions")
-            .long("regions")
-            .env("DAISYQUAY_REGIONS")
-            .value_name("DATA_CENTRE=REGION,...")
-            .value_parser(parse_regions)
-            .default_value("")
-            .help("Region of each data centre; others are regions of their own name"),
-    )
+    .arg(regions_arg())
 }
 
 /// The settings resolved from the command line, the environment and defaults.
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -92,6 +92,16 @@
         .help("Shared key that daisyquay's processes authenticate with, at least 8 characters")
 }
 
+fn regions_arg() -> Arg {
+    Arg::new("regions")
+        .long("regions")
+        .env("DAISYQUAY_REGIONS")
+        .value_name("DATA_CENTRE=REGION,...")
+        .value_parser(parse_regions)
+        .default_value("")
+        .help("Region of each data centre; others are regions of their own name")
+}
+
 fn parse_address(text: &str) -> Result<SocketAddr, String> {
     text.parse()
         .map_err(|_| "write an IP address and a port, for example 10.0.0.7:7400".to_owned())
--- a/src/config/check.rs
+++ b/src/config/check.rs
@@ -5,6 +5,7 @@
 use super::Inventory;
 use super::Route;
 use super::VersionName;
+use crate::collections::Name;
 
 /// Largest inventory file.
 const MAX_FILE_BYTES: usize = 4 * 1024 * 1024;
@@ -15,6 +16,9 @@
 /// Highest price of a thousand tokens.
 const MAX_COST: f64 = 1e6;
 
+/// Most regions that one list may name.
+const MAX_REGIONS: usize = 256;
+
 /// Longest timeout of a route: one day.
 const MAX_TIMEOUT_MS: u64 = 86_400_000;
 
@@ -78,6 +82,21 @@
         }
     }
 
+    fn check_regions(&mut self, place: &str, regions: &[Name]) {
+        if regions.len() > MAX_REGIONS {
+            let text = format!("more than {MAX_REGIONS} regions; list fewer, or none for any");
+            self.report(place, &text);
+        }
+        let mut seen = BTreeSet::new();
+        for region in regions {
+            let place = format!("{place}: region `{region}`");
+            self.check_name(&place, region);
+            if !seen.insert(region) {
+                self.report(&place, "is listed more than once; list it once");
+            }
+        }
+    }
+
     fn check_unique_names<'a>(&mut self, kind: &str, names: impl Iterator<Item = &'a str>) {
         let mut seen = BTreeSet::new();
         for name in names {
@@ -193,6 +212,7 @@
                 "the weights of its services add up to 0; set one above 0",
             );
         }
+        self.check_regions(place, &route.regions);
         for split in &route.split {
             if inventory.service(&split.service).is_none() {
                 let text = format!(
@@ -219,6 +239,7 @@
             if !(1..=MAX_WEIGHT).contains(&organisation.weight) {
                 self.report(&place, "weight is out of range; write 1 to 1000000");
             }
+            self.check_regions(&place, &organisation.regions);
             if organisation.key_sha256.is_empty() {
                 self.report(&place, "has no key; add one to key_sha256");
             }
--- a/src/dev.rs
+++ b/src/dev.rs
@@ -8,6 +8,7 @@
 
 use crate::agreement::Settings;
 use crate::clock::System;
+use crate::collections::HashMap;
 use crate::config;
 use crate::config::KeyHash;
 use crate::entry;
@@ -73,6 +74,7 @@
         admin_listen: free_address()?,
         vm: "dev".into(),
         data_centre: "dc1".into(),
+        regions: HashMap::default(),
         state: vec![state_address],
         peer_key: PEER_KEY.to_owned(),
         rater: Some(rater),
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -37,6 +37,7 @@
 pub(crate) use self::view::View;
 
 use crate::clock::Clock;
+use crate::collections::HashMap;
 use crate::collections::Name;
 use crate::engine::HttpEngine;
 use crate::log::event;
@@ -66,6 +67,8 @@
     pub vm: Name,
     /// This VM's data centre.
     pub data_centre: Name,
+    /// Region of each data centre; one that is not listed is a region of its own name.
+    pub regions: HashMap<Name, Name>,
     /// Peer listeners of the state replicas.
     pub state: Vec<SocketAddr>,
     /// Shared secret that authenticates daisyquay's processes to each other.
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -67,6 +67,11 @@
         self.config.evacuated.contains(&upstream.data_centre)
     }
 
+    /// Returns whether `target` has live upstreams, in evacuated data centres or elsewhere.
+    pub(crate) fn has_upstreams(&self, target: &Target) -> bool {
+        self.upstreams.contains_key(target)
+    }
+
     /// Returns whether `target` has live upstreams, all of them in evacuated data centres.
     pub(crate) fn is_target_evacuated(&self, target: &Target) -> bool {
         self.upstreams.get(target).is_some_and(Vec::is_empty)
--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -54,6 +54,10 @@
             "all upstreams of its service were in evacuated data centres in the gateway's \
              configuration, revision {revision}"
         ),
+        "no_upstream_in_region" => {
+            "no upstream of its service is in a region that its route and its organisation permit"
+                .to_owned()
+        }
         "stopping" => "its gateway was shutting down".to_owned(),
         "no_upstream" => {
             let not_placed = lines.iter().rfind(|line| line.event == "not_placed");
--- a/src/explain/explanation.rs
+++ b/src/explain/explanation.rs
@@ -12,13 +12,15 @@
 const CONTEXT_WINDOW_MS: u64 = 2_000;
 
 /// Events of the request's own gateway that can explain its decisions: start and shutdown, lost and
-/// restored contact with the state replicas, new configurations.
-const GATEWAY_EVENTS: [&str; 5] = [
+/// restored contact with the state replicas, new configurations, evacuations.
+const GATEWAY_EVENTS: [&str; 7] = [
     "gateway_start",
     "gateway_leaving",
     "state_lost",
     "state_found",
     "config_taken",
+    "evacuation_in_force",
+    "evacuation_ended",
 ];
 
 /// Events of any process that affect all gateways.
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -20,12 +20,14 @@
 use super::refusal::Refusal;
 use super::routing::RoutingTable;
 use crate::collections::Name;
+use crate::config::Organisation;
 use crate::config::Route;
 use crate::listen;
 use crate::listen::BodyError;
 use crate::policy::fingerprint::Fingerprints;
 use crate::policy::placement::stable_hash;
 use crate::policy::prompt::Prompt;
+use crate::policy::regions::PermittedRegions;
 
 /// Upper bound on the deadline that a caller may request: one day.
 const MAX_DEADLINE: Duration = Duration::from_secs(86_400);
@@ -38,6 +40,8 @@
     pub(super) route: Arc<Route>,
     /// Organisation and its rank, 0 for the most urgent; `None` for an anonymous caller.
     pub(super) organisation: Option<(Name, u32)>,
+    /// Regions in which the request may run.
+    pub(super) regions: PermittedRegions,
     pub(super) method: Method,
     host: Name,
     /// Path and query, forwarded as received.
@@ -115,7 +119,12 @@
             ),
             session: header_text(req, &names.session).map(Into::into),
             headers: forwarded_headers(names, req, gateway_chooses_model),
-            organisation,
+            regions: PermittedRegions::new(
+                &route.regions,
+                organisation.map_or(&[][..], |organisation| &organisation.regions),
+            ),
+            organisation: organisation
+                .map(|organisation| (organisation.name.clone(), organisation.rank)),
             method,
             host: host.into(),
             path_and_query: path_and_query.into(),
@@ -184,18 +193,18 @@
     req.headers().get(name)?.to_str().ok()
 }
 
-fn organisation(
-    routing: &RoutingTable,
+fn organisation<'a>(
+    routing: &'a RoutingTable,
     names: &HeaderNames,
     req: &Request,
     route: &Route,
-) -> Result<Option<(Name, u32)>, Refusal> {
+) -> Result<Option<&'a Organisation>, Refusal> {
     let key = header_text(req, &header::AUTHORIZATION)
         .and_then(|value| value.strip_prefix(names.auth_scheme))
         .map(str::trim);
     let found = key.and_then(|key| routing.organisation(key));
     match found {
-        Some(organisation) => Ok(Some((organisation.name.clone(), organisation.rank))),
+        Some(organisation) => Ok(Some(organisation)),
         None if route.anonymous => Ok(None),
         None => {
             let message = format!(
--- a/src/gateway/exchange/choose.rs
+++ b/src/gateway/exchange/choose.rs
@@ -67,6 +67,7 @@
         let mut backlogs: Vec<u64> = pool
             .upstreams
             .iter()
+            .filter(|upstream| self.permits(upstream))
             .map(|upstream| upstreams.placement_candidate(upstream, &context, false))
             .filter(|candidate| !candidate.is_suspect && !candidate.is_blocked)
             .filter(|candidate| candidate.circuit != Circuit::Open)
@@ -148,6 +149,7 @@
                 .upstreams
                 .iter()
                 .filter(|upstream| wants_new.is_none_or(|new| new == upstream.is_new))
+                .filter(|upstream| self.permits(upstream))
                 .collect();
             let candidates: Vec<Candidate> = eligible
                 .iter()
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 //! state replicas. While no replica can be reached, the gateway keeps routing by the last ones that
 //! it received, so that an outage of the replicas does not affect callers.
 
+mod addresses;
 mod admin;
 mod attempt;
 mod backpressure;
@@ -176,12 +177,6 @@
         self.gateway.is_ready()
     }
 
-    /// Returns the gateways to which callers in `data_centre` should connect: those in that data
-    /// centre, or all if it has none.
-    pub fn addresses(&self, data_centre: &str) -> Vec<SocketAddr> {
-        self.gateway.addresses(data_centre)
-    }
-
     /// Waits for SIGTERM or SIGINT, then drains open requests until all have ended or the stop
     /// limit has passed.
     pub async fn wait_for_shutdown(self) {
@@ -311,28 +306,6 @@
         self.draining_since.get().is_some()
     }
 
-    fn addresses(&self, data_centre: &str) -> Vec<SocketAddr> {
-        let routing = self.routing();
-        let entries = routing
-            .entries
-            .iter()
-            .filter(|info| !(self.is_draining() && info.address == self.info.address));
-        let local: Vec<SocketAddr> = entries
-            .clone()
-            .filter(|info| *info.data_centre == *data_centre)
-            .map(|info| info.address)
-            .collect();
-        if !local.is_empty() {
-            return local;
-        }
-        let mut addresses: Vec<SocketAddr> = entries.map(|info| info.address).collect();
-        if addresses.is_empty() {
-            // An address that is about to stop is better for a caller than none.
-            addresses.push(self.info.address);
-        }
-        addresses
-    }
-
     /// Waits for the first configuration, up to [`CONFIG_WAIT_LIMIT`].
     async fn wait_for_config(&self) {
         let deadline = self.now() + CONFIG_WAIT_LIMIT;
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -217,9 +217,15 @@
         self.pools.get(service)
     }
 
-    /// Returns the route with the longest matching prefix. A host without a route is looked up
-    /// again without its port.
+    /// Returns the route with the longest matching prefix.
     pub(crate) fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let mut routes = self.host_routes(host)?.iter();
+        routes.find(|route| path.starts_with(&*route.prefix))
+    }
+
+    /// Returns the routes of a host, the longest prefix first. A host without a route is looked up
+    /// again without its port.
+    pub(crate) fn host_routes(&self, host: &str) -> Option<&[Arc<Route>]> {
         let lowercase;
         let host = if host.bytes().any(|b| b.is_ascii_uppercase()) {
             lowercase = host.to_ascii_lowercase();
@@ -230,8 +236,8 @@
         let routes = self.routes_by_host.get(host).or_else(|| {
             let (name, _port) = host.rsplit_once(':')?;
             self.routes_by_host.get(name)
-        })?;
-        routes.iter().find(|route| path.starts_with(&*route.prefix))
+        });
+        routes.map(Vec::as_slice)
     }
 
     /// Returns the organisation to which an API key belongs.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -17,6 +17,7 @@
 pub mod quality;
 pub mod quarantine;
 pub mod reachability;
+pub mod regions;
 pub mod release_rollout;
 pub mod retry;
 pub mod retry_budget;
--- a/src/relay/app.rs
+++ b/src/relay/app.rs
@@ -12,6 +12,7 @@
 use super::attempt::Attempts;
 use super::attempt::UpstreamRequest;
 use super::claim::OpenClaim;
+use super::eligible::Eligible;
 use crate::collections::Name;
 use crate::config::Organisation;
 use crate::entry::Ran;
@@ -19,6 +20,7 @@
 use crate::entry::Worker;
 use crate::entry::admission;
 use crate::policy::admission::Priority;
+use crate::policy::regions::PermittedRegions;
 use crate::state::Claim;
 use crate::state::RequestId;
 use crate::state::Target;
@@ -69,12 +71,9 @@
     let path_only = call.path.split('?').next().unwrap_or_default();
     let at_most_once = service.runs_at_most_once(call.method.as_str(), path_only);
     let target = Target::Service(call.service.clone());
-    if view.is_target_evacuated(&target) {
-        return Err(super::select::no_upstream_for(
-            &view,
-            &target,
-            worker.draw(),
-        ));
+    let eligible = Eligible::new(worker, &view, &call.organisation);
+    if eligible.is_barred(&target) {
+        return Err(eligible.refusal(&target));
     }
     let queue_ms = view.config.inventory.rules.queue_ms;
     let queue_deadline = (shared.now() + Duration::from_millis(queue_ms)).min(call.deadline);
@@ -89,6 +88,7 @@
     let upstream_request = UpstreamRequest {
         request_id: call.request_id,
         organisation: call.organisation.name.clone(),
+        regions: PermittedRegions::new(&[], &call.organisation.regions),
         target: target.clone(),
         method: call.method,
         path: call.path,
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -7,7 +7,7 @@
 use ntex::util::Bytes;
 
 use super::claim::OpenClaim;
-use super::select;
+use super::eligible::Eligible;
 use crate::collections::Name;
 use crate::engine::Attempt;
 use crate::engine::AttemptError;
@@ -18,6 +18,7 @@
 use crate::entry::Worker;
 use crate::log::event;
 use crate::policy::load_balancing;
+use crate::policy::regions::PermittedRegions;
 use crate::policy::retry;
 use crate::policy::retry::Execution;
 use crate::state::RequestId;
@@ -33,6 +34,8 @@
 pub(crate) struct UpstreamRequest {
     pub(crate) request_id: RequestId,
     pub(crate) organisation: Name,
+    /// Regions in which it may run.
+    pub(crate) regions: PermittedRegions,
     pub(crate) target: Target,
     pub(crate) method: http::Method,
     pub(crate) path: String,
@@ -89,7 +92,10 @@
     pub(crate) fn choose_upstream(&self) -> Result<Arc<Announcement>, Refusal> {
         let shared = &self.worker.shared;
         let view = shared.view();
-        let upstreams = view.upstreams(&self.upstream_request.target);
+        let target = &self.upstream_request.target;
+        let regions = self.upstream_request.regions.clone();
+        let eligible = Eligible::with_regions(self.worker, &view, regions);
+        let upstreams: Vec<&Arc<Announcement>> = eligible.upstreams(target).collect();
         let now = shared.now();
         let candidates: Vec<load_balancing::Candidate> = {
             let table = shared.upstreams.lock();
@@ -98,15 +104,14 @@
                 .map(|announced| table.candidate(announced, &shared.info.data_centre, now))
                 .collect()
         };
-        let mut rng = self.worker.rng.borrow_mut();
         let affinity_hash = self.upstream_request.affinity_hash;
-        load_balancing::choose(&candidates, affinity_hash, &self.tried_upstreams, &mut rng)
+        let chosen = {
+            let mut rng = self.worker.rng.borrow_mut();
+            load_balancing::choose(&candidates, affinity_hash, &self.tried_upstreams, &mut rng)
+        };
+        chosen
             .map(|i| upstreams[i].clone())
-            .ok_or_else(|| {
-                let target = &self.upstream_request.target;
-                let refusal = select::no_upstream_for(&view, target, rng.f64());
-                refusal.ran(self.ran())
-            })
+            .ok_or_else(|| eligible.refusal(target).ran(self.ran()))
     }
 
     /// Makes attempts, the first of them on `upstream`, until one returns a usable response head.
--- a/src/relay/chat.rs
+++ b/src/relay/chat.rs
@@ -29,6 +29,7 @@
 use crate::entry::admission;
 use crate::log::event;
 use crate::policy::plan::Plan;
+use crate::policy::regions::PermittedRegions;
 use crate::policy::retry::Execution;
 use crate::state::Target;
 use crate::state::command::Ending;
@@ -183,6 +184,7 @@
     UpstreamRequest {
         request_id: call.request_id,
         organisation: call.organisation.name.clone(),
+        regions: PermittedRegions::new(&[], &call.organisation.regions),
         target: Target::Version(version.clone()),
         method: http::Method::POST,
         path: CHAT_PATH.to_owned(),
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -5,6 +5,7 @@
 mod attempt;
 mod chat;
 mod claim;
+mod eligible;
 mod rating;
 mod request;
 mod select;
--- a/src/relay/select.rs
+++ b/src/relay/select.rs
@@ -5,6 +5,7 @@
 
 use ntex::http::StatusCode;
 
+use super::eligible::Eligible;
 use super::request::ChatCall;
 use crate::collections::Name;
 use crate::config::VersionName;
@@ -78,7 +79,7 @@
     let session: Name = format!("{}/{session}", call.model).into();
     let organisation = &call.organisation.name;
     if let Some(version) = shared.cached_pin(organisation, &session) {
-        return select_version(&view, call, version, None, worker.draw());
+        return select_version(worker, &view, call, version, None);
     }
     let proposed = propose(worker, &view, call, exclude_rollouts, false)?;
     let request = Request::Pin(PinRequest {
@@ -93,7 +94,7 @@
             moved_from,
         })) => {
             shared.cache_pin(organisation, &session, version.clone());
-            select_version(&shared.view(), call, version, moved_from, worker.draw())
+            select_version(worker, &shared.view(), call, version, moved_from)
         }
         Some(Reply::Pin(PinOutcome::Refused)) => {
             let message = "the selected version has just been withdrawn; retry the request";
@@ -111,21 +112,21 @@
     }
 }
 
-/// Selects `version` itself, if the organisation may use it and an upstream serves it. `draw` is a
-/// random number from 0 to 1 that spreads the retries of refused callers.
+/// Selects `version` itself, if the organisation may use it and an upstream serves it.
 fn select_version(
+    worker: &Worker,
     view: &View,
     call: &ChatCall,
     version: VersionName,
     moved_from: Option<VersionName>,
-    draw: f64,
 ) -> Result<Selection, Refusal> {
     if !call.organisation.allows_version(&version) {
         return Err(not_allowed(&version.to_string()));
     }
     let target = Target::Version(version.clone());
-    if view.upstreams(&target).is_empty() {
-        return Err(no_upstream_for(view, &target, draw));
+    let eligible = Eligible::new(worker, view, &call.organisation);
+    if !eligible.is_served(&target) {
+        return Err(eligible.refusal(&target));
     }
     let is_rollout = view
         .config
@@ -148,9 +149,9 @@
     may_cascade: bool,
 ) -> Result<Selection, Refusal> {
     if call.model.contains('@') {
-        return select_named(view, call, worker.draw());
+        return select_named(worker, view, call);
     }
-    let usable_versions = usable_versions(view, call, worker.draw())?;
+    let usable_versions = usable_versions(worker, view, call)?;
     if !exclude_rollouts && let Some(version) = sample_rollout(worker, view, call) {
         return Ok(Selection {
             is_rollout: true,
@@ -178,7 +179,7 @@
 }
 
 /// Selects the version that the caller named.
-fn select_named(view: &View, call: &ChatCall, draw: f64) -> Result<Selection, Refusal> {
+fn select_named(worker: &Worker, view: &View, call: &ChatCall) -> Result<Selection, Refusal> {
     let unknown = || model_not_found(&call.model);
     let version: VersionName = call.model.parse().map_err(|_| unknown())?;
     if view.config.inventory.version(&version).is_none() {
@@ -190,12 +191,16 @@
     if !view.config.is_available(&version) {
         return Err(withdrawn(&call.model));
     }
-    select_version(view, call, version, None, draw)
+    select_version(worker, view, call, version, None)
 }
 
 /// Returns the active versions that match the request's model, that the organisation may use and
 /// that at least one upstream serves.
-fn usable_versions(view: &View, call: &ChatCall, draw: f64) -> Result<Vec<VersionName>, Refusal> {
+fn usable_versions(
+    worker: &Worker,
+    view: &View,
+    call: &ChatCall,
+) -> Result<Vec<VersionName>, Refusal> {
     let inventory = &view.config.inventory;
     let in_scope = |name: &VersionName| &*call.model == "auto" || name.model == call.model;
     let scope: Vec<_> = inventory
@@ -222,20 +227,21 @@
     if active.is_empty() {
         return Err(withdrawn(&call.model));
     }
+    let eligible = Eligible::new(worker, view, &call.organisation);
     let targets: Vec<Target> = active.iter().cloned().map(Target::Version).collect();
     let served: Vec<VersionName> = active
         .into_iter()
         .zip(&targets)
-        .filter(|(_, target)| !view.upstreams(target).is_empty())
+        .filter(|(_, target)| eligible.is_served(target))
         .map(|(name, _)| name)
         .collect();
     if served.is_empty() {
-        let evacuated = targets
-            .iter()
-            .find(|target| view.is_target_evacuated(target));
-        return Err(evacuated.map_or_else(
+        // A version that is out of service by an order or a restriction explains more than one that
+        // has no upstream at all.
+        let explained = targets.iter().find(|target| eligible.is_barred(target));
+        return Err(explained.map_or_else(
             || no_upstream(&call.model),
-            |target| no_upstream_for(view, target, draw),
+            |target| eligible.refusal(target),
         ));
     }
     Ok(served)
@@ -245,6 +251,7 @@
 /// others.
 fn sample_rollout(worker: &Worker, view: &View, call: &ChatCall) -> Option<VersionName> {
     let draw = worker.draw();
+    let eligible = Eligible::new(worker, view, &call.organisation);
     let mut candidates = view
         .config
         .rollouts
@@ -257,9 +264,7 @@
         .find(|version| {
             call.organisation.allows_version(version)
                 && view.config.is_available(version)
-                && !view
-                    .upstreams(&Target::Version((*version).clone()))
-                    .is_empty()
+                && eligible.is_served(&Target::Version((*version).clone()))
         })
         .cloned()
 }
@@ -301,17 +306,3 @@
     let message = format!("no upstream serves `{model}` at the moment; retry the request");
     Refusal::unavailable("no_upstream", message)
 }
-
-/// Returns the refusal of a request to a target without a usable upstream.
-pub(super) fn no_upstream_for(view: &View, target: &Target, draw: f64) -> Refusal {
-    if !view.is_target_evacuated(target) {
-        return no_upstream(&target.to_string());
-    }
-    let message =
-        format!("all upstreams of `{target}` are in evacuated data centres; retry the request");
-    Refusal {
-        // The header has whole seconds; two values still keep callers from retrying all at once.
-        retry_after: Some(Duration::from_secs(if draw < 0.5 { 1 } else { 2 })),
-        ..Refusal::unavailable("evacuated", message)
-    }
-}
--- a/tests/cli/main.rs
+++ b/tests/cli/main.rs
@@ -113,6 +113,14 @@
             "two routes in one place",
             format!("{VALID}{}{}", route("one"), route("two")),
         ),
+        (
+            "bad regions",
+            VALID.replacen(
+                "quality_target = 0.6",
+                "quality_target = 0.6\nregions = [\"north\", \"north\", \"no region\"]",
+                1,
+            ) + &route("one").replace("split", "regions = [\"a\", \"\", \"a\"]\nsplit"),
+        ),
         ("not TOML", "[[organisations".to_owned()),
     ];
     let mut text = String::new();
--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -12,6 +12,7 @@
 mod prefill;
 mod quarantine;
 mod reachability;
+mod regions;
 mod release_rollout;
 mod retry_budget;
 mod sessions;
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -11,6 +11,7 @@
 mod golden;
 mod path;
 mod quarantine;
+mod regions;
 mod replacement;
 mod sessions;
 mod soak;
--- /dev/null
+++ b/tests/process/regions.rs
@@ -0,0 +1,104 @@
+//! Regions of routes and organisations, in the gateway and in the entry.
+
+use crate::gateway::ROUTES;
+use crate::gateway::announce_in;
+use crate::support::AUTH_HEADER;
+use crate::support::Cluster;
+use crate::support::INVENTORY;
+use crate::support::Upstream;
+use crate::support::eventually;
+use crate::support::ok_response;
+use crate::support::send;
+use crate::support::write;
+
+/// Route to the same service that may run in the region of dc2 only.
+const SOUTH_ROUTE: &str = r#"
+[[routes]]
+name = "south"
+host = "previews.example"
+prefix = "/south/"
+timeout_ms = 4000
+target_ms = 500
+regions = ["south"]
+split = [{ service = "previews", weight = 1 }]
+"#;
+
+const REQUESTS: usize = 20;
+
+/// Guards against a request that is sent to, or retried at, an upstream in another region because
+/// that one is nearer or the only one left.
+#[test]
+fn request_is_sent_only_to_upstreams_in_the_regions_of_its_route_and_its_organisation() {
+    let upstreams =
+        [(); 2].map(|()| Upstream::start(|request, out| write(out, &ok_response(request, "ok"))));
+    let mut cluster = Cluster::start(1, 0);
+    cluster.gateway_flags = vec!["--regions".to_owned(), "dc1=north,dc2=south".to_owned()];
+    cluster.entry_flags = cluster.gateway_flags.clone();
+    cluster.add_entry("dc1");
+    let inventory = format!("{INVENTORY}{ROUTES}{SOUTH_ROUTE}");
+    cluster.apply(&inventory, &["--change-id", "first"]);
+    for (i, upstream) in upstreams.iter().enumerate() {
+        announce_in(
+            &cluster,
+            &format!("dc{}", i + 1),
+            &format!("u{i}"),
+            upstream.address,
+        );
+    }
+    let (_gateway, address) = cluster.start_gateway();
+    let call = |path: &str, id: &str| {
+        let headers = [
+            AUTH_HEADER,
+            ("host", "previews.example"),
+            ("daisyquay-attempt", id),
+        ];
+        send("POST", address, path, &headers, "")
+    };
+    for path in ["/lookup/a", "/south/a"] {
+        eventually("a request is served", || {
+            call(path, "probe").filter(|response| response.status == 200)
+        });
+    }
+    let counts = || upstreams.each_ref().map(|u| u.received().len());
+    let before = counts();
+    for i in 0..REQUESTS {
+        assert_eq!(call("/south/a", &format!("s{i}")).unwrap().status, 200);
+    }
+    assert_eq!(counts(), [before[0], before[1] + REQUESTS]);
+
+    // The organisation of the key may use the other region only.
+    let restricted =
+        inventory.replacen("quality_target", "regions = [\"north\"]\nquality_target", 1);
+    cluster.apply(&restricted, &["--change-id", "second"]);
+    let before = counts();
+    for i in 0..REQUESTS {
+        let response = call("/south/a", &format!("t{i}")).unwrap();
+        assert_eq!(response.status, 503);
+        assert_eq!(response.json()["error"]["code"], "no_upstream_in_region");
+        assert_eq!(call("/lookup/a", &format!("u{i}")).unwrap().status, 200);
+    }
+    assert_eq!(counts(), [before[0] + REQUESTS, before[1]]);
+
+    // The entry follows the organisation's regions and evacuations.
+    let call_entry = || {
+        let entry = cluster.entry_addresses[0];
+        send("GET", entry, "/app/previews/a", &[AUTH_HEADER], "").unwrap()
+    };
+    let before = counts();
+    for _ in 0..REQUESTS {
+        let response = call_entry();
+        assert_eq!(response.status, 200, "{}", response.body);
+    }
+    assert_eq!(counts(), [before[0] + REQUESTS, before[1]]);
+    let output = cluster.run_cli(&["evacuate", "begin", "dc1", "--wait"]);
+    assert!(output.status.success());
+    let refused = call_entry();
+    assert_eq!(refused.json()["error"]["code"], "no_upstream_in_region");
+    let output = cluster.run_cli(&["evacuate", "begin", "dc2", "--wait"]);
+    assert!(output.status.success());
+    let refused = call_entry();
+    assert_eq!(refused.status, 503);
+    assert_eq!(refused.json()["error"]["code"], "evacuated");
+    assert!(["1", "2"].contains(&refused.header("retry-after")));
+    assert_eq!(counts(), [before[0] + REQUESTS, before[1]]);
+}
