--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -10,6 +10,7 @@
 pub mod standin;
 pub mod state;
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -91,6 +92,16 @@
         .help("Shared key that daisyquay's processes authenticate with, at least 8 characters")
 }
 
+fn regions_arg() -> Arg {
+    Arg::new("regions")
+        .long("regions")
+        .env("DAISYQUAY_REGIONS")
+        .value_name("DATA_CENTRE=REGION,...")
+        .value_parser(parse_regions)
+        .default_value("")
+        .help("Region of each data centre; others are regions of their own name")
+}
+
 fn parse_address(text: &str) -> Result<SocketAddr, String> {
     text.parse()
         .map_err(|_| "write an IP address and a port, for example 10.0.0.7:7400".to_owned())
@@ -128,6 +139,18 @@
         .collect()
 }
 
+/// Parses a list of data centres separated by commas; empty text is an empty list.
+///
+/// # Errors
+///
+/// The entry that is not a name.
+pub fn parse_data_centres(text: &str) -> Result<BTreeSet<Name>, String> {
+    let entries = text.split(',').filter(|entry| !entry.is_empty());
+    entries
+        .map(|entry| parse_name(entry).map_err(|e| format!("`{entry}`: {e}")))
+        .collect()
+}
+
 fn parse_operator(text: &str) -> Result<(Name, KeyHash), String> {
     let (name, hash) = text
         .split_once('=')
--- a/src/dev.rs
+++ b/src/dev.rs
@@ -1,12 +1,14 @@
 //! A state replica, an entry, stand-ins and the sample inventory in one process on loopback, for
 //! development.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use crate::agreement::Settings;
 use crate::clock::System;
+use crate::collections::HashMap;
 use crate::config;
 use crate::config::KeyHash;
 use crate::entry;
@@ -56,6 +58,7 @@
         may_bootstrap: true,
         target_voters: 1,
         snapshot_every: 20_000,
+        data_centres: BTreeSet::new(),
         settings: Settings::default(),
     };
     let rater = start_standin(
@@ -71,6 +74,7 @@
         admin_listen: free_address()?,
         vm: "dev".into(),
         data_centre: "dc1".into(),
+        regions: HashMap::default(),
         state: vec![state_address],
         peer_key: PEER_KEY.to_owned(),
         rater: Some(rater),
--- a/tests/cli/main.rs
+++ b/tests/cli/main.rs
@@ -113,6 +113,14 @@
             "two routes in one place",
             format!("{VALID}{}{}", route("one"), route("two")),
         ),
+        (
+            "bad regions",
+            VALID.replacen(
+                "quality_target = 0.6",
+                "quality_target = 0.6\nregions = [\"north\", \"north\", \"no region\"]",
+                1,
+            ) + &route("one").replace("split", "regions = [\"a\", \"\", \"a\"]\nsplit"),
+        ),
         ("not TOML", "[[organisations".to_owned()),
     ];
     let mut text = String::new();
@@ -157,7 +165,7 @@
 #[test]
 fn help_texts_match_snapshot() {
     let mut text = format_output(&operator(&["--help"], ""));
-    for command in ["apply", "rollout", "show", "drain", "audit"] {
+    for command in ["apply", "rollout", "show", "drain", "evacuate", "audit"] {
         text.push_str(&format_output(&operator(&[command, "--help"], "")));
     }
     insta::assert_snapshot!(text);
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -4,6 +4,7 @@
 
 mod backpressure;
 mod directory;
+mod evacuation;
 mod failures;
 mod framing;
 mod gateway;
@@ -11,6 +12,7 @@
 mod models;
 mod path;
 mod quarantine;
+mod regions;
 mod replacement;
 mod sessions;
 mod soak;
