Bound what all gateways together send to a cold upstream

Cause: an upstream that has just started looks idle to every gateway and crashes under requests that it would take when warm. Change: policy::cold_start divides the tolerated rate, in whole requests a second, among the gateways by rendezvous hash. A share of n is used at least 1 / n s apart. Gateways that are no longer listed count for 10 s, new ones wait 1.8 s, and cut-off ones use half. Health and timeouts have a variant for cold upstreams.

--- /dev/null
+++ b/src/policy/cold_start.rs
@@ -0,0 +1,307 @@
+//! Decides how many requests each gateway may send to an upstream that is cold.
+//!
+//! Handles upstreams that start during traffic, become cold again at any moment, or return with
+//! their whole data centre: while cold they crash if they receive far more requests than they
+//! tolerate, and to every gateway they look idle.
+//!
+//! The tolerated rate is divided into whole requests a second. Each gateway gets an equal part of
+//! them, and the gateways with the highest rendezvous hash of the upstream and their address get
+//! one more. A gateway with a share of `n` starts its requests at least `1 / n` s apart, so no span
+//! of one second holds more than the rate, whatever the phases of the gateways.
+//!
+//! This holds while the gateways' lists of each other differ, because each list includes all
+//! gateways that may send: one that is no longer listed is counted for [`RETENTION`], one that
+//! joins sends nothing until the others know it, and a longer list never gives a larger share. A
+//! gateway that is cut off from the replicas uses half of the rate, since the others will divide
+//! the whole of it without that gateway.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::placement::seeded_hash;
+use crate::agreement::Index;
+use crate::collections::HashMap;
+
+/// Longest time for which an upstream counts as cold after a report.
+pub const MAX_COLD: Duration = Duration::from_secs(3600);
+
+/// Highest rate that a cold upstream may tolerate, in requests a second.
+pub const MAX_RATE: f64 = 10_000.0;
+
+/// Lowest rate that is obeyed as configured, in requests a second.
+const MIN_RATE: f64 = 0.001;
+
+/// Most gateways that are counted. A gateway that is not counted itself has no turns.
+const GATEWAY_LIMIT: usize = 4_096;
+
+/// Most upstreams with a cold period: as many as the directory may hold.
+const PERIOD_LIMIT: usize = 20_000;
+
+/// Time for which a gateway counts after it was last listed: its last requests are under way.
+const RETENTION: Duration = Duration::from_secs(10);
+
+/// Time without a grant after which a gateway counts itself as cut off. It is shorter than
+/// [`RETENTION`], after which the others do no longer count it.
+const CUT_OFF_AFTER: Duration = Duration::from_secs(5);
+
+/// Time from the first list of a gateway, or from an increase of its share from zero, to its first
+/// turn: two renewals, in which the others receive the same list, and a second after their last
+/// request under the former one.
+const JOIN_DELAY: Duration = Duration::from_millis(1800);
+
+/// How a gateway learnt that an upstream is cold.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Source {
+    /// A row of the directory that introduces an incarnation, which has had no requests yet.
+    NewInstance,
+    /// A changed row of the directory.
+    Heartbeat,
+    /// A header of a response.
+    Response,
+    /// The end of an evacuation of its data centre, while its own report may be in transit.
+    Evacuation,
+}
+
+impl Source {
+    /// Returns the name of the source in the log.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::NewInstance => "new_instance",
+            Self::Heartbeat => "heartbeat",
+            Self::Response => "response",
+            Self::Evacuation => "evacuation",
+        }
+    }
+}
+
+/// Coldness of one upstream, as reported now.
+#[derive(Clone, Copy, Debug)]
+pub struct Report {
+    /// Number of the upstream's incarnation.
+    pub upstream: Index,
+    /// How much longer it is cold; zero if it is warm.
+    pub remaining: Duration,
+    /// How the gateway learnt it.
+    pub source: Source,
+    /// Requests a second that it tolerates from all gateways together; 0 for no limit.
+    pub per_s: f64,
+}
+
+/// Change of an upstream's state by a report.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Transition {
+    /// A cold period began.
+    Cold,
+    /// The cold period ended early.
+    Warm,
+}
+
+/// A cold period of an upstream.
+#[derive(Clone, Copy, Debug)]
+struct Period {
+    until: Duration,
+    /// Requests a second from all gateways together; 0 for no limit.
+    per_s: f64,
+    /// Requests a second of this gateway.
+    share: u32,
+    /// Earliest start of the next request.
+    next_turn: Duration,
+}
+
+impl Period {
+    /// Returns the least time between the starts of two requests of this gateway.
+    fn interval(&self) -> Duration {
+        let rate = f64::from(self.share.max(1)).min(self.per_s.max(MIN_RATE));
+        // Rounded up, so that no second holds one request more.
+        Duration::from_nanos((1e9 / rate).ceil() as u64)
+    }
+}
+
+/// Cold periods of the upstreams by the number of their incarnation, and the gateways that share
+/// the tolerated rates.
+#[derive(Debug, Default)]
+pub struct ColdStarts {
+    periods: HashMap<Index, Period>,
+    own: Option<SocketAddr>,
+    /// Known gateways, each with the time since which it is not listed any more.
+    gateways: HashMap<SocketAddr, Option<Duration>>,
+    /// When this gateway's turns begin; `None` until it is listed.
+    turns_from: Option<Duration>,
+    last_grant: Duration,
+    is_cut_off: bool,
+}
+
+impl ColdStarts {
+    /// Records that the replicas can be reached.
+    pub fn record_grant(&mut self, now: Duration) {
+        self.last_grant = now;
+        if self.is_cut_off {
+            self.is_cut_off = false;
+            self.turns_from = self.turns_from.max(Some(now + JOIN_DELAY));
+            self.recompute_shares(now);
+        }
+    }
+
+    /// Replaces the list of gateways; `own` is the address of this one.
+    pub fn set_gateways(
+        &mut self,
+        own: SocketAddr,
+        listed: impl IntoIterator<Item = SocketAddr>,
+        now: Duration,
+    ) {
+        self.own = Some(own);
+        let was_counted = self.gateways.contains_key(&own);
+        for missing_since in self.gateways.values_mut() {
+            missing_since.get_or_insert(now);
+        }
+        for address in listed {
+            if self.gateways.len() < GATEWAY_LIMIT || self.gateways.contains_key(&address) {
+                self.gateways.insert(address, None);
+            }
+        }
+        if !was_counted && self.gateways.contains_key(&own) {
+            self.turns_from = self.turns_from.max(Some(now + JOIN_DELAY));
+        }
+        self.recompute_shares(now);
+    }
+
+    /// Applies a report. `phase`, from 0 to 1, is random and spreads the first turns of the
+    /// gateways; the limit does not depend on it.
+    pub fn apply(&mut self, report: &Report, phase: f64, now: Duration) -> Option<Transition> {
+        let upstream = report.upstream;
+        let until = now + report.remaining.min(MAX_COLD);
+        if let Some(period) = self.periods.get_mut(&upstream)
+            && now < period.until
+        {
+            if report.remaining.is_zero() {
+                self.periods.remove(&upstream);
+                return Some(Transition::Warm);
+            }
+            period.until = match report.source {
+                Source::Evacuation => period.until.max(until),
+                _ => until,
+            };
+            return None;
+        }
+        let has_space = self.periods.len() < PERIOD_LIMIT || self.periods.contains_key(&upstream);
+        if report.remaining.is_zero() || !has_space {
+            return None;
+        }
+        let mut period = Period {
+            until,
+            per_s: report.per_s,
+            share: self.share(upstream, report.per_s),
+            next_turn: now,
+        };
+        let interval = period.interval();
+        period.next_turn += interval.mul_f64(phase);
+        if report.source != Source::NewInstance {
+            // It may have had requests of this gateway within the last second.
+            period.next_turn += interval;
+        }
+        self.periods.insert(upstream, period);
+        Some(Transition::Cold)
+    }
+
+    /// Updates the tolerated rates, which `per_s` returns, and this gateway's shares.
+    pub fn refresh(&mut self, now: Duration, per_s: impl Fn(Index) -> f64) {
+        for (&upstream, period) in &mut self.periods {
+            period.per_s = per_s(upstream);
+        }
+        if now >= self.last_grant + CUT_OFF_AFTER {
+            // The list is kept as it is: the absence of others can't be known.
+            self.is_cut_off = true;
+        } else {
+            self.gateways
+                .retain(|_, missing| missing.is_none_or(|since| now < since + RETENTION));
+        }
+        self.recompute_shares(now);
+    }
+
+    /// Records that a request is sent to an upstream; returns whether that took a turn.
+    pub fn record_sent(&mut self, upstream: Index, now: Duration) -> bool {
+        let is_cold = self.is_cold(upstream, now);
+        if let Some(period) = self.periods.get_mut(&upstream).filter(|_| is_cold) {
+            period.next_turn = now + period.interval();
+        }
+        is_cold
+    }
+
+    /// Returns whether an upstream is cold and its service has a limit for that.
+    pub fn is_cold(&self, upstream: Index, now: Duration) -> bool {
+        let period = self.periods.get(&upstream);
+        period.is_some_and(|period| now < period.until && period.per_s > 0.0)
+    }
+
+    /// Returns how long an upstream takes no request of this gateway because it is cold; zero if it
+    /// takes one now.
+    pub fn wait(&self, upstream: Index, now: Duration) -> Duration {
+        let Some(period) = self.periods.get(&upstream) else {
+            return Duration::ZERO;
+        };
+        if !self.is_cold(upstream, now) {
+            return Duration::ZERO;
+        }
+        let left = period.until.saturating_sub(now);
+        match self.turns_from {
+            Some(from) if period.share > 0 => {
+                let turn = period.next_turn.max(from);
+                turn.saturating_sub(now).min(left)
+            }
+            _ => left,
+        }
+    }
+
+    /// Returns whether no upstream is in a cold period.
+    pub fn is_empty(&self) -> bool {
+        self.periods.is_empty()
+    }
+
+    /// Removes and returns the upstreams whose cold period has ended.
+    pub fn remove_ended(&mut self, now: Duration) -> Vec<Index> {
+        let ended = self.periods.extract_if(|_, period| now >= period.until);
+        ended.map(|(upstream, _)| upstream).collect()
+    }
+
+    /// Forgets the upstreams for which `keep` returns `false`.
+    pub fn retain(&mut self, keep: impl Fn(Index) -> bool) {
+        self.periods.retain(|&upstream, _| keep(upstream));
+    }
+
+    fn recompute_shares(&mut self, now: Duration) {
+        let mut periods = std::mem::take(&mut self.periods);
+        for (&upstream, period) in &mut periods {
+            let former = period.share;
+            period.share = self.share(upstream, period.per_s);
+            if former == 0 && period.share > 0 {
+                period.next_turn = period.next_turn.max(now + JOIN_DELAY);
+            }
+        }
+        self.periods = periods;
+    }
+
+    /// Returns the requests a second that this gateway may send to an upstream.
+    fn share(&self, upstream: Index, per_s: f64) -> u32 {
+        // False also for a number that is not valid.
+        let is_limited = per_s > 0.0;
+        let Some(own) = self.own.filter(|_| is_limited) else {
+            return 0;
+        };
+        if !self.gateways.contains_key(&own) {
+            return 0;
+        }
+        let mut total = per_s.clamp(1.0, MAX_RATE) as u32;
+        if self.is_cut_off {
+            total = total.div_ceil(2);
+        }
+        let hash = |gateway: SocketAddr| (seeded_hash(&gateway, upstream), gateway);
+        let own_hash = hash(own);
+        let addresses = self.gateways.keys();
+        let higher = addresses
+            .filter(|&&gateway| hash(gateway) > own_hash)
+            .count();
+        let count = self.gateways.len();
+        let rest = total as usize % count;
+        (total as usize / count + usize::from(higher < rest)) as u32
+    }
+}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 pub mod backpressure;
+pub mod cold_start;
 pub mod crashing_requests;
 pub mod escalation;
 pub mod fanout;
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -74,7 +74,7 @@
     seeded_hash(name, 0)
 }
 
-fn seeded_hash<T: Hash + ?Sized>(value: &T, seed: u64) -> u64 {
+pub(super) fn seeded_hash<T: Hash + ?Sized>(value: &T, seed: u64) -> u64 {
     foldhash::quality::FixedState::with_seed(seed).hash_one(value)
 }
 
--- a/src/policy/timeouts.rs
+++ b/src/policy/timeouts.rs
@@ -26,6 +26,10 @@
 /// prefill backlog lag, and other prompts may be scheduled first.
 const PREFILL_FACTOR: f64 = 2.0;
 
+/// Timeout of the response head of a cold upstream, as a multiple of that of a warm one: it is slow,
+/// and a request that leaves it costs another upstream the same work.
+const COLD_FACTOR: u32 = 2;
+
 /// Number of scheduling ranks of requests at an upstream; rank 0 is the most urgent.
 pub const RANK_COUNT: usize = 10;
 
@@ -50,6 +54,11 @@
     target.mul_f64(share).max(prefill_timeout)
 }
 
+/// Returns the timeout of the response head of a cold upstream, given that of a warm one.
+pub fn cold_response_head(warm: Duration) -> Duration {
+    warm * COLD_FACTOR
+}
+
 /// Returns the timeout of a stream's next event; `None` if the route's longest gap is zero, which
 /// sets no limit.
 pub fn stream_event(longest_gap: Duration) -> Option<Duration> {
--- a/src/upstream/health.rs
+++ b/src/upstream/health.rs
@@ -72,6 +72,15 @@
         };
     }
 
+    /// Records a response of a cold upstream, and closes the circuit. Its latency does not count.
+    pub fn record_cold_success(&mut self) {
+        *self = Self {
+            has_responded: self.has_responded,
+            mean_latency_s: self.mean_latency_s,
+            ..Self::default()
+        };
+    }
+
     /// Records a request that ended without a success or a failure of the upstream.
     pub fn record_cancelled(&mut self) {
         self.is_probing = false;
