Keep an announcement of which only the remaining cold time differs

Cause: a cold upstream reports another remaining time with each heartbeat, and each would be a command of the log. Change: Directory::contains and announce ignore the amount of cold_ms; a change between zero and more is a change. Tests cover restarts under the same id, late heartbeats of the former incarnation, and announcements that are not valid.

--- a/src/upstream/directory.rs
+++ b/src/upstream/directory.rs
@@ -72,6 +72,35 @@
     fn is_same_incarnation(&self, other: &Self) -> bool {
         self.id == other.id && self.incarnation == other.incarnation
     }
+
+    /// Returns whether both say the same, apart from how much longer a cold upstream is cold. That
+    /// amount changes with every heartbeat, of which each would cost a command of the log.
+    fn is_equivalent(&self, other: &Self) -> bool {
+        let Self {
+            id,
+            incarnation,
+            address,
+            data_centre,
+            serves,
+            slots,
+            fences_orders,
+            release,
+            started_ms,
+            draining,
+            cold_ms,
+        } = self;
+        *id == other.id
+            && *incarnation == other.incarnation
+            && *address == other.address
+            && *data_centre == other.data_centre
+            && *serves == other.serves
+            && *slots == other.slots
+            && *fences_orders == other.fences_orders
+            && *release == other.release
+            && *started_ms == other.started_ms
+            && *draining == other.draining
+            && (*cold_ms > 0) == (other.cold_ms > 0)
+    }
 }
 
 /// Whether an upstream may get requests.
@@ -149,7 +178,7 @@
         let mut number = index;
         if let Some(known) = self.rows.get(&announcement.id) {
             let is_same = known.announced.incarnation == announcement.incarnation;
-            if is_same && known.presence == Presence::Live && known.announced == announcement {
+            if known.presence == Presence::Live && known.announced.is_equivalent(&announcement) {
                 return AnnounceOutcome::Accepted;
             }
             let is_newer = announcement.incarnation > known.announced.incarnation;
@@ -178,12 +207,12 @@
         AnnounceOutcome::Accepted
     }
 
-    /// Returns whether the directory has exactly this announcement, so that applying it changes
-    /// nothing.
+    /// Returns whether applying the announcement changes nothing: the directory has the same one, or
+    /// one that differs only in how much longer the upstream is cold.
     pub fn contains(&self, announcement: &Announcement) -> bool {
-        self.rows
-            .get(&announcement.id)
-            .is_some_and(|row| row.presence == Presence::Live && row.announced == *announcement)
+        self.rows.get(&announcement.id).is_some_and(|row| {
+            row.presence == Presence::Live && row.announced.is_equivalent(announcement)
+        })
     }
 
     /// Returns whether an upstream that started later uses the announced address: the announcement
--- a/tests/state/announcements.rs
+++ b/tests/state/announcements.rs
@@ -41,6 +41,14 @@
     }
 }
 
+/// Returns an announcement of a cold upstream.
+fn cold(id: &str, incarnation: u64, cold_ms: u64) -> Announcement {
+    Announcement {
+        cold_ms,
+        ..announcement(id, incarnation)
+    }
+}
+
 fn live(machine: &Machine) -> Vec<(String, u64)> {
     let live = machine.state.directory.live();
     live.map(|a| (a.id.to_string(), a.incarnation)).collect()
@@ -148,3 +156,78 @@
         AnnounceOutcome::Stale
     );
 }
+
+/// Guards against a command of the log for each heartbeat of a cold upstream.
+#[test]
+fn only_a_change_between_cold_and_warm_changes_the_directory() {
+    let mut machine = machine();
+    announce(&mut machine, &cold("u", 5, 8_000));
+    let row = machine.state.directory.get("u").unwrap().clone();
+    for cold_ms in [1, 6_800, 9_000, u64::MAX] {
+        assert!(machine.state.directory.contains(&cold("u", 5, cold_ms)));
+        let outcome = announce(&mut machine, &cold("u", 5, cold_ms));
+        assert_eq!(outcome, AnnounceOutcome::Accepted);
+        assert_eq!(machine.state.directory.get("u"), Some(&row));
+    }
+    assert!(!machine.state.directory.contains(&cold("u", 5, 0)));
+    announce(&mut machine, &cold("u", 5, 0));
+    let warm = machine.state.directory.get("u").unwrap().clone();
+    assert!(warm.changed_at > row.changed_at && warm.number == row.number);
+    assert!(!machine.state.directory.contains(&cold("u", 5, 300)));
+    announce(&mut machine, &cold("u", 5, 300));
+    let again = machine.state.directory.get("u").unwrap();
+    assert_eq!(again.announced.cold_ms, 300);
+    assert!(again.changed_at > warm.changed_at);
+}
+
+#[test]
+fn restarted_upstream_is_a_new_incarnation_as_cold_as_it_reports() {
+    let mut machine = machine();
+    announce(&mut machine, &announcement("u", 5));
+    let former = machine.state.directory.get("u").unwrap().number;
+    announce(&mut machine, &cold("u", 6, 7_000));
+    let restarted = machine.state.directory.get("u").unwrap().clone();
+    assert_ne!(restarted.number, former);
+    assert_eq!(restarted.announced.cold_ms, 7_000);
+    // Delayed heartbeats of the former incarnation.
+    for late in [announcement("u", 5), cold("u", 5, 2_000)] {
+        assert!(!machine.state.directory.contains(&late));
+        assert_eq!(announce(&mut machine, &late), AnnounceOutcome::Stale);
+        assert_eq!(machine.state.directory.get("u"), Some(&restarted));
+    }
+}
+
+/// Guards against a heartbeat of another writer that changes what is known of an upstream.
+#[test]
+fn announcement_that_is_not_valid_changes_nothing() {
+    let mut machine = machine();
+    announce(&mut machine, &cold("u", 5, 400));
+    let known = machine.state.directory.clone();
+    let unknown_service = Announcement {
+        serves: Serves::Service("unknown".into()),
+        ..announcement("u", 6)
+    };
+    let without_slots = Announcement {
+        slots: 0,
+        ..announcement("u", 6)
+    };
+    let without_port = Announcement {
+        address: "10.0.0.9:0".parse().unwrap(),
+        ..announcement("u", 6)
+    };
+    for invalid in [unknown_service, without_slots, without_port] {
+        for id in ["u", "new"] {
+            let invalid = Announcement {
+                id: id.into(),
+                ..invalid.clone()
+            };
+            assert!(!machine.state.directory.contains(&invalid));
+            let outcome = announce(&mut machine, &invalid);
+            assert!(
+                matches!(outcome, AnnounceOutcome::Rejected(_)),
+                "{invalid:?}"
+            );
+            assert_eq!(machine.state.directory, known);
+        }
+    }
+}
