Validate the limits of cold upstreams

Change: 0 to 10,000 requests a second and 0 to one hour are accepted; other numbers are rejected with the place and the remedy.

--- a/src/config/check.rs
+++ b/src/config/check.rs
@@ -5,6 +5,8 @@
 use super::Inventory;
 use super::Route;
 use super::VersionName;
+use crate::policy::cold_start::MAX_COLD;
+use crate::policy::cold_start::MAX_RATE;
 
 /// Largest inventory file.
 const MAX_FILE_BYTES: usize = 4 * 1024 * 1024;
@@ -146,6 +148,20 @@
                     self.report(&place, &text);
                 }
             }
+            if !(0.0..=MAX_RATE).contains(&service.cold_per_s) {
+                let text = format!(
+                    "cold_per_s = {} is out of range; write a number from 0 to {MAX_RATE}",
+                    service.cold_per_s
+                );
+                self.report(&place, &text);
+            }
+            let max_cold_ms = MAX_COLD.as_millis();
+            if u128::from(service.cold_start_ms) > max_cold_ms {
+                let text = format!(
+                    "cold_start_ms is out of range; write a number from 0 to {max_cold_ms}"
+                );
+                self.report(&place, &text);
+            }
             if inventory
                 .models
                 .iter()
