Count a heartbeat only for an incarnation in the directory

Cause: the leader recorded a heartbeat before its announcement was checked. A late one of a former incarnation, or one that is rejected, kept a stopped upstream available, and unknown ids stayed in the table for good. Change: a heartbeat is recorded if the directory has its incarnation, for a new announcement once it is accepted; the same holds for batches of followers.

--- a/src/replica/handler.rs
+++ b/src/replica/handler.rs
@@ -111,36 +111,51 @@
     if !core.has_leader_lease() {
         return not_leader(core);
     }
-    let now = core.now();
     for (id, incarnation) in heartbeats {
+        record_heartbeat(core, id, *incarnation);
+    }
+    Reply::Done
+}
+
+/// Records a heartbeat of an incarnation that is in the directory. A late one of a former
+/// incarnation does not say that the upstream runs.
+fn record_heartbeat(core: &mut Core, id: &Name, incarnation: u64) {
+    let row = core.state.directory.get(id);
+    if row.is_some_and(|row| row.announced.incarnation == incarnation) {
+        let now = core.now();
         core.leader_state
             .failure_detector
-            .record_heartbeat(id, *incarnation, now);
+            .record_heartbeat(id, incarnation, now);
     }
-    Reply::Done
 }
 
-/// Records the heartbeat, and proposes the announcement only if it changes the directory: one that
-/// changes nothing costs no write to the log, and a follower answers it as well.
+/// Records the heartbeat once its announcement is accepted, and proposes the announcement only if
+/// it changes the directory: one that changes nothing costs no write to the log, and a follower
+/// answers it as well.
 async fn announce(core: Rc<RefCell<Core>>, announcement: Announcement) -> Reply {
+    let (id, incarnation) = (announcement.id.clone(), announcement.incarnation);
     {
         let mut core = core.borrow_mut();
-        let is_known = core.state.directory.contains(&announcement);
-        let (id, incarnation) = (&announcement.id, announcement.incarnation);
-        let is_recorded = if core.has_leader_lease() {
-            let now = core.now();
-            core.leader_state
-                .failure_detector
-                .record_heartbeat(id, incarnation, now);
-            true
-        } else {
-            is_known && core.remote_leader().is_some() && core.heartbeats.record(id, incarnation)
-        };
-        if is_known && is_recorded {
-            return Reply::Announce(AnnounceOutcome::Accepted);
+        if core.state.directory.contains(&announcement) {
+            let is_recorded = if core.has_leader_lease() {
+                record_heartbeat(&mut core, &id, incarnation);
+                true
+            } else {
+                core.remote_leader().is_some() && core.heartbeats.record(&id, incarnation)
+            };
+            if is_recorded {
+                return Reply::Announce(AnnounceOutcome::Accepted);
+            }
+        }
+    }
+    let reply = propose(&core, Op::Announce(announcement)).await;
+    if matches!(reply, Reply::Announce(AnnounceOutcome::Accepted)) {
+        let mut core = core.borrow_mut();
+        if core.has_leader_lease() {
+            record_heartbeat(&mut core, &id, incarnation);
         }
     }
-    propose(&core, Op::Announce(announcement)).await
+    reply
 }
 
 async fn handle_operator(core: Rc<RefCell<Core>>, who: Name, request: Request) -> Reply {
