Send cold upstreams no more than they tolerate

Cause: gateways took an upstream that had just started for an idle one. Change: gateways begin a cold period by a row of the directory, a response header or the end of an evacuation. A cold upstream without a turn is blocked in placement; if no other is left, the request is rejected with 503, code upstreams_cold, and the time to the next turn.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -206,7 +206,8 @@
             .and_then(|value| value.to_str().ok())
             .unwrap_or("-")
     );
-    gateway.count_response(call, &in_flight.upstream, is_failure, in_flight.elapsed());
+    let time_to_head = (!in_flight.is_cold()).then(|| in_flight.elapsed());
+    gateway.count_response(call, &in_flight.upstream, is_failure, time_to_head);
     if !is_failure {
         in_flight.record_first_token();
     }
--- a/src/gateway/backpressure.rs
+++ b/src/gateway/backpressure.rs
@@ -34,6 +34,7 @@
         let names = &self.cfg.header_names;
         let now = self.now();
         let number = upstream.number;
+        self.record_cold_header(upstream, headers);
         if headers.contains_key(&names.leaving)
             && self.backpressure.borrow_mut().record_leaving(number)
         {
--- /dev/null
+++ b/src/gateway/cold_start.rs
@@ -0,0 +1,213 @@
+//! Coldness of upstreams: what the directory, responses and the end of an evacuation say of it, and
+//! the rejection of requests for which no upstream is warm enough.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use http::HeaderMap;
+
+use super::Gateway;
+use super::refusal::Refusal;
+use super::routing::Upstream;
+use crate::agreement::Index;
+use crate::collections::HashMap;
+use crate::collections::Name;
+use crate::log::event;
+use crate::peer::EntryInfo;
+use crate::policy::cold_start::Report;
+use crate::policy::cold_start::Source;
+use crate::policy::cold_start::Transition;
+use crate::upstream::Announcement;
+use crate::upstream::Directory;
+use crate::upstream::Serves;
+use crate::upstream::Upstream as Row;
+
+/// Time for which an upstream counts as cold after an evacuation of its data centre: a heartbeat
+/// interval of 1.2 s and two renewals, in which its own report arrives.
+const COLD_AFTER_EVACUATION: Duration = Duration::from_secs(2);
+
+/// Longest `Retry-After` of a request that has to wait for a turn, before the jitter.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Largest jitter of that `Retry-After`, which keeps callers from returning all at once.
+const RETRY_JITTER: Duration = Duration::from_millis(500);
+
+impl Gateway {
+    /// Applies what new and changed rows of the directory say; `known` is the directory without
+    /// them.
+    pub(super) fn apply_cold_rows(&self, known: &Directory, rows: &[Row]) {
+        for row in rows {
+            let former = known.get(&row.announced.id);
+            if former.is_some_and(|former| former.changed_at > row.changed_at) {
+                continue;
+            }
+            let source = match former {
+                Some(former) if former.number == row.number => {
+                    // The amount is as old as the announcement, which other changes leave alone.
+                    if former.announced == row.announced {
+                        continue;
+                    }
+                    Source::Heartbeat
+                }
+                _ => Source::NewInstance,
+            };
+            let remaining = Duration::from_millis(row.announced.cold_ms);
+            self.apply_cold_report(&row.announced, row.number, remaining, source);
+        }
+    }
+
+    /// Applies the remaining cold time in a response of an upstream, if it names one.
+    pub(super) fn record_cold_header(&self, upstream: &Upstream, headers: &HeaderMap) {
+        let value = headers.get(&self.cfg.header_names.cold_ms);
+        let ms: Option<u64> = value
+            .and_then(|value| value.to_str().ok())
+            .and_then(|text| text.trim().parse().ok());
+        if let Some(ms) = ms {
+            let remaining = Duration::from_millis(ms);
+            let source = Source::Response;
+            self.apply_cold_report(&upstream.announced, upstream.number, remaining, source);
+        }
+    }
+
+    /// Treats the upstreams of data centres that are evacuated no longer as cold; `former` are the
+    /// data centres that were evacuated before.
+    pub(super) fn apply_evacuations_ended(&self, former: &BTreeSet<Name>) {
+        let routing = self.routing();
+        let Some(config) = &routing.config else {
+            return;
+        };
+        let ended: BTreeSet<&Name> = former.difference(&config.evacuated).collect();
+        if ended.is_empty() {
+            return;
+        }
+        let rows = routing.directory.iter();
+        for row in rows.filter(|row| ended.contains(&row.announced.data_centre)) {
+            let remaining = COLD_AFTER_EVACUATION;
+            let source = Source::Evacuation;
+            self.apply_cold_report(&row.announced, row.number, remaining, source);
+        }
+    }
+
+    fn apply_cold_report(
+        &self,
+        announced: &Announcement,
+        number: Index,
+        remaining: Duration,
+        source: Source,
+    ) {
+        let report = Report {
+            upstream: number,
+            remaining,
+            source,
+            per_s: self.cold_per_s(announced),
+        };
+        let phase = self.rng.borrow_mut().f64();
+        let mut upstreams = self.upstreams.borrow_mut();
+        match upstreams.cold_starts.apply(&report, phase, self.now()) {
+            Some(Transition::Cold) => event!(
+                Info,
+                "upstream_cold",
+                upstream = announced.id,
+                ms = remaining.as_millis(),
+                source = source.name()
+            ),
+            Some(Transition::Warm) => event!(Info, "upstream_warm", upstream = announced.id),
+            None => {}
+        }
+    }
+
+    /// Returns the requests a second that a cold upstream tolerates; 0 for no limit.
+    fn cold_per_s(&self, announced: &Announcement) -> f64 {
+        let Serves::Service(service) = &announced.serves else {
+            return 0.0;
+        };
+        let routing = self.routing();
+        let config = routing.config.as_ref();
+        let service = config.and_then(|config| config.inventory.service(service));
+        service.map_or(0.0, |service| service.cold_per_s)
+    }
+
+    /// Records a grant of the leader, with the gateways if their list has changed.
+    pub(super) fn record_cold_start_grant(&self, entries: Option<&[EntryInfo]>) {
+        let now = self.now();
+        let mut upstreams = self.upstreams.borrow_mut();
+        upstreams.cold_starts.record_grant(now);
+        if let Some(entries) = entries {
+            // Entries of the chat path have no loads address.
+            let gateways = entries.iter().filter(|info| info.loads_address.is_some());
+            let listed = gateways.map(|info| info.address);
+            upstreams
+                .cold_starts
+                .set_gateways(self.info.address, listed, now);
+        }
+    }
+
+    /// Ends cold periods that have passed, and updates the limits of the others.
+    pub(super) fn refresh_cold_starts(&self) {
+        let now = self.now();
+        let routing = self.routing();
+        let mut upstreams = self.upstreams.borrow_mut();
+        let cold_starts = &mut upstreams.cold_starts;
+        let rows: HashMap<Index, &Announcement> = if cold_starts.is_empty() {
+            HashMap::default()
+        } else {
+            let rows = routing.directory.iter();
+            rows.map(|row| (row.number, &row.announced)).collect()
+        };
+        for number in cold_starts.remove_ended(now) {
+            if let Some(announced) = rows.get(&number) {
+                event!(Info, "upstream_warm", upstream = announced.id);
+            }
+        }
+        cold_starts.retain(|number| rows.contains_key(&number));
+        cold_starts.refresh(now, |number| {
+            let announced = rows.get(&number);
+            announced.map_or(0.0, |announced| self.cold_per_s(announced))
+        });
+    }
+
+    /// Returns whether an upstream is cold.
+    pub(super) fn is_cold(&self, upstream: Index) -> bool {
+        let upstreams = self.upstreams.borrow();
+        upstreams.cold_starts.is_cold(upstream, self.now())
+    }
+
+    /// Counts a turn at a cold upstream that was `used` or `refused`.
+    pub(super) fn count_cold_turn(&self, outcome: &'static str) {
+        let labels = [("outcome", outcome)];
+        self.metrics
+            .add_to_counter("daisyquay_cold_turns", 1, &labels);
+    }
+
+    /// Returns the refusal of a request for whose service all upstreams are limited now, at least
+    /// one because it is cold; `None` if that is not so.
+    pub(super) fn cold_refusal(&self, service: &Name) -> Option<Refusal> {
+        let routing = self.routing();
+        let (now, sharing) = (self.now(), self.sharing());
+        let upstreams = self.upstreams.borrow();
+        let backpressure = self.backpressure.borrow();
+        let mut wait: Option<Duration> = None;
+        for upstream in &routing.pool(service)?.upstreams {
+            let cold_wait = upstreams.cold_starts.wait(upstream.number, now);
+            let other_wait = backpressure.wait(upstream.number, &sharing, now);
+            if cold_wait.is_zero() {
+                if other_wait.is_some_and(|wait| wait.is_zero()) {
+                    return None;
+                }
+            } else if let Some(other_wait) = other_wait {
+                let turn = cold_wait.max(other_wait);
+                wait = Some(wait.map_or(turn, |wait| wait.min(turn)));
+            }
+        }
+        let jitter = RETRY_JITTER.mul_f64(self.rng.borrow_mut().f64());
+        let retry_after = wait?.min(MAX_RETRY_AFTER) + jitter;
+        self.count_cold_turn("refused");
+        Some(
+            Refusal::unavailable(
+                "upstreams_cold",
+                "the upstreams are starting and take few requests; retry later",
+            )
+            .with_retry_after(retry_after),
+        )
+    }
+}
--- a/src/gateway/exchange/mod.rs
+++ b/src/gateway/exchange/mod.rs
@@ -416,6 +416,9 @@
             "no_upstream",
             "no upstream accepts the request now; retry later",
         );
+        if let Some(refusal) = service.and_then(|service| self.gateway.cold_refusal(service)) {
+            return Err(refusal);
+        }
         let wait = service.and_then(|service| self.gateway.backpressure_wait(service));
         Err(match wait {
             Some(wait) => refusal.with_retry_after(wait),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod attempt;
 mod backpressure;
 mod call;
+mod cold_start;
 mod events;
 mod exchange;
 mod headers;
@@ -270,6 +271,7 @@
         let now = gateway.now();
         gateway.sessions.borrow_mut().remove_expired(now);
         gateway.forget_backpressure();
+        gateway.refresh_cold_starts();
         gateway.forget_quarantine_evidence();
     }
 }
--- a/src/gateway/observations.rs
+++ b/src/gateway/observations.rs
@@ -77,18 +77,19 @@
         })
     }
 
-    /// Counts a response of an upstream, successful or not.
+    /// Counts a response of an upstream, successful or not. `time_to_head` is `None` if it does not
+    /// count, because the upstream was cold.
     pub(super) fn count_response(
         &self,
         call: &Call,
         upstream: &Upstream,
         is_failure: bool,
-        time_to_head: Duration,
+        time_to_head: Option<Duration>,
     ) {
         self.update_release_stats(call, upstream, |stats| {
             stats.requests += 1;
             stats.failed += u64::from(is_failure);
-            if !is_failure {
+            if let Some(time_to_head) = time_to_head.filter(|_| !is_failure) {
                 stats.record_latency(time_to_head);
             }
         });
--- a/src/gateway/renewal.rs
+++ b/src/gateway/renewal.rs
@@ -66,6 +66,7 @@
             return;
         }
         let routing = self.routing();
+        self.apply_cold_rows(&routing.directory, &rows);
         let mut directory = (*routing.directory).clone();
         directory.merge(rows);
         let routing = (*routing).clone().with_directory(directory);
@@ -74,6 +75,7 @@
         self.upstreams
             .borrow_mut()
             .retain(|id| directory.get(id).is_some());
+        self.refresh_cold_starts();
     }
 }
 
@@ -141,6 +143,7 @@
         self.entries_version = grant.entries_version;
         self.replicas_digest = grant.replicas_digest;
         gateway.upstreams.borrow_mut().set_suspects(&grant.suspects);
+        gateway.record_cold_start_grant(grant.entries.as_deref());
         if let Some(replicas) = grant.replicas {
             event!(Info, "replicas_known", replicas = format!("{replicas:?}"));
             leader.set_replicas(replicas);
@@ -245,5 +248,7 @@
             .metrics
             .set_gauge("daisyquay_revision", self.revision as f64);
         gateway.set_routing(routing.with_config(Arc::new(config)));
+        gateway.apply_evacuations_ended(&held.evacuated);
+        gateway.refresh_cold_starts();
     }
 }
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -16,6 +16,7 @@
 use crate::log::event;
 use crate::policy::backpressure::Backpressure;
 use crate::policy::backpressure::Sharing;
+use crate::policy::cold_start::ColdStarts;
 use crate::policy::placement::Candidate;
 use crate::policy::placement::stable_hash;
 use crate::policy::reachability::Reachability;
@@ -55,6 +56,8 @@
     rows: HashMap<Name, UpstreamState>,
     /// Upstreams that the leader reports as without recent heartbeats.
     suspects: HashSet<Index>,
+    /// Upstreams that are cold, and this gateway's turns there.
+    pub(super) cold_starts: ColdStarts,
 }
 
 impl UpstreamTable {
@@ -125,7 +128,8 @@
             is_blocked: context
                 .backpressure
                 .wait(upstream.number, &context.sharing, now)
-                .is_none_or(|wait| !wait.is_zero()),
+                .is_none_or(|wait| !wait.is_zero())
+                || !self.cold_starts.wait(upstream.number, now).is_zero(),
             slowness: 1.0,
         }
     }
@@ -169,6 +173,8 @@
     pub(super) upstream: Upstream,
     sent_at: Duration,
     has_result: bool,
+    /// Whether the upstream was cold when the request was sent.
+    was_cold: bool,
     load: Load,
     model: Option<Name>,
     rank: usize,
@@ -203,7 +209,11 @@
             .load
             .prefill_tokens
             .saturating_add(peer_load.prefill_tokens);
+        let was_cold = upstreams.cold_starts.record_sent(upstream.number, sent_at);
         drop(upstreams);
+        if was_cold {
+            gateway.count_cold_turn("used");
+        }
         gateway.record_sent(upstream.number, is_first, sent_at);
         gateway.load_changed.notify_one();
         Self {
@@ -211,6 +221,7 @@
             upstream,
             sent_at,
             has_result: false,
+            was_cold,
             load,
             model,
             rank: rank as usize,
@@ -228,7 +239,18 @@
             self.gateway
                 .predict_prefill_time(service, model, self.prefill_tokens_ahead)
         });
-        timeouts::response_head(target, self.utilization, predicted_prefill)
+        let timeout = timeouts::response_head(target, self.utilization, predicted_prefill);
+        if self.is_cold() {
+            timeouts::cold_response_head(timeout)
+        } else {
+            timeout
+        }
+    }
+
+    /// Returns whether the upstream has been cold while it had the request, so that the time it
+    /// takes says nothing of its health, its release or its prefill rate.
+    pub(super) fn is_cold(&self) -> bool {
+        self.was_cold || self.gateway.is_cold(self.upstream.number)
     }
 
     /// Returns whether the request seems to be still queued: the upstream responds to others, but
@@ -246,7 +268,8 @@
         let row = upstreams.row(&self.upstream);
         row.progress.record_response(self.rank, self.sent_at, now);
         drop(upstreams);
-        if let Some(service) = self.upstream.service() {
+        let service = self.upstream.service().filter(|_| !self.is_cold());
+        if let Some(service) = service {
             let time_to_head = self.elapsed();
             let model = self.model.clone();
             self.gateway.record_prefill_time(
@@ -287,7 +310,11 @@
         let mut reachability = self.gateway.reachability.borrow_mut();
         reachability.record_response(self.upstream.number);
         drop(reachability);
-        self.record_result(|health, _| health.record_success(time_to_head));
+        if self.is_cold() {
+            self.record_result(|health, _| health.record_cold_success());
+        } else {
+            self.record_result(|health, _| health.record_success(time_to_head));
+        }
     }
 
     /// Records that the upstream refused the connection, for this gateway and the others.
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -3,6 +3,7 @@
 #![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 mod backpressure;
+mod cold_upstreams;
 mod directory;
 mod failures;
 mod framing;
