Recompute shares only on a change, and describe cold upstreams to operators

Cause: every update of the directory recomputed the shares of all cold upstreams, and no test failed without the time for which gateways that are no longer listed count. Change: shares are recomputed when the list, the rates or the connection have changed. A test has a new leader whose list is short for some seconds.

--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -59,6 +59,9 @@
                 describe_attempts(lines)
             )
         }
+        "upstreams_cold" => "the upstreams of its service were cold and had no turn left for its \
+             gateway: see the `upstream_cold` lines"
+            .to_owned(),
         "answer_lost" => format!(
             "it may have run and was not retried; {}",
             describe_attempts(lines)
--- a/src/policy/cold_start.rs
+++ b/src/policy/cold_start.rs
@@ -205,17 +205,26 @@
 
     /// Updates the tolerated rates, which `per_s` returns, and this gateway's shares.
     pub fn refresh(&mut self, now: Duration, per_s: impl Fn(Index) -> f64) {
+        let mut has_changed = false;
         for (&upstream, period) in &mut self.periods {
-            period.per_s = per_s(upstream);
+            let per_s = per_s(upstream);
+            has_changed |= period.per_s.to_bits() != per_s.to_bits();
+            period.per_s = per_s;
         }
         if now >= self.last_grant + CUT_OFF_AFTER {
             // The list is kept as it is: the absence of others can't be known.
+            has_changed |= !self.is_cut_off;
             self.is_cut_off = true;
         } else {
+            let count = self.gateways.len();
             self.gateways
                 .retain(|_, missing| missing.is_none_or(|since| now < since + RETENTION));
+            has_changed |= self.gateways.len() != count;
+        }
+        // The shares of hundreds of upstreams and gateways take some milliseconds.
+        if has_changed {
+            self.recompute_shares(now);
         }
-        self.recompute_shares(now);
     }
 
     /// Records that a request is sent to an upstream; returns whether that took a turn.
--- a/tests/load/cold_upstreams.rs
+++ b/tests/load/cold_upstreams.rs
@@ -56,6 +56,8 @@
     runs_until: Duration,
     /// Whether the leader is out of its reach.
     cut_off: std::ops::Range<Duration>,
+    /// When the leader does not list it although it runs.
+    unlisted: std::ops::Range<Duration>,
     /// Offset of its renewals and sweeps.
     offset: Duration,
 }
@@ -91,6 +93,7 @@
             runs_from,
             runs_until,
             cut_off: FOREVER..FOREVER,
+            unlisted: FOREVER..FOREVER,
             offset,
         });
         self.gateways.last_mut().unwrap()
@@ -101,7 +104,8 @@
         let is_listed = |gateway: &Gateway| {
             let first_renewal = gateway.runs_from + gateway.offset;
             let is_silent = now >= gateway.cut_off.start + LEASE && now < gateway.cut_off.end;
-            (first_renewal..gateway.runs_until).contains(&now) && !is_silent
+            let is_running = (first_renewal..gateway.runs_until).contains(&now);
+            is_running && !is_silent && !gateway.unlisted.contains(&now)
         };
         let listed = self.gateways.iter().filter(|gateway| is_listed(gateway));
         listed.map(|gateway| gateway.address).collect()
@@ -245,6 +249,29 @@
     }
 }
 
+/// Guards against the short list of a new leader, which does not know all gateways yet.
+#[test]
+fn gateways_that_are_missing_in_a_list_for_some_seconds_stay_within_the_rate_in_any_second() {
+    for gateways in [7, 19, 94] {
+        for per_s in [1.0, 20.0, 61.0] {
+            let mut fleet = Fleet::new(gateways, per_s);
+            for i in 0..gateways {
+                let missing_for = ms(100 * (i as u64 % 40));
+                let gateway = &mut fleet.gateways[i];
+                gateway.unlisted = 6 * SECOND..6 * SECOND + missing_for;
+                // A new leader lists a gateway once it has renewed there.
+                gateway.cut_off = gateway.unlisted.clone();
+            }
+            fleet.run(12 * SECOND, Duration::ZERO, 100.0);
+            let most = fleet.most_in_a_second();
+            assert!(
+                most <= per_s as usize,
+                "{gateways} gateways, {per_s} a second: {most}"
+            );
+        }
+    }
+}
+
 /// Guards against gateways whose turns the others share among themselves while the replicas are out
 /// of their reach.
 #[test]
