--- a/src/policy/cold_start.rs
+++ b/src/policy/cold_start.rs
@@ -252,8 +252,10 @@
             return Duration::ZERO;
         }
         let left = period.until.saturating_sub(now);
+        // After a suspension, the list may be old although no refresh has found it so yet.
+        let is_outdated = !self.is_cut_off && now >= self.last_grant + CUT_OFF_AFTER;
         match self.turns_from {
-            Some(from) if period.share > 0 => {
+            Some(from) if period.share > 0 && !is_outdated => {
                 let turn = period.next_turn.max(from);
                 turn.saturating_sub(now).min(left)
             }
--- a/tests/load/cold_upstreams.rs
+++ b/tests/load/cold_upstreams.rs
@@ -125,8 +125,9 @@
                 }
                 let age = now - gateway.runs_from;
                 let is_due = |interval: Duration| {
-                    age >= gateway.offset
-                        && (age - gateway.offset).as_millis() % interval.as_millis() == 0
+                    let since = age.checked_sub(gateway.offset);
+                    since
+                        .is_some_and(|since| since.as_millis().is_multiple_of(interval.as_millis()))
                 };
                 let (renews, sweeps) = (is_due(RENEWAL), is_due(SWEEP));
                 let cold_starts = &mut gateway.cold_starts;
@@ -312,6 +313,7 @@
     while now < begin + 6 * SECOND {
         let news_at = ms(10 * (now.as_millis() as u64 / 10)) - begin;
         for (i, gateway) in gateways.iter_mut().enumerate() {
+            gateway.record_grant(now);
             if news_at == ms(10 * (i as u64 % 40)) {
                 for upstream in 0..RETURNING {
                     let cold = report(upstream, 8 * SECOND, Source::NewInstance, PER_S);
@@ -353,6 +355,23 @@
     assert!(cold_total > 0 && total > 30_000, "{cold_total} of {total}");
 }
 
+/// Guards against a gateway that resumes after a suspension with a list from before it.
+#[test]
+fn gateway_without_a_recent_grant_has_no_turn_until_it_uses_half_of_the_rate() {
+    let mut table = ColdStarts::default();
+    let now = 10 * SECOND;
+    table.record_grant(now);
+    table.set_gateways(address(0), [address(0)], now);
+    let cold = report(UPSTREAM, 60 * SECOND, Source::NewInstance, 4.0);
+    table.apply(&cold, 0.0, now);
+    let resumed = now + 20 * SECOND;
+    assert!(!table.wait(UPSTREAM, resumed).is_zero());
+    table.refresh(resumed, |_| 4.0);
+    assert!(table.wait(UPSTREAM, resumed).is_zero());
+    table.record_sent(UPSTREAM, resumed);
+    assert_eq!(table.wait(UPSTREAM, resumed), ms(500));
+}
+
 #[test]
 fn period_lasts_as_long_as_reported_and_ends_early_when_warm() {
     let mut table = ColdStarts::default();
