--- a/src/policy/cold_start.rs
+++ b/src/policy/cold_start.rs
@@ -221,7 +221,7 @@
                 .retain(|_, missing| missing.is_none_or(|since| now < since + RETENTION));
             has_changed |= self.gateways.len() != count;
         }
-        // The shares of hundreds of upstreams and gateways take some milliseconds.
+        // The work grows with the number of cold upstreams times that of the gateways.
         if has_changed {
             self.recompute_shares(now);
         }
--- a/tests/process/backpressure.rs
+++ b/tests/process/backpressure.rs
@@ -26,13 +26,13 @@
 const REQUEST_INTERVAL: Duration = Duration::from_millis(100);
 
 /// An upstream that records when its requests arrive.
-struct TimedUpstream {
-    upstream: Upstream,
+pub(crate) struct TimedUpstream {
+    pub(crate) upstream: Upstream,
     arrivals: Arc<Mutex<Vec<Instant>>>,
 }
 
 impl TimedUpstream {
-    fn start(
+    pub(crate) fn start(
         script: impl Fn(&ReceivedRequest, &mut TcpStream) -> bool + Send + Sync + 'static,
     ) -> Self {
         let arrivals: Arc<Mutex<Vec<Instant>>> = Arc::default();
@@ -44,7 +44,7 @@
         Self { upstream, arrivals }
     }
 
-    fn arrivals(&self) -> Vec<Instant> {
+    pub(crate) fn arrivals(&self) -> Vec<Instant> {
         let mut arrivals = self.arrivals.lock().unwrap().clone();
         arrivals.sort_unstable();
         arrivals
--- a/tests/process/cold_upstreams.rs
+++ b/tests/process/cold_upstreams.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -11,13 +10,13 @@
 
 use serde_json::json;
 
+use crate::backpressure::TimedUpstream;
 use crate::gateway::ROUTES;
 use crate::support::AUTH_HEADER;
 use crate::support::Cluster;
 use crate::support::INVENTORY;
 use crate::support::Program;
 use crate::support::Response;
-use crate::support::Upstream;
 use crate::support::eventually;
 use crate::support::ok_response;
 use crate::support::post;
@@ -35,21 +34,18 @@
 /// Value of the header of responses that stands for no header.
 const NO_HEADER: u64 = u64::MAX;
 
-/// An upstream that records when its requests arrive.
-struct TimedUpstream {
-    upstream: Upstream,
-    arrivals: Arc<Mutex<Vec<Instant>>>,
-    /// Remaining cold time that its responses name, in milliseconds.
+/// An upstream that may name its remaining cold time in its responses.
+struct ColdUpstream {
+    timed: TimedUpstream,
+    /// That time, in milliseconds.
     cold_ms: Arc<AtomicU64>,
 }
 
-impl TimedUpstream {
+impl ColdUpstream {
     fn start() -> Self {
-        let arrivals: Arc<Mutex<Vec<Instant>>> = Arc::default();
         let cold_ms = Arc::new(AtomicU64::new(NO_HEADER));
-        let (log, named) = (arrivals.clone(), cold_ms.clone());
-        let upstream = Upstream::start(move |seen, out| {
-            log.lock().unwrap().push(Instant::now());
+        let named = cold_ms.clone();
+        let timed = TimedUpstream::start(move |seen, out| {
             let response = ok_response(seen, "tile");
             let named = named.load(Ordering::SeqCst);
             if named == NO_HEADER {
@@ -58,18 +54,13 @@
             let header = format!("\r\ndaisyquay-cold-ms: {named}\r\n");
             write(out, &response.replacen("\r\n", &header, 1))
         });
-        Self {
-            upstream,
-            arrivals,
-            cold_ms,
-        }
+        Self { timed, cold_ms }
     }
 
     /// Returns the arrivals from `from` until `until`.
     fn arrivals(&self, from: Instant, until: Instant) -> Vec<Instant> {
-        let mut arrivals = self.arrivals.lock().unwrap().clone();
+        let mut arrivals = self.timed.arrivals();
         arrivals.retain(|at| (from..until).contains(at));
-        arrivals.sort_unstable();
         arrivals
     }
 
@@ -107,11 +98,11 @@
     }
 
     /// Announces an upstream, and waits until the gateways have received that.
-    fn announce(&self, id: &str, incarnation: u64, upstream: &TimedUpstream, cold_ms: u64) {
+    fn announce(&self, id: &str, incarnation: u64, upstream: &ColdUpstream, cold_ms: u64) {
         let body = json!({
             "id": id,
             "incarnation": incarnation,
-            "address": upstream.upstream.address.to_string(),
+            "address": upstream.timed.upstream.address.to_string(),
             "data_centre": "dc1",
             "serves": { "service": "previews" },
             "slots": 8,
@@ -164,9 +155,9 @@
 #[test]
 fn gateways_together_stay_within_the_bound_of_a_cold_upstream_while_another_carries_the_load() {
     let setup = Setup::new(3);
-    let warm = TimedUpstream::start();
+    let warm = ColdUpstream::start();
     setup.announce("warm", 1, &warm, 0);
-    let cold = TimedUpstream::start();
+    let cold = ColdUpstream::start();
     let begin = Instant::now();
     setup.announce("cold", 1, &cold, 6_000);
     let responses = setup.send_for(9 * SECOND);
@@ -185,7 +176,7 @@
 #[test]
 fn restart_and_response_make_the_only_upstream_cold_and_requests_beyond_its_limit_are_rejected() {
     let setup = Setup::new(1);
-    let upstream = TimedUpstream::start();
+    let upstream = ColdUpstream::start();
     setup.announce("u", 1, &upstream, 0);
     assert!(
         setup
@@ -234,12 +225,12 @@
 #[test]
 fn heartbeats_that_are_stale_or_not_valid_do_not_keep_an_upstream_available() {
     let setup = Setup::new(0);
-    let upstream = TimedUpstream::start();
+    let upstream = ColdUpstream::start();
     setup.announce("u", 2, &upstream, 0);
     let body = |incarnation: u64, service: &str| {
         json!({
             "id": "u", "incarnation": incarnation, "data_centre": "dc1", "slots": 8,
-            "address": upstream.upstream.address.to_string(), "serves": { "service": service },
+            "address": upstream.timed.upstream.address.to_string(), "serves": { "service": service },
         })
     };
     let presence = || {
