--- a/src/gateway/renewal.rs
+++ b/src/gateway/renewal.rs
@@ -67,6 +67,7 @@
             return;
         }
         let routing = self.routing();
+        self.apply_cold_rows(&routing.directory, &rows);
         let mut directory = (*routing.directory).clone();
         directory.merge(rows);
         let routing = (*routing).clone().with_directory(directory);
@@ -75,6 +76,7 @@
         self.upstreams
             .borrow_mut()
             .retain(|id| directory.get(id).is_some());
+        self.refresh_cold_starts();
     }
 }
 
@@ -142,6 +144,7 @@
         self.entries_version = grant.entries_version;
         self.replicas_digest = grant.replicas_digest;
         gateway.upstreams.borrow_mut().set_suspects(&grant.suspects);
+        gateway.record_cold_start_grant(grant.entries.as_deref());
         if let Some(replicas) = grant.replicas {
             event!(Info, "replicas_known", replicas = format!("{replicas:?}"));
             leader.set_replicas(replicas);
@@ -255,5 +258,7 @@
         if let Some(config) = &gateway.routing().config {
             evacuation::report(&gateway.metrics, &held, config);
         }
+        gateway.apply_evacuations_ended(&held.evacuated);
+        gateway.refresh_cold_starts();
     }
 }
