Place requests by expected time on uneven upstreams

Upstreams of one service differ in speed for good and for moments, and placement knew only their load and backlog.

placement::place_by_time multiplies backlog, repeated and own tokens by the slowness. Among upstreams whose expected times differ by less than 3 ms, one with an idle connection is used. placement::place is unchanged.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -22,5 +22,6 @@
 pub mod retry_budget;
 pub mod sessions;
 pub mod slot_allocation;
+pub mod speed;
 pub mod timeouts;
 pub mod version_rollout;
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -30,6 +30,26 @@
 /// does.
 const REMOTE_PENALTY_TOKENS: u64 = 6_000;
 
+/// Maximum number of upstreams among which placement by load makes the expected times equal. With
+/// more, a random selection of them is used, which keeps the decision short.
+const LEVELLED_POOL: usize = 32;
+
+/// Least share of its slots that a request is taken to need, and the shortest response time in
+/// seconds, so that quotients are finite.
+const MIN_SLOT_SHARE: f64 = 1e-4;
+const MIN_REQUEST_S: f64 = 1e-4;
+
+/// Difference of expected times below which an upstream with an idle connection is preferred, in
+/// seconds. A new connection costs the upstream a handshake of 1 ms, which may hold a slot.
+const CONNECTION_GAIN_S: f64 = 0.003;
+
+/// Maximum number of upstreams whose connections are looked up for one decision.
+const MAX_CONNECTION_CHECKS: usize = 8;
+
+/// Steps per full load in which the occupancy of upstreams with equal backlog is compared. In finer
+/// steps, all gateways would choose the same upstream.
+const OCCUPANCY_STEPS: f64 = 8.0;
+
 /// An upstream that could serve the request.
 #[derive(Clone, Debug)]
 pub struct Candidate {
@@ -69,6 +89,30 @@
     pub tokens_to_target: Option<u64>,
 }
 
+/// What placement by expected time uses of a candidate besides [`Candidate`].
+#[derive(Clone, Copy, Debug, Default)]
+pub struct TimeHint {
+    /// Share of its slots that one request takes.
+    pub slot_share: f64,
+    /// Part of its load that is due to other gateways.
+    pub peer_load: f64,
+    /// Age of that figure, in seconds.
+    pub lag_s: f64,
+}
+
+/// What placement by expected time uses besides the candidates.
+pub struct TimeContext<'a> {
+    /// More about each candidate.
+    pub hints: &'a [TimeHint],
+    /// Time in which an upstream of usual speed prefills one token of the smallest model, in
+    /// seconds; `None` while that is unknown.
+    pub token_s: Option<f64>,
+    /// Usual response time of the request, in seconds; `None` while that is unknown.
+    pub request_s: Option<f64>,
+    /// Whether the gateway has an idle connection to a candidate.
+    pub is_connected: &'a dyn Fn(usize) -> bool,
+}
+
 /// Returns a hash of `name` that is the same in every process.
 pub fn stable_hash(name: &str) -> u64 {
     seeded_hash(name, 0)
@@ -89,12 +133,7 @@
     rng: &mut fastrand::Rng,
 ) -> Option<usize> {
     let eligible = eligible(candidates, may_probe);
-    // One request at a time probes whether an upstream has recovered.
-    let half_open = eligible
-        .iter()
-        .copied()
-        .find(|&i| candidates[i].circuit == Circuit::HalfOpen);
-    if let Some(half_open) = half_open {
+    if let Some(half_open) = half_open(candidates, &eligible) {
         return Some(half_open);
     }
     match prefill {
@@ -103,6 +142,34 @@
     }
 }
 
+/// Chooses the index of a candidate by the time in which it is expected to serve the request, which
+/// takes the candidates' slowness into account; `None` if all have been tried.
+pub fn place_by_time(
+    candidates: &[Candidate],
+    prefill: Option<Prefill>,
+    may_probe: bool,
+    context: &TimeContext<'_>,
+    rng: &mut fastrand::Rng,
+) -> Option<usize> {
+    let eligible = eligible(candidates, may_probe);
+    if let Some(half_open) = half_open(candidates, &eligible) {
+        return Some(half_open);
+    }
+    match prefill {
+        Some(prefill) => by_prefill_time(candidates, &eligible, prefill, context, rng),
+        None => by_load_time(candidates, &eligible, context, rng),
+    }
+}
+
+/// Returns an upstream with a half-open circuit: one request at a time probes whether it has
+/// recovered.
+fn half_open(candidates: &[Candidate], eligible: &[usize]) -> Option<usize> {
+    eligible
+        .iter()
+        .copied()
+        .find(|&i| candidates[i].circuit == Circuit::HalfOpen)
+}
+
 /// Returns the untried upstreams that are neither suspect nor cut off by their circuit breaker. If
 /// there are none, it admits suspect ones and then all: an attempt there is better than a rejection
 /// without one. Upstreams that have asked for no request are never admitted.
@@ -195,3 +262,200 @@
         .into_iter()
         .min_by(|&a, &b| cost(a).total_cmp(&cost(b)))
 }
+
+/// Returns the upstream that should finish the prefill first, as [`by_prefill`], with all tokens
+/// multiplied by the upstream's slowness.
+fn by_prefill_time(
+    candidates: &[Candidate],
+    eligible: &[usize],
+    prefill: Prefill,
+    context: &TimeContext<'_>,
+    rng: &mut fastrand::Rng,
+) -> Option<usize> {
+    // Without a prefix to share, gateways need not agree on an order, and would send their requests
+    // to the same upstream if they did.
+    let seed = prefill.prefix_id.unwrap_or_else(|| rng.u64(..));
+    let hash = |i: usize| seeded_hash(&candidates[i].id, seed);
+    let home = eligible.iter().copied().max_by_key(|&i| hash(i))?;
+    let cost = |i: usize| {
+        let candidate = &candidates[i];
+        let repeated = if i == home {
+            0.0
+        } else {
+            prefill.prefix_tokens as f64
+        };
+        let remote = if candidate.is_local {
+            0.0
+        } else {
+            REMOTE_PENALTY_TOKENS as f64
+        };
+        let (backlog, own) = (candidate.prefill_tokens as f64, prefill.own_tokens as f64);
+        let until_first_token = (backlog + repeated + own) * candidate.slowness;
+        let is_late = prefill
+            .tokens_to_target
+            .is_some_and(|limit| until_first_token > limit as f64);
+        let tokens = (backlog + repeated * REPEATED_PREFILL_FACTOR + own) * candidate.slowness;
+        TimeCost {
+            is_full: candidate.load >= MAX_USE || candidate.kv_cache_use >= MAX_USE,
+            is_late,
+            cost: tokens + remote,
+            occupancy: (candidate.load * OCCUPANCY_STEPS) as u32,
+        }
+    };
+    let costs: Vec<(TimeCost, u64, usize)> =
+        eligible.iter().map(|&i| (cost(i), hash(i), i)).collect();
+    let order = |a: &(TimeCost, u64, usize), b: &(TimeCost, u64, usize)| {
+        a.0.cmp(&b.0).then_with(|| b.1.cmp(&a.1))
+    };
+    let best = costs.iter().min_by(|a, b| order(a, b))?;
+    let Some(token_s) = context.token_s.filter(|&token_s| token_s > 0.0) else {
+        return Some(best.2);
+    };
+    let margin = CONNECTION_GAIN_S / token_s;
+    let near = costs
+        .iter()
+        .filter(|(cost, ..)| cost.is_near(&best.0, margin))
+        .map(|(.., i)| *i);
+    Some(connected(best.2, near, context))
+}
+
+/// Returns an upstream by a random draw that makes the expected times of upstreams equal.
+///
+/// The number of other gateways' requests is known only after a lag, in which all of them decide by
+/// the same figures. If each chose the upstream that looks best, all would choose the same one. So
+/// the requests that have arrived in the meantime are distributed to bring the expected times to one
+/// level, and the draw has the weights of that distribution. The shorter the lag, the more it
+/// prefers the best.
+fn by_load_time(
+    candidates: &[Candidate],
+    eligible: &[usize],
+    context: &TimeContext<'_>,
+    rng: &mut fastrand::Rng,
+) -> Option<usize> {
+    let mut arrived = 1.0;
+    let fills: Vec<Fill> = selection(candidates, eligible, rng)
+        .into_iter()
+        .map(|i| {
+            let candidate = &candidates[i];
+            let hint = context.hints.get(i).copied().unwrap_or_default();
+            let slot_share = hint.slot_share.max(MIN_SLOT_SHARE);
+            // Share of other gateways' known requests that have not ended yet.
+            let left = context.request_s.map_or(0.5, |request_s| {
+                (-hint.lag_s / request_s.max(MIN_REQUEST_S)).exp()
+            });
+            let ended = (1.0 - left) * hint.peer_load.min(candidate.load);
+            arrived += ended / slot_share;
+            let remote = if candidate.is_local {
+                0.0
+            } else {
+                REMOTE_PENALTY
+            };
+            Fill {
+                candidate: i,
+                time: (candidate.load - ended + slot_share) * candidate.slowness + remote,
+                per_request: slot_share * candidate.slowness,
+            }
+        })
+        .collect();
+    let level = level(&fills, arrived);
+    let weight = |fill: &Fill| (level - fill.time).max(0.0) / fill.per_request;
+    let mut draw = rng.f64() * fills.iter().map(weight).sum::<f64>();
+    let drawn = fills.iter().find(|fill| {
+        draw -= weight(fill);
+        draw < 0.0
+    });
+    let drawn = drawn.or_else(|| fills.iter().min_by(|a, b| a.time.total_cmp(&b.time)))?;
+    let Some(request_s) = context.request_s.filter(|&request_s| request_s > 0.0) else {
+        return Some(drawn.candidate);
+    };
+    let margin = CONNECTION_GAIN_S / request_s;
+    let near = fills
+        .iter()
+        .filter(|fill| weight(fill) > 0.0 && fill.time < drawn.time + margin)
+        .map(|fill| fill.candidate);
+    Some(connected(drawn.candidate, near, context))
+}
+
+/// Returns all eligible upstreams, or a random selection of [`LEVELLED_POOL`], of which half is local
+/// if there are enough.
+fn selection(candidates: &[Candidate], eligible: &[usize], rng: &mut fastrand::Rng) -> Vec<usize> {
+    if eligible.len() <= LEVELLED_POOL {
+        return eligible.to_vec();
+    }
+    let (mut local, mut remote): (Vec<usize>, Vec<usize>) =
+        eligible.iter().partition(|&&i| candidates[i].is_local);
+    let local_count = (LEVELLED_POOL / 2).max(LEVELLED_POOL.saturating_sub(remote.len()));
+    let mut selected = Vec::with_capacity(LEVELLED_POOL);
+    for (pool, count) in [(&mut local, local_count), (&mut remote, LEVELLED_POOL)] {
+        let count = count.min(LEVELLED_POOL - selected.len()).min(pool.len());
+        for at in 0..count {
+            let other = rng.usize(at..pool.len());
+            pool.swap(at, other);
+            selected.push(pool[at]);
+        }
+    }
+    selected
+}
+
+/// Expected time of the request at an upstream, as a multiple of the usual time with all slots in use.
+#[derive(Clone, Copy, Debug)]
+struct Fill {
+    candidate: usize,
+    time: f64,
+    /// Increase of `time` with each request.
+    per_request: f64,
+}
+
+/// Returns the level that the expected times reach when `requests` are distributed to the upstreams
+/// with the shortest ones.
+fn level(fills: &[Fill], requests: f64) -> f64 {
+    let mut order: Vec<&Fill> = fills.iter().collect();
+    order.sort_unstable_by(|a, b| a.time.total_cmp(&b.time));
+    let (mut filled, mut capacity) = (requests, 0.0);
+    let mut level = 0.0;
+    for fill in order {
+        if capacity > 0.0 && fill.time >= level {
+            break;
+        }
+        // The level is at `(requests + sum of time / per_request) / sum of 1 / per_request`.
+        filled += fill.time / fill.per_request;
+        capacity += 1.0 / fill.per_request;
+        level = filled / capacity;
+    }
+    level
+}
+
+/// Returns `best` or, if the gateway has no idle connection to it, the first of some others to
+/// which it has one.
+fn connected(best: usize, others: impl Iterator<Item = usize>, context: &TimeContext<'_>) -> usize {
+    if (context.is_connected)(best) {
+        return best;
+    }
+    let mut others = others.filter(|&i| i != best).take(MAX_CONNECTION_CHECKS);
+    others.find(|&i| (context.is_connected)(i)).unwrap_or(best)
+}
+
+/// What the expected times of upstreams are compared by, the most important first.
+#[derive(Clone, Copy, Debug)]
+struct TimeCost {
+    is_full: bool,
+    is_late: bool,
+    cost: f64,
+    occupancy: u32,
+}
+
+impl TimeCost {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.is_full, self.is_late)
+            .cmp(&(other.is_full, other.is_late))
+            .then_with(|| self.cost.total_cmp(&other.cost))
+            .then_with(|| self.occupancy.cmp(&other.occupancy))
+    }
+
+    /// Returns whether an upstream is hardly worse than the best.
+    fn is_near(&self, best: &Self, margin: f64) -> bool {
+        (self.is_full, self.is_late) == (best.is_full, best.is_late)
+            && self.cost < best.cost + margin
+            && self.occupancy <= best.occupancy
+    }
+}
--- a/src/policy/prefill.rs
+++ b/src/policy/prefill.rs
@@ -30,7 +30,7 @@
     /// Records a first token that came `ttft` after its request was sent. The upstream then had
     /// `prefill_tokens` to prefill, those of the request included.
     pub fn record_sample(&mut self, prefill_tokens: u64, ttft: Duration) {
-        if prefill_tokens < MIN_SAMPLE_TOKENS {
+        if !Self::is_sample(prefill_tokens) {
             return;
         }
         self.tokens = self.tokens * DECAY + prefill_tokens as f64;
@@ -38,6 +38,11 @@
         self.samples = self.samples.saturating_add(1);
     }
 
+    /// Returns whether a backlog of that many tokens is long enough for a sample.
+    pub fn is_sample(prefill_tokens: u64) -> bool {
+        prefill_tokens >= MIN_SAMPLE_TOKENS
+    }
+
     /// Returns the time in which an upstream prefills that many tokens; `None` with too few
     /// samples.
     pub fn predict(&self, prefill_tokens: u64) -> Option<Duration> {
--- a/src/policy/timeouts.rs
+++ b/src/policy/timeouts.rs
@@ -50,6 +50,16 @@
     target.mul_f64(share).max(prefill_timeout)
 }
 
+/// Returns the timeout of the response head at an upstream whose work takes `slowness` times as long
+/// as usual. It does not exceed the target for the slowness alone: the response would be late, and
+/// an upstream that hangs may also have been slow.
+pub fn at_slow_upstream(timeout: Duration, target: Duration, slowness: f64) -> Duration {
+    if slowness <= 1.0 {
+        return timeout;
+    }
+    timeout.max(timeout.mul_f64(slowness).min(target))
+}
+
 /// Returns the timeout of a stream's next event; `None` if the route's longest gap is zero, which
 /// sets no limit.
 pub fn stream_event(longest_gap: Duration) -> Option<Duration> {
--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -16,3 +16,4 @@
 mod retry_budget;
 mod sessions;
 mod timeouts;
+mod uneven_upstreams;
--- a/tests/load/timeouts.rs
+++ b/tests/load/timeouts.rs
@@ -31,6 +31,19 @@
     );
 }
 
+/// Leaving a slow upstream would repeat its work elsewhere, and count as its failure.
+#[test]
+fn a_slow_upstream_gets_more_time_but_one_that_hangs_is_left_by_the_target() {
+    let target = Duration::from_secs(4);
+    let usual = timeouts::response_head(target, 0.1, None);
+    assert_eq!(timeouts::at_slow_upstream(usual, target, 1.0), usual);
+    assert_eq!(timeouts::at_slow_upstream(usual, target, 0.5), usual);
+    assert!(timeouts::at_slow_upstream(usual, target, 1.2) > usual);
+    assert_eq!(timeouts::at_slow_upstream(usual, target, 4.0), target);
+    let prefill = Duration::from_secs(9);
+    assert_eq!(timeouts::at_slow_upstream(prefill, target, 4.0), prefill);
+}
+
 /// Right after the restart, no prefill rate is known, so only the order of responses tells a
 /// backlog from a lost response.
 #[test]
