Learn and share the slowness of upstreams at the gateways

Where the service's upstreams report a fourth load figure, or the setting for admission is on (Gateway::manages_load), requests are placed by expected time. Samples are times to the response head: of prefills against the predicted time, of plain services against the usual time of the route. Prefill rates are those of an upstream of usual speed.

Updates have a new last field: at most 8 learned rows in a full update, and at most 8 momentary ones, which cause an update of their own at most every 250 ms or 8 ms per other gateway. Numbers of requests are published on each change where a service has fewer than 64 slots; there, upstreams' own reports count for 120 ms instead of 3 s.

The timeout of the response head grows with the slowness. Latencies are divided by the learned slowness among the upstreams of the same release before they enter release statistics. A gauge has the slowness by service, and log lines say when an upstream becomes slow and when it no longer is.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -170,6 +170,7 @@
     if response.status != StatusCode::MISDIRECTED_REQUEST {
         // Such a response comes from another upstream at the same address.
         gateway.record_backpressure(&in_flight.upstream, response.status, &response.headers);
+        in_flight.record_momentary_slowness(&response.headers);
     }
     if !matches_attempt(names, call, &response) {
         // The response belongs to another request. Dropping it closes the connection; the request
@@ -209,6 +210,7 @@
     gateway.count_response(call, &in_flight.upstream, is_failure, in_flight.elapsed());
     if !is_failure {
         in_flight.record_first_token();
+        in_flight.record_speed_sample(call);
     }
     in_flight.record_response();
     if is_event_stream(&response) && !is_failure {
--- a/src/gateway/exchange/choose.rs
+++ b/src/gateway/exchange/choose.rs
@@ -15,10 +15,15 @@
 use crate::policy::placement;
 use crate::policy::placement::Candidate;
 use crate::policy::placement::Prefill;
+use crate::policy::placement::TimeContext;
+use crate::policy::placement::TimeHint;
 use crate::policy::reachability::Reachability;
 use crate::policy::release_rollout::TRIAL_SHARE;
 use crate::upstream::Circuit;
 
+/// Tokens for which the prefill time is predicted to learn the time of one.
+const RATE_TOKENS: u64 = 100_000;
+
 impl Exchange {
     /// Returns whether the request may go to another upstream if its upstream does not respond.
     pub(super) fn can_fail_over(&self) -> bool {
@@ -109,6 +114,9 @@
         backpressure: &'a Backpressure,
         kv_capacity_tokens: Option<u64>,
     ) -> PlacementContext<'a> {
+        let gateway = &self.gateway;
+        let service = self.service.as_ref();
+        let is_managed = service.is_some_and(|service| gateway.manages_load(service));
         PlacementContext {
             peer_loads,
             reachability,
@@ -116,6 +124,8 @@
             sharing: self.gateway.sharing(),
             data_centre: &self.gateway.cfg.data_centre,
             kv_capacity_tokens,
+            speeds: is_managed.then(|| gateway.speeds.borrow()),
+            managed_upstreams: gateway.managed_upstreams.borrow(),
             now: self.gateway.now(),
         }
     }
@@ -143,6 +153,11 @@
             &backpressure,
             kv_capacity_tokens,
         );
+        let is_managed = context.speeds.is_some();
+        let model = self.model_name(model);
+        let token_time = gateway.predict_prefill_time(service, model, RATE_TOKENS);
+        let first = pool.upstreams.first();
+        let update_lag = first.map_or(Duration::ZERO, |first| gateway.update_lag(first.number));
         let choose = |wants_new: Option<bool>| -> Option<Upstream> {
             let eligible: Vec<&Upstream> = pool
                 .upstreams
@@ -157,7 +172,25 @@
                 .collect();
             let can_probe = self.call.route.is_safe_to_retry();
             let rng = &mut *gateway.rng.borrow_mut();
-            let index = placement::place(&candidates, prefill, can_probe, rng)?;
+            let index = if is_managed {
+                let hints: Vec<TimeHint> = eligible
+                    .iter()
+                    .zip(&candidates)
+                    .map(|(upstream, candidate)| {
+                        upstreams.time_hint(upstream, &context, candidate.load, update_lag)
+                    })
+                    .collect();
+                let usual = gateway.usual_response_time(service, &self.call);
+                let context = TimeContext {
+                    hints: &hints,
+                    token_s: token_time.map(|time| time.as_secs_f64() / RATE_TOKENS as f64),
+                    request_s: usual.map(|time| time.as_secs_f64()),
+                    is_connected: &|i| gateway.connections.has_idle(eligible[i].address()),
+                };
+                placement::place_by_time(&candidates, prefill, can_probe, &context, rng)?
+            } else {
+                placement::place(&candidates, prefill, can_probe, rng)?
+            };
             Some(eligible[index].clone())
         };
         choose(wants_new).or_else(|| {
--- a/src/gateway/loads/mod.rs
+++ b/src/gateway/loads/mod.rs
@@ -31,6 +31,7 @@
 use crate::policy::fanout::Forward;
 use crate::policy::fanout::Peer;
 use crate::policy::sessions::Assignment;
+use crate::policy::speed;
 
 /// Minimum time between two updates of one gateway.
 const MIN_INTERVAL: Duration = Duration::from_millis(10);
@@ -58,6 +59,9 @@
 /// receives to about 130 kB/s, however many gateways there are.
 const HUB_INTERVAL_PER_PEER: Duration = Duration::from_micros(450);
 
+/// Number of gateways that an update waits at if hubs forward them, its publisher included.
+const HUB_HOPS: u32 = 3;
+
 /// Time without datagrams after which a gateway is no longer chosen to forward updates. A hub
 /// forwards the updates of all its members, so its datagrams come several times as often.
 const FORWARDER_TIMEOUT: Duration = Duration::from_millis(500);
@@ -78,9 +82,11 @@
 }
 
 impl Load {
-    /// Returns whether the load has changed enough since it was published.
-    fn differs_enough(&self, published: &Self) -> bool {
+    /// Returns whether the load has changed enough since it was published. `is_small` is whether
+    /// the upstream's service has so few slots that each request counts.
+    fn differs_enough(&self, published: &Self, is_small: bool) -> bool {
         self.prefill_tokens.abs_diff(published.prefill_tokens) >= MIN_CHANGE_TOKENS
+            || (is_small && self.requests != published.requests)
     }
 
     pub(super) fn add(&mut self, other: &Self) {
@@ -113,6 +119,8 @@
     quarantines: Vec<ServiceNotice>,
     /// Crashes under requests and the verdicts on these, likewise.
     crashing_requests: crashing_requests::Notice,
+    /// Slowness of upstreams, at most `speed::MAX_NOTICE_BYTES`.
+    speeds: speed::Notice,
 }
 
 /// Loads of one other gateway.
@@ -203,7 +211,7 @@
         gateway.poll_quarantines();
         let load_changed = gateway.load_changed.notified();
         let _ = tokio::time::timeout(FULL_INTERVAL, load_changed).await;
-        if let Some(update) = publisher.next_update(&gateway) {
+        if let Some(update) = publisher.next_update(&gateway, fanout.peer_count) {
             transport.publish(update, &fanout).await;
         }
         transport.forward(&fanout).await;
@@ -213,10 +221,31 @@
     }
 }
 
+impl Gateway {
+    /// Returns the mean age of the other gateways' numbers of requests at an upstream: half an
+    /// interval for each hop, and half the time between full updates if only those have them.
+    pub(super) fn update_lag(&self, upstream: Index) -> Duration {
+        let peers = self.routing().entries.len().saturating_sub(1);
+        let has_hubs = peers > fanout::FULL_MESH_PEER_LIMIT;
+        let hops = if has_hubs { HUB_HOPS } else { 1 };
+        let lag = interval_for(peers, has_hubs) * hops / 2;
+        let managed = self.managed_upstreams.borrow();
+        if managed.is_of_small_service(upstream) {
+            lag
+        } else {
+            lag + FULL_INTERVAL / 2
+        }
+    }
+}
+
 /// Returns the time until the next update.
 fn interval(fanout: &Fanout) -> Duration {
-    let peers = u32::try_from(fanout.peer_count).unwrap_or(u32::MAX);
-    if fanout.has_hubs() {
+    interval_for(fanout.peer_count, fanout.has_hubs())
+}
+
+fn interval_for(peer_count: usize, has_hubs: bool) -> Duration {
+    let peers = u32::try_from(peer_count).unwrap_or(u32::MAX);
+    if has_hubs {
         HUB_INTERVAL.max(HUB_INTERVAL_PER_PEER.saturating_mul(peers))
     } else {
         MIN_INTERVAL.max(INTERVAL_PER_PEER.saturating_mul(peers))
@@ -279,6 +308,7 @@
     let quarantines = update.quarantines.len().min(MAX_ROWS);
     gateway.apply_quarantine_notices(&update.quarantines[..quarantines]);
     gateway.apply_crash_notice(&update.crashing_requests);
+    gateway.apply_speed_notice(update.run_id, &update.speeds);
     let forwarded = (forward != Forward::Nowhere).then(|| update.clone());
     let is_new = gateway.peer_loads.borrow_mut().apply(update, now);
     if let Some(forwarded) = forwarded.filter(|_| is_new) {
--- a/src/gateway/loads/publisher.rs
+++ b/src/gateway/loads/publisher.rs
@@ -8,6 +8,7 @@
 use crate::agreement::Index;
 use crate::collections::HashMap;
 use crate::gateway::Gateway;
+use crate::gateway::speeds::ManagedUpstreams;
 use crate::policy::sessions::Assignment;
 
 /// Tracks what has been published, to send only what has changed.
@@ -22,22 +23,24 @@
 
 impl Publisher {
     /// Returns the next update; `None` if nothing has changed.
-    pub(super) fn next_update(&mut self, gateway: &Gateway) -> Option<Update> {
+    pub(super) fn next_update(&mut self, gateway: &Gateway, peer_count: usize) -> Option<Update> {
         let now = gateway.now();
         let is_full = self.last_full_at.is_none_or(|at| now >= at + FULL_INTERVAL);
         let loads = gateway.upstreams.borrow().own_loads();
-        let rows = self.rows_to_publish(&loads, is_full);
+        let rows = self.rows_to_publish(&loads, is_full, &gateway.managed_upstreams.borrow());
         let new_sessions = gateway.sessions.borrow_mut().take_unpublished();
         let refusing = gateway.reachability.borrow_mut().take_unpublished();
         let limits = gateway.limit_notices(is_full);
         let quarantines = gateway.quarantine_notices(is_full);
         let crashing_requests = gateway.crash_notice(is_full);
+        let speeds = gateway.speed_notice(is_full, peer_count);
         let has_news = !(rows.is_empty()
             && new_sessions.is_empty()
             && refusing.is_empty()
             && limits.is_empty()
             && quarantines.is_empty()
-            && crashing_requests.is_empty());
+            && crashing_requests.is_empty()
+            && speeds.is_empty());
         if !has_news && !is_full {
             return None;
         }
@@ -59,6 +62,7 @@
             limits,
             quarantines,
             crashing_requests,
+            speeds,
         })
     }
 
@@ -67,6 +71,7 @@
         &mut self,
         loads: &HashMap<Index, Load>,
         is_full: bool,
+        managed: &ManagedUpstreams,
     ) -> Vec<(Index, Load)> {
         if is_full {
             self.published.clone_from(loads);
@@ -78,7 +83,7 @@
         let mut rows = Vec::new();
         for (&number, load) in loads {
             let published = self.published.entry(number).or_default();
-            if load.differs_enough(published) {
+            if load.differs_enough(published, managed.is_of_small_service(number)) {
                 *published = *load;
                 rows.push((number, *load));
             }
--- a/src/gateway/loads/transport.rs
+++ b/src/gateway/loads/transport.rs
@@ -26,13 +26,14 @@
 /// further updates are dropped.
 const FORWARD_QUEUE_LIMIT: usize = 4_096;
 
-/// Approximate encoded size of an update, and of each load, session, upstream number and limit in
-/// it.
+/// Approximate encoded size of an update, and of each load, session, upstream number, limit and
+/// slowness in it.
 const UPDATE_BYTES_ESTIMATE: usize = 24;
 const ROW_BYTES_ESTIMATE: usize = 24;
 const SESSION_BYTES_ESTIMATE: usize = 10;
 const NUMBER_BYTES_ESTIMATE: usize = 9;
 const LIMIT_BYTES_ESTIMATE: usize = 24;
+const SPEED_BYTES_ESTIMATE: usize = 5;
 
 /// Content of one datagram.
 #[derive(Debug, Deserialize, Serialize)]
@@ -156,6 +157,7 @@
             + SESSION_BYTES_ESTIMATE * update.sessions.len()
             + NUMBER_BYTES_ESTIMATE * update.refusing.len()
             + LIMIT_BYTES_ESTIMATE * update.limits.len()
+            + SPEED_BYTES_ESTIMATE * update.speeds.row_count()
             + NUMBER_BYTES_ESTIMATE * quarantine_numbers(update);
         if bytes + more > DATAGRAM_TARGET_BYTES && !updates.is_empty() {
             let updates = std::mem::take(&mut updates);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 mod response;
 mod retries;
 mod routing;
+mod speeds;
 mod stop;
 mod stream;
 mod upstreams;
@@ -41,6 +42,7 @@
 
 use self::loads::PeerLoads;
 use self::routing::RoutingTable;
+use self::speeds::ManagedUpstreams;
 use self::upstreams::UpstreamTable;
 use crate::clock::Clock;
 use crate::collections::HashMap;
@@ -59,6 +61,8 @@
 use crate::policy::retry_budget;
 use crate::policy::retry_budget::SlidingWindow;
 use crate::policy::sessions::Sessions;
+use crate::policy::speed::Baselines;
+use crate::policy::speed::Speeds;
 
 /// How long a request waits for the first configuration after a start. A replica responds within
 /// milliseconds, and a restart of all replicas takes about a second.
@@ -155,6 +159,11 @@
     retry_budgets: RefCell<HashMap<Name, SlidingWindow>>,
     /// Prefill rates by service and model; the model is `None` unless the gateway chose it.
     prefill_rates: RefCell<HashMap<(Name, Option<Name>), RateEstimator>>,
+    /// Slowness of the upstreams, as seen by this gateway and the others.
+    speeds: RefCell<Speeds>,
+    /// Usual response times of plain services, by which their upstreams' slowness is learned.
+    response_times: RefCell<Baselines>,
+    managed_upstreams: RefCell<ManagedUpstreams>,
     /// Response statistics since the last renewal.
     release_stats: RefCell<HashMap<observations::ReleaseStatsKey, RouteStats>>,
     rng: RefCell<fastrand::Rng>,
@@ -227,6 +236,9 @@
         connections: ConnectionPool::default(),
         retry_budgets: RefCell::default(),
         prefill_rates: RefCell::default(),
+        speeds: RefCell::default(),
+        response_times: RefCell::default(),
+        managed_upstreams: RefCell::default(),
         release_stats: RefCell::default(),
         rng: RefCell::new(fastrand::Rng::new()),
         metrics: Metrics::new(),
@@ -270,6 +282,7 @@
         let now = gateway.now();
         gateway.sessions.borrow_mut().remove_expired(now);
         gateway.forget_backpressure();
+        gateway.refresh_speeds();
         gateway.forget_quarantine_evidence();
     }
 }
--- a/src/gateway/observations.rs
+++ b/src/gateway/observations.rs
@@ -77,7 +77,8 @@
         })
     }
 
-    /// Counts a response of an upstream, successful or not.
+    /// Counts a response of an upstream, successful or not. Its latency is divided by the slowness
+    /// that the upstream's machine has among those of the same release.
     pub(super) fn count_response(
         &self,
         call: &Call,
@@ -85,11 +86,16 @@
         is_failure: bool,
         time_to_head: Duration,
     ) {
+        let service = upstream.service();
+        let slowness = match service.filter(|service| self.manages_load(service)) {
+            Some(_) => self.speeds.borrow().learned_in_release(upstream.number),
+            None => 1.0,
+        };
         self.update_release_stats(call, upstream, |stats| {
             stats.requests += 1;
             stats.failed += u64::from(is_failure);
             if !is_failure {
-                stats.record_latency(time_to_head);
+                stats.record_latency(time_to_head.div_f64(slowness));
             }
         });
     }
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -202,6 +202,11 @@
         self.pools.get(service)
     }
 
+    /// Iterates over the services that have upstreams.
+    pub(crate) fn pools(&self) -> impl Iterator<Item = (&Name, &Arc<ServicePool>)> {
+        self.pools.iter()
+    }
+
     /// Returns the route with the longest matching prefix. A host without a route is looked up
     /// again without its port.
     pub(crate) fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -1,5 +1,6 @@
 //! Per-upstream state that this gateway derives from its own requests.
 
+use std::cell::Ref;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,6 +10,7 @@
 use super::loads::Load;
 use super::loads::PeerLoads;
 use super::routing::Upstream;
+use super::speeds::ManagedUpstreams;
 use crate::agreement::Index;
 use crate::collections::HashMap;
 use crate::collections::HashSet;
@@ -17,8 +19,10 @@
 use crate::policy::backpressure::Backpressure;
 use crate::policy::backpressure::Sharing;
 use crate::policy::placement::Candidate;
+use crate::policy::placement::TimeHint;
 use crate::policy::placement::stable_hash;
 use crate::policy::reachability::Reachability;
+use crate::policy::speed::Speeds;
 use crate::policy::timeouts;
 use crate::policy::timeouts::QueueProgress;
 use crate::upstream::Circuit;
@@ -26,7 +30,11 @@
 use crate::upstream::InFlightHistory;
 
 /// Age from which a load report is ignored.
-const LOAD_REPORT_TTL: Duration = Duration::from_secs(3);
+pub(super) const LOAD_REPORT_TTL: Duration = Duration::from_secs(3);
+
+/// The same for services whose numbers of requests the gateways publish. Their updates are more
+/// recent than an older report, even over three hops.
+pub(super) const SMALL_SERVICE_REPORT_TTL: Duration = Duration::from_millis(120);
 
 /// Load that an upstream reported in its last response.
 #[derive(Clone, Copy, Debug)]
@@ -103,13 +111,14 @@
         let slots = f64::from(upstream.announced.slots.max(1));
         let mut load = context.peer_loads.total_at(upstream.number);
         let peer_requests = load.requests;
+        let report_ttl = context.managed_upstreams.report_ttl(upstream.number);
         if let Some(row) = row {
             load.add(&row.load);
         }
         Candidate {
             id: stable_hash(upstream.id()),
             load: row.map_or(f64::from(peer_requests), |row| {
-                row.expected_requests(peer_requests, now)
+                row.expected_requests(peer_requests, report_ttl, now)
             }) / slots,
             prefill_tokens: load.prefill_tokens,
             kv_cache_use: load.kv_tokens as f64
@@ -126,7 +135,39 @@
                 .backpressure
                 .wait(upstream.number, &context.sharing, now)
                 .is_none_or(|wait| !wait.is_zero()),
-            slowness: 1.0,
+            slowness: context
+                .speeds
+                .as_ref()
+                .map_or(1.0, |speeds| speeds.slowness(upstream.number, now)),
+        }
+    }
+}
+
+impl UpstreamTable {
+    /// Returns the further input of the placement by expected time for one upstream. `load` is its
+    /// load as a share of its slots, and `update_lag` the age of the other gateways' updates.
+    pub(super) fn time_hint(
+        &self,
+        upstream: &Upstream,
+        context: &PlacementContext<'_>,
+        load: f64,
+        update_lag: Duration,
+    ) -> TimeHint {
+        let slot_share = 1.0 / f64::from(upstream.announced.slots.max(1));
+        let row = self
+            .rows
+            .get(upstream.id())
+            .filter(|row| row.number == upstream.number);
+        let own = row.map_or(0, |row| row.in_flight.count());
+        let report_ttl = context.managed_upstreams.report_ttl(upstream.number);
+        let report_age = row
+            .and_then(|row| row.report)
+            .map(|report| context.now.saturating_sub(report.received_at))
+            .filter(|age| *age < report_ttl);
+        TimeHint {
+            slot_share,
+            peer_load: (load - f64::from(own) * slot_share).max(0.0),
+            lag_s: report_age.unwrap_or(update_lag).as_secs_f64(),
         }
     }
 }
@@ -140,6 +181,9 @@
     pub(super) data_centre: &'a Name,
     /// Tokens that the KV cache of an upstream holds; `None` if not known.
     pub(super) kv_capacity_tokens: Option<u64>,
+    /// Slowness of the upstreams; `None` if the service is not placed by expected time.
+    pub(super) speeds: Option<Ref<'a, Speeds>>,
+    pub(super) managed_upstreams: Ref<'a, ManagedUpstreams>,
     pub(super) now: Duration,
 }
 
@@ -147,14 +191,14 @@
     /// Estimates the number of requests at the upstream: the last recent load report plus the
     /// change in this gateway's requests since then, or else the requests that all gateways have
     /// there.
-    fn expected_requests(&self, peer_requests: u32, now: Duration) -> f64 {
+    fn expected_requests(&self, peer_requests: u32, report_ttl: Duration, now: Duration) -> f64 {
         let own = f64::from(self.in_flight.count());
         let counted = own + f64::from(peer_requests);
         let Some(report) = self.report else {
             return counted;
         };
         let age = now.saturating_sub(report.received_at);
-        if age >= LOAD_REPORT_TTL {
+        if age >= report_ttl {
             return counted;
         }
         let in_flight_change = own - f64::from(report.in_flight_at_report);
@@ -165,18 +209,18 @@
 /// A request of this gateway that is in flight at an upstream. Dropping it without a recorded
 /// result counts as neither success nor failure.
 pub(super) struct InFlightRequest {
-    gateway: Rc<Gateway>,
+    pub(super) gateway: Rc<Gateway>,
     pub(super) upstream: Upstream,
     sent_at: Duration,
     has_result: bool,
     load: Load,
-    model: Option<Name>,
+    pub(super) model: Option<Name>,
     rank: usize,
     /// Prefill tokens at the upstream when the request was sent, its own included.
-    prefill_tokens_ahead: u64,
+    pub(super) prefill_tokens_ahead: u64,
     /// Estimated requests at the upstream when the request was sent, its own excluded, as a share
     /// of the slots.
-    utilization: f64,
+    pub(super) utilization: f64,
 }
 
 impl InFlightRequest {
@@ -191,11 +235,15 @@
         is_first: bool,
     ) -> Self {
         let sent_at = gateway.now();
+        let report_ttl = gateway
+            .managed_upstreams
+            .borrow()
+            .report_ttl(upstream.number);
         let mut upstreams = gateway.upstreams.borrow_mut();
         let peer_load = gateway.peer_loads.borrow().total_at(upstream.number);
         let slots = f64::from(upstream.announced.slots.max(1));
         let row = upstreams.row(&upstream);
-        let utilization = row.expected_requests(peer_load.requests, sent_at) / slots;
+        let utilization = row.expected_requests(peer_load.requests, report_ttl, sent_at) / slots;
         row.in_flight.increment(sent_at);
         row.health.record_start();
         row.load.add(&load);
@@ -228,7 +276,21 @@
             self.gateway
                 .predict_prefill_time(service, model, self.prefill_tokens_ahead)
         });
-        timeouts::response_head(target, self.utilization, predicted_prefill)
+        let slowness = self.slowness();
+        let prefill = predicted_prefill.map(|prefill| prefill.mul_f64(slowness));
+        let timeout = timeouts::response_head(target, self.utilization, prefill);
+        timeouts::at_slow_upstream(timeout, target, slowness)
+    }
+
+    /// Returns how slow the upstream is now; 1 if its service is not placed by expected time.
+    fn slowness(&self) -> f64 {
+        let gateway = &self.gateway;
+        let service = self.upstream.service();
+        if !service.is_some_and(|service| gateway.manages_load(service)) {
+            return 1.0;
+        }
+        let speeds = gateway.speeds.borrow();
+        speeds.slowness(self.upstream.number, gateway.now())
     }
 
     /// Returns whether the request seems to be still queued: the upstream responds to others, but
@@ -247,7 +309,8 @@
         row.progress.record_response(self.rank, self.sent_at, now);
         drop(upstreams);
         if let Some(service) = self.upstream.service() {
-            let time_to_head = self.elapsed();
+            // The rate is that of an upstream of usual speed.
+            let time_to_head = self.elapsed().div_f64(self.slowness());
             let model = self.model.clone();
             self.gateway.record_prefill_time(
                 service,
--- a/src/http_client/pool.rs
+++ b/src/http_client/pool.rs
@@ -147,6 +147,16 @@
         None
     }
 
+    /// Returns whether a request to `address` would probably get an idle connection. Only the one
+    /// that is used next is checked, because placement asks often.
+    pub(crate) fn has_idle(&self, address: SocketAddr) -> bool {
+        let idle = self.idle.borrow();
+        let newest = idle
+            .get(&address)
+            .and_then(|connections| connections.last());
+        newest.is_some_and(|idle| idle.expires_at > Instant::now() && !idle.sender.is_closed())
+    }
+
     /// Closes connections whose keep-alive time has passed or that the upstream has closed.
     pub(crate) fn close_expired(&self) {
         let now = Instant::now();
