--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -8,6 +8,7 @@
 use criterion::BenchmarkId;
 use criterion::Criterion;
 use daisyquay::policy::load_balancing;
+use daisyquay::policy::placement;
 use daisyquay::policy::plan;
 use daisyquay::policy::quality::QualityTable;
 use daisyquay::upstream::Circuit;
@@ -50,6 +51,55 @@
     group.finish();
 }
 
+/// Placement over upstreams that differ in speed, a hundred of which have the same backlog.
+fn bench_place_by_time(c: &mut Criterion) {
+    let mut group = c.benchmark_group("place_by_time");
+    for count in [4, 90, 830_u32] {
+        let candidates: Vec<placement::Candidate> = (0..count)
+            .map(|i| placement::Candidate {
+                id: placement::stable_hash(&format!("upstream-{i}")),
+                load: f64::from(i % 16) / 16.0,
+                prefill_tokens: u64::from(i % 8) * 5_000,
+                kv_cache_use: 0.3,
+                is_local: i % 3 == 0,
+                circuit: Circuit::Closed,
+                was_tried: false,
+                is_suspect: false,
+                is_blocked: false,
+                slowness: if i % 4 == 0 { 2.0 } else { 1.0 },
+            })
+            .collect();
+        let hint = placement::TimeHint {
+            slot_share: 1.0 / 16.0,
+            peer_load: 0.1,
+            lag_s: 0.1,
+        };
+        let hints = vec![hint; candidates.len()];
+        let context = placement::TimeContext {
+            hints: &hints,
+            token_s: Some(1e-5),
+            request_s: Some(0.1),
+            is_connected: &|i| i % 16 == 5,
+        };
+        let prefill = placement::Prefill {
+            prefix_id: Some(7),
+            prefix_tokens: 2_000,
+            own_tokens: 3_000,
+            tokens_to_target: Some(60_000),
+        };
+        let mut rng = fastrand::Rng::with_seed(1);
+        for (name, prefill) in [("load", None), ("prefill", Some(prefill))] {
+            group.bench_function(BenchmarkId::new(name, count), |b| {
+                b.iter(|| {
+                    let candidates = black_box(&candidates);
+                    placement::place_by_time(candidates, prefill, true, &context, &mut rng)
+                });
+            });
+        }
+    }
+    group.finish();
+}
+
 fn bench_select(c: &mut Criterion) {
     let mut group = c.benchmark_group("plan");
     for count in [2, 20] {
@@ -91,6 +141,7 @@
 fn main() {
     let mut c = Criterion::default().configure_from_args().sample_size(30);
     bench_choose(&mut c);
+    bench_place_by_time(&mut c);
     bench_select(&mut c);
     c.final_summary();
 }
--- a/src/gateway/exchange/choose.rs
+++ b/src/gateway/exchange/choose.rs
@@ -176,6 +176,7 @@
                 let hints: Vec<TimeHint> = eligible
                     .iter()
                     .zip(&candidates)
+                    .filter(|_| prefill.is_none())
                     .map(|(upstream, candidate)| {
                         upstreams.time_hint(upstream, &context, candidate.load, update_lag)
                     })
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -102,7 +102,7 @@
 
 /// What placement by expected time uses besides the candidates.
 pub struct TimeContext<'a> {
-    /// More about each candidate.
+    /// More about each candidate, for placement by load.
     pub hints: &'a [TimeHint],
     /// Time in which an upstream of usual speed prefills one token of the smallest model, in
     /// seconds; `None` while that is unknown.
--- a/tests/process/backpressure.rs
+++ b/tests/process/backpressure.rs
@@ -61,18 +61,18 @@
 }
 
 /// Returns a complete response with a further header line.
-fn response_with(seen: &ReceivedRequest, header: &str) -> String {
+pub(crate) fn response_with(seen: &ReceivedRequest, header: &str) -> String {
     ok_response(seen, "tile").replacen("\r\n", &format!("\r\n{header}\r\n"), 1)
 }
 
 /// Gateways in front of two upstreams.
-struct Setup {
+pub(crate) struct Setup {
     _cluster: Cluster,
     gateways: Vec<(Program, SocketAddr)>,
 }
 
 impl Setup {
-    fn new(gateways: usize, upstreams: [SocketAddr; 2]) -> Self {
+    pub(crate) fn new(gateways: usize, upstreams: [SocketAddr; 2]) -> Self {
         let cluster = Cluster::start(1, 1);
         let inventory = format!("{INVENTORY}{ROUTES}");
         cluster.apply(&inventory, &["--change-id", "first"]);
@@ -95,7 +95,7 @@
     }
 
     /// Sends requests to all gateways for `time` and returns the statuses.
-    fn send_for(&self, time: Duration) -> Vec<Option<u16>> {
+    pub(crate) fn send_for(&self, time: Duration) -> Vec<Option<u16>> {
         let until = Instant::now() + time;
         let senders: Vec<_> = self
             .gateways
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -16,3 +16,4 @@
 mod stops;
 mod streams;
 mod support;
+mod uneven_upstreams;
