--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -316,6 +316,13 @@
             })
     }
 
+    /// Returns whether requests of the service are placed by expected time: the setting for
+    /// admission is on, or an upstream of the service has reported its momentary slowness in the
+    /// last 10 s.
+    fn manages_load(&self, service: &Name) -> bool {
+        self.cfg.admission || self.speeds.borrow().has_reports(service, self.now())
+    }
+
     fn is_ready(&self) -> bool {
         self.routing().has_routes() && !self.is_draining()
     }
--- a/src/gateway/speeds.rs
+++ b/src/gateway/speeds.rs
@@ -49,13 +49,6 @@
 }
 
 impl Gateway {
-    /// Returns whether requests of the service are placed by expected time: the setting for
-    /// admission is on, or an upstream of the service has reported its momentary slowness in the
-    /// last 10 s.
-    pub(super) fn manages_load(&self, service: &Name) -> bool {
-        self.cfg.admission || self.speeds.borrow().has_reports(service, self.now())
-    }
-
     /// Computes the learned slowness again and publishes it as metrics and log lines.
     pub(super) fn refresh_speeds(&self) {
         let now = self.now();
