Compare learned slowness only with upstreams that have samples

Each upstream's mean was drawn to the expected time before the medians were formed, and upstreams without samples counted in them. Where all samples of a service are off 1, an upstream without samples looked slow (1.77 where the others had half the expected time). In a new release at twice the time, of which one of three upstreams had samples, that one looked slow within its release (1.77), so its latencies were divided by the slowness of the release.

Medians now are of upstreams with at least one sample's weight, and the difference from the median is what is drawn to 1. Both cases now give 1.0; the two tests failed before.

--- a/src/policy/speed.rs
+++ b/src/policy/speed.rs
@@ -35,9 +35,13 @@
 /// Time in which the weight of samples halves.
 const HALF_LIFE: Duration = Duration::from_secs(20);
 
-/// Weight of the assumption that an upstream is as fast as the others, in samples.
+/// Weight of the assumption that an upstream is as fast as the median one, in samples.
 const PRIOR_WEIGHT: f64 = 3.0;
 
+/// Least weight, in samples, of an upstream that counts in a median. Those that have hardly any
+/// samples say nothing about the usual speed.
+const MIN_MEDIAN_WEIGHT: f64 = 1.0;
+
 /// Age from which another gateway's row is ignored. Each is repeated at least every
 /// [`REPEAT_INTERVAL`] while it has weight, but waits for its turn among the others.
 const PEER_ROW_TTL: Duration = Duration::from_secs(40);
@@ -157,6 +161,12 @@
         self.weight * 0.5_f64.powf(age.as_secs_f64() / HALF_LIFE.as_secs_f64())
     }
 
+    /// Returns the slowness relative to a median, drawn towards 1 while the weight is small.
+    fn relative_to(&self, median: Option<f64>) -> f64 {
+        let share = self.weight / (self.weight + PRIOR_WEIGHT);
+        significant(median.map_or(1.0, |median| ((self.log - median) * share).exp()))
+    }
+
     fn add(&mut self, log: f64, now: Duration) {
         let weight = self.weight_at(now);
         let log = if weight < MIN_PUBLISHED_WEIGHT {
@@ -218,16 +228,21 @@
 }
 
 impl Row {
-    /// Returns the mean over all gateways, drawn towards zero while the weight is small.
-    fn log_mean(&self, now: Duration) -> f64 {
+    /// Returns the mean over all gateways.
+    fn mean(&self, now: Duration) -> Mean {
         let live = |at: Duration| now <= at + PEER_ROW_TTL;
         let peers = self.peers.iter().map(|(_, mean)| mean);
         let all = peers.filter(|mean| live(mean.at)).chain([&self.own]);
-        let (sum, weight) = all.fold((0.0, PRIOR_WEIGHT), |(sum, weight), mean| {
-            let own_weight = mean.weight_at(now);
-            (sum + own_weight * mean.log, weight + own_weight)
+        let (sum, weight) = all.fold((0.0, 0.0), |(sum, weight), mean| {
+            let mean_weight = mean.weight_at(now);
+            (sum + mean_weight * mean.log, weight + mean_weight)
         });
-        sum / weight
+        let log = if weight > 0.0 { sum / weight } else { 0.0 };
+        Mean {
+            log,
+            weight,
+            at: now,
+        }
     }
 }
 
@@ -493,23 +508,26 @@
         upstreams: &[(Index, bool)],
         now: Duration,
     ) -> (Vec<Change>, Option<Summary>) {
-        let logs: Vec<(Index, bool, f64)> = upstreams
+        let means: Vec<(Index, bool, Mean)> = upstreams
             .iter()
             .map(|&(upstream, is_new)| {
                 let row = self.rows.get(&upstream);
-                (upstream, is_new, row.map_or(0.0, |row| row.log_mean(now)))
+                let mean = row.map_or_else(Mean::default, |row| row.mean(now));
+                (upstream, is_new, mean)
             })
             .collect();
         let median_of = |accepts: &dyn Fn(bool) -> bool| {
-            let of_release = logs.iter().filter(|(_, is_new, _)| accepts(*is_new));
-            median(of_release.map(|(_, _, log)| *log).collect())
+            let counted = means
+                .iter()
+                .filter(|(_, is_new, mean)| accepts(*is_new) && mean.weight >= MIN_MEDIAN_WEIGHT);
+            median(counted.map(|(.., mean)| mean.log).collect())
         };
         let median = median_of(&|_| true);
         let by_release = [median_of(&|is_new| !is_new), median_of(&|is_new| is_new)];
         let mut changes = Vec::new();
-        let mut values = Vec::with_capacity(logs.len());
-        for (upstream, is_new, log) in logs {
-            let slowness = significant((log - median).exp());
+        let mut values = Vec::with_capacity(means.len());
+        for (upstream, is_new, mean) in means {
+            let slowness = mean.relative_to(median);
             values.push(slowness);
             let Some(row) = self.rows.get_mut(&upstream) else {
                 continue;
@@ -523,7 +541,7 @@
                 });
             }
             row.slowness = slowness;
-            row.slowness_in_release = significant((log - by_release[usize::from(is_new)]).exp());
+            row.slowness_in_release = mean.relative_to(by_release[usize::from(is_new)]);
         }
         values.sort_unstable_by(f64::total_cmp);
         let summary = values
@@ -551,12 +569,11 @@
     }
 }
 
-fn median(mut logs: Vec<f64>) -> f64 {
-    if logs.is_empty() {
-        return 0.0;
-    }
+/// Returns the median; `None` of no values.
+fn median(mut logs: Vec<f64>) -> Option<f64> {
     logs.sort_unstable_by(f64::total_cmp);
-    f64::midpoint(logs[(logs.len() - 1) / 2], logs[logs.len() / 2])
+    let upper = *logs.get(logs.len() / 2)?;
+    Some(f64::midpoint(logs[(logs.len() - 1) / 2], upper))
 }
 
 fn encode_ratio(ratio: f64) -> u8 {
--- a/tests/load/uneven_upstreams.rs
+++ b/tests/load/uneven_upstreams.rs
@@ -472,6 +472,71 @@
     }
 }
 
+/// Samples of a whole service may be off 1, because a prediction is. An upstream without samples
+/// would then look slow beside the others, get few requests and keep looking slow.
+#[test]
+fn an_upstream_without_samples_counts_as_usual_whatever_the_median_is() {
+    for ratio in [0.5, 2.0] {
+        let mut speeds = Speeds::default();
+        for upstream in 1..=5 {
+            learn(&mut speeds, upstream, ratio);
+        }
+        // Its first response reports the momentary slowness, and is no sample of its speed.
+        speeds.record_momentary(&"service".into(), 6, 100, at(20.0));
+        let all: Vec<(u64, bool)> = (1..=6).map(|i| (i, false)).collect();
+        speeds.refresh(&all, at(20.0));
+        for upstream in 1..=6 {
+            assert_eq!(speeds.learned(upstream), 1.0, "upstream {upstream}");
+        }
+    }
+}
+
+/// A trial sends few requests to a new release. If upstreams without samples counted as its median,
+/// the latencies of the one that got them would be divided by the slowness of the release.
+#[test]
+fn a_slow_release_of_which_one_upstream_has_samples_has_no_slow_upstreams() {
+    let mut speeds = Speeds::default();
+    for (upstream, ratio) in [(1, 1.0), (2, 1.0), (3, 1.0), (4, 2.0)] {
+        learn(&mut speeds, upstream, ratio);
+    }
+    let all: Vec<(u64, bool)> = (1..=6).map(|i| (i, i > 3)).collect();
+    speeds.refresh(&all, at(20.0));
+    assert!(speeds.learned(4) > 1.5);
+    assert_eq!(speeds.learned_in_release(4), 1.0);
+}
+
+/// Guards against a slow upstream that gets no requests and therefore is never tried again.
+#[test]
+fn a_slow_upstream_without_requests_counts_as_usual_again() {
+    let mut gateways = vec![Speeds::default(); 16];
+    let all: Vec<(u64, bool)> = (1..=4).map(|i| (i, false)).collect();
+    for second in 0..200 {
+        let now = at(f64::from(second));
+        for i in 0..gateways.len() {
+            for upstream in 1..=4 {
+                let is_slow = upstream == 4;
+                if !is_slow || second < 60 {
+                    let ratio = if is_slow { 4.0 } else { 1.0 };
+                    gateways[i].record_sample(upstream, at(0.05 * ratio), at(0.05), now);
+                }
+            }
+            let notice = gateways[i].notice(true, 15, now, |_| true);
+            for (j, other) in gateways.iter_mut().enumerate() {
+                if i != j {
+                    other.apply(i as u64, &notice, now);
+                }
+            }
+        }
+        for speeds in &mut gateways {
+            speeds.refresh(&all, now);
+        }
+        if second == 59 {
+            assert!(gateways[0].learned(4) > 3.0);
+        }
+    }
+    assert_eq!(gateways[0].learned(4), 1.0);
+}
+
 #[test]
 fn a_momentary_slowness_decays_with_age_and_reaches_other_gateways() {
     let (mut here, mut there) = (Speeds::default(), Speeds::default());
