Do not shorten the timeout of a prefill at a fast upstream

The predicted prefill was multiplied by a slowness below 1 too, down to 1/16. An upstream that reports a quarter of the usual duration, for a moment or falsely, was then left before its prefill ended, and another repeated it.

The prediction is multiplied by 1 at least.

--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -277,7 +277,8 @@
                 .predict_prefill_time(service, model, self.prefill_tokens_ahead)
         });
         let slowness = self.slowness();
-        let prefill = predicted_prefill.map(|prefill| prefill.mul_f64(slowness));
+        let prefill =
+            predicted_prefill.map(|prefill| timeouts::prefill_at_slow_upstream(prefill, slowness));
         let timeout = timeouts::response_head(target, self.utilization, prefill);
         timeouts::at_slow_upstream(timeout, target, slowness)
     }
--- a/src/policy/timeouts.rs
+++ b/src/policy/timeouts.rs
@@ -60,6 +60,13 @@
     timeout.max(timeout.mul_f64(slowness).min(target))
 }
 
+/// Returns the predicted prefill time at an upstream of that slowness. An upstream that looks fast
+/// does not get less time: it may be so for a moment only, or report false figures, and leaving it
+/// discards its prefill.
+pub fn prefill_at_slow_upstream(prefill: Duration, slowness: f64) -> Duration {
+    prefill.mul_f64(slowness.max(1.0))
+}
+
 /// Returns the timeout of a stream's next event; `None` if the route's longest gap is zero, which
 /// sets no limit.
 pub fn stream_event(longest_gap: Duration) -> Option<Duration> {
--- a/tests/load/uneven_upstreams.rs
+++ b/tests/load/uneven_upstreams.rs
@@ -17,6 +17,7 @@
 use daisyquay::policy::speed::MomentaryRow;
 use daisyquay::policy::speed::Notice;
 use daisyquay::policy::speed::Speeds;
+use daisyquay::policy::timeouts;
 use daisyquay::upstream::Circuit;
 
 /// Time between two updates of a gateway.
@@ -602,6 +603,17 @@
     }
 }
 
+/// An upstream that reports a quarter of the usual duration would be left before its prefill ends.
+#[test]
+fn a_prefill_has_more_time_at_a_slow_upstream_and_not_less_at_a_fast_one() {
+    let prefill = Duration::from_secs(6);
+    let at_slowness = |slowness| timeouts::prefill_at_slow_upstream(prefill, slowness);
+    assert_eq!(at_slowness(2.5), prefill.mul_f64(2.5));
+    for slowness in [1.0, 0.25, 0.0625] {
+        assert_eq!(at_slowness(slowness), prefill);
+    }
+}
+
 #[test]
 fn prefers_an_idle_connection_only_between_nearly_equal_upstreams() {
     let candidate = |i: u64, slowness: f64| Candidate {
