Check idle connections of nearly equal upstreams in random order

Without an idle connection to the upstream that was drawn, the first of the others that had one was used, in the order that all gateways have in common. With connections to the last 4 of 12 equal upstreams, the first of these got 1,482 of 2,000 requests.

Each of the four now gets 400 to 600; the test failed before.

--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -316,7 +316,7 @@
         .iter()
         .filter(|(cost, ..)| cost.is_near(&best.0, margin))
         .map(|(.., i)| *i);
-    Some(connected(best.2, near, context))
+    Some(connected(best.2, near, context, rng))
 }
 
 /// Returns an upstream by a random draw that makes the expected times of upstreams equal.
@@ -373,7 +373,7 @@
         .iter()
         .filter(|fill| weight(fill) > 0.0 && fill.time < drawn.time + margin)
         .map(|fill| fill.candidate);
-    Some(connected(drawn.candidate, near, context))
+    Some(connected(drawn.candidate, near, context, rng))
 }
 
 /// Returns all eligible upstreams, or a random selection of [`LEVELLED_POOL`], of which half is local
@@ -425,14 +425,27 @@
     level
 }
 
-/// Returns `best` or, if the gateway has no idle connection to it, the first of some others to
-/// which it has one.
-fn connected(best: usize, others: impl Iterator<Item = usize>, context: &TimeContext<'_>) -> usize {
+/// Returns `best` or, if the gateway has no idle connection to it, one of some others to which it
+/// has one. They are checked in random order, because all gateways have the same order of upstreams
+/// and would send their requests to the first of them.
+fn connected(
+    best: usize,
+    others: impl Iterator<Item = usize>,
+    context: &TimeContext<'_>,
+    rng: &mut fastrand::Rng,
+) -> usize {
     if (context.is_connected)(best) {
         return best;
     }
-    let mut others = others.filter(|&i| i != best).take(MAX_CONNECTION_CHECKS);
-    others.find(|&i| (context.is_connected)(i)).unwrap_or(best)
+    let mut others: Vec<usize> = others.filter(|&i| i != best).collect();
+    for at in 0..others.len().min(MAX_CONNECTION_CHECKS) {
+        let other = rng.usize(at..others.len());
+        others.swap(at, other);
+        if (context.is_connected)(others[at]) {
+            return others[at];
+        }
+    }
+    best
 }
 
 /// What the expected times of upstreams are compared by, the most important first.
--- a/tests/load/uneven_upstreams.rs
+++ b/tests/load/uneven_upstreams.rs
@@ -614,6 +614,48 @@
     }
 }
 
+/// Gateways without a connection to the upstream that was drawn would all send their requests to the
+/// first of the others, and that one would get them whatever the draw is.
+#[test]
+fn spreads_requests_over_the_upstreams_with_an_idle_connection() {
+    let candidates: Vec<Candidate> = (0..12)
+        .map(|i| Candidate {
+            id: i,
+            load: 0.0,
+            prefill_tokens: 0,
+            kv_cache_use: 0.0,
+            is_local: true,
+            circuit: Circuit::Closed,
+            was_tried: false,
+            is_suspect: false,
+            is_blocked: false,
+            slowness: 1.0,
+        })
+        .collect();
+    let hints = [TimeHint {
+        slot_share: 0.25,
+        peer_load: 0.0,
+        lag_s: 0.1,
+    }; 12];
+    let context = TimeContext {
+        hints: &hints,
+        token_s: Some(1e-5),
+        request_s: Some(0.05),
+        is_connected: &|i| i >= 8,
+    };
+    let mut rng = fastrand::Rng::with_seed(3);
+    for prefill in [None, Some(Prefill::default())] {
+        let mut counts = [0; 12];
+        for _ in 0..2_000 {
+            counts[place_by_time(&candidates, prefill, true, &context, &mut rng).unwrap()] += 1;
+        }
+        for (i, count) in counts.iter().enumerate() {
+            let expected = if i < 8 { 0..1 } else { 400..600 };
+            assert!(expected.contains(count), "upstream {i}: {counts:?}");
+        }
+    }
+}
+
 #[test]
 fn prefers_an_idle_connection_only_between_nearly_equal_upstreams() {
     let candidate = |i: u64, slowness: f64| Candidate {
