Predict the time of a token only for placement by time

Each request looked up the prefill rate and the age of the updates, also where its service is not placed by expected time. There, or without a prefill, the results were not used.

They are looked up for managed services only, the rate only for placement by prefill. Clippy and the 15 tests of uneven upstreams pass; the time of a request was not measured.

--- a/src/gateway/exchange/choose.rs
+++ b/src/gateway/exchange/choose.rs
@@ -154,9 +154,11 @@
             kv_capacity_tokens,
         );
         let is_managed = context.speeds.is_some();
-        let model = self.model_name(model);
-        let token_time = gateway.predict_prefill_time(service, model, RATE_TOKENS);
-        let first = pool.upstreams.first();
+        let token_time = prefill.filter(|_| is_managed).and_then(|_| {
+            let model = self.model_name(model);
+            gateway.predict_prefill_time(service, model, RATE_TOKENS)
+        });
+        let first = pool.upstreams.first().filter(|_| is_managed);
         let update_lag = first.map_or(Duration::ZERO, |first| gateway.update_lag(first.number));
         let choose = |wants_new: Option<bool>| -> Option<Upstream> {
             let eligible: Vec<&Upstream> = pool
