Apply the speeds of an update only once

Gateways may receive an update twice while two of them act as hubs.

Rows are applied only if the update is newer than the last one of its gateway, as are the numbers of requests.

--- a/src/gateway/loads/mod.rs
+++ b/src/gateway/loads/mod.rs
@@ -308,9 +308,13 @@
     let quarantines = update.quarantines.len().min(MAX_ROWS);
     gateway.apply_quarantine_notices(&update.quarantines[..quarantines]);
     gateway.apply_crash_notice(&update.crashing_requests);
-    gateway.apply_speed_notice(update.run_id, &update.speeds);
+    let (run_id, speeds) = (update.run_id, update.speeds.clone());
     let forwarded = (forward != Forward::Nowhere).then(|| update.clone());
     let is_new = gateway.peer_loads.borrow_mut().apply(update, now);
+    if is_new {
+        // The ages in it count from when it was sent, so a second copy would look like newer data.
+        gateway.apply_speed_notice(run_id, &speeds);
+    }
     if let Some(forwarded) = forwarded.filter(|_| is_new) {
         transport.queue(forwarded, forward);
         gateway.load_changed.notify_one();
