--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 mod response;
 mod retries;
 mod routing;
+mod speeds;
 mod stop;
 mod stream;
 mod upstreams;
@@ -45,6 +46,7 @@
 use self::loads::PeerLoads;
 use self::model_choices::ModelChoices;
 use self::routing::RoutingTable;
+use self::speeds::ManagedUpstreams;
 use self::upstreams::UpstreamTable;
 use crate::clock::Clock;
 use crate::collections::HashMap;
@@ -63,6 +65,8 @@
 use crate::policy::retry_budget;
 use crate::policy::retry_budget::SlidingWindow;
 use crate::policy::sessions::Sessions;
+use crate::policy::speed::Baselines;
+use crate::policy::speed::Speeds;
 
 /// How long a request waits for the first configuration after a start. A replica responds within
 /// milliseconds, and a restart of all replicas takes about a second.
@@ -161,6 +165,11 @@
     prefill_rates: RefCell<HashMap<(Name, Option<Name>), RateEstimator>>,
     /// What the choice among models needs of earlier requests.
     model_choices: RefCell<ModelChoices>,
+    /// Slowness of the upstreams, as seen by this gateway and the others.
+    speeds: RefCell<Speeds>,
+    /// Usual response times of plain services, by which their upstreams' slowness is learned.
+    response_times: RefCell<Baselines>,
+    managed_upstreams: RefCell<ManagedUpstreams>,
     /// Response statistics since the last renewal.
     release_stats: RefCell<HashMap<observations::ReleaseStatsKey, RouteStats>>,
     rng: RefCell<fastrand::Rng>,
@@ -228,6 +237,9 @@
         retry_budgets: RefCell::default(),
         prefill_rates: RefCell::default(),
         model_choices: RefCell::default(),
+        speeds: RefCell::default(),
+        response_times: RefCell::default(),
+        managed_upstreams: RefCell::default(),
         release_stats: RefCell::default(),
         rng: RefCell::new(fastrand::Rng::new()),
         metrics: Metrics::new(),
@@ -272,6 +284,7 @@
         gateway.sessions.borrow_mut().remove_expired(now);
         gateway.forget_backpressure();
         gateway.refresh_cold_starts();
+        gateway.refresh_speeds();
         gateway.forget_quarantine_evidence();
     }
 }
@@ -281,11 +294,6 @@
         self.clock.now()
     }
 
-    /// Returns whether the gateway decides by the load of the service over all gateways.
-    fn manages_load(&self, _service: &Name) -> bool {
-        self.cfg.admission
-    }
-
     fn routing(&self) -> Arc<RoutingTable> {
         self.routing.borrow().clone()
     }
@@ -310,6 +318,13 @@
             })
     }
 
+    /// Returns whether the service's load over all gateways decides where its requests go and on
+    /// which model: the setting for admission is on, or an upstream of the service has reported its
+    /// momentary slowness in the last 10 s.
+    fn manages_load(&self, service: &Name) -> bool {
+        self.cfg.admission || self.speeds.borrow().has_reports(service, self.now())
+    }
+
     fn is_ready(&self) -> bool {
         self.routing().has_routes() && !self.is_draining()
     }
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -217,6 +217,11 @@
         self.pools.get(service)
     }
 
+    /// Iterates over the services that have upstreams.
+    pub(crate) fn pools(&self) -> impl Iterator<Item = (&Name, &Arc<ServicePool>)> {
+        self.pools.iter()
+    }
+
     /// Returns the route with the longest matching prefix.
     pub(crate) fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let mut routes = self.host_routes(host)?.iter();
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -20,3 +20,4 @@
 mod stops;
 mod streams;
 mod support;
+mod uneven_upstreams;
