--- /dev/null
+++ b/src/gateway/admission.rs
@@ -0,0 +1,348 @@
+//! Queues of this gateway's requests, one for each service, while no upstream has capacity.
+//!
+//! `policy::gateway_queue` decides; this module gives it what the gateway knows of the upstreams,
+//! and wakes the requests that it dispatches or rejects. A request that is dropped while it waits,
+//! because its caller has gone, leaves its queue.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::Notify;
+use tokio::sync::oneshot;
+
+use super::Gateway;
+use super::upstreams::Demand;
+use super::upstreams::PlacementContext;
+use crate::agreement::Index;
+use crate::collections::HashMap;
+use crate::collections::HashSet;
+use crate::collections::Name;
+use crate::policy::gateway_queue::Arrival;
+use crate::policy::gateway_queue::Needs;
+use crate::policy::gateway_queue::Place;
+use crate::policy::gateway_queue::Queue;
+use crate::policy::gateway_queue::Reason;
+use crate::policy::gateway_queue::Rejection;
+use crate::policy::gateway_queue::Request;
+use crate::policy::gateway_queue::Room;
+use crate::policy::gateway_queue::UPDATE_AGE;
+
+/// Interval in which capacity that other gateways have freed is noticed while requests wait.
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Time for which the capacity of a service is not computed again while requests wait, unless a
+/// request of this gateway has ended. With hundreds of upstreams it takes some ten microseconds.
+const ROOM_TTL: Duration = Duration::from_millis(2);
+
+/// Queues of a gateway.
+#[derive(Default)]
+pub(super) struct Admission {
+    services: RefCell<HashMap<Name, ServiceQueue>>,
+    /// Increases when a request of this gateway has ended.
+    freed: Cell<u64>,
+    /// Notified when a request has been queued, or capacity may have become free.
+    changed: Notify,
+}
+
+#[derive(Default)]
+struct ServiceQueue {
+    queue: Queue,
+    /// Queued requests to wake, by ticket.
+    waiting: HashMap<u64, oneshot::Sender<Result<(), Rejection>>>,
+    /// Requests that have been dispatched and whose task has not run yet, with the upstreams whose
+    /// capacity they were given.
+    granted: HashMap<u64, Index>,
+    /// Last computed capacity, when, and [`Admission::freed`] at that time.
+    room: Option<(Room, Duration, u64)>,
+    /// Gateways with requests to the service, and when they were counted.
+    gateways: Option<(u32, Duration)>,
+}
+
+/// Place of a request in a queue; dropping it gives it up.
+struct QueuePlace<'a> {
+    gateway: &'a Gateway,
+    service: &'a Name,
+    ticket: u64,
+}
+
+impl Drop for QueuePlace<'_> {
+    fn drop(&mut self) {
+        let mut services = self.gateway.admission.services.borrow_mut();
+        let Some(service) = services.get_mut(self.service) else {
+            return;
+        };
+        service.waiting.remove(&self.ticket);
+        let was_queued = service.queue.cancel(self.ticket, self.gateway.now());
+        if service.granted.remove(&self.ticket).is_some() {
+            // The request may not be sent after all.
+            self.gateway.admission.changed.notify_one();
+        }
+        if was_queued {
+            self.gateway
+                .meter_queue(self.service, service.queue.len(), None);
+        }
+    }
+}
+
+/// Dispatches queued requests for as long as the process runs.
+pub(super) async fn run(gateway: Rc<Gateway>) {
+    loop {
+        let changed = gateway.admission.changed.notified();
+        if gateway.has_queued_requests() {
+            let _ = tokio::time::timeout(POLL_INTERVAL, changed).await;
+        } else {
+            changed.await;
+        }
+        gateway.dispatch_queued();
+    }
+}
+
+impl Gateway {
+    /// Waits until the request may be sent to an upstream of the service. Until the caller of this
+    /// function awaits something else, the capacity is the request's. An error is final: the
+    /// request must not be sent.
+    pub(super) async fn admit(&self, service: &Name, request: Request) -> Result<(), Rejection> {
+        let (place, woken) = match self.arrive(service, request) {
+            (Arrival::AtOnce, _) => {
+                self.count_admission(service, "at_once");
+                return Ok(());
+            }
+            (Arrival::Rejected(rejection), _) => {
+                self.count_admission(service, outcome(rejection.reason));
+                return Err(rejection);
+            }
+            (Arrival::Queued(ticket), woken) => (
+                QueuePlace {
+                    gateway: self,
+                    service,
+                    ticket,
+                },
+                woken,
+            ),
+        };
+        self.admission.changed.notify_one();
+        let verdict = match woken {
+            Some(woken) => woken.await.unwrap_or(Ok(())),
+            None => Ok(()),
+        };
+        drop(place);
+        let outcome = verdict.map_or_else(|rejection| outcome(rejection.reason), |()| "queued");
+        self.count_admission(service, outcome);
+        verdict
+    }
+
+    /// Records that a request of this gateway has left its upstream.
+    pub(super) fn record_freed_capacity(&self) {
+        if self.cfg.admission {
+            let freed = &self.admission.freed;
+            freed.set(freed.get().wrapping_add(1));
+            self.admission.changed.notify_one();
+        }
+    }
+
+    /// Returns what is known of the other gateways' requests to the service.
+    pub(super) fn demand(&self, service: &Name) -> Demand {
+        let mut services = self.admission.services.borrow_mut();
+        self.demand_at(services.entry(service.clone()).or_default(), service)
+    }
+
+    fn demand_at(&self, queue: &mut ServiceQueue, service: &Name) -> Demand {
+        let now = self.now();
+        let peer_loads = self.peer_loads.borrow();
+        let known = queue.gateways.filter(|(_, at)| now < *at + UPDATE_AGE);
+        let gateways = known.map_or_else(
+            || {
+                let routing = self.routing();
+                let pool = routing.pool(service);
+                let numbers: HashSet<Index> = pool
+                    .iter()
+                    .flat_map(|pool| pool.upstreams.iter().map(|upstream| upstream.number))
+                    .collect();
+                let others = peer_loads.count_with_requests(&numbers);
+                u32::try_from(others).unwrap_or(u32::MAX).saturating_add(1)
+            },
+            |(gateways, _)| gateways,
+        );
+        if known.is_none() {
+            queue.gateways = Some((gateways, now));
+        }
+        Demand {
+            gateways,
+            lacks_updates: !peer_loads.hears_others() && self.routing.borrow().entries.len() > 1,
+        }
+    }
+
+    fn has_queued_requests(&self) -> bool {
+        let services = self.admission.services.borrow();
+        services.values().any(|service| !service.queue.is_empty())
+    }
+
+    /// Decides about a request; returns the signal for one that is queued.
+    fn arrive(
+        &self,
+        service: &Name,
+        request: Request,
+    ) -> (Arrival, Option<oneshot::Receiver<Result<(), Rejection>>>) {
+        let now = self.now();
+        let jitter = self.rng.borrow_mut().f64();
+        let mut services = self.admission.services.borrow_mut();
+        let queue = services.entry(service.clone()).or_default();
+        if queue.queue.is_empty() && queue.granted.is_empty() {
+            let demand = self.demand_at(queue, service);
+            if self.has_room(service, &request.needs, demand) {
+                return (Arrival::AtOnce, None);
+            }
+        }
+        self.dispatch_service(service, queue, now, jitter);
+        let Some((room, ..)) = queue.room.as_mut() else {
+            return (Arrival::AtOnce, None);
+        };
+        let arrival = queue.queue.arrive(request, room, now, jitter);
+        let Arrival::Queued(ticket) = arrival else {
+            return (arrival, None);
+        };
+        let (wake, woken) = oneshot::channel();
+        queue.waiting.insert(ticket, wake);
+        self.meter_queue(service, queue.queue.len(), None);
+        (arrival, Some(woken))
+    }
+
+    /// Dispatches the queued requests for which there is capacity, and rejects those that can no
+    /// longer be served in time.
+    fn dispatch_queued(&self) {
+        let now = self.now();
+        let jitter = self.rng.borrow_mut().f64();
+        let mut services = self.admission.services.borrow_mut();
+        for (service, queue) in services.iter_mut() {
+            if !queue.queue.is_empty() {
+                self.dispatch_service(service, queue, now, jitter);
+            }
+        }
+    }
+
+    fn dispatch_service(
+        &self,
+        service: &Name,
+        queue: &mut ServiceQueue,
+        now: Duration,
+        jitter: f64,
+    ) {
+        let freed = self.admission.freed.get();
+        let is_current = queue.room.as_ref().is_some_and(|(_, at, known_freed)| {
+            !queue.queue.is_empty() && now < *at + ROOM_TTL && *known_freed == freed
+        });
+        if !is_current {
+            let demand = self.demand_at(queue, service);
+            let room = self.room(service, &queue.granted, demand);
+            queue.room = Some((room, now, freed));
+        }
+        let Some((room, ..)) = queue.room.as_mut() else {
+            return;
+        };
+        for (ticket, rejection) in queue.queue.remove_late(now, jitter) {
+            if let Some(wake) = queue.waiting.remove(&ticket) {
+                let _ = wake.send(Err(rejection));
+            }
+        }
+        while let Some(dispatch) = queue.queue.dispatch_next(room, now) {
+            // A request without a receiver has gone; its place in the queue is gone too.
+            let Some(wake) = queue.waiting.remove(&dispatch.ticket) else {
+                continue;
+            };
+            if let Some(upstream) = dispatch.upstream {
+                queue.granted.insert(dispatch.ticket, upstream);
+            }
+            let _ = wake.send(Ok(()));
+            self.meter_queue(service, queue.queue.len(), Some(dispatch.waited));
+        }
+    }
+
+    /// Returns the capacity of the service's upstreams, less what has been granted.
+    fn room(&self, service: &Name, granted: &HashMap<u64, Index>, demand: Demand) -> Room {
+        let mut places: Vec<Place> = Vec::new();
+        self.find_place(service, demand, 0, |place| {
+            places.push(place);
+            false
+        });
+        for upstream in granted.values() {
+            let place = places.iter_mut().find(|place| place.upstream == *upstream);
+            if let Some(place) = place {
+                place.free = place.free.saturating_sub(1);
+            }
+        }
+        Room::new(places)
+    }
+
+    /// Returns whether an upstream of the service has capacity for a request. Begins at a random
+    /// one, so that few are examined unless most are full.
+    fn has_room(&self, service: &Name, needs: &Needs, demand: Demand) -> bool {
+        let start = self.rng.borrow_mut().usize(..);
+        self.find_place(service, demand, start, |place| place.fits(needs))
+    }
+
+    /// Calls `accepts` with the capacity of each upstream of the service that takes requests, until
+    /// it returns `true`; returns whether it did.
+    fn find_place(
+        &self,
+        service: &Name,
+        demand: Demand,
+        start: usize,
+        mut accepts: impl FnMut(Place) -> bool,
+    ) -> bool {
+        let routing = self.routing();
+        let Some(pool) = routing
+            .pool(service)
+            .filter(|pool| !pool.upstreams.is_empty())
+        else {
+            return false;
+        };
+        let upstreams = self.upstreams.borrow();
+        let peer_loads = self.peer_loads.borrow();
+        let reachability = self.reachability.borrow();
+        let backpressure = self.backpressure.borrow();
+        let context = PlacementContext {
+            peer_loads: &peer_loads,
+            reachability: &reachability,
+            backpressure: &backpressure,
+            sharing: self.sharing(),
+            data_centre: &self.cfg.data_centre,
+            kv_capacity_tokens: routing.engine(service).map(|engine| engine.cache_tokens),
+            now: self.now(),
+        };
+        let (before, after) = pool.upstreams.split_at(start % pool.upstreams.len());
+        let mut in_turn = after.iter().chain(before);
+        in_turn.any(|upstream| {
+            let place = upstreams.place(upstream, &context, demand);
+            place.is_some_and(&mut accepts)
+        })
+    }
+
+    fn count_admission(&self, service: &Name, outcome: &str) {
+        let labels = [("service", &**service), ("outcome", outcome)];
+        self.metrics
+            .add_to_counter("daisyquay_admission", 1, &labels);
+    }
+
+    /// Records the length of a queue, and how long a dispatched request waited.
+    fn meter_queue(&self, service: &Name, queued: usize, waited: Option<Duration>) {
+        let labels = [("service", &**service)];
+        self.metrics
+            .set_labelled_gauge("daisyquay_queue_length", queued as f64, &labels);
+        if let Some(waited) = waited {
+            let waited = waited.as_secs_f64();
+            self.metrics
+                .record_duration("daisyquay_queue_seconds", waited, &labels);
+        }
+    }
+}
+
+/// Returns the name of a rejection in logs and metrics.
+pub(super) fn outcome(reason: Reason) -> &'static str {
+    match reason {
+        Reason::Late => "rejected_late",
+        Reason::Full => "rejected_full",
+        Reason::Share => "rejected_share",
+    }
+}
--- /dev/null
+++ b/src/gateway/exchange/admit.rs
@@ -0,0 +1,150 @@
+//! Waiting of a request until an upstream has capacity for it.
+
+use std::time::Duration;
+
+use http::StatusCode;
+
+use super::Exchange;
+use super::MIN_TIME_LEFT;
+use crate::gateway::admission;
+use crate::gateway::attempt::rank;
+use crate::gateway::refusal::Refusal;
+use crate::log::event;
+use crate::policy::gateway_queue::Kind;
+use crate::policy::gateway_queue::Needs;
+use crate::policy::gateway_queue::Reason;
+use crate::policy::gateway_queue::Rejection;
+use crate::policy::gateway_queue::Request;
+use crate::policy::placement::stable_hash;
+
+impl Exchange {
+    /// Waits until the next attempt may be made. The refusal tells that the request has not run, so
+    /// it may be returned only if there was no run before.
+    pub(super) async fn wait_for_dispatch(&self) -> Result<(), Refusal> {
+        self.wait_until(self.model, self.call.deadline).await
+    }
+
+    /// Waits until the request may be sent to a larger model; returns whether it may. The response
+    /// of the smaller one is kept meanwhile, so the wait ends when the larger model's would be late.
+    pub(super) async fn wait_for_escalation(&self, model: usize) -> bool {
+        let target = self.call.received_at + self.call.route.target();
+        let deadline = target.min(self.call.deadline);
+        self.wait_until(Some(model), deadline).await.is_ok()
+    }
+
+    async fn wait_until(&self, model: Option<usize>, deadline: Duration) -> Result<(), Refusal> {
+        let gateway = &self.gateway;
+        let Some(service) = self.service.as_ref().filter(|_| gateway.cfg.admission) else {
+            return Ok(());
+        };
+        // Such a request is refused or sent as a probe, whatever the load.
+        if gateway.quarantined_for(service, &self.call).is_some() {
+            return Ok(());
+        }
+        let is_escalation = model != self.model;
+        let Some(request) = self.admission_request(model, is_escalation, deadline) else {
+            return Ok(());
+        };
+        let first_token = request.first_token;
+        let admitted = gateway.admit(service, request).await;
+        admitted.map_err(|rejection| self.admission_refusal(&rejection, first_token))
+    }
+
+    fn admission_request(
+        &self,
+        model: Option<usize>,
+        is_escalation: bool,
+        deadline: Duration,
+    ) -> Option<Request> {
+        let gateway = &self.gateway;
+        let call = &self.call;
+        let service = self.service.as_ref()?;
+        let routing = gateway.routing();
+        let pool = routing.pool(service)?;
+        let engine = routing.engine(service);
+        let kv_tokens = engine.map_or(0, |_| {
+            let prompt = &call.prompt;
+            prompt.tokens_in.saturating_add(prompt.tokens_out / 2)
+        });
+        // A request takes a slot or a share of the KV cache, whichever is more.
+        let cost = engine.map_or(1.0, |engine| {
+            let slots = kv_tokens as f64 / engine.cache_tokens.max(1) as f64;
+            (slots * f64::from(engine.slots)).clamp(1.0, f64::from(engine.slots.max(1)))
+        });
+        let model_name = self.model_name(model);
+        let slowness = model_name
+            .as_ref()
+            .map_or(1.0, |model| routing.slowness(service, model));
+        let prefill_tokens = (call.prompt.tokens_in as f64 * slowness) as u64;
+        let first_token = gateway.predict_prefill_time(service, model_name, prefill_tokens);
+        let excluded = if is_escalation || self.tried.is_empty() {
+            Vec::new()
+        } else {
+            let upstreams = pool.upstreams.iter();
+            let tried = upstreams.filter(|upstream| self.tried.contains(upstream.id()));
+            tried.map(|upstream| upstream.number).collect()
+        };
+        let is_first = self.runs == 0 && self.refusals == 0 && self.unreachable == 0;
+        let organisation = call.organisation.as_ref();
+        let inventory = routing.config.as_ref().map(|config| &config.inventory);
+        let weight = organisation
+            .zip(inventory)
+            .and_then(|((name, _), inventory)| inventory.organisation(name))
+            .map_or(1, |organisation| organisation.weight);
+        let path = call.path_and_query.split('?').next().unwrap_or_default();
+        Some(Request {
+            kind: if is_first { Kind::First } else { Kind::Begun },
+            rank: rank(call),
+            organisation: organisation.map_or_else(|| "".into(), |(name, _)| name.clone()),
+            weight,
+            path: stable_hash(path),
+            deadline,
+            first_token: first_token.unwrap_or_default().max(MIN_TIME_LEFT),
+            cost,
+            needs: Needs {
+                kv_tokens,
+                wants_new: self.uses_new_release(pool),
+                excluded,
+            },
+        })
+    }
+
+    /// Logs a rejection and returns the refusal.
+    fn admission_refusal(&self, rejection: &Rejection, first_token: Duration) -> Refusal {
+        event!(
+            Info,
+            "admission_rejected",
+            request = self.call.id,
+            route = self.call.route.name,
+            organisation = self
+                .call
+                .organisation
+                .as_ref()
+                .map_or("-", |(name, _)| name),
+            service = self.service.as_deref().unwrap_or("-"),
+            outcome = admission::outcome(rejection.reason),
+            run = self.runs,
+            queued = rejection.queued,
+            ahead = rejection.ahead,
+            per_s = rejection
+                .rate
+                .map_or("-".to_owned(), |rate| format!("{rate:.1}")),
+            first_ms = first_token.as_millis(),
+            left_ms = self.call.time_left(self.gateway.now()).as_millis(),
+            retry_ms = rejection.retry_after.as_millis()
+        );
+        let refusal = if rejection.reason == Reason::Share {
+            Refusal::new(
+                StatusCode::TOO_MANY_REQUESTS,
+                "beyond_share",
+                "the service is at its capacity and the organisation beyond its share; retry later",
+            )
+        } else {
+            Refusal::unavailable(
+                "overloaded",
+                "the service cannot serve the request in time; retry later",
+            )
+        };
+        refusal.with_retry_after(rejection.retry_after)
+    }
+}
--- a/src/gateway/exchange/choose.rs
+++ b/src/gateway/exchange/choose.rs
@@ -143,18 +143,25 @@
             &backpressure,
             kv_capacity_tokens,
         );
+        let demand = gateway.cfg.admission.then(|| gateway.demand(service));
         let choose = |wants_new: Option<bool>| -> Option<Upstream> {
-            let eligible: Vec<&Upstream> = pool
+            let mut eligible: Vec<&Upstream> = pool
                 .upstreams
                 .iter()
                 .filter(|upstream| wants_new.is_none_or(|new| new == upstream.is_new))
                 .collect();
-            let candidates: Vec<Candidate> = eligible
+            let mut candidates: Vec<Candidate> = eligible
                 .iter()
                 .map(|upstream| {
                     upstreams.placement_candidate(upstream, &context, tried.contains(upstream.id()))
                 })
                 .collect();
+            if let Some(demand) = demand {
+                prefer_free(&mut eligible, &mut candidates, |upstream, candidate| {
+                    let place = upstreams.place_of(upstream, candidate, &context, demand);
+                    place.is_some_and(|place| place.free > 0 && !place.is_last_resort)
+                });
+            }
             let can_probe = self.call.route.is_safe_to_retry();
             let rng = &mut *gateway.rng.borrow_mut();
             let index = placement::place(&candidates, prefill, can_probe, rng)?;
@@ -168,7 +175,7 @@
 
     /// Returns whether the request goes to the release that is being rolled out; `None` outside a
     /// rollout.
-    fn uses_new_release(&self, pool: &ServicePool) -> Option<bool> {
+    pub(super) fn uses_new_release(&self, pool: &ServicePool) -> Option<bool> {
         let id = self.call.session_id();
         let draw = id as f64 / u64::MAX as f64;
         if self.call.session.is_none() {
@@ -214,3 +221,22 @@
         })
     }
 }
+
+/// Keeps only the untried upstreams that `has_room`, unless there are none.
+fn prefer_free(
+    upstreams: &mut Vec<&Upstream>,
+    candidates: &mut Vec<Candidate>,
+    has_room: impl Fn(&Upstream, &Candidate) -> bool,
+) {
+    let rows = upstreams.iter().zip(&*candidates);
+    let kept: Vec<bool> = rows
+        .map(|(upstream, candidate)| !candidate.was_tried && has_room(upstream, candidate))
+        .collect();
+    if !kept.contains(&true) {
+        return;
+    }
+    let mut flags = kept.iter();
+    upstreams.retain(|_| flags.next() == Some(&true));
+    let mut flags = kept.iter();
+    candidates.retain(|_| flags.next() == Some(&true));
+}
--- a/src/gateway/exchange/mod.rs
+++ b/src/gateway/exchange/mod.rs
@@ -1,5 +1,6 @@
 //! One request from its arrival to its final response, over all its attempts.
 
+mod admit;
 mod choose;
 mod log;
 
@@ -241,7 +242,18 @@
 
     async fn run(&mut self) -> Result<FinalResponse, Refusal> {
         let mut failure: Option<(ResponseHead, Bytes)> = None;
+        let mut is_dispatched = false;
         loop {
+            if !std::mem::take(&mut is_dispatched)
+                && self.has_attempts_left()
+                && let Err(refusal) = self.wait_for_dispatch().await
+            {
+                // A request that may have run must not be reported as rejected.
+                if self.runs == 0 && failure.is_none() {
+                    return Err(refusal);
+                }
+                return self.final_failure(failure);
+            }
             let Some(upstream) = self.next_upstream() else {
                 return self.final_failure(failure);
             };
@@ -262,7 +274,9 @@
                 AttemptOutcome::Stream(response, in_flight) => {
                     if let Some(larger_model) = self.escalation_target(&response.headers)
                         && self.reserve_escalation()
+                        && self.wait_for_escalation(larger_model).await
                     {
+                        is_dispatched = true;
                         self.model = Some(larger_model);
                         self.tried.clear();
                         continue;
@@ -337,17 +351,20 @@
         self.call.route.ladder.get(model?).cloned()
     }
 
+    /// Returns whether the request's own limits allow another attempt.
+    fn has_attempts_left(&self) -> bool {
+        let is_first = self.runs == 0 && self.refusals == 0 && self.unreachable == 0;
+        self.runs < self.call.route.attempts
+            && self.refusals < MAX_REFUSALS
+            && self.unreachable < MAX_UNREACHABLE
+            && (is_first || self.call.time_left(self.gateway.now()) >= MIN_TIME_LEFT)
+    }
+
     /// Returns the upstream for the next attempt; `None` if no attempt is allowed or no upstream is
     /// left.
     fn next_upstream(&mut self) -> Option<Upstream> {
         let is_first = self.runs == 0 && self.refusals == 0 && self.unreachable == 0;
-        if self.runs >= self.call.route.attempts
-            || self.refusals >= MAX_REFUSALS
-            || self.unreachable >= MAX_UNREACHABLE
-        {
-            return None;
-        }
-        if !is_first && self.call.time_left(self.gateway.now()) < MIN_TIME_LEFT {
+        if !self.has_attempts_left() {
             return None;
         }
         let service = self.service.clone()?;
--- a/src/gateway/loads/mod.rs
+++ b/src/gateway/loads/mod.rs
@@ -23,6 +23,7 @@
 use super::quarantine::ServiceNotice;
 use crate::agreement::Index;
 use crate::collections::HashMap;
+use crate::collections::HashSet;
 use crate::log::event;
 use crate::policy::backpressure::LimitNotice;
 use crate::policy::crashing_requests;
@@ -172,6 +173,20 @@
         self.gateways.keys().copied()
     }
 
+    /// Returns whether another gateway is heard of.
+    pub(super) fn hears_others(&self) -> bool {
+        !self.gateways.is_empty()
+    }
+
+    /// Returns how many other gateways have requests at one of the upstreams.
+    pub(super) fn count_with_requests(&self, upstreams: &HashSet<Index>) -> usize {
+        let is_busy = |peer: &&PeerLoad| {
+            let mut rows = peer.rows.iter();
+            rows.any(|(number, load)| load.requests > 0 && upstreams.contains(number))
+        };
+        self.gateways.values().filter(is_busy).count()
+    }
+
     /// Returns the total load of all other gateways at one upstream.
     pub(super) fn total_at(&self, number: Index) -> Load {
         self.totals.get(&number).copied().unwrap_or_default()
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 //! it received, so that an outage of the replicas does not affect callers.
 
 mod admin;
+mod admission;
 mod attempt;
 mod backpressure;
 mod call;
@@ -39,6 +40,7 @@
 
 pub use self::headers::HeaderNames;
 
+use self::admission::Admission;
 use self::loads::PeerLoads;
 use self::routing::RoutingTable;
 use self::upstreams::UpstreamTable;
@@ -151,6 +153,8 @@
     /// release of a session has changed, an upstream has refused a connection, named a limit or
     /// crashed under a suspect prompt or request, or an update of another gateway is to be forwarded.
     load_changed: Notify,
+    /// Requests that wait for capacity, if admission is on.
+    admission: Admission,
     connections: ConnectionPool,
     retry_budgets: RefCell<HashMap<Name, SlidingWindow>>,
     /// Prefill rates by service and model; the model is `None` unless the gateway chose it.
@@ -224,6 +228,7 @@
         quarantine_changed: Notify::new(),
         sessions: RefCell::default(),
         load_changed: Notify::new(),
+        admission: Admission::default(),
         connections: ConnectionPool::default(),
         retry_budgets: RefCell::default(),
         prefill_rates: RefCell::default(),
@@ -260,6 +265,9 @@
     tokio::task::spawn_local(renewal::run(gateway.clone()));
     tokio::task::spawn_local(sweep(gateway.clone()));
     tokio::task::spawn_local(loads::run(gateway.clone(), socket));
+    if gateway.cfg.admission {
+        tokio::task::spawn_local(admission::run(gateway.clone()));
+    }
     Ok(Server { gateway })
 }
 
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -16,6 +16,10 @@
 use crate::log::event;
 use crate::policy::backpressure::Backpressure;
 use crate::policy::backpressure::Sharing;
+use crate::policy::gateway_queue;
+use crate::policy::gateway_queue::Occupancy;
+use crate::policy::gateway_queue::Place;
+use crate::policy::gateway_queue::UPDATE_AGE;
 use crate::policy::placement::Candidate;
 use crate::policy::placement::stable_hash;
 use crate::policy::reachability::Reachability;
@@ -28,6 +32,10 @@
 /// Age from which a load report is ignored.
 const LOAD_REPORT_TTL: Duration = Duration::from_secs(3);
 
+/// Age from which a load report no longer tells whether an upstream has capacity. Other gateways
+/// may have sent or finished many requests since, and the updates count them.
+const CAPACITY_REPORT_TTL: Duration = Duration::from_millis(500);
+
 /// Load that an upstream reported in its last response.
 #[derive(Clone, Copy, Debug)]
 struct LoadReport {
@@ -129,6 +137,68 @@
             slowness: 1.0,
         }
     }
+
+    /// Returns the capacity of one upstream for admission; `None` if it accepts no request now.
+    pub(super) fn place(
+        &self,
+        upstream: &Upstream,
+        context: &PlacementContext<'_>,
+        demand: Demand,
+    ) -> Option<Place> {
+        let candidate = self.placement_candidate(upstream, context, false);
+        self.place_of(upstream, &candidate, context, demand)
+    }
+
+    /// Returns the same for an upstream whose placement candidate is known.
+    pub(super) fn place_of(
+        &self,
+        upstream: &Upstream,
+        candidate: &Candidate,
+        context: &PlacementContext<'_>,
+        demand: Demand,
+    ) -> Option<Place> {
+        if candidate.is_blocked {
+            return None;
+        }
+        let now = context.now;
+        let row = self
+            .rows
+            .get(upstream.id())
+            .filter(|row| row.number == upstream.number);
+        let peer_requests = context.peer_loads.total_at(upstream.number).requests;
+        let occupancy = Occupancy {
+            slots: upstream.announced.slots,
+            requests: row.map_or(peer_requests, |row| {
+                row.known_requests(peer_requests, demand.lacks_updates, now)
+            }),
+            own: row.map_or(0, |row| row.in_flight.count()),
+            own_before: row.map_or(0, |row| {
+                row.in_flight.count_at(now.saturating_sub(UPDATE_AGE))
+            }),
+            gateways: demand.gateways,
+        };
+        let kv_free = context.kv_capacity_tokens.map_or(u64::MAX, |capacity| {
+            (capacity as f64 * (1.0 - candidate.kv_cache_use)).max(0.0) as u64
+        });
+        Some(Place {
+            upstream: upstream.number,
+            free: gateway_queue::free_slots(&occupancy),
+            kv_free,
+            is_idle: occupancy.requests == 0,
+            is_new: upstream.is_new,
+            is_last_resort: candidate.is_suspect || candidate.circuit == Circuit::Open,
+        })
+    }
+}
+
+/// What a gateway knows of the other gateways' requests to a service.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Demand {
+    /// Gateways with requests to the service, this one included.
+    pub(super) gateways: u32,
+    /// Whether there are other gateways of which no update is heard, so that only the upstreams'
+    /// reports count their requests.
+    pub(super) lacks_updates: bool,
 }
 
 /// Further input of the placement, the same for all upstreams of a service.
@@ -144,6 +214,30 @@
 }
 
 impl UpstreamState {
+    /// Returns the number of requests at the upstream, as far as known. Both sources may be too
+    /// high while requests end, and a request that waits for a free slot loses time, so the lower
+    /// one counts.
+    fn known_requests(&self, peer_requests: u32, lacks_updates: bool, now: Duration) -> u32 {
+        let own = self.in_flight.count();
+        let counted = own.saturating_add(peer_requests);
+        let recent = self
+            .report
+            .filter(|report| now.saturating_sub(report.received_at) < CAPACITY_REPORT_TTL);
+        let Some(report) = recent else {
+            return counted;
+        };
+        let reported = report
+            .requests
+            .saturating_add(own)
+            .saturating_sub(report.in_flight_at_report)
+            .max(own);
+        if lacks_updates {
+            reported
+        } else {
+            counted.min(reported)
+        }
+    }
+
     /// Estimates the number of requests at the upstream: the last recent load report plus the
     /// change in this gateway's requests since then, or else the requests that all gateways have
     /// there.
@@ -355,6 +449,7 @@
             row.health.record_cancelled();
         }
         drop(upstreams);
+        self.gateway.record_freed_capacity();
         self.gateway.load_changed.notify_one();
     }
 }
--- /dev/null
+++ b/src/policy/gateway_queue.rs
@@ -0,0 +1,807 @@
+//! Decides whether a gateway sends a request of a service at once, queues it or rejects it, and
+//! which queued request is sent next.
+//!
+//! Handles services whose upstreams are all at their slots: bursts, an organisation that sends
+//! several times its usual load, callers that retry at once, and large prompts among small ones. A
+//! request is queued or rejected only while no upstream that it may use has capacity. A rejected or
+//! cancelled request is never dispatched.
+//!
+//! Order of dispatch: requests that have run before (retries, escalations), then by rank; within a
+//! rank, organisations by start-time fair queueing; within an organisation, requests that come back
+//! after a rejection, then by the latest useful start.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::agreement::Index;
+use crate::collections::HashMap;
+use crate::collections::Name;
+
+/// Most queued requests of one service.
+pub const QUEUE_LIMIT: usize = 1024;
+
+/// Most queued requests of one organisation.
+pub const ORGANISATION_LIMIT: usize = 256;
+
+/// One dispatch in this many goes to the request that has waited longest, so that none starves.
+pub const OLDEST_INTERVAL: u32 = 8;
+
+/// Longest time for which smaller requests pass one that lacks KV cache. Afterwards an upstream is
+/// kept free for it.
+pub const MAX_BYPASS: Duration = Duration::from_millis(250);
+
+/// Longest time for which a request waits for KV cache. Other gateways may use up what this one
+/// keeps free, so afterwards the request needs only a slot and waits at the upstream for the rest.
+pub const MAX_KV_WAIT: Duration = Duration::from_secs(1);
+
+/// Age up to which a gateway may not know of other gateways' requests: three hops of updates.
+pub const UPDATE_AGE: Duration = Duration::from_millis(150);
+
+/// Bounds of `Retry-After`.
+pub const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
+/// See [`MIN_RETRY_AFTER`].
+pub const MAX_RETRY_AFTER: Duration = Duration::from_secs(5);
+
+/// `Retry-After` before jitter while the dispatch rate is not known.
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(250);
+
+/// Time over which the dispatch rate is measured.
+const RATE_WINDOW: Duration = Duration::from_secs(2);
+
+/// Time for which the queue must have been in use before its dispatch rate counts as known. The
+/// rate of a quiet period says nothing about the capacity.
+const MIN_BUSY_TIME: Duration = Duration::from_millis(250);
+
+/// Most dispatches that are kept to measure the rate.
+const MAX_DISPATCH_TIMES: usize = 512;
+
+/// Most queued requests whose fit is examined for one dispatch, which bounds its time. Requests
+/// that need at least as much as one that did not fit are skipped and do not count.
+const MAX_EXAMINED: usize = 32;
+
+/// Most organisations with an account, over all ranks. Those without queued requests are removed
+/// first, so the number can exceed it only by the queued requests.
+const MAX_ACCOUNTS: usize = 2 * QUEUE_LIMIT;
+
+/// Most rejections that are remembered to recognise requests that come back.
+const MAX_RETURNS: usize = 1024;
+
+/// How much earlier than told a caller may come back. `Retry-After` is rounded to 10 ms.
+const RETURN_TOLERANCE: Duration = Duration::from_millis(10);
+
+/// How much later than told a caller may come back, beside the time of its `Retry-After`.
+const RETURN_DELAY: Duration = Duration::from_millis(500);
+
+/// Attempts of a request, by precedence.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Kind {
+    /// A retry or an escalation of a request that has been sent before.
+    Begun,
+    /// The first attempt of a request that was probably rejected before. Found by the queue itself.
+    Returning,
+    /// A first attempt.
+    First,
+}
+
+/// What a request needs of an upstream.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Needs {
+    /// Tokens that it will hold in the KV cache.
+    pub kv_tokens: u64,
+    /// Whether it goes to the release that is being rolled out; `None` outside a rollout.
+    pub wants_new: Option<bool>,
+    /// Upstreams that it may not use, by number.
+    pub excluded: Vec<Index>,
+}
+
+/// A request that is to be sent.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Its precedence.
+    pub kind: Kind,
+    /// Rank, 0 for the most urgent.
+    pub rank: u32,
+    /// Organisation; empty for anonymous callers.
+    pub organisation: Name,
+    /// Weight of the organisation in fair queueing; 0 counts as 1.
+    pub weight: u32,
+    /// Hash of its path, by which a request that comes back is recognised.
+    pub path: u64,
+    /// Time at which its response must have begun.
+    pub deadline: Duration,
+    /// Predicted time from dispatch to the first token.
+    pub first_token: Duration,
+    /// Capacity that it takes, in slots; for fair queueing.
+    pub cost: f64,
+    /// What it needs of an upstream.
+    pub needs: Needs,
+}
+
+impl Request {
+    /// Latest dispatch for which the response can begin before the deadline.
+    fn latest_start(&self) -> Duration {
+        self.deadline.saturating_sub(self.first_token)
+    }
+}
+
+/// What is known of the requests at an upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct Occupancy {
+    /// Its slots.
+    pub slots: u32,
+    /// Its requests, of all gateways.
+    pub requests: u32,
+    /// Requests of this gateway among them.
+    pub own: u32,
+    /// Requests of this gateway there [`UPDATE_AGE`] ago, as the other gateways may still know.
+    pub own_before: u32,
+    /// Gateways with requests to the service, this one included.
+    pub gateways: u32,
+}
+
+/// Returns how many requests this gateway may send to the upstream now.
+///
+/// An upstream has capacity up to its slots and an eighth of them, at least one. Once more than half
+/// of the slots are in use, each of `n` gateways may add at most `ceil(free / n) + 1` requests
+/// within [`UPDATE_AGE`], so all together exceed the capacity by less than `2 n`.
+pub fn free_slots(occupancy: &Occupancy) -> u32 {
+    let slots = occupancy.slots.max(1);
+    let limit = slots.saturating_add((slots / 8).max(1));
+    let free = limit.saturating_sub(occupancy.requests);
+    if occupancy.requests <= slots / 2 {
+        return free;
+    }
+    let added = occupancy.own.saturating_sub(occupancy.own_before);
+    let free_before = free.saturating_add(added);
+    let share = free_before.div_ceil(occupancy.gateways.max(1)) + 1;
+    free.min(share.saturating_sub(added))
+}
+
+/// Capacity of one upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct Place {
+    /// Number of the upstream.
+    pub upstream: Index,
+    /// Requests that may be sent there now; see [`free_slots`].
+    pub free: u32,
+    /// Tokens for which its KV cache has space.
+    pub kv_free: u64,
+    /// Whether it is idle, so that a request of any size may be sent there.
+    pub is_idle: bool,
+    /// Whether it runs the release that is being rolled out.
+    pub is_new: bool,
+    /// Whether it is suspect or cut off by its circuit breaker, and so used only without others.
+    pub is_last_resort: bool,
+}
+
+impl Place {
+    /// Returns whether the request may be sent there now, and not only as a last resort.
+    pub fn fits(&self, needs: &Needs) -> bool {
+        !self.is_last_resort
+            && self.free > 0
+            && (self.is_idle || self.kv_free >= needs.kv_tokens)
+            && needs.wants_new.is_none_or(|new| new == self.is_new)
+            && !needs.excluded.contains(&self.upstream)
+    }
+}
+
+/// Capacity of the upstreams of a service that accept requests.
+#[derive(Clone, Debug, Default)]
+pub struct Room {
+    places: Vec<Place>,
+    /// Sum of the free slots.
+    free: u32,
+    is_reserved: bool,
+}
+
+/// Result of looking for capacity.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Fit {
+    /// The place has capacity.
+    At(usize),
+    /// No upstream that the request may use has a free slot.
+    NoSlot,
+    /// There are free slots without enough KV cache; the place has the most.
+    NoKvCache(usize),
+    /// There is no upstream that the request may use, so waiting does not help.
+    NoUpstream,
+}
+
+impl Room {
+    /// Creates the capacity of a service.
+    pub fn new(places: Vec<Place>) -> Self {
+        let free = places
+            .iter()
+            .fold(0, |sum: u32, place| sum.saturating_add(place.free));
+        Self {
+            places,
+            free,
+            is_reserved: false,
+        }
+    }
+
+    fn find(&self, needs: &Needs, ignores_kv_cache: bool) -> Fit {
+        let is_allowed = |place: &Place, wants_new: Option<bool>| {
+            wants_new.is_none_or(|new| new == place.is_new)
+                && !needs.excluded.contains(&place.upstream)
+        };
+        let mut wants_new = needs.wants_new;
+        // As in the choice of the upstream: the stable release may serve what the new one cannot.
+        if wants_new == Some(true) && !self.places.iter().any(|place| is_allowed(place, wants_new))
+        {
+            wants_new = Some(false);
+        }
+        let mut result = Fit::NoUpstream;
+        let mut is_last_resort = true;
+        let mut best = (0, 0);
+        for (i, place) in self.places.iter().enumerate() {
+            if !is_allowed(place, wants_new) || place.is_last_resort && !is_last_resort {
+                continue;
+            }
+            if is_last_resort && !place.is_last_resort {
+                is_last_resort = false;
+                result = Fit::NoUpstream;
+                best = (0, 0);
+            }
+            let fits = place.is_idle || ignores_kv_cache || place.kv_free >= needs.kv_tokens;
+            result = match result {
+                _ if place.free == 0 => match result {
+                    Fit::NoUpstream => Fit::NoSlot,
+                    result => result,
+                },
+                Fit::At(_) if !fits || best >= (place.free, place.kv_free) => result,
+                Fit::NoKvCache(_) if !fits && best.1 >= place.kv_free => result,
+                _ => {
+                    best = (place.free, place.kv_free);
+                    if fits { Fit::At(i) } else { Fit::NoKvCache(i) }
+                }
+            };
+        }
+        result
+    }
+
+    /// Takes capacity for a request and returns the number of the upstream.
+    fn take(&mut self, index: usize, needs: &Needs) -> Index {
+        let place = &mut self.places[index];
+        place.free = place.free.saturating_sub(1);
+        place.kv_free = place.kv_free.saturating_sub(needs.kv_tokens);
+        place.is_idle = false;
+        self.free = self.free.saturating_sub(1);
+        place.upstream
+    }
+
+    /// Keeps a place free of other requests, at most one at a time.
+    fn reserve(&mut self, index: usize) {
+        if !self.is_reserved {
+            self.is_reserved = true;
+            self.free = self.free.saturating_sub(self.places[index].free);
+            self.places[index].free = 0;
+        }
+    }
+}
+
+/// Why a request is rejected.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reason {
+    /// Its response cannot begin before its deadline.
+    Late,
+    /// The queue is full.
+    Full,
+    /// The same, for an organisation that has more than its share of the queue.
+    Share,
+}
+
+/// A rejection with what it was decided by.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Rejection {
+    /// Why.
+    pub reason: Reason,
+    /// When the caller should try again, from now.
+    pub retry_after: Duration,
+    /// Queued requests of the service.
+    pub queued: usize,
+    /// Queued requests that would be dispatched before it.
+    pub ahead: usize,
+    /// Dispatches a second; `None` if not known.
+    pub rate: Option<f64>,
+}
+
+/// What happens to a request on arrival.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Arrival {
+    /// It is sent now.
+    AtOnce,
+    /// It waits under this ticket.
+    Queued(u64),
+    /// It is never sent.
+    Rejected(Rejection),
+}
+
+/// A queued request that is to be sent now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Dispatch {
+    /// Its ticket.
+    pub ticket: u64,
+    /// Number of an upstream that has capacity for it; [`None`] if there is no upstream that it may
+    /// use.
+    pub upstream: Option<Index>,
+    /// How long it waited.
+    pub waited: Duration,
+}
+
+#[derive(Debug)]
+struct Entry {
+    request: Request,
+    account: usize,
+    queued_at: Duration,
+    /// When it was first found to lack KV cache.
+    lacks_kv_since: Option<Duration>,
+}
+
+impl Entry {
+    /// Classes in strict order.
+    fn class(&self) -> (bool, u32) {
+        class(&self.request)
+    }
+
+    /// Order within an organisation.
+    fn order(&self) -> (Kind, Duration) {
+        (self.request.kind, self.request.latest_start())
+    }
+}
+
+fn class(request: &Request) -> (bool, u32) {
+    (request.kind != Kind::Begun, request.rank)
+}
+
+/// Fair-queueing state of an organisation in one rank.
+#[derive(Debug)]
+struct Account {
+    rank: u32,
+    organisation: Name,
+    weight: f64,
+    /// Virtual start time of its next request.
+    start: f64,
+    queued: usize,
+}
+
+/// A rejection whose caller may come back.
+#[derive(Debug)]
+struct ExpectedReturn {
+    organisation: Name,
+    path: u64,
+    from: Duration,
+    until: Duration,
+}
+
+/// The queue of one service at one gateway.
+#[derive(Debug, Default)]
+pub struct Queue {
+    /// By ticket, so in the order of arrival.
+    entries: BTreeMap<u64, Entry>,
+    next_ticket: u64,
+    accounts: Vec<Account>,
+    /// Index of an account by rank and organisation.
+    account_indices: HashMap<(u32, Name), usize>,
+    free_accounts: Vec<usize>,
+    /// Virtual time by rank.
+    virtual_times: BTreeMap<u32, f64>,
+    /// Queued requests by organisation, over all ranks.
+    queued_by_organisation: HashMap<Name, usize>,
+    /// Dispatches since the last one in favour of the longest waiting request.
+    since_oldest: u32,
+    busy_since: Option<Duration>,
+    dispatch_times: VecDeque<Duration>,
+    returns: VecDeque<ExpectedReturn>,
+}
+
+impl Queue {
+    /// Returns the number of queued requests.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns whether no request is queued.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Decides about a request. All queued requests that fit `room` must have been dispatched
+    /// before, so that none is overtaken. `jitter` is uniform from 0 to 1.
+    pub fn arrive(
+        &mut self,
+        mut request: Request,
+        room: &mut Room,
+        now: Duration,
+        jitter: f64,
+    ) -> Arrival {
+        match room.find(&request.needs, false) {
+            Fit::At(index) => {
+                room.take(index, &request.needs);
+                if !self.is_empty() {
+                    self.record_dispatch(now);
+                }
+                return Arrival::AtOnce;
+            }
+            Fit::NoUpstream => return Arrival::AtOnce,
+            Fit::NoSlot | Fit::NoKvCache(_) => {}
+        }
+        if request.kind == Kind::First && self.take_return(&request, now) {
+            request.kind = Kind::Returning;
+        }
+        let of_organisation = self.queued_of(&request.organisation);
+        let is_full = self.len() >= QUEUE_LIMIT || of_organisation >= ORGANISATION_LIMIT;
+        let ahead = self.count_ahead(&request);
+        let rate = self.rate(now);
+        let wait = rate.map_or(Duration::ZERO, |rate| time_for(ahead + 1, rate));
+        if is_full || now.saturating_add(wait) > request.latest_start() {
+            let reason = if of_organisation >= ORGANISATION_LIMIT || self.exceeds_share(&request) {
+                Reason::Share
+            } else if is_full {
+                Reason::Full
+            } else {
+                Reason::Late
+            };
+            return Arrival::Rejected(self.reject(&request, reason, ahead, now, jitter));
+        }
+        Arrival::Queued(self.push(request, now))
+    }
+
+    /// Removes the request that is to be sent next and takes its capacity from `room`; `None` if
+    /// none fits.
+    pub fn dispatch_next(&mut self, room: &mut Room, now: Duration) -> Option<Dispatch> {
+        let mut unfit: Vec<(Needs, bool)> = Vec::new();
+        if self.since_oldest + 1 >= OLDEST_INTERVAL
+            && let Some((&ticket, entry)) = self.entries.first_key_value()
+        {
+            let fit = room.find(&entry.request.needs, entry.ignores_kv_cache(now));
+            if let Some(upstream) = take(room, fit, &entry.request.needs) {
+                self.since_oldest = 0;
+                return Some(self.dispatch(ticket, upstream, now));
+            }
+        }
+        if room.free == 0 && !room.places.is_empty() {
+            return None;
+        }
+        for _ in 0..MAX_EXAMINED {
+            let ticket = self.first_except(&unfit, now)?;
+            let entry = self.entries.get_mut(&ticket)?;
+            let fit = room.find(&entry.request.needs, entry.ignores_kv_cache(now));
+            if let Some(upstream) = take(room, fit, &entry.request.needs) {
+                self.since_oldest = self.since_oldest.saturating_add(1);
+                let account = &self.accounts[entry.account];
+                let virtual_time = self.virtual_times.entry(account.rank).or_default();
+                *virtual_time = virtual_time.max(account.start);
+                return Some(self.dispatch(ticket, upstream, now));
+            }
+            if let Fit::NoKvCache(index) = fit {
+                let since = *entry.lacks_kv_since.get_or_insert(now);
+                if now >= since + MAX_BYPASS {
+                    room.reserve(index);
+                }
+            }
+            let lacks_slot = fit == Fit::NoSlot;
+            unfit.push((entry.request.needs.clone(), lacks_slot));
+        }
+        None
+    }
+
+    /// Removes the requests whose response can no longer begin before the deadline; `jitter` is
+    /// uniform from 0 to 1.
+    pub fn remove_late(&mut self, now: Duration, jitter: f64) -> Vec<(u64, Rejection)> {
+        let late: Vec<u64> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| now > entry.request.latest_start())
+            .map(|(&ticket, _)| ticket)
+            .collect();
+        late.into_iter()
+            .filter_map(|ticket| {
+                let is_over = self.exceeds_share(&self.entries.get(&ticket)?.request);
+                let entry = self.remove(ticket, now)?;
+                let reason = if is_over { Reason::Share } else { Reason::Late };
+                let ahead = self.count_ahead(&entry.request);
+                let rejection = self.reject(&entry.request, reason, ahead, now, jitter);
+                Some((ticket, rejection))
+            })
+            .collect()
+    }
+
+    /// Removes a queued request whose caller has gone; returns whether it was queued.
+    pub fn cancel(&mut self, ticket: u64, now: Duration) -> bool {
+        self.remove(ticket, now).is_some()
+    }
+
+    fn push(&mut self, request: Request, now: Duration) -> u64 {
+        let account = self.account(&request);
+        let virtual_time = self.virtual_times.get(&request.rank).copied();
+        let row = &mut self.accounts[account];
+        if row.queued == 0 {
+            row.start = row.start.max(virtual_time.unwrap_or_default());
+        }
+        row.queued += 1;
+        let organisation = request.organisation.clone();
+        *self.queued_by_organisation.entry(organisation).or_default() += 1;
+        self.busy_since.get_or_insert(now);
+        self.next_ticket += 1;
+        let entry = Entry {
+            request,
+            account,
+            queued_at: now,
+            lacks_kv_since: None,
+        };
+        self.entries.insert(self.next_ticket, entry);
+        self.next_ticket
+    }
+
+    /// Returns the index of the organisation's account, a new one if it has none.
+    fn account(&mut self, request: &Request) -> usize {
+        let key = (request.rank, request.organisation.clone());
+        if let Some(&index) = self.account_indices.get(&key) {
+            return index;
+        }
+        if self.account_indices.len() >= MAX_ACCOUNTS {
+            let accounts = &self.accounts;
+            let free = &mut self.free_accounts;
+            self.account_indices.retain(|_, &mut index| {
+                let is_used = accounts[index].queued > 0;
+                if !is_used {
+                    free.push(index);
+                }
+                is_used
+            });
+        }
+        let account = Account {
+            rank: request.rank,
+            organisation: request.organisation.clone(),
+            weight: f64::from(request.weight.max(1)),
+            start: 0.0,
+            queued: 0,
+        };
+        let index = match self.free_accounts.pop() {
+            Some(index) => {
+                self.accounts[index] = account;
+                index
+            }
+            None => {
+                self.accounts.push(account);
+                self.accounts.len() - 1
+            }
+        };
+        self.account_indices.insert(key, index);
+        index
+    }
+
+    /// Returns the first request in the order of dispatch, of those that may need less than each of
+    /// `unfit`, whose flag is whether it lacked a slot.
+    fn first_except(&self, unfit: &[(Needs, bool)], now: Duration) -> Option<u64> {
+        let may_fit = |entry: &Entry| {
+            let needs = &entry.request.needs;
+            unfit.iter().all(|(failed, lacks_slot)| {
+                needs.wants_new != failed.wants_new
+                    || !failed.excluded.iter().all(|i| needs.excluded.contains(i))
+                    || !lacks_slot
+                        && (needs.kv_tokens < failed.kv_tokens || entry.ignores_kv_cache(now))
+            })
+        };
+        let mut first: Option<(u64, &Entry)> = None;
+        for (&ticket, entry) in &self.entries {
+            let precedes = first.is_none_or(|(_, first)| {
+                entry
+                    .class()
+                    .cmp(&first.class())
+                    .then_with(|| {
+                        let (a, b) = (entry.account, first.account);
+                        let (x, y) = (self.accounts[a].start, self.accounts[b].start);
+                        let by_start = x.total_cmp(&y);
+                        by_start.then_with(|| {
+                            if a == b {
+                                entry.order().cmp(&first.order())
+                            } else {
+                                entry.order().1.cmp(&first.order().1).then(a.cmp(&b))
+                            }
+                        })
+                    })
+                    .is_lt()
+            });
+            if precedes && (unfit.is_empty() || may_fit(entry)) {
+                first = Some((ticket, entry));
+            }
+        }
+        first.map(|(ticket, _)| ticket)
+    }
+
+    fn dispatch(&mut self, ticket: u64, upstream: Option<Index>, now: Duration) -> Dispatch {
+        self.record_dispatch(now);
+        let entry = self.entries.get(&ticket);
+        let waited = entry.map_or(Duration::ZERO, |entry| now.saturating_sub(entry.queued_at));
+        if let Some(entry) = entry {
+            let account = &mut self.accounts[entry.account];
+            account.start += entry.request.cost.max(1.0) / account.weight;
+        }
+        self.remove(ticket, now);
+        Dispatch {
+            ticket,
+            upstream,
+            waited,
+        }
+    }
+
+    fn remove(&mut self, ticket: u64, now: Duration) -> Option<Entry> {
+        let entry = self.entries.remove(&ticket)?;
+        let account = &mut self.accounts[entry.account];
+        account.queued = account.queued.saturating_sub(1);
+        let organisation = &entry.request.organisation;
+        if let Some(queued) = self.queued_by_organisation.get_mut(organisation) {
+            *queued = queued.saturating_sub(1);
+            if *queued == 0 {
+                self.queued_by_organisation.remove(organisation);
+            }
+        }
+        if self.entries.is_empty() {
+            // Without contention there is nothing to share out.
+            self.accounts.clear();
+            self.account_indices.clear();
+            self.free_accounts.clear();
+            self.virtual_times.clear();
+            self.busy_since = None;
+            self.dispatch_times.clear();
+            self.returns.retain(|expected| now <= expected.until);
+        }
+        Some(entry)
+    }
+
+    fn record_dispatch(&mut self, now: Duration) {
+        if self.dispatch_times.len() >= MAX_DISPATCH_TIMES {
+            self.dispatch_times.pop_front();
+        }
+        self.dispatch_times.push_back(now);
+    }
+
+    /// Returns the dispatches a second while requests were queued; `None` if they have not been for
+    /// long enough. Without a dispatch it is the rate at which the next one would come now.
+    fn rate(&self, now: Duration) -> Option<f64> {
+        let busy = now.saturating_sub(self.busy_since?);
+        if busy < MIN_BUSY_TIME {
+            return None;
+        }
+        let mut window = busy.min(RATE_WINDOW);
+        if self.dispatch_times.len() >= MAX_DISPATCH_TIMES
+            && let Some(&first) = self.dispatch_times.front()
+        {
+            window = window
+                .min(now.saturating_sub(first))
+                .max(MIN_BUSY_TIME / 10);
+        }
+        let since = now.saturating_sub(window);
+        let recent = self.dispatch_times.iter().rev();
+        let count = recent.take_while(|&&at| at >= since).count();
+        Some(count.max(1) as f64 / window.as_secs_f64())
+    }
+
+    fn queued_of(&self, organisation: &Name) -> usize {
+        let queued = self.queued_by_organisation.get(organisation);
+        queued.copied().unwrap_or_default()
+    }
+
+    /// Returns whether the request's organisation has more of the queue than its weight entitles it
+    /// to, while others wait.
+    fn exceeds_share(&self, request: &Request) -> bool {
+        let own = self.queued_of(&request.organisation);
+        if own == 0 || own == self.len() {
+            return false;
+        }
+        let weight = f64::from(request.weight.max(1));
+        let mut weights: HashMap<&Name, f64> = HashMap::default();
+        for account in self.accounts.iter().filter(|account| account.queued > 0) {
+            weights.insert(&account.organisation, account.weight);
+        }
+        weights.insert(&request.organisation, weight);
+        let total: f64 = weights.values().sum();
+        own as f64 * total > self.len() as f64 * weight
+    }
+
+    /// Estimates the queued requests that would be dispatched before this one.
+    fn count_ahead(&self, request: &Request) -> usize {
+        let own_class = class(request);
+        let own_order = (request.kind, request.latest_start());
+        let (mut urgent, mut own, mut others) = (0, 0, 0);
+        for entry in self.entries.values() {
+            match entry.class().cmp(&own_class) {
+                std::cmp::Ordering::Less => urgent += 1,
+                std::cmp::Ordering::Greater => {}
+                std::cmp::Ordering::Equal => {
+                    if entry.request.organisation != request.organisation {
+                        others += 1;
+                    } else if entry.order() <= own_order {
+                        own += 1;
+                    }
+                }
+            }
+        }
+        let other_weights: f64 = self
+            .accounts
+            .iter()
+            .filter(|account| account.queued > 0 && account.rank == request.rank)
+            .filter(|account| account.organisation != request.organisation)
+            .map(|account| account.weight)
+            .sum();
+        let weight = f64::from(request.weight.max(1));
+        let interleaved = ((own + 1) as f64 * other_weights / weight) as usize;
+        urgent + own + others.min(interleaved)
+    }
+
+    /// Returns whether the request is probably one that was rejected before, and forgets that one.
+    fn take_return(&mut self, request: &Request, now: Duration) -> bool {
+        while self
+            .returns
+            .front()
+            .is_some_and(|expected| now > expected.until)
+        {
+            self.returns.pop_front();
+        }
+        let found = self.returns.iter().position(|expected| {
+            expected.path == request.path
+                && (expected.from..=expected.until).contains(&now)
+                && expected.organisation == request.organisation
+        });
+        found.and_then(|index| self.returns.remove(index)).is_some()
+    }
+
+    /// Returns the rejection of a request that is not queued, and expects it back.
+    fn reject(
+        &mut self,
+        request: &Request,
+        reason: Reason,
+        ahead: usize,
+        now: Duration,
+        jitter: f64,
+    ) -> Rejection {
+        let rate = self.rate(now);
+        let wait = rate.map_or(DEFAULT_RETRY_AFTER, |rate| time_for(ahead + 1, rate));
+        let retry_after = wait
+            .mul_f64(1.0 + jitter.clamp(0.0, 1.0) / 2.0)
+            .clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
+        if request.kind != Kind::Begun {
+            if self.returns.len() >= MAX_RETURNS {
+                self.returns.pop_front();
+            }
+            self.returns.push_back(ExpectedReturn {
+                organisation: request.organisation.clone(),
+                path: request.path,
+                from: (now + retry_after).saturating_sub(RETURN_TOLERANCE),
+                until: now + retry_after * 2 + RETURN_DELAY,
+            });
+        }
+        Rejection {
+            reason,
+            retry_after,
+            queued: self.len(),
+            ahead,
+            rate,
+        }
+    }
+}
+
+impl Entry {
+    fn ignores_kv_cache(&self, now: Duration) -> bool {
+        self.lacks_kv_since
+            .is_some_and(|since| now >= since + MAX_KV_WAIT)
+    }
+}
+
+/// Takes the capacity that was found. Returns `None` if there was none, and `Some(None)` if there is
+/// no upstream to wait for.
+fn take(room: &mut Room, fit: Fit, needs: &Needs) -> Option<Option<Index>> {
+    match fit {
+        Fit::At(index) => Some(Some(room.take(index, needs))),
+        Fit::NoUpstream => Some(None),
+        Fit::NoSlot | Fit::NoKvCache(_) => None,
+    }
+}
+
+/// Returns the time in which so many requests are dispatched, an hour at most.
+fn time_for(requests: usize, rate: f64) -> Duration {
+    Duration::from_secs_f64((requests as f64 / rate.max(1e-3)).min(3600.0))
+}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -9,6 +9,7 @@
 pub mod escalation;
 pub mod fanout;
 pub mod fingerprint;
+pub mod gateway_queue;
 pub mod load_balancing;
 pub mod placement;
 pub mod plan;
--- a/src/upstream/in_flight.rs
+++ b/src/upstream/in_flight.rs
@@ -34,10 +34,8 @@
 
     /// Returns the count at `time`, or the oldest known count if that is longer ago.
     pub fn count_at(&self, time: Duration) -> u32 {
-        self.changes
-            .iter()
-            .find(|(at, _)| *at > time)
-            .map_or(self.count, |&(_, before)| before)
+        let later = self.changes.iter().rev().take_while(|(at, _)| *at > time);
+        later.last().map_or(self.count, |&(_, before)| before)
     }
 
     fn change(&mut self, now: Duration, count: u32) {
