Test the admission queue in scenes and by properties

Cause: the decisions of policy::gateway_queue had no test. Change: scenes in a simulation of upstreams, compared with sending at once on the same arrivals, and quickcheck properties. Two of them failed at first and found a fault: a large prompt whose class is never first was chosen by the turn for the longest waiting request only if it fitted at that moment, so it could wait for ever. That turn now keeps an upstream free for it, as the usual order does.

--- a/src/policy/gateway_queue.rs
+++ b/src/policy/gateway_queue.rs
@@ -345,6 +345,30 @@
         class(&self.request)
     }
 
+    /// Takes capacity for the request and returns the upstream; `None` if there is none that it may
+    /// use, now or later. Otherwise returns whether it lacks a slot rather than KV cache; an
+    /// upstream is kept free for it if it has lacked KV cache for long enough.
+    fn find(&mut self, room: &mut Room, now: Duration) -> Result<Option<Index>, bool> {
+        let needs = &self.request.needs;
+        match room.find(needs, self.ignores_kv_cache(now)) {
+            Fit::At(index) => Ok(Some(room.take(index, needs))),
+            Fit::NoUpstream => Ok(None),
+            Fit::NoSlot => Err(true),
+            Fit::NoKvCache(index) => {
+                let since = *self.lacks_kv_since.get_or_insert(now);
+                if now >= since + MAX_BYPASS {
+                    room.reserve(index);
+                }
+                Err(false)
+            }
+        }
+    }
+
+    fn ignores_kv_cache(&self, now: Duration) -> bool {
+        self.lacks_kv_since
+            .is_some_and(|since| now >= since + MAX_KV_WAIT)
+    }
+
     /// Order within an organisation.
     fn order(&self) -> (Kind, Duration) {
         (self.request.kind, self.request.latest_start())
@@ -453,12 +477,15 @@
     pub fn dispatch_next(&mut self, room: &mut Room, now: Duration) -> Option<Dispatch> {
         let mut unfit: Vec<(Needs, bool)> = Vec::new();
         if self.since_oldest + 1 >= OLDEST_INTERVAL
-            && let Some((&ticket, entry)) = self.entries.first_key_value()
+            && let Some(mut entry) = self.entries.first_entry()
         {
-            let fit = room.find(&entry.request.needs, entry.ignores_kv_cache(now));
-            if let Some(upstream) = take(room, fit, &entry.request.needs) {
-                self.since_oldest = 0;
-                return Some(self.dispatch(ticket, upstream, now));
+            let ticket = *entry.key();
+            match entry.get_mut().find(room, now) {
+                Ok(upstream) => {
+                    self.since_oldest = 0;
+                    return Some(self.dispatch(ticket, upstream, now));
+                }
+                Err(lacks_slot) => unfit.push((entry.get().request.needs.clone(), lacks_slot)),
             }
         }
         if room.free == 0 && !room.places.is_empty() {
@@ -467,22 +494,16 @@
         for _ in 0..MAX_EXAMINED {
             let ticket = self.first_except(&unfit, now)?;
             let entry = self.entries.get_mut(&ticket)?;
-            let fit = room.find(&entry.request.needs, entry.ignores_kv_cache(now));
-            if let Some(upstream) = take(room, fit, &entry.request.needs) {
-                self.since_oldest = self.since_oldest.saturating_add(1);
-                let account = &self.accounts[entry.account];
-                let virtual_time = self.virtual_times.entry(account.rank).or_default();
-                *virtual_time = virtual_time.max(account.start);
-                return Some(self.dispatch(ticket, upstream, now));
-            }
-            if let Fit::NoKvCache(index) = fit {
-                let since = *entry.lacks_kv_since.get_or_insert(now);
-                if now >= since + MAX_BYPASS {
-                    room.reserve(index);
+            match entry.find(room, now) {
+                Ok(upstream) => {
+                    self.since_oldest = self.since_oldest.saturating_add(1);
+                    let account = &self.accounts[entry.account];
+                    let virtual_time = self.virtual_times.entry(account.rank).or_default();
+                    *virtual_time = virtual_time.max(account.start);
+                    return Some(self.dispatch(ticket, upstream, now));
                 }
+                Err(lacks_slot) => unfit.push((entry.request.needs.clone(), lacks_slot)),
             }
-            let lacks_slot = fit == Fit::NoSlot;
-            unfit.push((entry.request.needs.clone(), lacks_slot));
         }
         None
     }
@@ -784,23 +805,6 @@
     }
 }
 
-impl Entry {
-    fn ignores_kv_cache(&self, now: Duration) -> bool {
-        self.lacks_kv_since
-            .is_some_and(|since| now >= since + MAX_KV_WAIT)
-    }
-}
-
-/// Takes the capacity that was found. Returns `None` if there was none, and `Some(None)` if there is
-/// no upstream to wait for.
-fn take(room: &mut Room, fit: Fit, needs: &Needs) -> Option<Option<Index>> {
-    match fit {
-        Fit::At(index) => Some(Some(room.take(index, needs))),
-        Fit::NoUpstream => Some(None),
-        Fit::NoSlot | Fit::NoKvCache(_) => None,
-    }
-}
-
 /// Returns the time in which so many requests are dispatched, an hour at most.
 fn time_for(requests: usize, rate: f64) -> Duration {
     Duration::from_secs_f64((requests as f64 / rate.max(1e-3)).min(3600.0))
--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -7,6 +7,7 @@
 mod crashing_requests;
 mod escalation;
 mod fanout;
+mod gateway_queue;
 mod load_balancing;
 mod placement;
 mod prefill;
