Test admission in processes, explain its rejections and measure its decision

Cause: the use of the queue in the gateway had no test, and explain did not know its codes. Callers that resume a stream by its last event never wait. While requests wait, capacity is computed less often with hundreds of upstreams.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -7,6 +7,13 @@
 
 use criterion::BenchmarkId;
 use criterion::Criterion;
+use daisyquay::policy::gateway_queue::Arrival;
+use daisyquay::policy::gateway_queue::Kind;
+use daisyquay::policy::gateway_queue::Needs;
+use daisyquay::policy::gateway_queue::Place;
+use daisyquay::policy::gateway_queue::Queue;
+use daisyquay::policy::gateway_queue::Request;
+use daisyquay::policy::gateway_queue::Room;
 use daisyquay::policy::load_balancing;
 use daisyquay::policy::plan;
 use daisyquay::policy::quality::QualityTable;
@@ -88,9 +95,69 @@
     group.finish();
 }
 
+fn admission_request(i: u64) -> Request {
+    Request {
+        kind: Kind::First,
+        rank: (i % 6) as u32,
+        organisation: format!("o{}", i % 40).into(),
+        weight: 1 + (i % 3) as u32,
+        path: i % 5,
+        deadline: Duration::from_secs(60 + i % 30),
+        first_token: Duration::from_millis(200),
+        cost: 1.0,
+        needs: Needs {
+            kv_tokens: 1_000 * (i % 50),
+            ..Needs::default()
+        },
+    }
+}
+
+/// Upstreams without capacity, but for the last one with `free` slots.
+fn places(count: u64, free: u32) -> Vec<Place> {
+    (0..count)
+        .map(|upstream| Place {
+            upstream,
+            free: if upstream + 1 == count { free } else { 0 },
+            kv_free: u64::MAX,
+            is_idle: false,
+            is_new: false,
+            is_last_resort: false,
+        })
+        .collect()
+}
+
+/// One arrival and one dispatch in a queue that stays as long as it is.
+fn bench_admission(c: &mut Criterion) {
+    let mut group = c.benchmark_group("admission");
+    for (upstreams, queued) in [(4, 16), (90, 250), (830, 1_000)] {
+        let now = Duration::from_secs(1);
+        let mut queue = Queue::default();
+        let mut full = Room::new(places(upstreams, 0));
+        let mut next = 0;
+        let mut arrive = |queue: &mut Queue| {
+            next += 1;
+            let arrival = queue.arrive(admission_request(next), &mut full, now, 0.5);
+            assert!(matches!(arrival, Arrival::Queued(_)));
+        };
+        for _ in 0..queued {
+            arrive(&mut queue);
+        }
+        let name = format!("{upstreams} upstreams, {queued} queued");
+        let mut room = Room::new(places(upstreams, u32::MAX));
+        group.bench_function(BenchmarkId::new("arrive and dispatch", name), |b| {
+            b.iter(|| {
+                arrive(&mut queue);
+                queue.dispatch_next(black_box(&mut room), now).unwrap()
+            });
+        });
+    }
+    group.finish();
+}
+
 fn main() {
     let mut c = Criterion::default().configure_from_args().sample_size(30);
     bench_choose(&mut c);
     bench_select(&mut c);
+    bench_admission(&mut c);
     c.final_summary();
 }
--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -59,6 +59,7 @@
                 describe_attempts(lines)
             )
         }
+        "overloaded" | "beyond_share" => describe_rejection(lines),
         "answer_lost" => format!(
             "it may have run and was not retried; {}",
             describe_attempts(lines)
@@ -75,6 +76,30 @@
     }
 }
 
+/// Why admission at the gateway rejected the request.
+fn describe_rejection(lines: &[LogLine]) -> String {
+    let Some(rejected) = lines
+        .iter()
+        .rfind(|line| line.event == "admission_rejected")
+    else {
+        return "its gateway rejected it because no upstream had capacity".to_owned();
+    };
+    let reason = match field(rejected, "outcome") {
+        "rejected_full" => "the queue was full",
+        "rejected_share" => "its organisation had more than its share of the queue",
+        _ => "it could not be served before its deadline",
+    };
+    format!(
+        "admission rejected it before it ran: no upstream of {} had capacity and {reason}; {} of {} \
+         queued requests were before it, {} a second were dispatched, and it had {} ms left",
+        field(rejected, "service"),
+        field(rejected, "ahead"),
+        field(rejected, "queued"),
+        field(rejected, "per_s"),
+        field(rejected, "left_ms")
+    )
+}
+
 fn describe_late_response(late: &LogLine, lines: &[LogLine]) -> String {
     let upstream_count = field(late, "tried").split(',').count();
     let delay = format!(
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -32,6 +32,10 @@
 /// Interval in which capacity that other gateways have freed is noticed while requests wait.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
+/// The same, per upstream of the services for which requests wait: it keeps the time for computing
+/// their capacity below half a hundredth of a core.
+const POLL_INTERVAL_PER_UPSTREAM: Duration = Duration::from_micros(50);
+
 /// Time for which the capacity of a service is not computed again while requests wait, unless a
 /// request of this gateway has ended. With hundreds of upstreams it takes some ten microseconds.
 const ROOM_TTL: Duration = Duration::from_millis(2);
@@ -90,10 +94,11 @@
 pub(super) async fn run(gateway: Rc<Gateway>) {
     loop {
         let changed = gateway.admission.changed.notified();
-        if gateway.has_queued_requests() {
-            let _ = tokio::time::timeout(POLL_INTERVAL, changed).await;
-        } else {
-            changed.await;
+        match gateway.poll_interval() {
+            Some(interval) => {
+                let _ = tokio::time::timeout(interval, changed).await;
+            }
+            None => changed.await,
         }
         gateway.dispatch_queued();
     }
@@ -174,9 +179,26 @@
         }
     }
 
-    fn has_queued_requests(&self) -> bool {
+    /// Returns when to look for capacity again; `None` while no request waits.
+    fn poll_interval(&self) -> Option<Duration> {
         let services = self.admission.services.borrow();
-        services.values().any(|service| !service.queue.is_empty())
+        let routing = self.routing();
+        let upstreams = services
+            .iter()
+            .filter(|(_, queue)| !queue.queue.is_empty())
+            .map(|(service, _)| routing.pool(service).map_or(0, |pool| pool.upstreams.len()))
+            .reduce(|sum, count| sum + count)?;
+        let upstreams = u32::try_from(upstreams).unwrap_or(u32::MAX);
+        Some(POLL_INTERVAL.max(POLL_INTERVAL_PER_UPSTREAM.saturating_mul(upstreams)))
+    }
+
+    /// Removes the empty queues of services that have no upstreams.
+    pub(super) fn forget_queues(&self) {
+        let routing = self.routing();
+        let mut services = self.admission.services.borrow_mut();
+        services.retain(|service, queue| {
+            !queue.queue.is_empty() || !queue.granted.is_empty() || routing.pool(service).is_some()
+        });
     }
 
     /// Decides about a request; returns the signal for one that is queued.
@@ -241,7 +263,11 @@
         let Some((room, ..)) = queue.room.as_mut() else {
             return;
         };
-        for (ticket, rejection) in queue.queue.remove_late(now, jitter) {
+        let late = queue.queue.remove_late(now, jitter);
+        if !late.is_empty() {
+            self.meter_queue(service, queue.queue.len(), None);
+        }
+        for (ticket, rejection) in late {
             if let Some(wake) = queue.waiting.remove(&ticket) {
                 let _ = wake.send(Err(rejection));
             }
--- a/src/gateway/exchange/admit.rs
+++ b/src/gateway/exchange/admit.rs
@@ -6,6 +6,7 @@
 
 use super::Exchange;
 use super::MIN_TIME_LEFT;
+use crate::config::RetryPolicy;
 use crate::gateway::admission;
 use crate::gateway::attempt::rank;
 use crate::gateway::refusal::Refusal;
@@ -37,6 +38,12 @@
         let Some(service) = self.service.as_ref().filter(|_| gateway.cfg.admission) else {
             return Ok(());
         };
+        // A caller that resumes a stream already had its turn, and its user sees the gap.
+        let names = &gateway.cfg.header_names;
+        let is_stream = self.call.route.repeat == RetryPolicy::Stream;
+        if is_stream && self.call.last_event_id(names).is_some() {
+            return Ok(());
+        }
         // Such a request is refused or sent as a probe, whatever the load.
         if gateway.quarantined_for(service, &self.call).is_some() {
             return Ok(());
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -279,6 +279,7 @@
         gateway.sessions.borrow_mut().remove_expired(now);
         gateway.forget_backpressure();
         gateway.forget_quarantine_evidence();
+        gateway.forget_queues();
     }
 }
 
--- /dev/null
+++ b/tests/process/admission.rs
@@ -0,0 +1,216 @@
+//! A gateway with admission in front of upstreams whose slots are all in use.
+
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::json;
+
+use crate::support::Cluster;
+use crate::support::INVENTORY;
+use crate::support::Program;
+use crate::support::Response;
+use crate::support::Upstream;
+use crate::support::eventually;
+use crate::support::ok_response;
+use crate::support::post;
+use crate::support::send;
+use crate::support::write;
+
+const ROUTES: &str = r#"
+[[routes]]
+name = "urgent"
+host = "previews.example"
+prefix = "/urgent/"
+timeout_ms = 20000
+target_ms = 1000
+rank = 0
+split = [{ service = "previews", weight = 1 }]
+
+[[routes]]
+name = "bulk"
+host = "previews.example"
+prefix = "/bulk/"
+timeout_ms = 20000
+target_ms = 1000
+rank = 2
+split = [{ service = "previews", weight = 1 }]
+"#;
+
+/// Slots of each upstream.
+const SLOTS: usize = 2;
+
+/// Requests that the two upstreams get at a time: their slots and one more each.
+const CAPACITY: usize = 2 * (SLOTS + 1);
+
+const LAGON: &str = "Bearer dev-lagon-key";
+const CASTLES: &str = "Bearer dev-castles-key";
+
+struct Setup {
+    _cluster: Cluster,
+    _gateway: Program,
+    address: SocketAddr,
+    upstreams: [Upstream; 2],
+}
+
+impl Setup {
+    /// Starts a gateway and two upstreams that take `work` for each request.
+    fn new(work: Duration) -> Self {
+        let mut cluster = Cluster::start(1, 1);
+        cluster.gateway_flags = vec!["--admission".to_owned(), "on".to_owned()];
+        let inventory = format!("{INVENTORY}{ROUTES}");
+        cluster.apply(&inventory, &["--change-id", "first"]);
+        let upstreams = [0, 1].map(|_| {
+            Upstream::start(move |seen, out| {
+                thread::sleep(work);
+                write(out, &ok_response(seen, "tile"))
+            })
+        });
+        for (i, upstream) in upstreams.iter().enumerate() {
+            let body = json!({
+                "id": format!("u{i}"),
+                "incarnation": 1,
+                "address": upstream.address.to_string(),
+                "data_centre": "dc1",
+                "serves": { "service": "previews" },
+                "slots": SLOTS,
+            });
+            let headers = [("authorization", "Bearer dev-upstream-key")];
+            eventually("the upstream is announced", || {
+                let entry = cluster.entry_addresses[0];
+                let reply = post(entry, "/upstream/announce", &headers, &body.to_string())?;
+                (reply.status == 204).then_some(())
+            });
+        }
+        let (gateway, address) = cluster.start_gateway();
+        eventually("the gateway has its routes", || {
+            let reply = call(address, LAGON, "/nowhere/", "probe", 20_000).0?;
+            (reply.status == 404).then_some(())
+        });
+        Self {
+            _cluster: cluster,
+            _gateway: gateway,
+            address,
+            upstreams,
+        }
+    }
+
+    /// Sends a request in a thread of its own.
+    fn start(&self, key: &'static str, path: &'static str, id: String) -> JoinHandle<Reply> {
+        let address = self.address;
+        thread::spawn(move || call(address, key, path, &id, 20_000))
+    }
+
+    /// Sends `count` requests one after the other, without waiting for their responses.
+    fn start_all(
+        &self,
+        count: usize,
+        key: &'static str,
+        path: &'static str,
+        name: &str,
+    ) -> Vec<JoinHandle<Reply>> {
+        let start = |i| {
+            thread::sleep(Duration::from_millis(2));
+            self.start(key, path, format!("{name}-{i}"))
+        };
+        (0..count).map(start).collect()
+    }
+
+    /// Returns the ids of the requests that the upstreams have received.
+    fn received(&self) -> Vec<String> {
+        let seen = self.upstreams.iter().flat_map(Upstream::received);
+        seen.map(|seen| seen.attempt_id().to_owned()).collect()
+    }
+}
+
+/// A response, and the time until it came.
+type Reply = (Option<Response>, Duration);
+
+fn call(address: SocketAddr, key: &str, path: &str, id: &str, deadline_ms: u64) -> Reply {
+    let deadline_ms = deadline_ms.to_string();
+    let headers = [
+        ("authorization", key),
+        ("host", "previews.example"),
+        ("daisyquay-attempt", id),
+        ("daisyquay-deadline-ms", &deadline_ms),
+    ];
+    let start = Instant::now();
+    let reply = send("GET", address, path, &headers, "");
+    (reply, start.elapsed())
+}
+
+fn join(replies: Vec<JoinHandle<Reply>>) -> Vec<Duration> {
+    let replies = replies.into_iter().map(|reply| reply.join().unwrap());
+    replies
+        .map(|(reply, time)| {
+            assert_eq!(reply.unwrap().status, 200);
+            time
+        })
+        .collect()
+}
+
+/// Guards against urgent requests that wait behind less urgent ones, and against more requests at an
+/// upstream than its slots and the allowance.
+#[test]
+fn queued_requests_are_sent_most_urgent_first() {
+    const WORK: Duration = Duration::from_millis(400);
+    let setup = Setup::new(WORK);
+    let mut replies = setup.start_all(CAPACITY, LAGON, "/bulk/", "running");
+    thread::sleep(WORK / 4);
+    assert_eq!(setup.received().len(), CAPACITY);
+    replies.extend(setup.start_all(3 * CAPACITY, LAGON, "/bulk/", "bulk"));
+    let urgent = setup.start_all(4, LAGON, "/urgent/", "urgent");
+    thread::sleep(WORK / 4);
+    assert_eq!(setup.received().len(), CAPACITY, "the slots are exceeded");
+    for time in join(urgent) {
+        assert!(time < WORK * 3, "an urgent request took {time:?}");
+    }
+    join(replies);
+}
+
+/// Guards against an organisation that takes the others' capacity by sending more.
+#[test]
+fn organisation_that_sends_more_leaves_the_others_their_share() {
+    const WORK: Duration = Duration::from_millis(200);
+    let setup = Setup::new(WORK);
+    let greedy = setup.start_all(12 * CAPACITY, LAGON, "/bulk/", "greedy");
+    let modest = setup.start_all(CAPACITY, CASTLES, "/bulk/", "modest");
+    let slowest = join(modest).into_iter().max().unwrap();
+    // Its weight is a quarter of all, so it needs four rounds; the whole backlog takes thirteen.
+    assert!(slowest < WORK * 7, "{slowest:?}");
+    join(greedy);
+}
+
+/// Guards against rejections that come late or are not true, and against requests that run though
+/// their callers have gone.
+#[test]
+fn rejected_and_cancelled_requests_never_run() {
+    const WORK: Duration = Duration::from_millis(1_200);
+    let setup = Setup::new(WORK);
+    let mut replies = setup.start_all(CAPACITY, LAGON, "/bulk/", "running");
+    replies.extend(setup.start_all(4, LAGON, "/bulk/", "queued"));
+    let mut gone = TcpStream::connect(setup.address).unwrap();
+    let head = format!(
+        "GET /bulk/ HTTP/1.1\r\nhost: previews.example\r\nauthorization: {LAGON}\r\n\
+         daisyquay-attempt: gone\r\n\r\n"
+    );
+    gone.write_all(head.as_bytes()).unwrap();
+    thread::sleep(WORK / 2);
+    drop(gone);
+    let (reply, time) = call(setup.address, LAGON, "/bulk/", "hopeless", 250);
+    let reply = reply.unwrap();
+    assert_eq!(reply.status, 503, "{}", reply.body);
+    assert_eq!(reply.json()["error"]["code"], "overloaded");
+    assert!(time < Duration::from_millis(200), "rejected after {time:?}");
+    let retry_after: f64 = reply.header("retry-after").parse().unwrap();
+    assert!((0.05..=5.0).contains(&retry_after), "{retry_after}");
+    join(replies);
+    thread::sleep(WORK);
+    let received = setup.received();
+    assert_eq!(received.len(), CAPACITY + 4, "{received:?}");
+    assert!(!received.iter().any(|id| id == "hopeless" || id == "gone"));
+}
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -2,6 +2,7 @@
 
 #![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
 
+mod admission;
 mod backpressure;
 mod directory;
 mod failures;
