Reject for lateness only beyond the chance of few dispatches

Cause: a gateway with few requests sees few dispatches, so 0.3 s without one was read as a rate that rejected requests which the next freed slot would have served. Change: the predicted wait uses two standard deviations more than the measured rate. Retry-After uses the measured rate.

--- a/src/policy/gateway_queue.rs
+++ b/src/policy/gateway_queue.rs
@@ -457,7 +457,7 @@
         let of_organisation = self.queued_of(&request.organisation);
         let is_full = self.len() >= QUEUE_LIMIT || of_organisation >= ORGANISATION_LIMIT;
         let ahead = self.count_ahead(&request);
-        let rate = self.rate(now);
+        let rate = self.highest_rate(now);
         let wait = rate.map_or(Duration::ZERO, |rate| time_for(ahead + 1, rate));
         if is_full || now.saturating_add(wait) > request.latest_start() {
             let reason = if of_organisation >= ORGANISATION_LIMIT || self.exceeds_share(&request) {
@@ -680,9 +680,9 @@
         self.dispatch_times.push_back(now);
     }
 
-    /// Returns the dispatches a second while requests were queued; `None` if they have not been for
-    /// long enough. Without a dispatch it is the rate at which the next one would come now.
-    fn rate(&self, now: Duration) -> Option<f64> {
+    /// Returns the recent dispatches while requests were queued, and the seconds in which they came;
+    /// `None` if requests have not been queued for long enough.
+    fn recent_dispatches(&self, now: Duration) -> Option<(usize, f64)> {
         let busy = now.saturating_sub(self.busy_since?);
         if busy < MIN_BUSY_TIME {
             return None;
@@ -698,7 +698,21 @@
         let since = now.saturating_sub(window);
         let recent = self.dispatch_times.iter().rev();
         let count = recent.take_while(|&&at| at >= since).count();
-        Some(count.max(1) as f64 / window.as_secs_f64())
+        Some((count, window.as_secs_f64()))
+    }
+
+    /// Returns the dispatches a second; without any, the rate at which the next one would come now.
+    fn rate(&self, now: Duration) -> Option<f64> {
+        let (count, seconds) = self.recent_dispatches(now)?;
+        Some(count.max(1) as f64 / seconds)
+    }
+
+    /// Returns a rate that the real one hardly exceeds: two standard deviations above the measured
+    /// one. A gateway with few requests sees few dispatches, and must not reject on chance.
+    fn highest_rate(&self, now: Duration) -> Option<f64> {
+        let (count, seconds) = self.recent_dispatches(now)?;
+        let count = (count + 1) as f64;
+        Some((count + 2.0 * count.sqrt()) / seconds)
     }
 
     fn queued_of(&self, organisation: &Name) -> usize {
--- a/tests/load/gateway_queue.rs
+++ b/tests/load/gateway_queue.rs
@@ -457,6 +457,25 @@
     }
 }
 
+/// Guards against rejections on chance at a gateway that sees few dispatches, and against requests
+/// that are kept though nothing is dispatched for long.
+#[test]
+fn request_is_rejected_only_after_the_rate_is_known_to_be_too_low() {
+    let mut queue = Queue::default();
+    let mut arrive = |at: Duration| {
+        let mut room = Room::new(vec![place(1, 0, 0)]);
+        queue.arrive(request("a", 0, at + ms(1_000)), &mut room, at, 0.0)
+    };
+    for i in 0..3 {
+        assert!(matches!(arrive(ms(i)), Arrival::Queued(_)));
+    }
+    assert!(matches!(arrive(ms(300)), Arrival::Queued(_)));
+    let Arrival::Rejected(rejection) = arrive(ms(2_500)) else {
+        panic!("queued without a prospect");
+    };
+    assert_eq!(rejection.reason, Reason::Late);
+}
+
 /// Guards against an organisation whose callers wait as told and lose their turn to new requests.
 #[test]
 fn request_that_comes_back_as_told_precedes_first_attempts_of_its_organisation() {
