--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 
 mod addresses;
 mod admin;
+mod admission;
 mod attempt;
 mod backpressure;
 mod call;
@@ -43,6 +44,7 @@
 
 pub use self::headers::HeaderNames;
 
+use self::admission::Admission;
 use self::loads::PeerLoads;
 use self::model_choices::ModelChoices;
 use self::routing::RoutingTable;
@@ -159,6 +161,8 @@
     /// release of a session has changed, an upstream has refused a connection, named a limit or
     /// crashed under a suspect prompt or request, or an update of another gateway is to be forwarded.
     load_changed: Notify,
+    /// Requests that wait for capacity, if admission is on.
+    admission: Admission,
     connections: ConnectionPool,
     retry_budgets: RefCell<HashMap<Name, SlidingWindow>>,
     /// Prefill rates by service and model; the model is `None` unless the gateway chose it.
@@ -233,6 +237,7 @@
         quarantine_changed: Notify::new(),
         sessions: RefCell::default(),
         load_changed: Notify::new(),
+        admission: Admission::default(),
         connections: ConnectionPool::default(),
         retry_budgets: RefCell::default(),
         prefill_rates: RefCell::default(),
@@ -273,6 +278,9 @@
     tokio::task::spawn_local(renewal::run(gateway.clone()));
     tokio::task::spawn_local(sweep(gateway.clone()));
     tokio::task::spawn_local(loads::run(gateway.clone(), socket));
+    if gateway.cfg.admission {
+        tokio::task::spawn_local(admission::run(gateway.clone()));
+    }
     Ok(Server { gateway })
 }
 
@@ -286,6 +294,7 @@
         gateway.refresh_cold_starts();
         gateway.refresh_speeds();
         gateway.forget_quarantine_evidence();
+        gateway.forget_queues();
     }
 }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -10,6 +10,7 @@
 pub mod escalation;
 pub mod fanout;
 pub mod fingerprint;
+pub mod gateway_queue;
 pub mod load_balancing;
 pub mod model_choice;
 pub mod placement;
--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -8,6 +8,7 @@
 mod crashing_requests;
 mod escalation;
 mod fanout;
+mod gateway_queue;
 mod load_balancing;
 mod models_under_load;
 mod placement;
