Escalate until little of the retry budget is left, and bound samples of usual sizes

One request with false token counts moved the usual work of a service. Change: the rest of the budget is kept for poor answers below 0.15 of it instead of 0.5; one sample counts as at most 20 times the mean.

--- a/src/policy/model_choice.rs
+++ b/src/policy/model_choice.rs
@@ -77,9 +77,13 @@
 /// Requests after which a usual value has followed a change by two thirds.
 const USUAL_SAMPLES: f64 = 100.0;
 
+/// Bound on one sample of a usual value, as a multiple of the mean, so that a caller which states
+/// false token counts does not move it far.
+const MAX_SAMPLE_FACTOR: f64 = 20.0;
+
 /// Share of the escalations' retry budget below which the remaining ones are kept for poorer
-/// answers.
-const AMPLE_BUDGET: f64 = 0.5;
+/// answers. Escalations of a third to a half of the requests are ordinary and leave about this much.
+const AMPLE_BUDGET: f64 = 0.15;
 
 /// Gain that an escalation must exceed to take the last of the retry budget.
 const LAST_BUDGET_GAIN: f64 = 0.8;
@@ -93,8 +97,13 @@
 
 impl RecentMean {
     fn record(&mut self, value: f64) {
+        let limit = if self.mean > 0.0 {
+            self.mean * MAX_SAMPLE_FACTOR
+        } else {
+            f64::INFINITY
+        };
         self.samples = (self.samples + 1.0).min(USUAL_SAMPLES);
-        self.mean += (value - self.mean) / self.samples;
+        self.mean += (value.min(limit) - self.mean) / self.samples;
     }
 
     /// Adds to a recent sample.
