--- a/src/policy/cold_start.rs
+++ b/src/policy/cold_start.rs
@@ -134,8 +134,10 @@
 impl ColdStarts {
     /// Records that the replicas can be reached.
     pub fn record_grant(&mut self, now: Duration) {
+        // After a suspension, no refresh may have found the last grant old before this one arrives.
+        let was_cut_off = self.is_cut_off || now >= self.last_grant + CUT_OFF_AFTER;
         self.last_grant = now;
-        if self.is_cut_off {
+        if was_cut_off {
             self.is_cut_off = false;
             self.turns_from = self.turns_from.max(Some(now + JOIN_DELAY));
             self.recompute_shares(now);
--- a/tests/load/cold_upstreams.rs
+++ b/tests/load/cold_upstreams.rs
@@ -372,6 +372,25 @@
     assert_eq!(table.wait(UPSTREAM, resumed), ms(500));
 }
 
+/// Guards against a gateway that resumes after a suspension and receives a grant before it has
+/// found its list old, while the others still use its turns.
+#[test]
+fn gateway_whose_first_grant_after_a_suspension_comes_before_a_refresh_has_no_turn_at_first() {
+    let mut table = ColdStarts::default();
+    let now = 10 * SECOND;
+    table.record_grant(now);
+    table.set_gateways(address(0), [address(0)], now);
+    let cold = report(UPSTREAM, 60 * SECOND, Source::NewInstance, 4.0);
+    table.apply(&cold, 0.0, now);
+    let resumed = now + 20 * SECOND;
+    table.record_grant(resumed);
+    assert_eq!(table.wait(UPSTREAM, resumed), ms(1_800));
+    // A grant that is not late changes nothing.
+    let later = resumed + 2 * SECOND;
+    table.record_grant(later);
+    assert!(table.wait(UPSTREAM, later).is_zero());
+}
+
 #[test]
 fn period_lasts_as_long_as_reported_and_ends_early_when_warm() {
     let mut table = ColdStarts::default();
