Give no turns to a gateway that is listed no longer

The leader does not list gateways on drained VMs, which go on serving. If the others dropped it earlier, they took its turns over while it still used them.

It now has no turns as soon as it finds itself unlisted; the others still count it for 10 s.

--- a/src/policy/cold_start.rs
+++ b/src/policy/cold_start.rs
@@ -152,7 +152,7 @@
         now: Duration,
     ) {
         self.own = Some(own);
-        let was_counted = self.gateways.contains_key(&own);
+        let was_listed = self.is_listed(own);
         for missing_since in self.gateways.values_mut() {
             missing_since.get_or_insert(now);
         }
@@ -161,7 +161,7 @@
                 self.gateways.insert(address, None);
             }
         }
-        if !was_counted && self.gateways.contains_key(&own) {
+        if !was_listed && self.is_listed(own) {
             self.turns_from = self.turns_from.max(Some(now + JOIN_DELAY));
         }
         self.recompute_shares(now);
@@ -281,6 +281,10 @@
         self.periods.retain(|&upstream, _| keep(upstream));
     }
 
+    fn is_listed(&self, gateway: SocketAddr) -> bool {
+        self.gateways.get(&gateway).is_some_and(Option::is_none)
+    }
+
     fn recompute_shares(&mut self, now: Duration) {
         let mut periods = std::mem::take(&mut self.periods);
         for (&upstream, period) in &mut periods {
@@ -300,7 +304,9 @@
         let Some(own) = self.own.filter(|_| is_limited) else {
             return 0;
         };
-        if !self.gateways.contains_key(&own) {
+        // One that is not listed any more, as on a drained VM, stops at once: the others count it
+        // for `RETENTION`, and may have received the list earlier.
+        if !self.is_listed(own) {
             return 0;
         }
         let mut total = per_s.clamp(1.0, MAX_RATE) as u32;
--- a/tests/load/cold_upstreams.rs
+++ b/tests/load/cold_upstreams.rs
@@ -58,7 +58,7 @@
     cut_off: std::ops::Range<Duration>,
     /// When the leader does not list it although it runs.
     unlisted: std::ops::Range<Duration>,
-    /// Offset of its renewals and sweeps.
+    /// Offset of its renewals; that of its sweeps differs.
     offset: Duration,
 }
 
@@ -124,12 +124,14 @@
                     continue;
                 }
                 let age = now - gateway.runs_from;
-                let is_due = |interval: Duration| {
-                    let since = age.checked_sub(gateway.offset);
+                let is_due = |interval: Duration, offset: Duration| {
+                    let since = age.checked_sub(offset);
                     since
                         .is_some_and(|since| since.as_millis().is_multiple_of(interval.as_millis()))
                 };
-                let (renews, sweeps) = (is_due(RENEWAL), is_due(SWEEP));
+                let sweep_offset = gateway.offset + TICK * (37 * i as u32 % 200);
+                let renews = is_due(RENEWAL, gateway.offset);
+                let sweeps = is_due(SWEEP, sweep_offset);
                 let cold_starts = &mut gateway.cold_starts;
                 if renews && !gateway.cut_off.contains(&now) {
                     cold_starts.record_grant(now);
@@ -273,6 +275,26 @@
     }
 }
 
+/// Guards against gateways on drained VMs, which run on and learn later than others that they are
+/// listed no longer.
+#[test]
+fn gateways_on_vms_that_are_drained_at_once_stay_within_the_rate_in_any_second() {
+    for drained in [31, 70, 93] {
+        for per_s in [5.7, 61.0] {
+            let mut fleet = Fleet::new(94, per_s);
+            for gateway in &mut fleet.gateways[..drained] {
+                gateway.unlisted = 6 * SECOND..FOREVER;
+            }
+            fleet.run(24 * SECOND, Duration::ZERO, 50.0);
+            let most = fleet.most_in_a_second();
+            assert!(
+                most <= per_s as usize,
+                "{drained} drained, {per_s} a second: {most}"
+            );
+        }
+    }
+}
+
 /// Guards against gateways whose turns the others share among themselves while the replicas are out
 /// of their reach.
 #[test]
@@ -391,6 +413,33 @@
     assert!(table.wait(UPSTREAM, later).is_zero());
 }
 
+/// Guards against gateways on drained VMs, which run on but are listed no longer, whose turns the
+/// others take over before they stop.
+#[test]
+fn gateway_that_is_listed_no_longer_has_no_turn_while_the_others_count_it() {
+    let mut drained = ColdStarts::default();
+    let mut other = ColdStarts::default();
+    let now = 10 * SECOND;
+    for (i, table) in [&mut drained, &mut other].into_iter().enumerate() {
+        table.record_grant(now);
+        table.set_gateways(address(i), [address(0), address(1)], now);
+        let cold = report(UPSTREAM, 60 * SECOND, Source::NewInstance, 4.0);
+        table.apply(&cold, 0.0, now);
+    }
+    let at = now + 4 * SECOND;
+    assert!(drained.wait(UPSTREAM, at).is_zero());
+    for (i, table) in [&mut drained, &mut other].into_iter().enumerate() {
+        table.record_grant(at);
+        table.set_gateways(address(i), [address(1)], at);
+    }
+    assert!(drained.wait(UPSTREAM, at) > RENEWAL);
+    other.record_sent(UPSTREAM, at);
+    assert_eq!(other.wait(UPSTREAM, at), ms(500));
+    // Listed again, it has a turn once the others have received that.
+    drained.set_gateways(address(0), [address(0), address(1)], at + SECOND);
+    assert_eq!(drained.wait(UPSTREAM, at + SECOND), ms(1_800));
+}
+
 #[test]
 fn period_lasts_as_long_as_reported_and_ends_early_when_warm() {
     let mut table = ColdStarts::default();
