Blame the cold limit only for upstreams that a request has not tried

A request whose cold upstream refused the connection was rejected with `upstreams_cold`, because its own attempt had taken the turn. Conversely, one whose warm upstream had failed was rejected with `no_upstream` and without `Retry-After` although only cold upstreams without a turn were left to it. Retry-After also left out warm upstreams whose limits have an earlier turn.

The refusal now considers the upstreams that the request has not tried, and names the earliest turn of any of them.

--- a/src/gateway/cold_start.rs
+++ b/src/gateway/cold_start.rs
@@ -179,28 +179,33 @@
             .add_to_counter("daisyquay_cold_turns", 1, &labels);
     }
 
-    /// Returns the refusal of a request for whose service all upstreams are limited now, at least
-    /// one because it is cold; `None` if that is not so.
-    pub(super) fn cold_refusal(&self, service: &Name) -> Option<Refusal> {
+    /// Returns the refusal of a request for whose service all upstreams but the `tried` ones are
+    /// limited now, at least one because it is cold; `None` if that is not so.
+    pub(super) fn cold_refusal(&self, service: &Name, tried: &[Name]) -> Option<Refusal> {
         let routing = self.routing();
         let (now, sharing) = (self.now(), self.sharing());
         let upstreams = self.upstreams.borrow();
         let backpressure = self.backpressure.borrow();
-        let mut wait: Option<Duration> = None;
-        for upstream in &routing.pool(service)?.upstreams {
-            let cold_wait = upstreams.cold_starts.wait(upstream.number, now);
-            let other_wait = backpressure.wait(upstream.number, &sharing, now);
-            if cold_wait.is_zero() {
-                if other_wait.is_some_and(|wait| wait.is_zero()) {
-                    return None;
-                }
-            } else if let Some(other_wait) = other_wait {
-                let turn = cold_wait.max(other_wait);
-                wait = Some(wait.map_or(turn, |wait| wait.min(turn)));
+        let mut has_cold = false;
+        let mut wait = Duration::MAX;
+        let pool = routing.pool(service)?;
+        for upstream in &pool.upstreams {
+            if tried.contains(upstream.id()) {
+                continue;
             }
+            // One that is about to leave takes no request any more.
+            let Some(other_wait) = backpressure.wait(upstream.number, &sharing, now) else {
+                continue;
+            };
+            let cold_wait = upstreams.cold_starts.wait(upstream.number, now);
+            has_cold |= !cold_wait.is_zero();
+            wait = wait.min(cold_wait.max(other_wait));
+        }
+        if !has_cold || wait.is_zero() {
+            return None;
         }
         let jitter = RETRY_JITTER.mul_f64(self.rng.borrow_mut().f64());
-        let retry_after = wait?.min(MAX_RETRY_AFTER) + jitter;
+        let retry_after = wait.min(MAX_RETRY_AFTER) + jitter;
         self.count_cold_turn("refused");
         Some(
             Refusal::unavailable(
--- a/src/gateway/exchange/mod.rs
+++ b/src/gateway/exchange/mod.rs
@@ -416,7 +416,9 @@
             "no_upstream",
             "no upstream accepts the request now; retry later",
         );
-        if let Some(refusal) = service.and_then(|service| self.gateway.cold_refusal(service)) {
+        let cold_refusal =
+            service.and_then(|service| self.gateway.cold_refusal(service, &self.tried));
+        if let Some(refusal) = cold_refusal {
             return Err(refusal);
         }
         let wait = service.and_then(|service| self.gateway.backpressure_wait(service));
--- a/tests/process/cold_upstreams.rs
+++ b/tests/process/cold_upstreams.rs
@@ -1,6 +1,7 @@
 //! Upstreams that are cold after a start, or say so in a response, in front of several gateways.
 
 use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -99,10 +100,14 @@
 
     /// Announces an upstream, and waits until the gateways have received that.
     fn announce(&self, id: &str, incarnation: u64, upstream: &ColdUpstream, cold_ms: u64) {
+        self.announce_at(upstream.timed.upstream.address, id, incarnation, cold_ms);
+    }
+
+    fn announce_at(&self, address: SocketAddr, id: &str, incarnation: u64, cold_ms: u64) {
         let body = json!({
             "id": id,
             "incarnation": incarnation,
-            "address": upstream.timed.upstream.address.to_string(),
+            "address": address.to_string(),
             "data_centre": "dc1",
             "serves": { "service": "previews" },
             "slots": 8,
@@ -220,6 +225,23 @@
     assert!((1..=BOUND).contains(&most), "{most} requests in a second");
 }
 
+/// Guards against a rejection that blames the cold limit where the upstream was tried and refused
+/// the connection.
+#[test]
+fn request_that_a_cold_upstream_did_not_accept_is_not_rejected_as_without_a_turn() {
+    let setup = Setup::new(1);
+    let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    setup.announce_at(address, "gone", 1, 30_000);
+    let responses = setup.send_for(3 * SECOND);
+    assert!(responses.iter().all(|response| response.status == 503));
+    let count = |code: &str| responses.iter().filter(|r| r.body.contains(code)).count();
+    let (not_accepted, without_turn) = (count("no_upstream"), count("upstreams_cold"));
+    assert!((1..=13).contains(&not_accepted), "{not_accepted}");
+    assert_eq!(not_accepted + without_turn, responses.len());
+}
+
 /// Guards against an upstream that stays available because late heartbeats of its former
 /// incarnation, or heartbeats of another writer, count as its own.
 #[test]
