Restore the number of quickcheck runs of the admission queue

Cause: the runs of two properties had been lowered from 2,000 to 500 and from 300 to 60. Change: both are as before.

--- a/tests/load/gateway_queue.rs
+++ b/tests/load/gateway_queue.rs
@@ -612,7 +612,7 @@
         queue.is_empty()
     }
     QuickCheck::new()
-        .tests(500)
+        .tests(2_000)
         .quickcheck(holds as fn(Vec<Step>) -> bool);
 }
 
@@ -652,6 +652,6 @@
         false
     }
     QuickCheck::new()
-        .tests(60)
+        .tests(300)
         .quickcheck(holds as fn(u8, u8, u64) -> bool);
 }
