Reject a queued request just after its latest start

Cause: late requests were looked for at the polling interval only, 41 ms with 830 upstreams. The rejection leaves 20 ms until the deadline, so a queued retry could run into the deadline and answer 504 in place of the earlier server error, and a first attempt 503 without the predicted Retry-After. Change: the wait for capacity ends with the earliest latest start of the queued requests.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -179,7 +179,9 @@
         }
     }
 
-    /// Returns when to look for capacity again; `None` while no request waits.
+    /// Returns when to look for capacity again; `None` while no request waits. Ends with the latest
+    /// start of a queued request: with hundreds of upstreams, the interval alone exceeds the time
+    /// that a rejection leaves until the deadline, and a retry would lose its earlier answer.
     fn poll_interval(&self) -> Option<Duration> {
         let services = self.admission.services.borrow();
         let routing = self.routing();
@@ -189,7 +191,16 @@
             .map(|(service, _)| routing.pool(service).map_or(0, |pool| pool.upstreams.len()))
             .reduce(|sum, count| sum + count)?;
         let upstreams = u32::try_from(upstreams).unwrap_or(u32::MAX);
-        Some(POLL_INTERVAL.max(POLL_INTERVAL_PER_UPSTREAM.saturating_mul(upstreams)))
+        let interval = POLL_INTERVAL.max(POLL_INTERVAL_PER_UPSTREAM.saturating_mul(upstreams));
+        let first_late = services
+            .values()
+            .filter_map(|queue| queue.queue.earliest_latest_start())
+            .min();
+        Some(first_late.map_or(interval, |at| {
+            // The request is late only after that time; timers count in milliseconds.
+            let until_late = at.saturating_sub(self.now()) + Duration::from_millis(1);
+            interval.min(until_late)
+        }))
     }
 
     /// Removes the empty queues of services that have no upstreams.
--- a/src/policy/gateway_queue.rs
+++ b/src/policy/gateway_queue.rs
@@ -508,6 +508,12 @@
         None
     }
 
+    /// Returns the earliest time after which [`Self::remove_late`] removes a request.
+    pub fn earliest_latest_start(&self) -> Option<Duration> {
+        let entries = self.entries.values();
+        entries.map(|entry| entry.request.latest_start()).min()
+    }
+
     /// Removes the requests whose response can no longer begin before the deadline; `jitter` is
     /// uniform from 0 to 1.
     pub fn remove_late(&mut self, now: Duration, jitter: f64) -> Vec<(u64, Rejection)> {
--- a/tests/load/gateway_queue.rs
+++ b/tests/load/gateway_queue.rs
@@ -476,6 +476,25 @@
     assert_eq!(rejection.reason, Reason::Late);
 }
 
+/// Guards against a request that is rejected long after its latest start, because the gateway looks
+/// for late requests only at an interval.
+#[test]
+fn request_is_late_just_after_the_earliest_latest_start() {
+    let mut queue = Queue::default();
+    assert_eq!(queue.earliest_latest_start(), None);
+    for deadline in [700, 300, 500] {
+        let mut request = request("a", 0, ms(deadline));
+        request.first_token = ms(20);
+        let arrival = queue.arrive(request, &mut Room::new(vec![place(1, 0, 0)]), ms(0), 0.0);
+        assert!(matches!(arrival, Arrival::Queued(_)), "{arrival:?}");
+    }
+    let at = queue.earliest_latest_start().unwrap();
+    assert_eq!(at, ms(280));
+    assert!(queue.remove_late(at, 0.0).is_empty());
+    assert_eq!(queue.remove_late(at + ms(1), 0.0).len(), 1);
+    assert_eq!(queue.earliest_latest_start(), Some(ms(480)));
+}
+
 /// Guards against an organisation whose callers wait as told and lose their turn to new requests.
 #[test]
 fn request_that_comes_back_as_told_precedes_first_attempts_of_its_organisation() {
