Keep earlier answers of retries and escalations that cannot be sent

Cause: a failed request waited in the queue before the retry budget was asked, so without a retry left its failure was answered only when it was late. An escalation that was dispatched after its wait, or had no upstream that takes requests, gave up the smaller model's response before it was known whether an upstream could be chosen, and was answered with 502. Change: with admission on, a retry is charged to the budget before it waits, unless it cannot be sent; an escalation is made only if there are time and an upstream left after the wait. The change for escalations has no test.

--- a/src/gateway/exchange/admit.rs
+++ b/src/gateway/exchange/admit.rs
@@ -25,12 +25,45 @@
         self.wait_until(self.model, self.call.deadline).await
     }
 
+    /// Takes a retry from the retry budget before it waits, so that a failure without a retry left
+    /// is answered at once; returns whether there was one left. A first attempt needs none.
+    pub(super) fn reserve_retry(&mut self) -> bool {
+        let gateway = &self.gateway;
+        let Some(service) = self.service.as_ref().filter(|_| gateway.cfg.admission) else {
+            return true;
+        };
+        // A request that cannot be sent is not charged, and a quarantined one only as a probe.
+        if self.is_charged
+            || self.is_first_attempt()
+            || gateway.quarantined_for(service, &self.call).is_some()
+            || self
+                .choose_upstream(service, self.model, &self.tried)
+                .is_none()
+        {
+            return true;
+        }
+        self.is_charged = gateway.try_retry(service);
+        if !self.is_charged {
+            self.last_failure = "retry budget exhausted";
+        }
+        self.is_charged
+    }
+
     /// Waits until the request may be sent to a larger model; returns whether it may. The response
     /// of the smaller one is kept meanwhile, so the wait ends when the larger model's would be late.
     pub(super) async fn wait_for_escalation(&self, model: usize) -> bool {
+        let gateway = &self.gateway;
+        let Some(service) = self.service.as_ref().filter(|_| gateway.cfg.admission) else {
+            return true;
+        };
         let target = self.call.received_at + self.call.route.target();
         let deadline = target.min(self.call.deadline);
+        // After the wait there may be no time or no upstream left. The response of the smaller
+        // model must not be given up for nothing.
         self.wait_until(Some(model), deadline).await.is_ok()
+            && self.has_attempts_left()
+            && gateway.quarantined_for(service, &self.call).is_none()
+            && self.choose_upstream(service, Some(model), &[]).is_some()
     }
 
     async fn wait_until(&self, model: Option<usize>, deadline: Duration) -> Result<(), Refusal> {
@@ -91,7 +124,6 @@
             let tried = upstreams.filter(|upstream| self.tried.contains(upstream.id()));
             tried.map(|upstream| upstream.number).collect()
         };
-        let is_first = self.runs == 0 && self.refusals == 0 && self.unreachable == 0;
         let organisation = call.organisation.as_ref();
         let inventory = routing.config.as_ref().map(|config| &config.inventory);
         let weight = organisation
@@ -100,7 +132,11 @@
             .map_or(1, |organisation| organisation.weight);
         let path = call.path_and_query.split('?').next().unwrap_or_default();
         Some(Request {
-            kind: if is_first { Kind::First } else { Kind::Begun },
+            kind: if self.is_first_attempt() {
+                Kind::First
+            } else {
+                Kind::Begun
+            },
             rank: rank(call),
             organisation: organisation.map_or_else(|| "".into(), |(name, _)| name.clone()),
             weight,
--- a/src/gateway/exchange/mod.rs
+++ b/src/gateway/exchange/mod.rs
@@ -203,7 +203,7 @@
         let overrides = AttemptOverrides {
             model: self.model_name(self.model),
             last_event_id,
-            is_first: self.runs == 0 && self.refusals == 0 && self.unreachable == 0,
+            is_first: self.is_first_attempt(),
         };
         self.runs += 1;
         let service = self.service.as_ref();
@@ -244,15 +244,17 @@
         let mut failure: Option<(ResponseHead, Bytes)> = None;
         let mut is_dispatched = false;
         loop {
-            if !std::mem::take(&mut is_dispatched)
-                && self.has_attempts_left()
-                && let Err(refusal) = self.wait_for_dispatch().await
-            {
-                // A request that may have run must not be reported as rejected.
-                if self.runs == 0 && failure.is_none() {
-                    return Err(refusal);
+            if !std::mem::take(&mut is_dispatched) && self.has_attempts_left() {
+                if !self.reserve_retry() {
+                    return self.final_failure(failure);
+                }
+                if let Err(refusal) = self.wait_for_dispatch().await {
+                    // A request that may have run must not be reported as rejected.
+                    if self.runs == 0 && failure.is_none() {
+                        return Err(refusal);
+                    }
+                    return self.final_failure(failure);
                 }
-                return self.final_failure(failure);
             }
             let Some(upstream) = self.next_upstream() else {
                 return self.final_failure(failure);
@@ -351,19 +353,23 @@
         self.call.route.ladder.get(model?).cloned()
     }
 
+    /// Returns whether no upstream has been tried.
+    fn is_first_attempt(&self) -> bool {
+        self.runs == 0 && self.refusals == 0 && self.unreachable == 0
+    }
+
     /// Returns whether the request's own limits allow another attempt.
     fn has_attempts_left(&self) -> bool {
-        let is_first = self.runs == 0 && self.refusals == 0 && self.unreachable == 0;
         self.runs < self.call.route.attempts
             && self.refusals < MAX_REFUSALS
             && self.unreachable < MAX_UNREACHABLE
-            && (is_first || self.call.time_left(self.gateway.now()) >= MIN_TIME_LEFT)
+            && (self.is_first_attempt() || self.call.time_left(self.gateway.now()) >= MIN_TIME_LEFT)
     }
 
     /// Returns the upstream for the next attempt; `None` if no attempt is allowed or no upstream is
     /// left.
     fn next_upstream(&mut self) -> Option<Upstream> {
-        let is_first = self.runs == 0 && self.refusals == 0 && self.unreachable == 0;
+        let is_first = self.is_first_attempt();
         if !self.has_attempts_left() {
             return None;
         }
--- a/tests/process/admission.rs
+++ b/tests/process/admission.rs
@@ -39,6 +39,15 @@
 target_ms = 1000
 rank = 2
 split = [{ service = "previews", weight = 1 }]
+
+[[routes]]
+name = "retried"
+host = "previews.example"
+prefix = "/retried/"
+timeout_ms = 20000
+target_ms = 1000
+attempts = 3
+split = [{ service = "previews", weight = 1 }]
 "#;
 
 /// Slots of each upstream.
@@ -47,6 +56,10 @@
 /// Requests that the two upstreams get at a time: their slots and one more each.
 const CAPACITY: usize = 2 * (SLOTS + 1);
 
+/// Response to a request on the route that is retried.
+const FAILURE: &str = "HTTP/1.1 500 Internal Server Error\r\ndaisyquay-attempt: ID\r\n\
+    daisyquay-signature: s-ID\r\ncontent-length: 6\r\n\r\nbroken";
+
 const LAGON: &str = "Bearer dev-lagon-key";
 const CASTLES: &str = "Bearer dev-castles-key";
 
@@ -58,7 +71,8 @@
 }
 
 impl Setup {
-    /// Starts a gateway and two upstreams that take `work` for each request.
+    /// Starts a gateway and two upstreams that take `work` for each request. They fail at once on
+    /// the route that is retried.
     fn new(work: Duration) -> Self {
         let mut cluster = Cluster::start(1, 1);
         cluster.gateway_flags = vec!["--admission".to_owned(), "on".to_owned()];
@@ -66,6 +80,9 @@
         cluster.apply(&inventory, &["--change-id", "first"]);
         let upstreams = [0, 1].map(|_| {
             Upstream::start(move |seen, out| {
+                if seen.request_line.contains(" /retried/") {
+                    return write(out, &FAILURE.replace("ID", seen.attempt_id()));
+                }
                 thread::sleep(work);
                 write(out, &ok_response(seen, "tile"))
             })
@@ -215,3 +232,49 @@
     assert_eq!(received.len(), CAPACITY + 4, "{received:?}");
     assert!(!received.iter().any(|id| id == "hopeless" || id == "gone"));
 }
+
+/// Guards against a retry whose rejection replaces the earlier answer: the request has run, so the
+/// caller must not be told that it was rejected.
+#[test]
+fn rejected_retry_keeps_its_earlier_answer() {
+    const WORK: Duration = Duration::from_millis(1_200);
+    let setup = Setup::new(WORK);
+    let running = setup.start_all(CAPACITY - 1, LAGON, "/bulk/", "running");
+    thread::sleep(WORK / 4);
+    // It fails at the upstream with the last free slot; the other one has none until it is late.
+    let (reply, time) = call(setup.address, LAGON, "/retried/", "failing", 500);
+    let reply = reply.unwrap();
+    assert_eq!((reply.status, &*reply.body), (500, "broken"));
+    assert!(time > Duration::from_millis(300), "not queued: {time:?}");
+    join(running);
+    let received = setup.received();
+    assert_eq!(received.len(), CAPACITY, "{received:?}");
+}
+
+/// Guards against failed requests that wait for a retry which the retry budget will not allow.
+#[test]
+fn failure_without_a_retry_left_is_answered_at_once() {
+    // Short enough that no running request counts as hanging and is retried.
+    const WORK: Duration = Duration::from_millis(1_500);
+    const FAILURES: usize = 120;
+    let setup = Setup::new(WORK);
+    let running = setup.start_all(CAPACITY - 1, LAGON, "/bulk/", "running");
+    thread::sleep(Duration::from_millis(200));
+    let fail = |i| {
+        thread::sleep(Duration::from_millis(2));
+        let address = setup.address;
+        thread::spawn(move || call(address, LAGON, "/retried/", &format!("failing-{i}"), 300))
+    };
+    let failing: Vec<JoinHandle<Reply>> = (0..FAILURES).map(fail).collect();
+    let replies: Vec<Reply> = failing.into_iter().map(|row| row.join().unwrap()).collect();
+    let is_failure = |(reply, _): &Reply| reply.as_ref().is_some_and(|reply| reply.status == 500);
+    assert!(replies.iter().all(is_failure));
+    let times: Vec<Duration> = replies.into_iter().map(|(_, time)| time).collect();
+    assert!(times[0] > Duration::from_millis(200), "no retry waited");
+    // The budget allows 46 retries and 0.46 of the first attempts.
+    let at_once = times
+        .iter()
+        .filter(|time| **time < Duration::from_millis(150));
+    assert!(at_once.count() >= FAILURES / 10, "{times:?}");
+    join(running);
+}
