Reject late requests without a pass over the queue for each

Cause: each late request counted the queued requests and the organisations' shares again, so a queue that is late at once, as after an outage, blocked the gateway's thread for a time that grows with the square of its length. Change: both are computed once for requests of the same organisation and precedence, the shares before any late request is removed and the requests ahead after all are.

--- a/src/policy/gateway_queue.rs
+++ b/src/policy/gateway_queue.rs
@@ -74,7 +74,7 @@
 const RETURN_DELAY: Duration = Duration::from_millis(500);
 
 /// Attempts of a request, by precedence.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum Kind {
     /// A retry or an escalation of a request that has been sent before.
     Begun,
@@ -523,16 +523,38 @@
             .filter(|(_, entry)| now > entry.request.latest_start())
             .map(|(&ticket, _)| ticket)
             .collect();
-        late.into_iter()
-            .filter_map(|ticket| {
-                let is_over = self.exceeds_share(&self.entries.get(&ticket)?.request);
-                let entry = self.remove(ticket, now)?;
-                let reason = if is_over { Reason::Share } else { Reason::Late };
-                let ahead = self.count_ahead(&entry.request);
-                let rejection = self.reject(&entry.request, reason, ahead, now, jitter);
-                Some((ticket, rejection))
-            })
-            .collect()
+        // After an outage the whole queue may be late at once, so what takes a pass over the queue
+        // is computed once for requests of the same organisation and precedence.
+        let mut over_share: HashMap<Name, bool> = HashMap::default();
+        for ticket in &late {
+            let Some(entry) = self.entries.get(ticket) else {
+                continue;
+            };
+            let organisation = &entry.request.organisation;
+            if !over_share.contains_key(organisation) {
+                let is_over = self.exceeds_share(&entry.request);
+                over_share.insert(organisation.clone(), is_over);
+            }
+        }
+        let removed: Vec<(u64, Entry)> = late
+            .into_iter()
+            .filter_map(|ticket| Some((ticket, self.remove(ticket, now)?)))
+            .collect();
+        let mut ahead_by_kind: HashMap<(Kind, u32, Name), usize> = HashMap::default();
+        let reject = |(ticket, entry): (u64, Entry)| {
+            let request = entry.request;
+            let organisation = request.organisation.clone();
+            let is_over = over_share.get(&organisation).copied().unwrap_or_default();
+            let reason = if is_over { Reason::Share } else { Reason::Late };
+            // All requests that are left have a later latest start, so that of this one does not
+            // change the result.
+            let ahead = *ahead_by_kind
+                .entry((request.kind, request.rank, organisation))
+                .or_insert_with(|| self.count_ahead(&request));
+            let rejection = self.reject(&request, reason, ahead, now, jitter);
+            (ticket, rejection)
+        };
+        removed.into_iter().map(reject).collect()
     }
 
     /// Removes a queued request whose caller has gone; returns whether it was queued.
