--- a/src/policy/model_choice.rs
+++ b/src/policy/model_choice.rs
@@ -31,8 +31,9 @@
 /// for models below the largest.
 const STEP_CONFIDENCE: f64 = 8.0;
 
-/// Cost of a largest model's answer to a request of the route's usual size.
-const COST_WEIGHT: f64 = 0.08;
+/// Cost of a largest model's answer to a request of the route's usual size. With 0.08, answers that
+/// were probably good used up the retry budget of poor ones.
+const COST_WEIGHT: f64 = 0.15;
 
 /// Bound on the size of a request relative to the usual one, in its cost.
 const MAX_RELATIVE_SIZE: f64 = 4.0;
