Leave upstreams in evacuated data centres out of the release statistics

The leader's check that a release has enough upstreams left them out, but the gateways still counted the responses and failures of requests that were running there when the evacuation began. If the maintenance cut these off, the failures counted against the release and could roll it back.

The gateway now records no statistics for an upstream in an evacuated data centre. No test covers this; state (18), fuzz evacuation (2) and process evacuation (2) pass, clippy reports nothing.

--- a/src/gateway/observations.rs
+++ b/src/gateway/observations.rs
@@ -103,7 +103,8 @@
     }
 
     /// Updates the statistics of the upstream's release; does nothing outside a rollout, when they
-    /// are not used.
+    /// are not used, and for an upstream in an evacuated data centre, whose running requests may
+    /// fail because of the maintenance.
     fn update_release_stats(
         &self,
         call: &Call,
@@ -117,6 +118,9 @@
         let Some(service) = upstream.service() else {
             return;
         };
+        if routing.is_evacuated(&upstream.announced.data_centre) {
+            return;
+        }
         if routing
             .pool(service)
             .is_none_or(|pool| pool.new_share.is_none())
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -186,6 +186,12 @@
         pool.is_evacuated = had_upstreams && pool.upstreams.is_empty();
     }
 
+    /// Returns whether upstreams in a data centre must not get requests.
+    pub(crate) fn is_evacuated(&self, data_centre: &Name) -> bool {
+        let config = self.config.as_ref();
+        config.is_some_and(|config| config.evacuated.contains(data_centre))
+    }
+
     /// Returns whether a configuration with routes has been received. The system makes revisions of
     /// its own, so the first one need not come from an operator.
     pub(crate) fn has_routes(&self) -> bool {
