Choose another upstream in an entry without charging a retry for an evacuation

If an evacuation began between the choice of an upstream and the sending, the entry recorded a failed attempt although nothing had been sent. That charged the organisation's retry budget, and where it was spent, the caller got `upstream_failed` although no upstream had failed.

The check now precedes the attempt and chooses again; without another upstream the refusal is `evacuated`.

--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -129,6 +129,11 @@
     ) -> Result<ActiveAttempt, Refusal> {
         let mut upstream = upstream;
         loop {
+            // The evacuation may have begun while the claim was made durable. Another choice is not
+            // a retry: nothing has been sent.
+            if self.worker.shared.view().is_evacuated(&upstream) {
+                upstream = self.choose_upstream()?;
+            }
             claim.set_upstream(&upstream.id);
             let (reason, execution) = match self.attempt(claim, upstream.clone(), resume_at).await?
             {
@@ -209,9 +214,6 @@
             head_timeout: left.min(upstream_request.head_timeout),
         };
         self.check_may_start()?;
-        if shared.view().is_evacuated(&upstream) {
-            return Ok(Err(("its data centre is evacuated", Execution::NotStarted)));
-        }
         if self.attempts_made == 0 {
             shared.earn_retry(&upstream_request.organisation);
         }
