Name evacuated data centres in the refusal of requests without a permitted region

`no_upstream_in_region` is also the refusal where the service has upstreams in a permitted region and all of them are in evacuated data centres while others are not.

--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -55,7 +55,8 @@
              configuration, revision {revision}"
         ),
         "no_upstream_in_region" => {
-            "no upstream of its service is in a region that its route and its organisation permit"
+            "no upstream of its service outside evacuated data centres is in a region that its \
+             route and its organisation permit"
                 .to_owned()
         }
         "stopping" => "its gateway was shutting down".to_owned(),
--- a/src/gateway/exchange/placement_refusal.rs
+++ b/src/gateway/exchange/placement_refusal.rs
@@ -26,8 +26,8 @@
             return (!is_permitted).then(|| {
                 Refusal::unavailable(
                     "no_upstream_in_region",
-                    "the service has no upstream in a region in which the request may run; retry \
-                     later",
+                    "the service has no upstream outside evacuated data centres in a region in which \
+                     the request may run; retry later",
                 )
             });
         }
--- a/src/policy/regions.rs
+++ b/src/policy/regions.rs
@@ -80,9 +80,9 @@
 }
 
 /// Returns the addresses of the gateways, given with their data centres, that a caller of a host
-/// should connect to: those in its data centre or its
-/// region if that is permitted, or else those in permitted regions. If there is none, or the host
-/// has no restriction, these are the ones in its data centre, or else all.
+/// should connect to: those in its data centre or its region if that is permitted, or else those in
+/// permitted regions. If there is none, or the host has no restriction, these are the ones in its
+/// data centre, or else all.
 pub fn gateways_for_caller(
     gateways: &[(&str, SocketAddr)],
     caller: CallerLocation<'_>,
--- a/src/relay/eligible.rs
+++ b/src/relay/eligible.rs
@@ -78,7 +78,8 @@
         }
         if !self.permitted.is_any() && !self.is_served(target) {
             let message = format!(
-                "`{target}` has no upstream in a region that your organisation may use; retry later"
+                "`{target}` has no upstream outside evacuated data centres in a region that your \
+                 organisation may use; retry later"
             );
             return Refusal::unavailable("no_upstream_in_region", message);
         }
