Log a longer cold period of an upstream, and bound the table of response times by clearing it

Cause: with 300 ms of a cold period left and 9 s reported anew, all gateways took the upstream for warm after 300 ms. After 512 pairs of service and route, response times of new routes were never learned. Change: a larger remaining time than the logged one is a change of the directory; the full table of response times is cleared.

--- a/src/policy/speed.rs
+++ b/src/policy/speed.rs
@@ -594,11 +594,13 @@
     /// Records the response time on an upstream of usual speed.
     pub fn record(&mut self, service: &Name, route: &Name, time: Duration) {
         let key = (service.clone(), route.clone());
-        if time.is_zero()
-            || (self.by_route.len() >= MAX_BASELINES && !self.by_route.contains_key(&key))
-        {
+        if time.is_zero() {
             return;
         }
+        if self.by_route.len() >= MAX_BASELINES && !self.by_route.contains_key(&key) {
+            // Routes that are gone have filled the table; the others are learned again in seconds.
+            self.by_route.clear();
+        }
         let (mean, samples) = self.by_route.entry(key).or_default();
         *samples = samples.saturating_add(1);
         let smoothing = BASELINE_SMOOTHING.max(1.0 / f64::from(*samples));
--- a/src/upstream/directory.rs
+++ b/src/upstream/directory.rs
@@ -73,9 +73,10 @@
         self.id == other.id && self.incarnation == other.incarnation
     }
 
-    /// Returns whether both say the same, apart from how much longer a cold upstream is cold. That
-    /// amount changes with every heartbeat, of which each would cost a command of the log.
-    fn is_equivalent(&self, other: &Self) -> bool {
+    /// Returns whether `later` says the same, apart from how much longer a cold upstream is cold. That
+    /// amount falls with every heartbeat, of which each would cost a command of the log; a larger
+    /// amount is a new cold period.
+    fn is_equivalent(&self, later: &Self) -> bool {
         let Self {
             id,
             incarnation,
@@ -89,17 +90,18 @@
             draining,
             cold_ms,
         } = self;
-        *id == other.id
-            && *incarnation == other.incarnation
-            && *address == other.address
-            && *data_centre == other.data_centre
-            && *serves == other.serves
-            && *slots == other.slots
-            && *fences_orders == other.fences_orders
-            && *release == other.release
-            && *started_ms == other.started_ms
-            && *draining == other.draining
-            && (*cold_ms > 0) == (other.cold_ms > 0)
+        *id == later.id
+            && *incarnation == later.incarnation
+            && *address == later.address
+            && *data_centre == later.data_centre
+            && *serves == later.serves
+            && *slots == later.slots
+            && *fences_orders == later.fences_orders
+            && *release == later.release
+            && *started_ms == later.started_ms
+            && *draining == later.draining
+            && (*cold_ms > 0) == (later.cold_ms > 0)
+            && later.cold_ms <= *cold_ms
     }
 }
 
