Bind evacuation orders to the number of orders instead of the revision

Cause: Handle::evacuate bound an order to the configuration revision, but a repeated order makes no revision. An operator who got no reply to a finish and sent a begin, acknowledged as a repeat, lost the evacuation when the late copy of the finish arrived: it still matched the revision. Every other change made a revision, so that orders conflicted while configurations changed. A repeated finish was refused as unknown where the data centre was known only because it was evacuated. Orders of the command line were not bound at all.

Change: State::evacuation_orders counts accepted orders, repeats included, and is reported in the status. Change::Evacuate has expected_orders; an order that requires another number is answered with ChangeOutcome::EvacuationConflict, which names the current one. Handle::evacuate and `daisyquay evacuate` bind their orders to it and go on after a conflict. A finish is accepted for any valid name.

The fuzz caller may now give up an order and send the opposite one. The stub replica of the replacement test moved to the support module, for a test of what the command line sends.

The other process tests and the load tests were not run.

--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -164,13 +164,7 @@
             data_centre,
             active,
             options,
-        } => {
-            let change = Change::Evacuate {
-                data_centre: data_centre.clone(),
-                active: *active,
-            };
-            submit_change(cfg, &state, options, change).await
-        }
+        } => order_evacuation(cfg, &state, options, data_centre, *active).await,
         Action::Show(query) => {
             let report = state.query(query.clone()).await?;
             print!("{}", output::report(&report, cfg.json));
@@ -253,6 +247,49 @@
     options: &ChangeOptions,
     change: Change,
 ) -> Result<ExitCode, Failure> {
+    let (change_id, reply) = send_change(state, options, change).await?;
+    print!("{}", output::change_result(&change_id, &reply, cfg.json));
+    Ok(exit_code(&reply))
+}
+
+/// Starts or ends the evacuation of a data centre. A change id or an expected revision replaces the
+/// check that no other evacuation order is accepted first, which would make a retry another change.
+async fn order_evacuation(
+    cfg: &Config,
+    state: &StateClient,
+    options: &ChangeOptions,
+    data_centre: &Name,
+    active: bool,
+) -> Result<ExitCode, Failure> {
+    let mut expected_orders = None;
+    if options.change_id.is_none() && options.expected_revision.is_none() {
+        let Report::Status(status) = state.query(Query::Status).await? else {
+            return Ok(ExitCode::Failed);
+        };
+        expected_orders = Some(status.evacuation_orders);
+    }
+    loop {
+        let change = Change::Evacuate {
+            data_centre: data_centre.clone(),
+            active,
+            expected_orders,
+        };
+        let (change_id, reply) = send_change(state, options, change).await?;
+        if let ChangeOutcome::EvacuationConflict { orders } = reply.outcome {
+            expected_orders = Some(orders);
+            continue;
+        }
+        print!("{}", output::change_result(&change_id, &reply, cfg.json));
+        return Ok(exit_code(&reply));
+    }
+}
+
+/// Sends a change and returns its id and the reply.
+async fn send_change(
+    state: &StateClient,
+    options: &ChangeOptions,
+    change: Change,
+) -> Result<(Name, OperatorChangeReply), Failure> {
     let change_id = options
         .change_id
         .clone()
@@ -265,15 +302,16 @@
         wait_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
     };
     let reply = state.submit(request, wait).await?;
-    print!("{}", output::change_result(&change_id, &reply, cfg.json));
-    Ok(exit_code(&reply))
+    Ok((change_id, reply))
 }
 
 fn exit_code(reply: &OperatorChangeReply) -> ExitCode {
     match (&reply.outcome, reply.in_force) {
         (ChangeOutcome::Accepted { .. }, Some(false)) => ExitCode::NotInForce,
         (ChangeOutcome::Accepted { .. }, _) => ExitCode::Done,
-        (ChangeOutcome::Conflict { .. }, _) => ExitCode::Conflict,
+        (ChangeOutcome::Conflict { .. } | ChangeOutcome::EvacuationConflict { .. }, _) => {
+            ExitCode::Conflict
+        }
         (ChangeOutcome::Refused { .. }, _) => ExitCode::Refused,
     }
 }
--- a/src/operator/output.rs
+++ b/src/operator/output.rs
@@ -74,6 +74,9 @@
         ChangeOutcome::Conflict { revision, winner } => {
             format!("conflict: revision {revision} was made by change {winner}")
         }
+        ChangeOutcome::EvacuationConflict { orders } => {
+            format!("conflict: evacuation order {orders} was accepted first")
+        }
         ChangeOutcome::Refused { reason } => format!("refused: {reason}"),
     }
 }
--- a/src/replica/handle.rs
+++ b/src/replica/handle.rs
@@ -139,20 +139,20 @@
     /// `limit`.
     ///
     /// The same order may be given again after an opposite one, so each call is a change of its own.
-    /// It applies only to the revision that was current when the call began: a copy that a broken
-    /// link delivers later must not undo an order given since.
+    /// It applies only if no other order is accepted between its reading of their number and its
+    /// own acceptance: a copy that a broken link delivers later must not undo an order given since.
     pub async fn evacuate(
         &self,
         who: &Name,
         order: &Evacuation,
         limit: Duration,
     ) -> Option<ChangeOutcome> {
-        tokio::time::timeout(limit, self.evacuate_at_current_revision(who, order))
+        tokio::time::timeout(limit, self.evacuate_after_current_orders(who, order))
             .await
             .ok()?
     }
 
-    async fn evacuate_at_current_revision(
+    async fn evacuate_after_current_orders(
         &self,
         who: &Name,
         order: &Evacuation,
@@ -168,14 +168,15 @@
         let Report::Status(status) = *report else {
             return None;
         };
-        let mut revision = status.revision;
+        let mut orders = status.evacuation_orders;
         loop {
             let change = on_behalf(Request::Change(OperatorChange {
                 change_id: format!("evacuation-{:016x}", fastrand::u64(..)).into(),
-                expected_revision: Some(revision),
+                expected_revision: None,
                 change: Change::Evacuate {
                     data_centre: order.data_centre.clone(),
                     active: order.active,
+                    expected_orders: Some(orders),
                 },
                 wait_ms: 0,
             }));
@@ -183,10 +184,7 @@
                 return None;
             };
             match reply.outcome {
-                // Another change came first.
-                ChangeOutcome::Conflict {
-                    revision: current, ..
-                } => revision = current,
+                ChangeOutcome::EvacuationConflict { orders: current } => orders = current,
                 outcome => return Some(outcome),
             }
         }
--- a/src/replica/handler.rs
+++ b/src/replica/handler.rs
@@ -193,6 +193,7 @@
         Change::Evacuate {
             data_centre,
             active,
+            ..
         } => Some((data_centre.clone(), *active)),
         _ => None,
     };
@@ -251,16 +252,22 @@
     Reply::Change(reply)
 }
 
-/// Returns the reply to an order to evacuate a data centre, or to put one back into service, that
-/// nobody knows; `None` for any other change. Only the leader's directory is current.
+/// Returns the reply to an order to evacuate a data centre that nobody knows; `None` for any other
+/// change. Only the leader's directory is current. An order to finish is never refused as unknown:
+/// a data centre may be known only while it is evacuated, and the order may be repeated.
 fn refusal_of_unknown_data_centre(core: &Core, change: &Change) -> Option<Reply> {
-    let Change::Evacuate { data_centre, .. } = change else {
+    let Change::Evacuate {
+        data_centre,
+        active,
+        ..
+    } = change
+    else {
         return None;
     };
     if !core.has_leader_lease() {
         return Some(not_leader(core));
     }
-    if core.knows_data_centre(data_centre) {
+    if !active || core.knows_data_centre(data_centre) {
         return None;
     }
     let reason = format!(
--- a/src/state/command/change.rs
+++ b/src/state/command/change.rs
@@ -80,6 +80,9 @@
         data_centre: Name,
         /// Whether it is evacuated; false puts it back into service.
         active: bool,
+        /// Value of [`State::evacuation_orders`] that the order requires, so that a late copy does
+        /// not undo an order accepted since; `None` for any.
+        expected_orders: Option<u64>,
     },
 }
 
@@ -110,6 +113,7 @@
             Self::Evacuate {
                 data_centre,
                 active,
+                ..
             } => {
                 let action = if *active { "begin" } else { "finish" };
                 write!(f, "evacuate {action} {data_centre}")
@@ -152,6 +156,11 @@
         /// Reason, and what the operator can do about it.
         reason: Name,
     },
+    /// Another evacuation order was accepted before this one.
+    EvacuationConflict {
+        /// Current value of [`State::evacuation_orders`].
+        orders: u64,
+    },
 }
 
 impl ChangeRequest {
@@ -195,7 +204,7 @@
         outcome
     }
 
-    /// Applies the change if the revision is the expected one.
+    /// Applies the change if the revision and the number of evacuation orders are the expected ones.
     fn execute(&mut self, request: &ChangeRequest, at_ms: u64) -> ChangeOutcome {
         if let Some(expected) = request.expected_revision
             && expected != self.revision
@@ -208,6 +217,16 @@
                     .unwrap_or_else(|| "none".into()),
             };
         }
+        if let Change::Evacuate {
+            expected_orders: Some(expected),
+            ..
+        } = request.change
+            && expected != self.evacuation_orders
+        {
+            return ChangeOutcome::EvacuationConflict {
+                orders: self.evacuation_orders,
+            };
+        }
         match self.apply_change(&request.change, at_ms) {
             Ok(is_new) => {
                 if is_new {
@@ -254,7 +273,12 @@
             Change::Evacuate {
                 data_centre,
                 active,
-            } => return self.set_evacuated(data_centre, *active),
+                ..
+            } => {
+                let is_new = self.set_evacuated(data_centre, *active)?;
+                self.evacuation_orders += 1;
+                return Ok(is_new);
+            }
         }
         Ok(true)
     }
--- a/src/state/query/report.rs
+++ b/src/state/query/report.rs
@@ -64,6 +64,8 @@
     pub draining: Vec<Name>,
     /// Data centres that are evacuated.
     pub evacuated: Vec<Name>,
+    /// Number of accepted evacuation orders.
+    pub evacuation_orders: u64,
     /// Model versions of the inventory.
     pub versions: Vec<VersionRow>,
     /// Number of open claims.
@@ -149,6 +151,7 @@
             revision: self.revision,
             draining: self.draining.iter().cloned().collect(),
             evacuated: self.evacuated.iter().cloned().collect(),
+            evacuation_orders: self.evacuation_orders,
             versions: self.version_rows(),
             open_claims: self.claims.len() as u64,
             sessions: self.pins.len() as u64,
--- a/src/state/tables.rs
+++ b/src/state/tables.rs
@@ -216,6 +216,9 @@
     pub draining: BTreeSet<Name>,
     /// Data centres that are evacuated: their upstreams must not get requests.
     pub evacuated: BTreeSet<Name>,
+    /// Number of accepted evacuation orders, including those that changed nothing. The revision
+    /// can't take its place: a repeated order makes none, and other changes make some.
+    pub evacuation_orders: u64,
     /// Rollouts by model name; the latest of each model.
     pub rollouts: BTreeMap<Name, Rollout>,
     /// Document that the inventory was loaded from; `None` if it came without one.
--- a/tests/fuzz/evacuation.rs
+++ b/tests/fuzz/evacuation.rs
@@ -27,7 +27,8 @@
 
 #[derive(Clone, Copy, Debug)]
 enum Step {
-    /// The caller of a data centre gives an order, or sends the one in progress again.
+    /// The caller of a data centre gives an order. It may give up an order that was not
+    /// acknowledged and send the opposite one.
     Order(u8, bool),
     /// One copy of a request reaches the leader.
     Deliver(u16),
@@ -78,6 +79,17 @@
     change: ChangeRequest,
 }
 
+/// What must not have changed since an order was given for it to apply.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Binding {
+    /// The number of accepted evacuation orders.
+    Orders,
+    /// The configuration revision: a fault that must be found, since a repeated order makes none.
+    Revision,
+    /// Nothing: a fault that must be found.
+    Nothing,
+}
+
 /// The caller that gives the orders for one data centre, one after the other.
 #[derive(Clone, Copy, Debug, Default)]
 struct Caller {
@@ -97,8 +109,7 @@
     history: ConfigHistory,
     gateways: Vec<ConfigView>,
     next_id: u64,
-    /// Whether orders apply to any revision: the fault that must be found.
-    ignores_revision: bool,
+    binding: Binding,
 }
 
 fn data_centre(i: usize) -> Name {
@@ -114,7 +125,7 @@
 }
 
 impl World {
-    fn new(ignores_revision: bool) -> Self {
+    fn new(binding: Binding) -> Self {
         Self {
             state: State::default(),
             index: 0,
@@ -124,12 +135,12 @@
             history: ConfigHistory::default(),
             gateways: vec![ConfigView::default(); GATEWAYS],
             next_id: 0,
-            ignores_revision,
+            binding,
         }
     }
 
-    /// Sends the order of a caller, as `Handle::evacuate` does, for that revision.
-    fn send(&mut self, caller: usize, revision: u64) {
+    /// Sends the order of a caller, as `Handle::evacuate` does, bound to the current state.
+    fn send(&mut self, caller: usize) {
         let Some(active) = self.callers[caller].in_progress else {
             return;
         };
@@ -138,10 +149,12 @@
         let change = ChangeRequest {
             change_id: format!("order-{}", self.next_id).into(),
             who: "test".into(),
-            expected_revision: (!self.ignores_revision).then_some(revision),
+            expected_revision: (self.binding == Binding::Revision).then_some(self.state.revision),
             change: Change::Evacuate {
                 data_centre: data_centre(caller),
                 active,
+                expected_orders: (self.binding == Binding::Orders)
+                    .then_some(self.state.evacuation_orders),
             },
         };
         self.in_flight.push(Request {
@@ -180,7 +193,9 @@
                     caller.acknowledged = active;
                 }
             }
-            ChangeOutcome::Conflict { revision, .. } => self.send(request.caller, revision),
+            ChangeOutcome::Conflict { .. } | ChangeOutcome::EvacuationConflict { .. } => {
+                self.send(request.caller);
+            }
             ChangeOutcome::Refused { reason } => return Err(format!("refused: {reason}")),
         }
         Ok(())
@@ -195,8 +210,8 @@
         match step {
             Step::Order(pick, active) => {
                 let caller = usize::from(pick) % DATA_CENTRES;
-                self.callers[caller].in_progress.get_or_insert(active);
-                self.send(caller, self.state.revision);
+                self.callers[caller].in_progress = Some(active);
+                self.send(caller);
             }
             Step::Deliver(pick) => {
                 let request = self.take_in_flight(pick);
@@ -258,20 +273,29 @@
     }
 }
 
-fn run(steps: &[Step], ignores_revision: bool) -> Result<(), String> {
-    let mut world = World::new(ignores_revision);
+fn run(steps: &[Step], binding: Binding) -> Result<(), String> {
+    let mut world = World::new(binding);
     steps.iter().try_for_each(|&step| world.step(step))
 }
 
 #[test]
 fn acknowledged_order_holds_until_the_next_one_for_its_data_centre() {
-    assert_holds(200, 600, |steps: &[Step]| run(steps, false));
+    assert_holds(200, 600, |steps: &[Step]| run(steps, Binding::Orders));
 }
 
 /// An order that applies to any revision is undone or redone by a late copy of an earlier one.
 #[test]
 fn finds_late_copy_of_an_order_that_applies_to_any_revision() {
     assert_finds_fault("any revision", 200, FAULT_SCHEDULES, |steps: &[Step]| {
-        run(steps, true)
+        run(steps, Binding::Nothing)
+    });
+}
+
+/// A repeated order that makes no revision is undone by a late copy of an opposite one that was
+/// given up.
+#[test]
+fn finds_late_copy_of_an_order_that_applies_to_one_revision() {
+    assert_finds_fault("one revision", 200, FAULT_SCHEDULES, |steps: &[Step]| {
+        run(steps, Binding::Revision)
     });
 }
--- a/tests/process/evacuation.rs
+++ b/tests/process/evacuation.rs
@@ -1,12 +1,26 @@
 //! Evacuation of data centres: the whole path from the order to the upstreams, through a restart of
 //! everything.
 
+use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::process::Command;
 use std::sync::Arc;
 use std::sync::Barrier;
+use std::sync::Mutex;
 use std::thread;
 use std::time::Duration;
 
+use daisyquay::peer::Caller;
+use daisyquay::peer::Handler;
+use daisyquay::peer::OperatorChange;
+use daisyquay::peer::OperatorChangeReply;
+use daisyquay::peer::Reply;
+use daisyquay::peer::Request;
+use daisyquay::state::command::Change;
+use daisyquay::state::command::ChangeOutcome;
+use daisyquay::state::query::Report;
+use daisyquay::state::query::StatusReport;
 use serde_json::json;
 
 use crate::gateway::ROUTES;
@@ -15,6 +29,7 @@
 use crate::support::AUTH_HEADER;
 use crate::support::Cluster;
 use crate::support::INVENTORY;
+use crate::support::PEER_KEY;
 use crate::support::Program;
 use crate::support::Response;
 use crate::support::Upstream;
@@ -23,6 +38,7 @@
 use crate::support::ok_response;
 use crate::support::send;
 use crate::support::sse_event;
+use crate::support::start_stub_replica;
 use crate::support::stream_response_head;
 use crate::support::write;
 
@@ -219,3 +235,74 @@
     setup.wait_until_served();
     setup.wait_until_only(1);
 }
+
+/// A leader that reports 7 evacuation orders and has accepted 9 when the first change arrives.
+#[derive(Clone, Default)]
+struct BusyLeader {
+    changes: Arc<Mutex<Vec<OperatorChange>>>,
+}
+
+impl Handler for BusyLeader {
+    fn call(&self, _: Caller, request: Request) -> Pin<Box<dyn Future<Output = Reply>>> {
+        let reply = match request {
+            Request::Change(change) => {
+                let mut changes = self.changes.lock().unwrap();
+                changes.push(change);
+                Reply::Change(OperatorChangeReply {
+                    outcome: if changes.len() == 1 {
+                        ChangeOutcome::EvacuationConflict { orders: 9 }
+                    } else {
+                        ChangeOutcome::Accepted { revision: 3 }
+                    },
+                    in_force: None,
+                    lagging: Vec::new(),
+                })
+            }
+            _ => Reply::Report(Box::new(Report::Status(Box::new(StatusReport {
+                evacuation_orders: 7,
+                ..StatusReport::default()
+            })))),
+        };
+        Box::pin(async { reply })
+    }
+}
+
+/// Guards against an order of the command line that applies after later orders, and against one
+/// that is given up, or sent under the id of a refused change, when another order comes first.
+#[test]
+fn order_of_the_command_line_applies_only_to_the_current_number_of_orders() {
+    let leader = BusyLeader::default();
+    let address = start_stub_replica(leader.clone()).to_string();
+    let order = |flags: &[&str]| {
+        let output = Command::new(env!("CARGO_BIN_EXE_daisyquay"))
+            .args(["--state", &address, "--operator-key", PEER_KEY])
+            .args(["evacuate", "begin", "dc1"])
+            .args(flags)
+            .output()
+            .unwrap();
+        assert!(output.status.success(), "{output:?}");
+    };
+    order(&[]);
+    order(&["--change-id", "a"]);
+    order(&["--expect-revision", "3"]);
+    let changes = leader.changes.lock().unwrap();
+    let expected: Vec<_> = changes
+        .iter()
+        .map(|change| match change.change {
+            Change::Evacuate {
+                expected_orders, ..
+            } => (expected_orders, change.expected_revision),
+            _ => panic!("{change:?}"),
+        })
+        .collect();
+    assert_eq!(
+        expected,
+        [
+            (Some(7), None),
+            (Some(9), None),
+            (None, None),
+            (None, Some(3))
+        ]
+    );
+    assert_ne!(changes[0].change_id, changes[1].change_id);
+}
--- a/tests/process/replacement.rs
+++ b/tests/process/replacement.rs
@@ -2,23 +2,19 @@
 
 use std::collections::BTreeSet;
 use std::future::Future;
-use std::net::SocketAddr;
 use std::pin::Pin;
-use std::rc::Rc;
 
 use daisyquay::agreement::ReplicaId;
-use daisyquay::config::KeyHash;
 use daisyquay::peer::BootstrapStatus;
 use daisyquay::peer::Caller;
 use daisyquay::peer::Handler;
-use daisyquay::peer::Keys;
 use daisyquay::peer::Reply;
 use daisyquay::peer::Request;
 
 use crate::support::Cluster;
-use crate::support::PEER_KEY;
 use crate::support::Program;
 use crate::support::eventually;
+use crate::support::start_stub_replica;
 
 /// Returns the peer addresses of the voters, or `None` where the status lists no members.
 fn voters(cluster: &Cluster) -> Option<BTreeSet<String>> {
@@ -103,29 +99,6 @@
     }
 }
 
-/// Serves [`Leaderless`] until the test program ends and returns its address.
-fn start_leaderless() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    listener.set_nonblocking(true).unwrap();
-    std::thread::spawn(move || {
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_all()
-            .build()
-            .unwrap();
-        tokio::task::LocalSet::new().block_on(&runtime, async {
-            let listener = tokio::net::TcpListener::from_std(listener).unwrap();
-            let keys = Keys {
-                peer: KeyHash::of(PEER_KEY),
-                operators: Vec::new(),
-            };
-            daisyquay::peer::serve(listener, Rc::new(keys), Rc::new(Leaderless), Rc::default())
-                .await;
-        });
-    });
-    address
-}
-
 /// Guards against a replica with a new disk that asks only the first address with a log, which may
 /// be one that follows no leader.
 #[test]
@@ -137,7 +110,7 @@
     assert!(old_id.is_some());
     cluster.replicas[wiped].kill();
     std::fs::remove_dir_all(cluster.data_folder(wiped)).unwrap();
-    let mut known = vec![start_leaderless()];
+    let mut known = vec![start_stub_replica(Leaderless)];
     known.extend(&cluster.replica_addresses);
     cluster.replicas[wiped] = cluster.start_replica_among(wiped, &known);
     eventually("the replica is a member under its new identity", || {
--- a/tests/process/support/mod.rs
+++ b/tests/process/support/mod.rs
@@ -4,6 +4,7 @@
 mod http;
 mod program;
 mod proxy;
+mod stub_replica;
 mod upstream;
 
 pub(crate) use self::cluster::AUTH_HEADER;
@@ -18,6 +19,7 @@
 pub(crate) use self::http::stream_text;
 pub(crate) use self::program::Program;
 pub(crate) use self::proxy::PartitionProxy;
+pub(crate) use self::stub_replica::start_stub_replica;
 pub(crate) use self::upstream::ReceivedRequest;
 pub(crate) use self::upstream::Upstream;
 pub(crate) use self::upstream::chunk;
--- a/tests/state/evacuations.rs
+++ b/tests/state/evacuations.rs
@@ -17,6 +17,15 @@
     Change::Evacuate {
         data_centre: data_centre.into(),
         active,
+        expected_orders: None,
+    }
+}
+
+fn order_after(orders: u64, data_centre: &str, active: bool) -> Change {
+    Change::Evacuate {
+        data_centre: data_centre.into(),
+        active,
+        expected_orders: Some(orders),
     }
 }
 
@@ -52,6 +61,46 @@
     assert!(evacuated(&machine).is_empty());
 }
 
+/// Guards against a late copy of an order that undoes a later one which changed nothing and so made
+/// no revision.
+#[test]
+fn order_does_not_apply_after_a_repeated_one() {
+    let mut machine = Machine::default();
+    let accepted = |revision| ChangeOutcome::Accepted { revision };
+    assert_eq!(machine.change("a", order("dc1", true)), accepted(1));
+    assert_eq!(
+        machine.change("b", order_after(1, "dc1", true)),
+        accepted(1)
+    );
+    assert_eq!(
+        machine.change("late", order_after(1, "dc1", false)),
+        ChangeOutcome::EvacuationConflict { orders: 2 }
+    );
+    assert_eq!(evacuated(&machine), ["dc1".into()]);
+    // A retry and a refused order don't count.
+    assert_eq!(
+        machine.change("b", order_after(1, "dc1", true)),
+        accepted(1)
+    );
+    machine.change("invalid", order("", false));
+    assert_eq!(machine.state.evacuation_orders, 2);
+}
+
+/// Guards against an order that is not acknowledged while configurations change.
+#[test]
+fn order_applies_whatever_configurations_came_first() {
+    let mut machine = Machine::default();
+    let expected = machine.state.evacuation_orders;
+    for revision in 1..=3 {
+        let change = Change::Apply(Arc::new(inventory(&["notes"])));
+        machine.change(&format!("apply-{revision}"), change);
+    }
+    assert_eq!(
+        machine.change("begin", order_after(expected, "dc1", true)),
+        ChangeOutcome::Accepted { revision: 4 }
+    );
+}
+
 /// Guards against a state that grows without a bound, or with names that no upstream can have.
 #[test]
 fn refuses_invalid_names_and_more_data_centres_than_the_limit() {
