--- a/src/policy/cold_start.rs
+++ b/src/policy/cold_start.rs
@@ -10,7 +10,7 @@
 //! of one second holds more than the rate, whatever the phases of the gateways.
 //!
 //! This holds while the gateways' lists of each other differ, because each list includes all
-//! gateways that may send: one that is no longer listed is counted for [`RETENTION`], one that
+//! gateways that may send: one that is no longer listed is counted for `RETENTION`, one that
 //! joins sends nothing until the others know it, and a longer list never gives a larger share. A
 //! gateway that is cut off from the replicas uses half of the rate, since the others will divide
 //! the whole of it without that gateway.
