Lower the price of a delay in the choice of models

Change: the factor of a delay's cost is 8 instead of 20. Result: the load tests of the choice pass, overload included.

--- a/src/policy/model_choice.rs
+++ b/src/policy/model_choice.rs
@@ -58,7 +58,7 @@
 /// Factor of a delay's cost at full utilisation: it reaches not only the requests of the present
 /// backlog but also those that arrive until it has been worked off. With 3, half of the second rank
 /// was late in a lasting overload (`tests/load/models_under_load.rs`).
-const CONGESTION: f64 = 20.0;
+const CONGESTION: f64 = 8.0;
 
 /// Price of the usual work of a request while all slots are in use.
 const SLOT_PRICE: f64 = 0.3;
