--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -167,7 +167,7 @@
     retry_budgets: RefCell<HashMap<Name, SlidingWindow>>,
     /// Prefill rates by service and model; the model is `None` unless the gateway chose it.
     prefill_rates: RefCell<HashMap<(Name, Option<Name>), RateEstimator>>,
-    /// What the choice among models needs of earlier requests.
+    /// Usual request sizes and capacity prices, for the choice among models.
     model_choices: RefCell<ModelChoices>,
     /// Slowness of the upstreams, as seen by this gateway and the others.
     speeds: RefCell<Speeds>,
--- a/src/gateway/model_choices.rs
+++ b/src/gateway/model_choices.rs
@@ -1,4 +1,4 @@
-//! What this gateway has seen of earlier requests, for the choice among models: the usual size by
+//! State of the choice among models, from earlier requests: the usual size by
 //! route, and the price of capacity by service.
 
 use crate::collections::HashMap;
--- a/src/gateway/speeds.rs
+++ b/src/gateway/speeds.rs
@@ -28,7 +28,7 @@
 pub(super) struct ManagedUpstreams {
     /// All of them, by number.
     all: HashSet<Index>,
-    /// Those of services with few slots.
+    /// Upstreams of services with few slots.
     small: HashSet<Index>,
 }
 
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -236,7 +236,7 @@
     }
 }
 
-/// What a gateway knows of the other gateways' requests to a service.
+/// Demand of all gateways for a service, as this one knows it.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Demand {
     /// Gateways with requests to the service, this one included.
--- a/src/policy/gateway_queue.rs
+++ b/src/policy/gateway_queue.rs
@@ -84,7 +84,7 @@
     First,
 }
 
-/// What a request needs of an upstream.
+/// Capacity and upstreams that a request requires.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Needs {
     /// Tokens that it will hold in the KV cache.
