--- a/tests/process/admission.rs
+++ b/tests/process/admission.rs
@@ -3,6 +3,8 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
 use std::thread;
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -27,7 +29,7 @@
 host = "previews.example"
 prefix = "/urgent/"
 timeout_ms = 20000
-target_ms = 1000
+target_ms = 20000
 rank = 0
 split = [{ service = "previews", weight = 1 }]
 
@@ -36,7 +38,7 @@
 host = "previews.example"
 prefix = "/bulk/"
 timeout_ms = 20000
-target_ms = 1000
+target_ms = 20000
 rank = 2
 split = [{ service = "previews", weight = 1 }]
 
@@ -45,7 +47,7 @@
 host = "previews.example"
 prefix = "/retried/"
 timeout_ms = 20000
-target_ms = 1000
+target_ms = 20000
 attempts = 3
 split = [{ service = "previews", weight = 1 }]
 "#;
@@ -68,6 +70,30 @@
     _gateway: Program,
     address: SocketAddr,
     upstreams: [Upstream; 2],
+    runs: Arc<Mutex<Runs>>,
+}
+
+/// What the upstreams have run, except on the route that is retried.
+#[derive(Default)]
+struct Runs {
+    /// Ids of the requests in the order in which they started.
+    started: Vec<String>,
+    running: usize,
+    most_running: usize,
+}
+
+impl Runs {
+    fn start(&mut self, id: &str) {
+        self.started.push(id.to_owned());
+        self.running += 1;
+        self.most_running = self.most_running.max(self.running);
+    }
+
+    /// Returns the position of the last start of a request whose id begins with `name`.
+    fn last_start(&self, name: &str) -> usize {
+        let at = self.started.iter().rposition(|id| id.starts_with(name));
+        at.unwrap()
+    }
 }
 
 impl Setup {
@@ -78,12 +104,16 @@
         cluster.gateway_flags = vec!["--admission".to_owned(), "on".to_owned()];
         let inventory = format!("{INVENTORY}{ROUTES}");
         cluster.apply(&inventory, &["--change-id", "first"]);
+        let runs: Arc<Mutex<Runs>> = Arc::default();
         let upstreams = [0, 1].map(|_| {
+            let runs = runs.clone();
             Upstream::start(move |seen, out| {
                 if seen.request_line.contains(" /retried/") {
                     return write(out, &FAILURE.replace("ID", seen.attempt_id()));
                 }
+                runs.lock().unwrap().start(seen.attempt_id());
                 thread::sleep(work);
+                runs.lock().unwrap().running -= 1;
                 write(out, &ok_response(seen, "tile"))
             })
         });
@@ -113,6 +143,7 @@
             _gateway: gateway,
             address,
             upstreams,
+            runs,
         }
     }
 
@@ -137,6 +168,15 @@
         (0..count).map(start).collect()
     }
 
+    /// Sends `count` requests and waits until the upstreams have received them.
+    fn occupy(&self, count: usize) -> Vec<JoinHandle<Reply>> {
+        let running = self.start_all(count, LAGON, "/bulk/", "running");
+        eventually("the slots are in use", || {
+            (self.received().len() == count).then_some(())
+        });
+        running
+    }
+
     /// Returns the ids of the requests that the upstreams have received.
     fn received(&self) -> Vec<String> {
         let seen = self.upstreams.iter().flat_map(Upstream::received);
@@ -174,60 +214,69 @@
 /// upstream than its slots and the allowance.
 #[test]
 fn queued_requests_are_sent_most_urgent_first() {
-    const WORK: Duration = Duration::from_millis(400);
+    // Long enough for all requests to be queued before one ends.
+    const WORK: Duration = Duration::from_millis(1_500);
     let setup = Setup::new(WORK);
-    let mut replies = setup.start_all(CAPACITY, LAGON, "/bulk/", "running");
-    thread::sleep(WORK / 4);
-    assert_eq!(setup.received().len(), CAPACITY);
-    replies.extend(setup.start_all(3 * CAPACITY, LAGON, "/bulk/", "bulk"));
-    let urgent = setup.start_all(4, LAGON, "/urgent/", "urgent");
-    thread::sleep(WORK / 4);
-    assert_eq!(setup.received().len(), CAPACITY, "the slots are exceeded");
-    for time in join(urgent) {
-        assert!(time < WORK * 3, "an urgent request took {time:?}");
-    }
+    let mut replies = setup.occupy(CAPACITY);
+    replies.extend(setup.start_all(2 * CAPACITY, LAGON, "/bulk/", "bulk"));
+    replies.extend(setup.start_all(4, LAGON, "/urgent/", "urgent"));
     join(replies);
+    let runs = setup.runs.lock().unwrap();
+    assert_eq!(runs.most_running, CAPACITY, "the slots are exceeded");
+    // One dispatch in eight goes to the request that has waited longest.
+    assert!(
+        runs.last_start("urgent") <= CAPACITY + 4,
+        "{:?}",
+        runs.started
+    );
 }
 
 /// Guards against an organisation that takes the others' capacity by sending more.
 #[test]
 fn organisation_that_sends_more_leaves_the_others_their_share() {
-    const WORK: Duration = Duration::from_millis(200);
+    const WORK: Duration = Duration::from_millis(800);
     let setup = Setup::new(WORK);
-    let greedy = setup.start_all(12 * CAPACITY, LAGON, "/bulk/", "greedy");
-    let modest = setup.start_all(CAPACITY, CASTLES, "/bulk/", "modest");
-    let slowest = join(modest).into_iter().max().unwrap();
-    // Its weight is a quarter of all, so it needs four rounds; the whole backlog takes thirteen.
-    assert!(slowest < WORK * 7, "{slowest:?}");
-    join(greedy);
+    let mut replies = setup.start_all(8 * CAPACITY, LAGON, "/bulk/", "greedy");
+    replies.extend(setup.start_all(CAPACITY, CASTLES, "/bulk/", "modest"));
+    join(replies);
+    // Its weight is a quarter of all, so it needs four rounds after the first; the whole backlog
+    // takes nine, and it would be in the last of them.
+    let runs = setup.runs.lock().unwrap();
+    assert!(
+        runs.last_start("modest") < 7 * CAPACITY,
+        "{:?}",
+        runs.started
+    );
 }
 
 /// Guards against rejections that come late or are not true, and against requests that run though
 /// their callers have gone.
 #[test]
 fn rejected_and_cancelled_requests_never_run() {
-    const WORK: Duration = Duration::from_millis(1_200);
+    const WORK: Duration = Duration::from_secs(4);
     let setup = Setup::new(WORK);
-    let mut replies = setup.start_all(CAPACITY, LAGON, "/bulk/", "running");
-    replies.extend(setup.start_all(4, LAGON, "/bulk/", "queued"));
+    let mut replies = setup.occupy(CAPACITY);
+    replies.extend(setup.start_all(4, LAGON, "/urgent/", "queued"));
     let mut gone = TcpStream::connect(setup.address).unwrap();
     let head = format!(
         "GET /bulk/ HTTP/1.1\r\nhost: previews.example\r\nauthorization: {LAGON}\r\n\
          daisyquay-attempt: gone\r\n\r\n"
     );
     gone.write_all(head.as_bytes()).unwrap();
-    // Until then nothing is dispatched, so the next dispatch is not to be expected within 250 ms.
-    thread::sleep(WORK * 3 / 4);
+    // Nothing is dispatched in this time, so the four that precede the next request and itself are
+    // not to be expected to be dispatched within 1 s.
+    thread::sleep(WORK / 4);
     drop(gone);
-    let (reply, time) = call(setup.address, LAGON, "/bulk/", "hopeless", 250);
+    let (reply, time) = call(setup.address, LAGON, "/bulk/", "hopeless", 1_000);
     let reply = reply.unwrap();
     assert_eq!(reply.status, 503, "{}", reply.body);
     assert_eq!(reply.json()["error"]["code"], "overloaded");
-    assert!(time < Duration::from_millis(200), "rejected after {time:?}");
+    // If it was queued, it would be rejected at its latest start, 25 ms before the deadline.
+    assert!(time < Duration::from_millis(800), "rejected after {time:?}");
     let retry_after: f64 = reply.header("retry-after").parse().unwrap();
     assert!((0.05..=5.0).contains(&retry_after), "{retry_after}");
     join(replies);
-    thread::sleep(WORK);
+    thread::sleep(Duration::from_secs(1));
     let received = setup.received();
     assert_eq!(received.len(), CAPACITY + 4, "{received:?}");
     assert!(!received.iter().any(|id| id == "hopeless" || id == "gone"));
@@ -237,15 +286,14 @@
 /// caller must not be told that it was rejected.
 #[test]
 fn rejected_retry_keeps_its_earlier_answer() {
-    const WORK: Duration = Duration::from_millis(1_200);
+    const WORK: Duration = Duration::from_secs(4);
     let setup = Setup::new(WORK);
-    let running = setup.start_all(CAPACITY - 1, LAGON, "/bulk/", "running");
-    thread::sleep(WORK / 4);
+    let running = setup.occupy(CAPACITY - 1);
     // It fails at the upstream with the last free slot; the other one has none until it is late.
-    let (reply, time) = call(setup.address, LAGON, "/retried/", "failing", 500);
+    let (reply, time) = call(setup.address, LAGON, "/retried/", "failing", 1_500);
     let reply = reply.unwrap();
     assert_eq!((reply.status, &*reply.body), (500, "broken"));
-    assert!(time > Duration::from_millis(300), "not queued: {time:?}");
+    assert!(time > Duration::from_secs(1), "not queued: {time:?}");
     join(running);
     let received = setup.received();
     assert_eq!(received.len(), CAPACITY, "{received:?}");
@@ -254,27 +302,25 @@
 /// Guards against failed requests that wait for a retry which the retry budget will not allow.
 #[test]
 fn failure_without_a_retry_left_is_answered_at_once() {
-    // Short enough that no running request counts as hanging and is retried.
-    const WORK: Duration = Duration::from_millis(1_500);
+    const WORK: Duration = Duration::from_secs(8);
+    const DEADLINE_MS: u64 = 4_000;
     const FAILURES: usize = 120;
     let setup = Setup::new(WORK);
-    let running = setup.start_all(CAPACITY - 1, LAGON, "/bulk/", "running");
-    thread::sleep(Duration::from_millis(200));
+    let running = setup.occupy(CAPACITY - 1);
     let fail = |i| {
-        thread::sleep(Duration::from_millis(2));
+        thread::sleep(Duration::from_millis(5));
         let address = setup.address;
-        thread::spawn(move || call(address, LAGON, "/retried/", &format!("failing-{i}"), 300))
+        let id = format!("failing-{i}");
+        thread::spawn(move || call(address, LAGON, "/retried/", &id, DEADLINE_MS))
     };
     let failing: Vec<JoinHandle<Reply>> = (0..FAILURES).map(fail).collect();
     let replies: Vec<Reply> = failing.into_iter().map(|row| row.join().unwrap()).collect();
     let is_failure = |(reply, _): &Reply| reply.as_ref().is_some_and(|reply| reply.status == 500);
     assert!(replies.iter().all(is_failure));
-    let times: Vec<Duration> = replies.into_iter().map(|(_, time)| time).collect();
-    assert!(times[0] > Duration::from_millis(200), "no retry waited");
+    let half = Duration::from_millis(DEADLINE_MS / 2);
+    assert!(replies[0].1 > half, "no retry waited");
     // The budget allows 46 retries and 0.46 of the first attempts.
-    let at_once = times
-        .iter()
-        .filter(|time| **time < Duration::from_millis(150));
-    assert!(at_once.count() >= FAILURES / 10, "{times:?}");
+    let at_once = replies.iter().filter(|(_, time)| *time < half).count();
+    assert!(at_once >= FAILURES / 10, "{at_once} answered at once");
     join(running);
 }
