Keep the answer of a suspected request instead of escalating in vain

Cause: where load is not managed, an answer of low confidence was given up for an escalation before the quarantines were asked whether the request may run again.

Change: the escalation asks first, as the choice by value does.

--- a/src/gateway/exchange/mod.rs
+++ b/src/gateway/exchange/mod.rs
@@ -330,6 +330,7 @@
         if self.runs >= self.call.route.attempts {
             return None;
         }
+        let service = self.service.as_ref()?;
         let confidence = self.confidence(headers);
         let ladder = self.call.route.ladder.len();
         let larger_model = escalation::next_model(ladder, self.model?, confidence, |model| {
@@ -339,7 +340,7 @@
         let is_affordable = self
             .median_prefill_backlog(larger_model)
             .is_none_or(|backlog| escalation::is_affordable(rank(&self.call), backlog, target));
-        if !is_affordable {
+        if !is_affordable || !self.may_run_again(service) {
             return None;
         }
         event!(
--- a/src/gateway/exchange/models.rs
+++ b/src/gateway/exchange/models.rs
@@ -65,7 +65,7 @@
 
     /// Returns whether the quarantines allow another attempt. `next_upstream` would otherwise refuse
     /// it after the present answer has been discarded.
-    fn may_run_again(&self, service: &Name) -> bool {
+    pub(super) fn may_run_again(&self, service: &Name) -> bool {
         let gateway = &self.gateway;
         gateway.quarantined_for(service, &self.call).is_none()
             && gateway.quarantine_allows_retry(service, &self.call)
--- a/tests/process/models.rs
+++ b/tests/process/models.rs
@@ -11,7 +11,7 @@
 use crate::support::sse_event;
 use crate::support::write;
 
-const ROUTE: &str = r#"
+pub(crate) const ROUTE: &str = r#"
 [services.engine]
 slots = 8
 cache_tokens = 100000
--- a/tests/process/quarantine.rs
+++ b/tests/process/quarantine.rs
@@ -15,6 +15,7 @@
 use serde_json::json;
 
 use crate::gateway::ROUTES;
+use crate::models::ROUTE as CHAT_ROUTE;
 use crate::support::AUTH_HEADER;
 use crate::support::Cluster;
 use crate::support::INVENTORY;
@@ -43,6 +44,10 @@
 
 const DEADLY_SEGMENT: &str = "dead";
 
+/// Path of a request that is answered first, then crashes three upstreams, and then gets answers of
+/// low confidence.
+const DOUBTFUL_PATH: &str = "/chat/doubtful";
+
 /// Last part of the path of a request that crashes each upstream which runs it.
 const DEADLY_PATH: &str = "/deadly";
 
@@ -177,6 +182,27 @@
         }
         let target = request.request_line.split(' ').nth(1).unwrap_or_default();
         let path = target.split('?').next().unwrap_or_default();
+        if path == DOUBTFUL_PATH {
+            let mut arrivals = log.arrivals_by_path.lock().unwrap();
+            arrivals.push((path.to_owned(), Instant::now()));
+            let count = arrivals.len();
+            drop(arrivals);
+            if (2..=4).contains(&count) {
+                thread::sleep(Duration::from_millis(80));
+                is_crashing.store(true, Ordering::SeqCst);
+                return;
+            }
+            let confidence = if count == 1 { 90 } else { 30 };
+            let header = format!("HTTP/1.1 200 OK\r\ndaisyquay-confidence: {confidence}");
+            let head = stream_response_head(&request).replacen("HTTP/1.1 200 OK", &header, 1);
+            if !write(
+                &mut out,
+                &format!("{head}{}0\r\n\r\n", chunk(&sse_event(2))),
+            ) {
+                return;
+            }
+            continue;
+        }
         if path.ends_with(DEADLY_PATH) {
             let row = || (path.to_owned(), Instant::now());
             log.arrivals_by_path.lock().unwrap().push(row());
@@ -221,7 +247,8 @@
 
     fn with_upstreams(count: usize) -> Self {
         let cluster = Cluster::start(1, 1);
-        let inventory = format!("{INVENTORY}{ROUTES}");
+        let (before_keys, _) = INVENTORY.split_once("[[upstream_keys]]").unwrap();
+        let inventory = format!("{before_keys}{CHAT_ROUTE}{ROUTES}");
         cluster.apply(&inventory, &["--change-id", "first"]);
         let log: Arc<Log> = Arc::default();
         let entry = cluster.entry_addresses[0];
@@ -352,6 +379,32 @@
     }
 }
 
+/// Guards against giving up an answer for an escalation that the evidence does not allow: the
+/// request neither ran nor crashed an upstream, so no verdict on it was ever reached.
+#[test]
+fn answer_of_a_suspected_request_is_kept() {
+    let setup = Setup::new();
+    let (_, gateway) = setup.gateways[0];
+    let ask = || {
+        let headers = [
+            AUTH_HEADER,
+            ("host", "previews.example"),
+            ("daisyquay-attempt", "doubtful"),
+            ("daisyquay-deadline-ms", "6000"),
+            ("daisyquay-model", "*"),
+            ("daisyquay-tokens", "400,20"),
+        ];
+        send("POST", gateway, DOUBTFUL_PATH, &headers, "").unwrap()
+    };
+    assert!(is_served(&ask()), "it must have made progress once");
+    // Without the progress, three crashes would be enough for a verdict.
+    while setup.log.arrivals_by_path.lock().unwrap().len() < 4 {
+        assert_eq!(ask().status, 502);
+    }
+    let reply = ask();
+    assert!(is_served(&reply), "{reply:?}");
+}
+
 /// Guards against a verdict on sound segments when upstreams crash for another reason.
 #[test]
 fn no_segment_is_quarantined_while_upstreams_crash_for_another_reason() {
