Count the grants of cold upstreams' turns from the time of the renewal

A reply that is delayed in transit says that the leader counted this gateway when it handled the renewal, not that it still does: after a suspension in which the reply waited in the socket, a gateway used its whole share while the others had taken it over.

The last grant is dated by the time at which its renewal was sent.

--- a/src/gateway/cold_start.rs
+++ b/src/gateway/cold_start.rs
@@ -127,11 +127,16 @@
         service.map_or(0.0, |service| service.cold_per_s)
     }
 
-    /// Records a grant of the leader, with the gateways if their list has changed.
-    pub(super) fn record_cold_start_grant(&self, entries: Option<&[EntryInfo]>) {
+    /// Records a grant of the leader in reply to a renewal sent at `sent_at`, with the gateways if
+    /// their list has changed.
+    pub(super) fn record_cold_start_grant(
+        &self,
+        sent_at: Duration,
+        entries: Option<&[EntryInfo]>,
+    ) {
         let now = self.now();
         let mut upstreams = self.upstreams.borrow_mut();
-        upstreams.cold_starts.record_grant(now);
+        upstreams.cold_starts.record_grant(sent_at, now);
         if let Some(entries) = entries {
             // Entries of the chat path have no loads address.
             let gateways = entries.iter().filter(|info| info.loads_address.is_some());
--- a/src/gateway/renewal.rs
+++ b/src/gateway/renewal.rs
@@ -49,6 +49,7 @@
             leader.wait_before_retry().await;
             continue;
         };
+        gateway.record_cold_start_grant(sent_at, grant.entries.as_deref());
         state.apply_grant(&gateway, &leader, *grant);
         state.fetch_directory(&gateway, &leader).await;
         state.fetch_config(&gateway, &leader).await;
@@ -144,7 +145,6 @@
         self.entries_version = grant.entries_version;
         self.replicas_digest = grant.replicas_digest;
         gateway.upstreams.borrow_mut().set_suspects(&grant.suspects);
-        gateway.record_cold_start_grant(grant.entries.as_deref());
         if let Some(replicas) = grant.replicas {
             event!(Info, "replicas_known", replicas = format!("{replicas:?}"));
             leader.set_replicas(replicas);
--- a/src/policy/cold_start.rs
+++ b/src/policy/cold_start.rs
@@ -127,17 +127,20 @@
     gateways: HashMap<SocketAddr, Option<Duration>>,
     /// When this gateway's turns begin; `None` until it is listed.
     turns_from: Option<Duration>,
+    /// When the renewal was sent that the last grant replied to.
     last_grant: Duration,
     is_cut_off: bool,
 }
 
 impl ColdStarts {
-    /// Records that the replicas can be reached.
-    pub fn record_grant(&mut self, now: Duration) {
+    /// Records a grant in reply to a renewal that was sent at `sent_at`. The leader has counted this
+    /// gateway from then on at the earliest; it may have removed it since if the reply was delayed.
+    pub fn record_grant(&mut self, sent_at: Duration, now: Duration) {
         // After a suspension, no refresh may have found the last grant old before this one arrives.
         let was_cut_off = self.is_cut_off || now >= self.last_grant + CUT_OFF_AFTER;
-        self.last_grant = now;
-        if was_cut_off {
+        self.last_grant = self.last_grant.max(sent_at);
+        let is_recent = now < self.last_grant + CUT_OFF_AFTER;
+        if was_cut_off && is_recent {
             self.is_cut_off = false;
             self.turns_from = self.turns_from.max(Some(now + JOIN_DELAY));
             self.recompute_shares(now);
--- a/tests/load/cold_upstreams.rs
+++ b/tests/load/cold_upstreams.rs
@@ -134,7 +134,7 @@
                 let sweeps = is_due(SWEEP, sweep_offset);
                 let cold_starts = &mut gateway.cold_starts;
                 if renews && !gateway.cut_off.contains(&now) {
-                    cold_starts.record_grant(now);
+                    cold_starts.record_grant(now, now);
                     if gateway.list != listed {
                         gateway.list.clone_from(&listed);
                         cold_starts.set_gateways(gateway.address, listed.iter().copied(), now);
@@ -326,7 +326,7 @@
     let mut rng = fastrand::Rng::with_seed(5);
     let mut gateways: Vec<ColdStarts> = (0..GATEWAYS).map(|_| ColdStarts::default()).collect();
     for (i, gateway) in gateways.iter_mut().enumerate() {
-        gateway.record_grant(Duration::ZERO);
+        gateway.record_grant(Duration::ZERO, Duration::ZERO);
         gateway.set_gateways(address(i), (0..GATEWAYS).map(address), Duration::ZERO);
     }
     let mut sent: BTreeMap<u64, Vec<Duration>> = BTreeMap::new();
@@ -335,7 +335,7 @@
     while now < begin + 6 * SECOND {
         let news_at = ms(10 * (now.as_millis() as u64 / 10)) - begin;
         for (i, gateway) in gateways.iter_mut().enumerate() {
-            gateway.record_grant(now);
+            gateway.record_grant(now, now);
             if news_at == ms(10 * (i as u64 % 40)) {
                 for upstream in 0..RETURNING {
                     let cold = report(upstream, 8 * SECOND, Source::NewInstance, PER_S);
@@ -382,7 +382,7 @@
 fn gateway_without_a_recent_grant_has_no_turn_until_it_uses_half_of_the_rate() {
     let mut table = ColdStarts::default();
     let now = 10 * SECOND;
-    table.record_grant(now);
+    table.record_grant(now, now);
     table.set_gateways(address(0), [address(0)], now);
     let cold = report(UPSTREAM, 60 * SECOND, Source::NewInstance, 4.0);
     table.apply(&cold, 0.0, now);
@@ -400,19 +400,46 @@
 fn gateway_whose_first_grant_after_a_suspension_comes_before_a_refresh_has_no_turn_at_first() {
     let mut table = ColdStarts::default();
     let now = 10 * SECOND;
-    table.record_grant(now);
+    table.record_grant(now, now);
     table.set_gateways(address(0), [address(0)], now);
     let cold = report(UPSTREAM, 60 * SECOND, Source::NewInstance, 4.0);
     table.apply(&cold, 0.0, now);
     let resumed = now + 20 * SECOND;
-    table.record_grant(resumed);
+    table.record_grant(resumed, resumed);
     assert_eq!(table.wait(UPSTREAM, resumed), ms(1_800));
     // A grant that is not late changes nothing.
     let later = resumed + 2 * SECOND;
-    table.record_grant(later);
+    table.record_grant(later, later);
     assert!(table.wait(UPSTREAM, later).is_zero());
 }
 
+/// Guards against a reply that was delayed while the leader removed the gateway, whose turns the
+/// others have got since.
+#[test]
+fn delayed_grant_counts_from_the_time_at_which_the_renewal_was_sent() {
+    let mut table = ColdStarts::default();
+    let now = 10 * SECOND;
+    table.record_grant(now, now);
+    table.set_gateways(address(0), [address(0)], now);
+    let cold = report(UPSTREAM, 60 * SECOND, Source::NewInstance, 4.0);
+    table.apply(&cold, 0.0, now);
+    // Before the gateway counts as cut off, and after that.
+    for delay in [ms(4_900), ms(20_000)] {
+        table.record_grant(now + SECOND, now + SECOND + delay);
+        let at = now + SECOND + delay.max(5 * SECOND);
+        assert!(table.wait(UPSTREAM, at) > 5 * SECOND);
+    }
+    let resumed = now + 21 * SECOND;
+    table.refresh(resumed, |_| 4.0);
+    table.record_grant(now + 2 * SECOND, resumed);
+    table.record_sent(UPSTREAM, resumed);
+    assert_eq!(table.wait(UPSTREAM, resumed), ms(500), "half of the rate");
+    // A renewal that an earlier grant outran changes nothing either.
+    table.record_grant(resumed, resumed);
+    table.record_grant(now, resumed);
+    assert!(table.wait(UPSTREAM, resumed + 2 * SECOND).is_zero());
+}
+
 /// Guards against gateways on drained VMs, which run on but are listed no longer, whose turns the
 /// others take over before they stop.
 #[test]
@@ -421,7 +448,7 @@
     let mut other = ColdStarts::default();
     let now = 10 * SECOND;
     for (i, table) in [&mut drained, &mut other].into_iter().enumerate() {
-        table.record_grant(now);
+        table.record_grant(now, now);
         table.set_gateways(address(i), [address(0), address(1)], now);
         let cold = report(UPSTREAM, 60 * SECOND, Source::NewInstance, 4.0);
         table.apply(&cold, 0.0, now);
@@ -429,7 +456,7 @@
     let at = now + 4 * SECOND;
     assert!(drained.wait(UPSTREAM, at).is_zero());
     for (i, table) in [&mut drained, &mut other].into_iter().enumerate() {
-        table.record_grant(at);
+        table.record_grant(at, at);
         table.set_gateways(address(i), [address(1)], at);
     }
     assert!(drained.wait(UPSTREAM, at) > RENEWAL);
@@ -444,7 +471,7 @@
 fn period_lasts_as_long_as_reported_and_ends_early_when_warm() {
     let mut table = ColdStarts::default();
     let now = 10 * SECOND;
-    table.record_grant(now);
+    table.record_grant(now, now);
     table.set_gateways(address(0), [address(0)], now);
     let cold = |ms_left, source| report(UPSTREAM, ms(ms_left), source, 4.0);
     let new = cold(3_000, Source::NewInstance);
@@ -469,7 +496,7 @@
     let now = 10 * SECOND;
     for per_s in [0.0, -1.0, f64::NAN, 1e-300, 1e300, f64::INFINITY] {
         let mut table = ColdStarts::default();
-        table.record_grant(now);
+        table.record_grant(now, now);
         table.set_gateways(address(0), [address(0)], now);
         let cold = report(UPSTREAM, Duration::MAX, Source::Response, per_s);
         table.apply(&cold, 0.5, now);
