Reject invalid announcements at the leader without a command of the log

A heartbeat that names a service missing from the configuration was proposed and rejected when applied, so each one, every 1.2 s by upstream, cost a write on all replicas. The leader now validates before it proposes. The rule when a command is applied is unchanged.

--- a/src/replica/handler.rs
+++ b/src/replica/handler.rs
@@ -132,7 +132,8 @@
 
 /// Records the heartbeat once its announcement is accepted, and proposes the announcement only if
 /// it changes the directory: one that changes nothing costs no write to the log, and a follower
-/// answers it as well.
+/// answers it as well. One that is not valid, as of a service that is not in the inventory, is
+/// rejected by the leader without a command, because its sender repeats it with each heartbeat.
 async fn announce(core: Rc<RefCell<Core>>, announcement: Announcement) -> Reply {
     let (id, incarnation) = (announcement.id.clone(), announcement.incarnation);
     {
@@ -147,6 +148,11 @@
             if is_recorded {
                 return Reply::Announce(AnnounceOutcome::Accepted);
             }
+        } else if core.has_leader_lease() {
+            let state = &core.state;
+            if let Some(reason) = state.directory.rejection(&announcement, &state.inventory) {
+                return Reply::Announce(AnnounceOutcome::Rejected(reason));
+            }
         }
     }
     let reply = propose(&core, Op::Announce(announcement)).await;
--- a/src/upstream/directory.rs
+++ b/src/upstream/directory.rs
@@ -171,8 +171,8 @@
         inventory: &Inventory,
         index: Index,
     ) -> AnnounceOutcome {
-        if let Err(reason) = validate(&announcement, inventory) {
-            return AnnounceOutcome::Rejected(reason.into());
+        if let Some(reason) = self.rejection(&announcement, inventory) {
+            return AnnounceOutcome::Rejected(reason);
         }
         if self.is_address_taken_over(&announcement) {
             return AnnounceOutcome::Stale;
@@ -193,9 +193,6 @@
             if is_update {
                 number = known.number;
             }
-        } else if self.rows.len() >= UPSTREAM_LIMIT {
-            let reason = format!("the directory is full with {UPSTREAM_LIMIT} upstreams");
-            return AnnounceOutcome::Rejected(reason.into());
         }
         self.evict_from_address(&announcement, index);
         let row = Upstream {
@@ -217,6 +214,18 @@
         })
     }
 
+    /// Returns why applying the announcement would be rejected, with the remedy; `None` if it is
+    /// valid and the directory has space. A rejected one changes nothing, so that the leader need not
+    /// write it to the log.
+    pub fn rejection(&self, announcement: &Announcement, inventory: &Inventory) -> Option<Name> {
+        if let Err(reason) = validate(announcement, inventory) {
+            return Some(reason.into());
+        }
+        let is_full =
+            self.rows.len() >= UPSTREAM_LIMIT && !self.rows.contains_key(&announcement.id);
+        is_full.then(|| format!("the directory is full with {UPSTREAM_LIMIT} upstreams").into())
+    }
+
     /// Returns whether an upstream that started later uses the announced address: the announcement
     /// is late, and its sender has stopped.
     fn is_address_taken_over(&self, announcement: &Announcement) -> bool {
--- a/tests/process/cold_upstreams.rs
+++ b/tests/process/cold_upstreams.rs
@@ -263,6 +263,20 @@
     assert_eq!(presence(), Some(json!("live")));
     let headers = [("authorization", "Bearer dev-upstream-key")];
     let entry = setup.cluster.entry_addresses[0];
+    // Guards against a command of the log for each heartbeat that is rejected.
+    let disk_bytes = || setup.cluster.show("status")["disk_bytes"].as_u64();
+    let before = disk_bytes().unwrap();
+    for _ in 0..60 {
+        let reply = post(
+            entry,
+            "/upstream/announce",
+            &headers,
+            &body(2, "unknown").to_string(),
+        );
+        assert_eq!(reply.unwrap().status, 400);
+    }
+    let grown = disk_bytes().unwrap().saturating_sub(before);
+    assert!(grown < 60 * 40, "{grown} bytes of log for 60 heartbeats");
     eventually("the upstream counts as silent", || {
         for body in [body(1, "previews"), body(2, "unknown")] {
             post(entry, "/upstream/announce", &headers, &body.to_string())?;
--- a/tests/state/announcements.rs
+++ b/tests/state/announcements.rs
@@ -227,6 +227,9 @@
                 ..invalid.clone()
             };
             assert!(!machine.state.directory.contains(&invalid));
+            // The leader rejects it without a command of the log.
+            let rejection = known.rejection(&invalid, &machine.state.inventory);
+            assert!(rejection.is_some(), "{invalid:?}");
             let outcome = announce(&mut machine, &invalid);
             assert!(
                 matches!(outcome, AnnounceOutcome::Rejected(_)),
