Log cold periods only of upstreams whose service limits them

upstream_cold and upstream_warm were logged for services without cold_per_s, where a cold period has no effect.

--- a/src/policy/cold_start.rs
+++ b/src/policy/cold_start.rs
@@ -106,6 +106,9 @@
     share: u32,
     /// Earliest start of the next request.
     next_turn: Duration,
+    /// Whether there was a limit when the period began. Without one, its begin is not reported as a
+    /// transition, and neither is its end.
+    is_reported: bool,
 }
 
 impl Period {
@@ -171,7 +174,8 @@
     }
 
     /// Applies a report. `phase`, from 0 to 1, is random and spreads the first turns of the
-    /// gateways; the limit does not depend on it.
+    /// gateways; the limit does not depend on it. Returns the transition of an upstream that had a
+    /// limit when its cold period began.
     pub fn apply(&mut self, report: &Report, phase: f64, now: Duration) -> Option<Transition> {
         let upstream = report.upstream;
         let until = now + report.remaining.min(MAX_COLD);
@@ -179,8 +183,9 @@
             && now < period.until
         {
             if report.remaining.is_zero() {
+                let is_reported = period.is_reported;
                 self.periods.remove(&upstream);
-                return Some(Transition::Warm);
+                return is_reported.then_some(Transition::Warm);
             }
             period.until = match report.source {
                 Source::Evacuation => period.until.max(until),
@@ -197,6 +202,7 @@
             per_s: report.per_s,
             share: self.share(upstream, report.per_s),
             next_turn: now,
+            is_reported: report.per_s > 0.0,
         };
         let interval = period.interval();
         period.next_turn += interval.mul_f64(phase);
@@ -205,7 +211,7 @@
             period.next_turn += interval;
         }
         self.periods.insert(upstream, period);
-        Some(Transition::Cold)
+        period.is_reported.then_some(Transition::Cold)
     }
 
     /// Updates the tolerated rates, which `per_s` returns, and this gateway's shares.
@@ -273,10 +279,12 @@
         self.periods.is_empty()
     }
 
-    /// Removes and returns the upstreams whose cold period has ended.
+    /// Removes the cold periods that have ended, and returns the upstreams of those that began with
+    /// a limit.
     pub fn remove_ended(&mut self, now: Duration) -> Vec<Index> {
         let ended = self.periods.extract_if(|_, period| now >= period.until);
-        ended.map(|(upstream, _)| upstream).collect()
+        let reported = ended.filter(|(_, period)| period.is_reported);
+        reported.map(|(upstream, _)| upstream).collect()
     }
 
     /// Forgets the upstreams for which `keep` returns `false`.
