Answer requests without a turn with the time to the first turn or warm upstream

A gateway without a share of any cold upstream named at most 1 s plus jitter, after which it rejected the request again. The Retry-After is now the time to its first turn or the end of the first cold period, and at most 5 s; it is spread over half of that time, at least 0.5 s. The new test, in which the request is accepted after the time named, passes for a gateway with a share and one without.

--- a/src/gateway/cold_start.rs
+++ b/src/gateway/cold_start.rs
@@ -17,6 +17,7 @@
 use crate::policy::cold_start::Report;
 use crate::policy::cold_start::Source;
 use crate::policy::cold_start::Transition;
+use crate::policy::cold_start::retry_after;
 use crate::upstream::Announcement;
 use crate::upstream::Directory;
 use crate::upstream::Serves;
@@ -26,12 +27,6 @@
 /// interval of 1.2 s and two renewals, in which its own report arrives.
 const COLD_AFTER_EVACUATION: Duration = Duration::from_secs(2);
 
-/// Longest `Retry-After` of a request that has to wait for a turn, before the jitter.
-const MAX_RETRY_AFTER: Duration = Duration::from_secs(1);
-
-/// Largest jitter of that `Retry-After`, which keeps callers from returning all at once.
-const RETRY_JITTER: Duration = Duration::from_millis(500);
-
 impl Gateway {
     /// Applies what new and changed rows of the directory say; `known` is the directory without
     /// them.
@@ -209,8 +204,7 @@
         if !has_cold || wait.is_zero() {
             return None;
         }
-        let jitter = RETRY_JITTER.mul_f64(self.rng.borrow_mut().f64());
-        let retry_after = wait.min(MAX_RETRY_AFTER) + jitter;
+        let retry_after = retry_after(wait, self.rng.borrow_mut().f64());
         self.count_cold_turn("refused");
         Some(
             Refusal::unavailable(
--- a/src/policy/cold_start.rs
+++ b/src/policy/cold_start.rs
@@ -49,6 +49,22 @@
 /// request under the former one.
 const JOIN_DELAY: Duration = Duration::from_millis(1800);
 
+/// Longest `Retry-After` of a request that has to wait for a turn.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(5);
+
+/// Least span over which the retries of requests that wait for the same turn are spread.
+const MIN_RETRY_SPREAD: Duration = Duration::from_millis(500);
+
+/// Returns the `Retry-After` of a request for which the earliest turn, or the end of the earliest
+/// cold period, comes after `wait`. `draw`, from 0 to 1, is random and spreads the retries over half
+/// of that time, because those of a long wait are more. A turn later than the limit of 5 s is not
+/// waited for.
+pub fn retry_after(wait: Duration, draw: f64) -> Duration {
+    let earliest = wait.min(MAX_RETRY_AFTER - MIN_RETRY_SPREAD);
+    let spread = (earliest / 2).clamp(MIN_RETRY_SPREAD, MAX_RETRY_AFTER - earliest);
+    earliest + spread.mul_f64(draw)
+}
+
 /// How a gateway learnt that an upstream is cold.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Source {
--- a/tests/load/cold_upstreams.rs
+++ b/tests/load/cold_upstreams.rs
@@ -8,6 +8,7 @@
 use daisyquay::policy::cold_start::Report;
 use daisyquay::policy::cold_start::Source;
 use daisyquay::policy::cold_start::Transition;
+use daisyquay::policy::cold_start::retry_after;
 use daisyquay::policy::placement::Candidate;
 use daisyquay::policy::placement::place;
 use daisyquay::policy::placement::stable_hash;
@@ -496,6 +497,35 @@
     assert_eq!(table.apply(&warm, 0.0, at), None);
 }
 
+/// Guards against callers of a gateway without a share that are told to retry while it would reject
+/// them again, or that return all at once.
+#[test]
+fn retry_after_leads_to_the_first_turn_or_the_end_of_the_period() {
+    let now = 10 * SECOND;
+    let mut waits = Vec::new();
+    for i in 0..2 {
+        let mut table = ColdStarts::default();
+        table.record_grant(now, now);
+        table.set_gateways(address(i), [address(0), address(1)], now);
+        let cold = report(UPSTREAM, 4 * SECOND, Source::NewInstance, 1.0);
+        table.apply(&cold, 0.0, now);
+        let wait = table.wait(UPSTREAM, now);
+        for draw in [0.0, 0.3, 1.0] {
+            let after = retry_after(wait, draw);
+            assert!((wait..=5 * SECOND).contains(&after), "{wait:?}: {after:?}");
+            assert!(table.wait(UPSTREAM, now + after).is_zero());
+        }
+        waits.push(wait);
+    }
+    waits.sort_unstable();
+    // The turn of the gateway with the share, and the end of the period for the other.
+    assert_eq!(waits, [ms(1_800), 4 * SECOND]);
+    for wait in [Duration::ZERO, ms(10), 2 * SECOND, 4 * SECOND, FOREVER] {
+        let spread = retry_after(wait, 1.0) - retry_after(wait, 0.0);
+        assert!(spread >= ms(500) && retry_after(wait, 1.0) <= 5 * SECOND);
+    }
+}
+
 /// Guards against remaining times and rates that a remote party sends and that no upstream has.
 #[test]
 fn extreme_reports_are_bounded() {
