Count the turns at cold upstreams that pass unused

daisyquay_cold_turns gets the outcome lost: turns of the gateway's share that passed unused, added when the cold period ends.

--- a/src/gateway/cold_start.rs
+++ b/src/gateway/cold_start.rs
@@ -124,11 +124,7 @@
 
     /// Records a grant of the leader in reply to a renewal sent at `sent_at`, with the gateways if
     /// their list has changed.
-    pub(super) fn record_cold_start_grant(
-        &self,
-        sent_at: Duration,
-        entries: Option<&[EntryInfo]>,
-    ) {
+    pub(super) fn record_cold_start_grant(&self, sent_at: Duration, entries: Option<&[EntryInfo]>) {
         let now = self.now();
         let mut upstreams = self.upstreams.borrow_mut();
         upstreams.cold_starts.record_grant(sent_at, now);
@@ -159,11 +155,15 @@
                 event!(Info, "upstream_warm", upstream = announced.id);
             }
         }
-        cold_starts.retain(|number| rows.contains_key(&number));
+        cold_starts.retain(|number| rows.contains_key(&number), now);
         cold_starts.refresh(now, |number| {
             let announced = rows.get(&number);
             announced.map_or(0.0, |announced| self.cold_per_s(announced))
         });
+        let lost = cold_starts.take_lost();
+        if lost > 0 {
+            self.count_cold_turns("lost", lost);
+        }
     }
 
     /// Returns whether an upstream is cold.
@@ -172,11 +172,12 @@
         upstreams.cold_starts.is_cold(upstream, self.now())
     }
 
-    /// Counts a turn at a cold upstream that was `used` or `refused`.
-    pub(super) fn count_cold_turn(&self, outcome: &'static str) {
+    /// Counts turns at cold upstreams that were `used` or `lost`, and requests `refused` for want of
+    /// one.
+    pub(super) fn count_cold_turns(&self, outcome: &'static str, count: u64) {
         let labels = [("outcome", outcome)];
         self.metrics
-            .add_to_counter("daisyquay_cold_turns", 1, &labels);
+            .add_to_counter("daisyquay_cold_turns", count, &labels);
     }
 
     /// Returns the refusal of a request for whose service all upstreams but the `tried` ones are
@@ -205,7 +206,7 @@
             return None;
         }
         let retry_after = retry_after(wait, self.rng.borrow_mut().f64());
-        self.count_cold_turn("refused");
+        self.count_cold_turns("refused", 1);
         Some(
             Refusal::unavailable(
                 "upstreams_cold",
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -354,7 +354,7 @@
         let was_cold = upstreams.cold_starts.record_sent(upstream.number, sent_at);
         drop(upstreams);
         if was_cold {
-            gateway.count_cold_turn("used");
+            gateway.count_cold_turns("used", 1);
         }
         gateway.record_sent(upstream.number, is_first, sent_at);
         gateway.load_changed.notify_one();
--- a/src/policy/cold_start.rs
+++ b/src/policy/cold_start.rs
@@ -16,6 +16,7 @@
 //! the whole of it without that gateway.
 
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::time::Duration;
 
 use super::placement::seeded_hash;
@@ -125,6 +126,10 @@
     /// Whether there was a limit when the period began. Without one, its begin is not reported as a
     /// transition, and neither is its end.
     is_reported: bool,
+    /// Turns that have passed unused, parts of them included.
+    lost: f64,
+    /// Time up to which these are counted.
+    counted_until: Duration,
 }
 
 impl Period {
@@ -134,6 +139,16 @@
         // Rounded up, so that no second holds one request more.
         Duration::from_nanos((1e9 / rate).ceil() as u64)
     }
+
+    /// Counts the turns that have passed unused until `now`, while the gateway had `turns` at all.
+    fn count_lost(&mut self, turns: &Range<Duration>, now: Duration) {
+        if self.share > 0 {
+            let begin = turns.start.max(self.next_turn).max(self.counted_until);
+            let unused = turns.end.min(self.until).saturating_sub(begin);
+            self.lost += unused.div_duration_f64(self.interval());
+        }
+        self.counted_until = now;
+    }
 }
 
 /// Cold periods of the upstreams by the number of their incarnation, and the gateways that share
@@ -149,6 +164,8 @@
     /// When the renewal was sent that the last grant replied to.
     last_grant: Duration,
     is_cut_off: bool,
+    /// Unused turns of periods that have ended.
+    lost: f64,
 }
 
 impl ColdStarts {
@@ -156,6 +173,7 @@
     /// gateway from then on at the earliest; it may have removed it since if the reply was delayed.
     pub fn record_grant(&mut self, sent_at: Duration, now: Duration) {
         // After a suspension, no refresh may have found the last grant old before this one arrives.
+        self.count_lost(now);
         let was_cut_off = self.is_cut_off || now >= self.last_grant + CUT_OFF_AFTER;
         self.last_grant = self.last_grant.max(sent_at);
         let is_recent = now < self.last_grant + CUT_OFF_AFTER;
@@ -173,6 +191,7 @@
         listed: impl IntoIterator<Item = SocketAddr>,
         now: Duration,
     ) {
+        self.count_lost(now);
         self.own = Some(own);
         let was_listed = self.is_listed(own);
         for missing_since in self.gateways.values_mut() {
@@ -195,10 +214,13 @@
     pub fn apply(&mut self, report: &Report, phase: f64, now: Duration) -> Option<Transition> {
         let upstream = report.upstream;
         let until = now + report.remaining.min(MAX_COLD);
+        let turns = self.turns(now);
         if let Some(period) = self.periods.get_mut(&upstream)
             && now < period.until
         {
+            period.count_lost(&turns, now);
             if report.remaining.is_zero() {
+                self.lost += period.lost;
                 let is_reported = period.is_reported;
                 self.periods.remove(&upstream);
                 return is_reported.then_some(Transition::Warm);
@@ -219,6 +241,8 @@
             share: self.share(upstream, report.per_s),
             next_turn: now,
             is_reported: report.per_s > 0.0,
+            lost: 0.0,
+            counted_until: now,
         };
         let interval = period.interval();
         period.next_turn += interval.mul_f64(phase);
@@ -226,12 +250,16 @@
             // It may have had requests of this gateway within the last second.
             period.next_turn += interval;
         }
-        self.periods.insert(upstream, period);
+        if let Some(mut former) = self.periods.insert(upstream, period) {
+            former.count_lost(&turns, now);
+            self.lost += former.lost;
+        }
         period.is_reported.then_some(Transition::Cold)
     }
 
     /// Updates the tolerated rates, which `per_s` returns, and this gateway's shares.
     pub fn refresh(&mut self, now: Duration, per_s: impl Fn(Index) -> f64) {
+        self.count_lost(now);
         let mut has_changed = false;
         for (&upstream, period) in &mut self.periods {
             let per_s = per_s(upstream);
@@ -257,7 +285,9 @@
     /// Records that a request is sent to an upstream; returns whether that took a turn.
     pub fn record_sent(&mut self, upstream: Index, now: Duration) -> bool {
         let is_cold = self.is_cold(upstream, now);
+        let turns = self.turns(now);
         if let Some(period) = self.periods.get_mut(&upstream).filter(|_| is_cold) {
+            period.count_lost(&turns, now);
             period.next_turn = now + period.interval();
         }
         is_cold
@@ -279,8 +309,7 @@
             return Duration::ZERO;
         }
         let left = period.until.saturating_sub(now);
-        // After a suspension, the list may be old although no refresh has found it so yet.
-        let is_outdated = !self.is_cut_off && now >= self.last_grant + CUT_OFF_AFTER;
+        let is_outdated = self.is_outdated(now);
         match self.turns_from {
             Some(from) if period.share > 0 && !is_outdated => {
                 let turn = period.next_turn.max(from);
@@ -298,14 +327,49 @@
     /// Removes the cold periods that have ended, and returns the upstreams of those that began with
     /// a limit.
     pub fn remove_ended(&mut self, now: Duration) -> Vec<Index> {
+        self.count_lost(now);
         let ended = self.periods.extract_if(|_, period| now >= period.until);
+        let ended = ended.inspect(|(_, period)| self.lost += period.lost);
         let reported = ended.filter(|(_, period)| period.is_reported);
         reported.map(|(upstream, _)| upstream).collect()
     }
 
     /// Forgets the upstreams for which `keep` returns `false`.
-    pub fn retain(&mut self, keep: impl Fn(Index) -> bool) {
-        self.periods.retain(|&upstream, _| keep(upstream));
+    pub fn retain(&mut self, keep: impl Fn(Index) -> bool, now: Duration) {
+        self.count_lost(now);
+        let ended = self.periods.extract_if(|&upstream, _| !keep(upstream));
+        self.lost += ended.map(|(_, period)| period.lost).sum::<f64>();
+    }
+
+    /// Returns the turns of this gateway that passed unused in the periods that have ended since the
+    /// last call. The part of a turn is kept for the next call.
+    pub fn take_lost(&mut self) -> u64 {
+        let whole = self.lost.floor();
+        self.lost -= whole;
+        whole as u64
+    }
+
+    fn count_lost(&mut self, now: Duration) {
+        let turns = self.turns(now);
+        for period in self.periods.values_mut() {
+            period.count_lost(&turns, now);
+        }
+    }
+
+    /// Returns the time up to `now` in which this gateway had turns where it has a share.
+    fn turns(&self, now: Duration) -> Range<Duration> {
+        let until = if self.is_outdated(now) {
+            self.last_grant + CUT_OFF_AFTER
+        } else {
+            now
+        };
+        self.turns_from.unwrap_or(until)..until
+    }
+
+    /// Returns whether the list may be old although no refresh has found it so yet, as after a
+    /// suspension.
+    fn is_outdated(&self, now: Duration) -> bool {
+        !self.is_cut_off && now >= self.last_grant + CUT_OFF_AFTER
     }
 
     fn is_listed(&self, gateway: SocketAddr) -> bool {
--- a/tests/load/cold_upstreams.rs
+++ b/tests/load/cold_upstreams.rs
@@ -207,6 +207,38 @@
     }
 }
 
+/// Guards against a count of unused turns that includes turns of a gateway that had none: before it
+/// joined, beyond a period's end, or while it was suspended.
+#[test]
+fn unused_turns_are_counted_when_the_period_ends() {
+    let mut table = ColdStarts::default();
+    let now = 10 * SECOND;
+    table.record_grant(now, now);
+    table.set_gateways(address(0), [address(0)], now);
+    table.apply(
+        &report(UPSTREAM, ms(11_800), Source::NewInstance, 4.0),
+        0.0,
+        now,
+    );
+    // The turns begin after 1.8 s. Four are used, a second apart, and each costs its quarter.
+    for i in 0..4 {
+        assert!(table.record_sent(UPSTREAM, now + ms(1_800) + i * SECOND));
+    }
+    assert_eq!(table.take_lost(), 0, "the period is not over");
+    // Without a grant, its turns end after 5 s; half of the rate begins with the next refresh.
+    table.refresh(now + 8 * SECOND, |_| 4.0);
+    table.remove_ended(now + 20 * SECOND);
+    assert!(table.is_empty());
+    // Three gaps of 0.75 s at 4 a second, and 3.8 s at 2 a second: 9 and 7.6.
+    assert_eq!(table.take_lost(), 16);
+    assert_eq!(table.take_lost(), 0);
+    // 2.5, and a part of 0.6 that is left from before.
+    let other = report(UPSTREAM + 1, ms(1_250), Source::NewInstance, 4.0);
+    table.apply(&other, 0.0, now + 20 * SECOND);
+    table.retain(|_| false, now + 22 * SECOND);
+    assert_eq!(table.take_lost(), 3);
+}
+
 /// Guards against turns that are saved up while no callers are there.
 #[test]
 fn unused_turns_do_not_add_up() {
