--- a/tests/process/cold_upstreams.rs
+++ b/tests/process/cold_upstreams.rs
@@ -9,6 +9,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use daisyquay::peer::Client;
+use daisyquay::peer::OperatorChange;
+use daisyquay::peer::Reply;
+use daisyquay::peer::Request;
+use daisyquay::state::command::Change;
+use serde_json::Value;
 use serde_json::json;
 
 use crate::backpressure::TimedUpstream;
@@ -16,8 +22,10 @@
 use crate::support::AUTH_HEADER;
 use crate::support::Cluster;
 use crate::support::INVENTORY;
+use crate::support::PEER_KEY;
 use crate::support::Program;
 use crate::support::Response;
+use crate::support::Upstream;
 use crate::support::eventually;
 use crate::support::ok_response;
 use crate::support::post;
@@ -84,7 +92,9 @@
         let cluster = Cluster::start(1, 1);
         let service = "name = \"previews\"\n";
         let limits = format!("{service}cold_per_s = {PER_S:?}\ncold_start_ms = 6000\n");
-        let inventory = format!("{}{ROUTES}", INVENTORY.replacen(service, &limits, 1));
+        // The response timeout of a warm upstream on the path of notes is 0.84 s.
+        let routes = ROUTES.replacen("target_ms = 2000", "target_ms = 1200", 1);
+        let inventory = format!("{}{routes}", INVENTORY.replacen(service, &limits, 1));
         cluster.apply(&inventory, &["--change-id", "first"]);
         let gateways: Vec<_> = (0..gateways).map(|_| cluster.start_gateway()).collect();
         for (_, address) in &gateways {
@@ -104,22 +114,48 @@
     }
 
     fn announce_at(&self, address: SocketAddr, id: &str, incarnation: u64, cold_ms: u64) {
-        let body = json!({
-            "id": id,
-            "incarnation": incarnation,
-            "address": address.to_string(),
-            "data_centre": "dc1",
-            "serves": { "service": "previews" },
-            "slots": 8,
-            "cold_ms": cold_ms,
-        });
+        self.post(&announcement(address, id, incarnation, cold_ms), 204);
+        thread::sleep(SECOND);
+    }
+
+    /// Posts an announcement until the reply has that status.
+    fn post(&self, announcement: &Value, status: u16) {
         let headers = [("authorization", "Bearer dev-upstream-key")];
-        eventually("the upstream is announced", || {
-            let entry = self.cluster.entry_addresses[0];
-            let reply = post(entry, "/upstream/announce", &headers, &body.to_string())?;
-            (reply.status == 204).then_some(())
+        let entry = self.cluster.entry_addresses[0];
+        eventually("an announcement has the expected reply", || {
+            let body = announcement.to_string();
+            let reply = post(entry, "/upstream/announce", &headers, &body)?;
+            (reply.status == status).then_some(())
         });
-        thread::sleep(SECOND);
+    }
+
+    /// Starts the rollout of a release.
+    fn start_release(&self, target: &str) {
+        let change = Change::ReleaseStart {
+            service: "previews".into(),
+            target: target.into(),
+            period_ms: 120_000,
+        };
+        let request = Request::OnBehalf {
+            who: "ann".into(),
+            request: Box::new(Request::Change(OperatorChange {
+                change_id: target.into(),
+                expected_revision: None,
+                change,
+                wait_ms: 0,
+            })),
+        };
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .unwrap();
+        let call = async {
+            let client = Client::new(PEER_KEY);
+            let replica = self.cluster.replica_addresses[0];
+            client.call(replica, &request, 5 * SECOND).await.unwrap()
+        };
+        let reply = tokio::task::LocalSet::new().block_on(&runtime, call);
+        assert!(matches!(reply, Reply::Change(_)), "{reply:?}");
     }
 
     /// Sends about 20 requests a second to each gateway for `time`.
@@ -146,14 +182,29 @@
     }
 }
 
+fn announcement(address: SocketAddr, id: &str, incarnation: u64, cold_ms: u64) -> Value {
+    json!({
+        "id": id,
+        "incarnation": incarnation,
+        "address": address.to_string(),
+        "data_centre": "dc1",
+        "serves": { "service": "previews" },
+        "slots": 8,
+        "cold_ms": cold_ms,
+    })
+}
+
 fn call(gateway: SocketAddr, path: &str, id: &str) -> Option<Response> {
     let headers = [
         AUTH_HEADER,
         ("host", "previews.example"),
         ("daisyquay-attempt", id),
         ("daisyquay-deadline-ms", "6000"),
+        ("daisyquay-tokens", "5000,100"),
     ];
-    send("GET", gateway, path, &headers, "")
+    // Only prompts, on the path of notes, have tokens.
+    let count = headers.len() - usize::from(!path.starts_with("/notes/"));
+    send("GET", gateway, path, &headers[..count], "")
 }
 
 /// Guards against a herd towards a new upstream that looks idle.
@@ -225,6 +276,75 @@
     assert!((1..=BOUND).contains(&most), "{most} requests in a second");
 }
 
+/// Guards against an upstream that restarts while it is cold and stays limited by the period of its
+/// former incarnation, or becomes cold by a late heartbeat of it.
+#[test]
+fn upstream_that_restarts_while_it_is_cold_is_as_cold_as_its_new_incarnation_reports() {
+    let setup = Setup::new(1);
+    let upstream = ColdUpstream::start();
+    let are_served = || {
+        let responses = setup.send_for(SECOND);
+        responses.iter().all(|response| response.status == 200)
+    };
+    setup.announce("u", 1, &upstream, 60_000);
+    assert!(!are_served(), "its former incarnation was cold");
+    setup.announce("u", 2, &upstream, 0);
+    assert!(are_served());
+    let address = upstream.timed.upstream.address;
+    setup.post(&announcement(address, "u", 1, 60_000), 409);
+    thread::sleep(SECOND);
+    assert!(are_served());
+    setup.announce("u", 3, &upstream, 60_000);
+    assert!(!are_served());
+}
+
+/// Guards against a cold upstream that is given up on as if it hung, and against a learned prefill
+/// rate that includes its slow responses: a warm upstream would have more time to respond.
+#[test]
+fn response_timeout_of_a_cold_upstream_is_twice_as_long_and_its_times_are_not_learned() {
+    let setup = Setup::new(1);
+    let upstream = Upstream::start(|seen, out| {
+        thread::sleep(Duration::from_millis(1_250));
+        write(out, &ok_response(seen, "note"))
+    });
+    let gateway = setup.gateways[0].1;
+    let status = |id: &str| call(gateway, "/notes/a", id).map(|response| response.status);
+    setup.announce_at(upstream.address, "u", 1, 60_000);
+    thread::sleep(SECOND);
+    // Five responses suffice for a rate.
+    for i in 0..6 {
+        assert_eq!(status(&format!("cold-{i}")), Some(200));
+    }
+    setup.announce_at(upstream.address, "u", 1, 0);
+    assert_ne!(status("warm"), Some(200), "it has responded too late");
+}
+
+/// Guards against a release that is judged by the response times of its cold upstreams.
+#[test]
+fn response_times_of_a_cold_upstream_do_not_count_against_its_release() {
+    let setup = Setup::new(1);
+    let (stable, new) = (ColdUpstream::start(), ColdUpstream::start());
+    for (upstream, release, cold_ms) in [(&stable, "v1", 0), (&new, "v2", 600_000)] {
+        let address = upstream.timed.upstream.address;
+        let mut announcement = announcement(address, release, 1, cold_ms);
+        announcement["release"] = json!(release);
+        setup.post(&announcement, 204);
+    }
+    setup.start_release("v2");
+    eventually("both releases have had requests", || {
+        setup.send_for(2 * SECOND);
+        let log = std::fs::read_to_string(setup.cluster.folder.join("state-0.log")).unwrap();
+        let line = log
+            .lines()
+            .rfind(|line| line.contains("release_evidence"))?;
+        let (new, old) = line.split_once(" old=")?;
+        let has = |text: &str, count: &str| text.contains(count);
+        assert!(has(new, "timed: 0,"), "{line}");
+        let is_known = !has(new, "requests: 0,") && !has(old, "timed: 0,");
+        is_known.then_some(())
+    });
+}
+
 /// Guards against a rejection that blames the cold limit where the upstream was tried and refused
 /// the connection.
 #[test]
