Include cold upstreams in the soak test

It had evacuations but no cold upstreams. One upstream, or all in a data centre, become cold at random moments, in half of the cases by a restart; from a second later on, no second may hold more requests of all gateways than the bound. The two regression seeds run without, because a heartbeat in a cold period would hide their cause.

--- a/tests/process/cold_upstreams.rs
+++ b/tests/process/cold_upstreams.rs
@@ -74,14 +74,17 @@
     }
 
     fn most_in_a_second(&self, from: Instant, until: Instant) -> usize {
-        let arrivals = self.arrivals(from, until);
-        let count = |(i, &at): (usize, &Instant)| {
-            arrivals[i..].partition_point(|&other| other < at + SECOND)
-        };
-        arrivals.iter().enumerate().map(count).max().unwrap_or(0)
+        most_in_a_second(&self.arrivals(from, until))
     }
 }
 
+/// Returns the most of these times, which are sorted, that are in one second.
+pub(crate) fn most_in_a_second(times: &[Instant]) -> usize {
+    let count =
+        |(i, &at): (usize, &Instant)| times[i..].partition_point(|&other| other < at + SECOND);
+    times.iter().enumerate().map(count).max().unwrap_or(0)
+}
+
 struct Setup {
     cluster: Cluster,
     gateways: Vec<(Program, SocketAddr)>,
@@ -182,7 +185,7 @@
     }
 }
 
-fn announcement(address: SocketAddr, id: &str, incarnation: u64, cold_ms: u64) -> Value {
+pub(crate) fn announcement(address: SocketAddr, id: &str, incarnation: u64, cold_ms: u64) -> Value {
     json!({
         "id": id,
         "incarnation": incarnation,
--- a/tests/process/soak.rs
+++ b/tests/process/soak.rs
@@ -19,6 +19,8 @@
 
 use serde_json::json;
 
+use crate::cold_upstreams::announcement;
+use crate::cold_upstreams::most_in_a_second;
 use crate::gateway::ROUTES;
 use crate::gateway::announce_in;
 use crate::support::AUTH_HEADER;
@@ -31,6 +33,7 @@
 use crate::support::chunk;
 use crate::support::eventually;
 use crate::support::ok_response;
+use crate::support::post;
 use crate::support::send;
 use crate::support::sse_event;
 use crate::support::stream_response_head;
@@ -61,6 +64,14 @@
 /// Longest time from the acknowledgement of an evacuation until it is in force.
 const EVACUATION_LIMIT: Duration = Duration::from_secs(5);
 
+/// Requests a second that a cold upstream tolerates, and that it may get in any second.
+const COLD_PER_S: f64 = 4.0;
+const COLD_BOUND: usize = 11;
+
+/// Time after which each gateway knows that an upstream that it uses has become cold: the next
+/// response says so.
+const COLD_NOTICE: Duration = Duration::from_secs(1);
+
 /// Events of a complete stream.
 const EVENTS: u64 = 12;
 
@@ -71,19 +82,43 @@
     is_healthy: AtomicBool,
     /// Ids of requests that an upstream rejected as not run, one entry for each rejection.
     rejected: Mutex<Vec<String>>,
-    /// When each request arrived at an upstream in [`EVACUATED_DATA_CENTRE`], with its id.
-    arrivals: Mutex<Vec<(Instant, String)>>,
+    /// When each request arrived at which upstream, with its id.
+    arrivals: Mutex<Vec<(Instant, usize, String)>>,
+    /// By upstream, the end of its last cold period.
+    cold_until: Mutex<[Option<Instant>; UPSTREAMS]>,
+}
+
+impl Shared {
+    /// Returns how much longer an upstream is cold, in milliseconds; 0 if it is warm.
+    fn cold_ms(&self, upstream: usize) -> u64 {
+        let until = self.cold_until.lock().unwrap()[upstream];
+        let left = until.map_or(Duration::ZERO, |until| {
+            until.saturating_duration_since(Instant::now())
+        });
+        left.as_millis() as u64
+    }
 }
 
 /// Serves a request, or fails in a random way. The response to a request has its id as the body.
-fn serve(request: &ReceivedRequest, out: &mut TcpStream, shared: &Shared) -> bool {
+/// Those of a cold upstream name its remaining cold time.
+fn serve(i: usize, request: &ReceivedRequest, out: &mut TcpStream, shared: &Shared) -> bool {
+    let cold_ms = shared.cold_ms(i);
+    let with_cold_time = |response: String| {
+        if cold_ms == 0 {
+            return response;
+        }
+        let header = format!("\r\ndaisyquay-cold-ms: {cold_ms}\r\n");
+        response.replacen("\r\n", &header, 1)
+    };
+    let ok_response = |body: &str| with_cold_time(ok_response(request, body));
     let draw = if shared.is_healthy.load(Ordering::SeqCst) {
         100
     } else {
         shared.rng.lock().unwrap().u8(..100)
     };
     if request.request_line.contains("/notes/") {
-        return stream(request, out, draw);
+        let head = with_cold_time(stream_response_head(request));
+        return stream(request, out, &head, draw);
     }
     match draw {
         // Closes the connection without a response.
@@ -95,7 +130,7 @@
         }
         // Truncates the response body.
         7..10 => {
-            let response = ok_response(request, request.attempt_id());
+            let response = ok_response(request.attempt_id());
             write(out, &response[..response.len() - 3]);
             false
         }
@@ -104,8 +139,8 @@
             out,
             &format!(
                 "{}{}",
-                ok_response(request, request.attempt_id()),
-                ok_response(request, "late")
+                ok_response(request.attempt_id()),
+                ok_response("late")
             ),
         ),
         // Rejects the request as not run.
@@ -122,17 +157,17 @@
             );
             write(out, &response)
         }
-        _ => write(out, &ok_response(request, request.attempt_id())),
+        _ => write(out, &ok_response(request.attempt_id())),
     }
 }
 
 /// Sends the events after the last one that the request names. A low `draw` truncates the stream
 /// within an event.
-fn stream(request: &ReceivedRequest, out: &mut TcpStream, draw: u8) -> bool {
+fn stream(request: &ReceivedRequest, out: &mut TcpStream, head: &str, draw: u8) -> bool {
     let last_event_id: u64 = request
         .header("last-event-id")
         .map_or(0, |id| id.parse().unwrap());
-    write(out, &stream_response_head(request));
+    write(out, head);
     let truncate_at = last_event_id + 1 + u64::from(draw % 7);
     for id in last_event_id + 1..=EVENTS {
         if draw < 15 && id == truncate_at {
@@ -217,6 +252,12 @@
     evacuations: Vec<(Instant, Option<Instant>)>,
     /// Number of acknowledged orders.
     orders: u64,
+    /// Decides which upstreams become cold and when; `None` if none does.
+    cold_rng: Option<fastrand::Rng>,
+    /// Cold periods: the upstream, the begin and the end.
+    cold_periods: Vec<(usize, Instant, Instant)>,
+    /// By upstream, its incarnation and whether it is cold, as announced last.
+    announced: [(u64, bool); UPSTREAMS],
 }
 
 impl Soak {
@@ -287,10 +328,75 @@
         }
     }
 
+    /// Makes one upstream cold, or all in a data centre, at times, in half of the cases by a restart,
+    /// and sends the heartbeats that report a change.
+    fn update_cold_upstreams(&mut self, shared: &Shared) {
+        let Some(rng) = &mut self.cold_rng else {
+            return;
+        };
+        if rng.bool() {
+            let first = rng.usize(..UPSTREAMS);
+            let upstreams = match rng.u8(..3) {
+                0 => 0..LOCAL_UPSTREAMS,
+                _ => first..first + 1,
+            };
+            let is_restart = rng.bool();
+            let begin = Instant::now();
+            let end = begin + Duration::from_millis(rng.u64(2_500..5_000));
+            for i in upstreams.filter(|&i| shared.cold_ms(i) == 0) {
+                shared.cold_until.lock().unwrap()[i] = Some(end);
+                self.cold_periods.push((i, begin, end));
+                self.announced[i].0 += u64::from(is_restart);
+                self.announced[i].1 = false;
+            }
+        }
+        for (i, (incarnation, announced_cold)) in self.announced.iter_mut().enumerate() {
+            let cold_ms = shared.cold_ms(i);
+            if (cold_ms > 0) == *announced_cold {
+                continue;
+            }
+            let address = self.upstream_proxies[i].address;
+            let mut heartbeat = announcement(address, &format!("u{i}"), *incarnation, cold_ms);
+            heartbeat["data_centre"] = json!(data_centre(i));
+            let headers = [("authorization", "Bearer dev-upstream-key")];
+            let entry = self.cluster.entry_addresses[0];
+            let reply = post(
+                entry,
+                "/upstream/announce",
+                &headers,
+                &heartbeat.to_string(),
+            );
+            if reply.is_some_and(|reply| reply.status == 204) {
+                *announced_cold = cold_ms > 0;
+            }
+        }
+    }
+
+    /// Adds the cold periods in which all gateways together sent too much as violations.
+    fn check_cold_periods(&self, arrivals: &[(Instant, usize, String)], results: &Results) {
+        let mut most = 0;
+        for &(i, begin, end) in &self.cold_periods {
+            let in_period = |at: &Instant| (begin + COLD_NOTICE..end).contains(at);
+            let here = arrivals.iter().filter(|(_, upstream, _)| *upstream == i);
+            let mut times: Vec<Instant> = here.map(|(at, ..)| *at).filter(in_period).collect();
+            times.sort_unstable();
+            let count = most_in_a_second(&times);
+            most = most.max(count);
+            if count > COLD_BOUND {
+                results.add_violation(format!(
+                    "u{i}: {count} requests in a second while it was cold, {COLD_BOUND} allowed"
+                ));
+            }
+        }
+        let periods = self.cold_periods.len();
+        println!("{periods} cold periods, at most {most} requests in a second");
+    }
+
     /// Adds the requests that reached the evacuated data centre as violations.
-    fn check_evacuations(&self, arrivals: &[(Instant, String)], results: &Results) {
+    fn check_evacuations(&self, arrivals: &[(Instant, usize, String)], results: &Results) {
+        let arrivals = arrivals.iter().filter(|(_, i, _)| *i < LOCAL_UPSTREAMS);
         for &(begin, end) in &self.evacuations {
-            for (arrived_at, id) in arrivals {
+            for (arrived_at, _, id) in arrivals.clone() {
                 if *arrived_at > begin + EVACUATION_LIMIT && end.is_none_or(|end| *arrived_at < end)
                 {
                     let late = arrived_at.duration_since(begin);
@@ -311,6 +417,15 @@
     }
 }
 
+/// Returns the data centre of upstream `i`.
+fn data_centre(i: usize) -> &'static str {
+    if i < LOCAL_UPSTREAMS {
+        EVACUATED_DATA_CENTRE
+    } else {
+        "dc2"
+    }
+}
+
 /// Runs the soak test with one seed and returns the violations.
 fn run_seed(seed: u64) -> Vec<String> {
     let shared = Arc::new(Shared {
@@ -318,32 +433,32 @@
         is_healthy: AtomicBool::new(false),
         rejected: Mutex::default(),
         arrivals: Mutex::default(),
+        cold_until: Mutex::default(),
     });
     let upstreams: Vec<Upstream> = (0..UPSTREAMS)
         .map(|i| {
             let shared = shared.clone();
             Upstream::start(move |request, out| {
-                if i < LOCAL_UPSTREAMS {
-                    let arrival = (Instant::now(), request.attempt_id().to_owned());
-                    shared.arrivals.lock().unwrap().push(arrival);
-                }
-                serve(request, out, &shared)
+                let arrival = (Instant::now(), i, request.attempt_id().to_owned());
+                shared.arrivals.lock().unwrap().push(arrival);
+                serve(i, request, out, &shared)
             })
         })
         .collect();
     let cluster = Cluster::start(REPLICAS, 1);
-    cluster.apply(&format!("{INVENTORY}{ROUTES}"), &["--change-id", "first"]);
+    // A heartbeat in a cold period would hide the cause of the regression seeds.
+    let has_cold_periods = !REGRESSION_SEEDS.contains(&seed);
+    let service = "name = \"previews\"\n";
+    let limit = format!("{service}cold_per_s = {COLD_PER_S:?}\n");
+    let limit = if has_cold_periods { &limit } else { service };
+    let inventory = INVENTORY.replacen(service, limit, 1);
+    cluster.apply(&format!("{inventory}{ROUTES}"), &["--change-id", "first"]);
     let upstream_proxies: Vec<PartitionProxy> = upstreams
         .iter()
         .map(|u| PartitionProxy::start(u.address))
         .collect();
     for (i, proxy) in upstream_proxies.iter().enumerate() {
-        let data_centre = if i < LOCAL_UPSTREAMS {
-            EVACUATED_DATA_CENTRE
-        } else {
-            "dc2"
-        };
-        announce_in(&cluster, data_centre, &format!("u{i}"), proxy.address);
+        announce_in(&cluster, data_centre(i), &format!("u{i}"), proxy.address);
     }
     let gateways: Vec<_> = (0..GATEWAYS).map(|_| cluster.start_gateway()).collect();
     let addresses: Vec<SocketAddr> = gateways.iter().map(|(_, address)| *address).collect();
@@ -355,6 +470,9 @@
         evacuation_rng: fastrand::Rng::with_seed(!seed),
         evacuations: Vec::new(),
         orders: 0,
+        cold_rng: has_cold_periods.then(|| fastrand::Rng::with_seed(seed.rotate_left(32))),
+        cold_periods: Vec::new(),
+        announced: [(1, false); UPSTREAMS],
     };
     let results = Results::default();
     let (next_number, stop) = (AtomicU64::new(0), AtomicBool::new(false));
@@ -378,6 +496,7 @@
             if soak.evacuation_rng.u8(..10) == 0 {
                 soak.toggle_evacuation();
             }
+            soak.update_cold_upstreams(&shared);
             thread::sleep(Duration::from_millis(soak.rng.u64(..400)));
         }
         shared.is_healthy.store(true, Ordering::SeqCst);
@@ -388,7 +507,10 @@
         stop.store(true, Ordering::SeqCst);
     });
     check_runs(&upstreams, &shared, &results);
-    soak.check_evacuations(&shared.arrivals.lock().unwrap(), &results);
+    let arrivals = shared.arrivals.lock().unwrap();
+    soak.check_evacuations(&arrivals, &results);
+    soak.check_cold_periods(&arrivals, &results);
+    drop(arrivals);
     let status = soak.cluster.show("status");
     let (revision, expected) = (status["revision"].as_u64(), 1 + soak.orders);
     if revision != Some(expected) {
