--- a/src/config/inventory.rs
+++ b/src/config/inventory.rs
@@ -119,7 +119,9 @@
     /// Requests a second that a cold upstream tolerates from all gateways together; 0 for no limit.
     #[serde(default)]
     pub cold_per_s: f64,
-    /// How long an upstream is cold after a start, in milliseconds; 0 if it starts warm.
+    /// How long an upstream is cold after a start, in milliseconds; 0 if it starts warm. It is
+    /// validated and has no further effect: how long an upstream is cold is what it reports. A
+    /// longer period is obeyed as reported, because ignoring a part of it could crash the upstream.
     #[serde(default)]
     pub cold_start_ms: u64,
 }
