--- a/src/gateway/cold_start.rs
+++ b/src/gateway/cold_start.rs
@@ -17,6 +17,7 @@
 use crate::policy::cold_start::Report;
 use crate::policy::cold_start::Source;
 use crate::policy::cold_start::Transition;
+use crate::policy::cold_start::retry_after;
 use crate::upstream::Announcement;
 use crate::upstream::Directory;
 use crate::upstream::Serves;
@@ -26,12 +27,6 @@
 /// interval of 1.2 s and two renewals, in which its own report arrives.
 const COLD_AFTER_EVACUATION: Duration = Duration::from_secs(2);
 
-/// Longest `Retry-After` of a request that has to wait for a turn, before the jitter.
-const MAX_RETRY_AFTER: Duration = Duration::from_secs(1);
-
-/// Largest jitter of that `Retry-After`, which keeps callers from returning all at once.
-const RETRY_JITTER: Duration = Duration::from_millis(500);
-
 impl Gateway {
     /// Applies what new and changed rows of the directory say; `known` is the directory without
     /// them.
@@ -127,11 +122,12 @@
         service.map_or(0.0, |service| service.cold_per_s)
     }
 
-    /// Records a grant of the leader, with the gateways if their list has changed.
-    pub(super) fn record_cold_start_grant(&self, entries: Option<&[EntryInfo]>) {
+    /// Records a grant of the leader in reply to a renewal sent at `sent_at`, with the gateways if
+    /// their list has changed.
+    pub(super) fn record_cold_start_grant(&self, sent_at: Duration, entries: Option<&[EntryInfo]>) {
         let now = self.now();
         let mut upstreams = self.upstreams.borrow_mut();
-        upstreams.cold_starts.record_grant(now);
+        upstreams.cold_starts.record_grant(sent_at, now);
         if let Some(entries) = entries {
             // Entries of the chat path have no loads address.
             let gateways = entries.iter().filter(|info| info.loads_address.is_some());
@@ -159,11 +155,15 @@
                 event!(Info, "upstream_warm", upstream = announced.id);
             }
         }
-        cold_starts.retain(|number| rows.contains_key(&number));
+        cold_starts.retain(|number| rows.contains_key(&number), now);
         cold_starts.refresh(now, |number| {
             let announced = rows.get(&number);
             announced.map_or(0.0, |announced| self.cold_per_s(announced))
         });
+        let lost = cold_starts.take_lost();
+        if lost > 0 {
+            self.count_cold_turns("lost", lost);
+        }
     }
 
     /// Returns whether an upstream is cold.
@@ -172,11 +172,12 @@
         upstreams.cold_starts.is_cold(upstream, self.now())
     }
 
-    /// Counts a turn at a cold upstream that was `used` or `refused`.
-    pub(super) fn count_cold_turn(&self, outcome: &'static str) {
+    /// Counts turns at cold upstreams that were `used` or `lost`, and requests `refused` for want of
+    /// one.
+    pub(super) fn count_cold_turns(&self, outcome: &'static str, count: u64) {
         let labels = [("outcome", outcome)];
         self.metrics
-            .add_to_counter("daisyquay_cold_turns", 1, &labels);
+            .add_to_counter("daisyquay_cold_turns", count, &labels);
     }
 
     /// Returns the refusal of a request for whose service all upstreams but the `tried` ones are
@@ -204,9 +205,8 @@
         if !has_cold || wait.is_zero() {
             return None;
         }
-        let jitter = RETRY_JITTER.mul_f64(self.rng.borrow_mut().f64());
-        let retry_after = wait.min(MAX_RETRY_AFTER) + jitter;
-        self.count_cold_turn("refused");
+        let retry_after = retry_after(wait, self.rng.borrow_mut().f64());
+        self.count_cold_turns("refused", 1);
         Some(
             Refusal::unavailable(
                 "upstreams_cold",
