Report the phases of the recovery after a start

Cause: after a loss of all power nothing showed which phase delays the first response. Change: replicas and gateways log `recovered` once per phase, with the time since the start, and export daisyquay_recovery_seconds. A process test kills and restarts all replicas and gateways.

--- a/src/gateway/exchange/mod.rs
+++ b/src/gateway/exchange/mod.rs
@@ -35,6 +35,7 @@
 use crate::http_client::UpstreamResponse;
 use crate::log::event;
 use crate::policy::escalation;
+use crate::recovery::Phase;
 
 /// Minimum time left before the deadline for another attempt.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
@@ -79,6 +80,9 @@
     let outcome = outcome.unwrap_or_else(|_| Err(exchange.deadline_refusal()));
     let time_to_head = limit.saturating_sub(call.time_left(gateway.now()));
     gateway.meter(&call, &outcome, time_to_head);
+    if outcome.is_ok() {
+        gateway.record_phase(Phase::FirstResponse);
+    }
     if outcome.is_ok() && time_to_head > call.route.target() {
         exchange.log_late_response(time_to_head);
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -69,6 +69,7 @@
 use crate::policy::sessions::Sessions;
 use crate::policy::speed::Baselines;
 use crate::policy::speed::Speeds;
+use crate::recovery::Recovery;
 
 /// How long a request waits for the first configuration after a start. A replica responds within
 /// milliseconds, and a restart of all replicas takes about a second.
@@ -178,6 +179,7 @@
     release_stats: RefCell<HashMap<observations::ReleaseStatsKey, RouteStats>>,
     rng: RefCell<fastrand::Rng>,
     metrics: Metrics,
+    recovery: Recovery,
     /// When the shutdown began; `None` before it.
     draining_since: Cell<Option<Duration>>,
     open_requests: Cell<usize>,
@@ -220,6 +222,7 @@
         .context(ListenSnafu { address })?;
     let address = cfg.listen;
     let gateway = Rc::new(Gateway {
+        recovery: Recovery::new(clock.now()),
         cfg,
         clock,
         run_id: fastrand::u64(1..),
--- a/src/gateway/renewal.rs
+++ b/src/gateway/renewal.rs
@@ -17,6 +17,7 @@
 use crate::peer::Renewal;
 use crate::peer::Reply;
 use crate::peer::Request;
+use crate::recovery::Phase;
 use crate::upstream::Upstream;
 
 /// Largest configuration update that a grant may carry, in bytes. A larger one is fetched from any
@@ -52,6 +53,7 @@
         state.apply_grant(&gateway, &leader, *grant);
         state.fetch_directory(&gateway, &leader).await;
         state.fetch_config(&gateway, &leader).await;
+        state.record_recovery(&gateway);
         if !state.has_whole_directory {
             continue;
         }
@@ -61,6 +63,13 @@
 }
 
 impl Gateway {
+    /// Reports a phase of the recovery when it is reached for the first time.
+    pub(super) fn record_phase(&self, phase: Phase) {
+        if !self.recovery.has_reached(phase) {
+            self.recovery.record(phase, self.now(), &self.metrics);
+        }
+    }
+
     /// Merges changed rows into the directory.
     fn merge_into_directory(&self, rows: Vec<Upstream>) {
         if rows.is_empty() {
@@ -139,6 +148,7 @@
             self.is_connected = true;
             event!(Info, "state_found", term = grant.term);
         }
+        gateway.record_phase(Phase::Leader);
         self.term = grant.term;
         self.is_introduced = !grant.wants_info;
         self.entries_version = grant.entries_version;
@@ -163,6 +173,16 @@
         gateway.record_leader_revision(self.leader_revision);
     }
 
+    /// Reports the phases of the recovery that have ended.
+    fn record_recovery(&self, gateway: &Gateway) {
+        if self.revision > 0 {
+            gateway.record_phase(Phase::Configuration);
+        }
+        if self.has_whole_directory {
+            gateway.record_phase(Phase::Directory);
+        }
+    }
+
     /// Fetches the rest of the directory from the replicas in turn, if the grant did not have all.
     /// Gateways start at different replicas, which share the load.
     async fn fetch_directory(&mut self, gateway: &Gateway, leader: &LeaderClient) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -35,5 +35,6 @@
 pub(crate) mod lock_rank;
 pub(crate) mod log;
 pub(crate) mod metrics;
+pub(crate) mod recovery;
 pub(crate) mod relay;
 pub(crate) mod signal;
--- a/src/replica/core.rs
+++ b/src/replica/core.rs
@@ -40,6 +40,8 @@
 use crate::metrics::Metrics;
 use crate::peer::Client;
 use crate::peer::DirectoryUpdate;
+use crate::recovery::Phase;
+use crate::recovery::Recovery;
 use crate::state::State;
 use crate::state::command::Command;
 use crate::state::command::Op;
@@ -92,6 +94,7 @@
     /// Whether this replica was leader when the role was last checked.
     was_leader: bool,
     metrics: Metrics,
+    recovery: Recovery,
     ready: Arc<AtomicBool>,
 }
 
@@ -131,6 +134,7 @@
             snapshot_every: cfg.snapshot_every,
             was_leader: false,
             metrics: Metrics::new(),
+            recovery: Recovery::new(now),
             ready: Arc::default(),
         }
     }
@@ -299,6 +303,10 @@
             self.apply(entry);
         }
         self.handle_role_change();
+        if self.node.leader().is_some() {
+            self.recovery
+                .record(Phase::Leader, self.now(), &self.metrics);
+        }
     }
 
     fn apply(&mut self, entry: Entry) {
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -14,6 +14,7 @@
 mod models;
 mod path;
 mod quarantine;
+mod recovery;
 mod regions;
 mod replacement;
 mod sessions;
