Elect a leader without waiting once all voters have restarted

Cause: a replica that restarts rejects votes for 500 ms, because it may have acknowledged a leader that relies on it for its lease. After a loss of all power no such leader exists, and the wait was most of the time to the first response. Change: restarted replicas send pre-vote requests at once and every 30 ms. A request shows that its sender no longer leads in the term on disk of the receiver. A replica that has heard all other voters, and whose log has an entry of its term, votes at once; the voter with the most complete log starts the election. If a voter stays away, the full wait applies. The leader can no longer remove itself from the membership. A new leader tells its followers at once what is committed. Renewals wait at a replica for its first leader instead of being repeated every 40 ms, the leader that a replica names is called at once, a connection attempt without a reply is repeated after 100 ms, and a gateway without a configuration does not wait 400 ms after a failed fetch. The new lease test fails if one voter's request is enough.

--- a/src/agreement/node/election.rs
+++ b/src/agreement/node/election.rs
@@ -31,6 +31,10 @@
     }
 
     pub(super) fn start_election(&mut self, now: Duration) {
+        debug_assert!(
+            !self.has_recent_leader(now),
+            "a candidate votes for itself, so it must be allowed to vote"
+        );
         self.role = Role::Candidate;
         self.hard_state = HardState {
             term: self.hard_state.term + 1,
@@ -159,6 +163,7 @@
     pub(super) fn become_leader(&mut self, now: Duration) {
         self.role = Role::Leader;
         self.leader = Some(self.id);
+        self.restart = None;
         self.leader_since = now;
         self.progress.clear();
         self.rounds = Rounds::default();
--- a/src/agreement/node/follower.rs
+++ b/src/agreement/node/follower.rs
@@ -31,6 +31,7 @@
         }
         self.become_follower(term, Some(from), now);
         self.leader_contact = Some(now);
+        self.restart = None;
         true
     }
 
--- a/src/agreement/node/leader.rs
+++ b/src/agreement/node/leader.rs
@@ -146,6 +146,11 @@
             return;
         };
         if index > self.commit_index && self.log.term(index) == Some(self.hard_state.term) {
+            // Followers must learn soon that the entries of earlier terms are committed: gateways
+            // ask them for the configuration.
+            if self.commit_index < self.term_start_index {
+                self.heartbeat_due = Duration::ZERO;
+            }
             self.commit_index = index;
         }
     }
--- a/src/agreement/node/mod.rs
+++ b/src/agreement/node/mod.rs
@@ -3,6 +3,7 @@
 mod election;
 mod follower;
 mod leader;
+mod restart;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -24,6 +25,7 @@
 use super::Term;
 use super::progress::Progress;
 use super::progress::Rounds;
+use restart::Restart;
 
 /// Limit on the bytes of commands in one message, so that a follower that catches up does not delay
 /// heartbeats for long.
@@ -92,10 +94,10 @@
     /// An earlier membership change, or the first entry of the leader's term, is not committed yet.
     #[snafu(display("another membership change is not committed yet; retry when it is committed"))]
     ChangePending,
-    /// The membership change has no effect or would leave no voter.
+    /// The membership change has no effect, would leave no voter or would remove the leader.
     #[snafu(display(
-        "the membership change has no effect or would leave no voter; check the members with \
-         `daisyquay show status`"
+        "the membership change has no effect, would leave no voter or would remove the leader; \
+         check the members with `daisyquay show status`"
     ))]
     InvalidChange,
 }
@@ -151,6 +153,9 @@
     delivered_index: Index,
     role: Role,
     leader: Option<ReplicaId>,
+    /// What this replica knows of the others since its start; `None` once it has followed a leader
+    /// or led.
+    restart: Option<Restart>,
     /// When this replica last received a message from a leader.
     leader_contact: Option<Duration>,
     election_deadline: Duration,
@@ -177,6 +182,7 @@
     ) -> Self {
         let log = restored.log;
         let start = log.snapshot().index;
+        let restart = Restart::new(restored.hard_state, &log, now);
         let mut node = Self {
             id,
             settings,
@@ -187,8 +193,10 @@
             log,
             role: Role::Follower,
             leader: None,
+            restart: Some(restart),
             // Before the restart, this replica may have acknowledged a leader that now relies on it
-            // for its lease, so it rejects vote requests for one minimum election timeout.
+            // for its lease, so it rejects vote requests for one minimum election timeout, unless
+            // `restart` shows earlier that this leader no longer leads.
             leader_contact: Some(now),
             election_deadline: now,
             heartbeat_due: now,
@@ -295,6 +303,8 @@
             Role::Follower | Role::PreCandidate | Role::Candidate => {
                 if now >= self.election_deadline && self.membership().is_voter(self.id) {
                     self.start_pre_vote(now);
+                } else {
+                    self.tick_restart(now);
                 }
             }
         }
@@ -356,7 +366,9 @@
         if is_pending {
             return ChangePendingSnafu.fail();
         }
-        let Some(next) = membership.with_change(change) else {
+        // Replicas rely on finding a leader among the voters of its own log; see `Restart`.
+        let removes_self = *change == Change::Remove(self.id);
+        let Some(next) = membership.with_change(change).filter(|_| !removes_self) else {
             return InvalidChangeSnafu.fail();
         };
         self.append_as_leader(Payload::Membership(next));
@@ -412,6 +424,7 @@
         let Message {
             from, term, body, ..
         } = message;
+        self.record_candidacy(from, term, &body);
         match body {
             Body::PreVote {
                 last_index,
--- a/src/gateway/renewal.rs
+++ b/src/gateway/renewal.rs
@@ -54,6 +54,10 @@
         state.fetch_directory(&gateway, &leader).await;
         state.fetch_config(&gateway, &leader).await;
         state.record_recovery(&gateway);
+        if state.lacks_first_config() {
+            leader.wait_before_retry().await;
+            continue;
+        }
         if !state.has_whole_directory {
             continue;
         }
@@ -173,6 +177,11 @@
         gateway.record_leader_revision(self.leader_revision);
     }
 
+    /// Returns whether nothing can be served yet, although a configuration exists.
+    fn lacks_first_config(&self) -> bool {
+        self.revision == 0 && self.leader_revision > 0
+    }
+
     /// Reports the phases of the recovery that have ended.
     fn record_recovery(&self, gateway: &Gateway) {
         if self.revision > 0 {
@@ -223,7 +232,8 @@
 
     /// Fetches the configuration from the replicas in turn, if the leader has a newer one. Gateways
     /// start at different replicas, which share the load. One that does not reply ends the search
-    /// until after the next renewal, which brings the news of upstreams and must not wait for long.
+    /// until after the next renewal, which brings the news of upstreams and must not wait for long,
+    /// unless no configuration is held yet.
     async fn fetch_config(&mut self, gateway: &Gateway, leader: &LeaderClient) {
         for _ in 0..UPDATE_ATTEMPTS {
             if self.revision >= self.leader_revision {
@@ -243,7 +253,7 @@
                 }
                 reply => {
                     self.update_source = self.update_source.wrapping_add(1);
-                    if reply.is_none() {
+                    if reply.is_none() && self.revision > 0 {
                         return;
                     }
                 }
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -21,6 +21,11 @@
 /// Time within which a connection must be established.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time until a connection attempt without a reply is repeated, twice as long after each attempt. A
+/// VM that is just starting misses the first packet, and the operating system repeats it only after
+/// 1 s.
+const CONNECT_RETRY_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Error of a call without a reply.
 #[derive(Debug, Snafu)]
 pub enum CallError {
@@ -145,8 +150,18 @@
     }
 }
 
+async fn open_stream(address: SocketAddr) -> Option<TcpStream> {
+    let mut limit = CONNECT_RETRY_INTERVAL;
+    loop {
+        match tokio::time::timeout(limit, TcpStream::connect(address)).await {
+            Ok(stream) => return stream.ok(),
+            Err(_) => limit *= 2,
+        }
+    }
+}
+
 async fn connect(address: SocketAddr) -> Option<SendRequest<Bytes>> {
-    let stream = TcpStream::connect(address).await.ok()?;
+    let stream = open_stream(address).await?;
     stream.set_nodelay(true).ok()?;
     let mut builder = h2::client::Builder::new();
     builder
--- a/src/peer/leader.rs
+++ b/src/peer/leader.rs
@@ -63,30 +63,40 @@
         }
     }
 
-    /// Calls the presumed leader once. Returns `None` where the call must be retried: the replica
-    /// does not reply or is not the leader, or the outcome is unknown.
+    /// Calls the presumed leader once, and the one that it names instead. Returns `None` where the
+    /// call must be retried: the replica does not reply or is not the leader, or the outcome is
+    /// unknown.
     pub async fn try_call(&self, request: &Request) -> Option<Reply> {
         let leader = self.candidates.borrow().leader;
-        let reply = self.call_replica(leader, request).await;
-        self.candidates.borrow_mut().is_confirmed = reply.is_some();
-        reply
+        let mut reply = self.call_replica(leader, request).await;
+        if let Err(Some(named)) = reply {
+            reply = self.call_replica(named, request).await;
+        }
+        self.candidates.borrow_mut().is_confirmed = reply.is_ok();
+        reply.ok()
     }
 
-    async fn call_replica(&self, leader: SocketAddr, request: &Request) -> Option<Reply> {
+    /// Calls one replica. The error is the leader that it names, if it names another one.
+    async fn call_replica(
+        &self,
+        leader: SocketAddr,
+        request: &Request,
+    ) -> Result<Reply, Option<SocketAddr>> {
         match self.client.call(leader, request, CALL_TIMEOUT).await {
             Ok(Reply::NotLeader { leader: hint }) => {
-                match hint.filter(|&address| address != leader) {
+                let named = hint.filter(|&address| address != leader);
+                match named {
                     Some(address) => self.candidates.borrow_mut().leader = address,
                     None => self.try_next_replica(leader),
                 }
-                None
+                Err(named)
             }
-            Ok(Reply::OutcomeUnknown) => None,
-            Ok(reply) => Some(reply),
+            Ok(Reply::OutcomeUnknown) => Err(None),
+            Ok(reply) => Ok(reply),
             Err(e) => {
                 event!(Debug, "call_failed", error = e);
                 self.try_next_replica(leader);
-                None
+                Err(None)
             }
         }
     }
--- a/src/replica/core.rs
+++ b/src/replica/core.rs
@@ -3,11 +3,13 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
 use super::Config;
@@ -95,6 +97,8 @@
     was_leader: bool,
     metrics: Metrics,
     recovery: Recovery,
+    /// Notified when the first leader since the start is known and can serve.
+    leader_found: Rc<Notify>,
     ready: Arc<AtomicBool>,
 }
 
@@ -135,6 +139,7 @@
             was_leader: false,
             metrics: Metrics::new(),
             recovery: Recovery::new(now),
+            leader_found: Rc::default(),
             ready: Arc::default(),
         }
     }
@@ -303,12 +308,27 @@
             self.apply(entry);
         }
         self.handle_role_change();
-        if self.node.leader().is_some() {
+        self.record_leader_found();
+    }
+
+    /// Reports the first leader since the start, once it can serve.
+    fn record_leader_found(&self) {
+        if self.recovery.has_reached(Phase::Leader) {
+            return;
+        }
+        if self.remote_leader().is_some() || self.has_leader_lease() {
             self.recovery
                 .record(Phase::Leader, self.now(), &self.metrics);
+            self.leader_found.notify_waiters();
         }
     }
 
+    /// Returns what to wait for until the first leader since the start is known; `None` if one was
+    /// known before.
+    pub(super) fn leader_search(&self) -> Option<Rc<Notify>> {
+        (!self.recovery.has_reached(Phase::Leader)).then(|| self.leader_found.clone())
+    }
+
     fn apply(&mut self, entry: Entry) {
         let waiter = self.waiters.remove(&entry.index);
         let Payload::Command(data) = &entry.payload else {
--- a/src/replica/handler.rs
+++ b/src/replica/handler.rs
@@ -32,6 +32,11 @@
 /// Time between two checks whether a revision is in force.
 const IN_FORCE_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Longest time that a renewal waits for the first leader after this replica's start. It is less
+/// than the time after which gateways and entries give up a call, so that they don't ask again and
+/// again and learn of the leader at once.
+const LEADER_SEARCH_LIMIT: Duration = Duration::from_millis(400);
+
 /// Longest time that an operator may wait for a revision to be in force.
 const MAX_WAIT: Duration = Duration::from_secs(60);
 
@@ -84,6 +89,7 @@
             Reply::Done
         }
         Request::Renew(renewal) => {
+            wait_for_first_leader(&core).await;
             let mut core = core.borrow_mut();
             if !core.has_leader_lease() {
                 return not_leader(&core);
@@ -108,6 +114,14 @@
     }
 }
 
+/// Waits until this replica knows a leader, if it has known none since its start.
+async fn wait_for_first_leader(core: &Rc<RefCell<Core>>) {
+    let search = core.borrow().leader_search();
+    if let Some(leader_found) = search {
+        let _ = tokio::time::timeout(LEADER_SEARCH_LIMIT, leader_found.notified()).await;
+    }
+}
+
 fn record_heartbeats(core: &mut Core, heartbeats: &[(Name, u64)]) -> Reply {
     if !core.has_leader_lease() {
         return not_leader(core);
--- a/tests/fuzz/agreement/mod.rs
+++ b/tests/fuzz/agreement/mod.rs
@@ -139,6 +139,52 @@
     }
 }
 
+/// Guards against a restarted replica that votes although a leader still relies on it for its
+/// lease: the leader is cut off, or has not started again, when the others restart.
+#[test]
+fn restarted_replicas_elect_no_leader_while_a_lease_may_be_valid() {
+    for rounds in 60..90 {
+        for leader_restarts in [false, true] {
+            let mut world = World::new(3, Fault::None);
+            run_rounds(&mut world, rounds);
+            let leader = world.leader().unwrap();
+            world.step(Step::Partition(1 << leader)).unwrap();
+            for i in 0..3 {
+                if i != leader || leader_restarts {
+                    world.step(Step::Crash(i as u8, 0)).unwrap();
+                }
+                if i != leader {
+                    world.step(Step::Restart(i as u8)).unwrap();
+                }
+            }
+            // Each step checks that no earlier leader holds a lease.
+            run_rounds(&mut world, 24);
+            assert!(world.leader().is_none_or(|elected| elected == leader));
+            run_rounds(&mut world, 100);
+            assert_ne!(world.leader(), Some(leader));
+        }
+    }
+}
+
+/// Guards against an election that waits for the lease of a former leader although all replicas
+/// have restarted, and against split votes then.
+#[test]
+fn replicas_that_all_restart_elect_a_leader_at_once() {
+    for rounds in 60..90 {
+        let mut world = World::new(3, Fault::None);
+        run_rounds(&mut world, rounds);
+        for i in 0..3 {
+            world.step(Step::Crash(i, 0)).unwrap();
+        }
+        for i in 0..3 {
+            world.step(Step::Restart(i)).unwrap();
+            run_rounds(&mut world, 5);
+        }
+        run_rounds(&mut world, 5);
+        assert!(world.leader().is_some(), "{rounds}");
+    }
+}
+
 #[test]
 fn replica_back_from_a_partition_does_not_depose_the_leader() {
     for rounds in 60..160 {
