Tell gateways of each other soon after a restart of all

Cause: a new leader lists the gateways only once it knows all of them, 2.4 s after its election. Gateways that have restarted too have no list until then: each places requests as if it were alone, sends no updates, and takes the whole retry budget and the whole of an upstream's limit. Prompts that share no prefix have one order of upstreams at all gateways, so all chose the same one. Change: the leader sends the gateways known so far to a gateway without a list, which renews 120 ms after its first grant. Shares of cold upstreams still need the complete list. While no other gateway is heard of, each prompt without a shared prefix has an order of its own, and admission counts the upstreams' reports.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -175,7 +175,7 @@
         }
         Demand {
             gateways,
-            lacks_updates: !peer_loads.hears_others() && self.routing.borrow().entries.len() > 1,
+            lacks_updates: self.lacks_updates(),
         }
     }
 
--- a/src/gateway/exchange/choose.rs
+++ b/src/gateway/exchange/choose.rs
@@ -251,12 +251,16 @@
         let gateway = &self.gateway;
         let elapsed = gateway.now().saturating_sub(self.call.received_at);
         let time_left = route.target().saturating_sub(elapsed);
-        Some(Prefill {
+        let prefill = Prefill {
             prefix_id: prompt.shared_prefix_id(),
             prefix_tokens: scaled(prefix_tokens),
             own_tokens: scaled(prompt.tokens_in.saturating_sub(prefix_tokens)),
             tokens_to_target: gateway.predict_prefill_tokens(service, model, time_left),
-        })
+        };
+        if !gateway.lacks_updates() {
+            return Some(prefill);
+        }
+        Some(prefill.without_updates(gateway.rng.borrow_mut().u64(..)))
     }
 }
 
--- a/src/gateway/loads/mod.rs
+++ b/src/gateway/loads/mod.rs
@@ -237,6 +237,12 @@
 }
 
 impl Gateway {
+    /// Returns whether other gateways may have requests of which no update is heard: there are
+    /// others, or after a start the list of gateways is not known yet.
+    pub(super) fn lacks_updates(&self) -> bool {
+        !self.peer_loads.borrow().hears_others() && self.routing.borrow().entries.len() != 1
+    }
+
     /// Returns the mean age of the other gateways' numbers of requests at an upstream: half an
     /// interval for each hop, and half the time between full updates if only those have them.
     pub(super) fn update_lag(&self, upstream: Index) -> Duration {
--- a/src/gateway/renewal.rs
+++ b/src/gateway/renewal.rs
@@ -4,6 +4,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use super::Gateway;
 use crate::evacuation;
@@ -12,6 +13,7 @@
 use crate::peer::Client;
 use crate::peer::ConfigUpdate;
 use crate::peer::DirectoryUpdate;
+use crate::peer::EntryInfo;
 use crate::peer::Grant;
 use crate::peer::LeaderClient;
 use crate::peer::Renewal;
@@ -24,6 +26,11 @@
 /// replica, so that the leader does not send it to every gateway.
 const MAX_GRANTED_CONFIG_BYTES: u32 = 16 * 1024;
 
+/// Time from the first grant to the next renewal of a gateway that does not know the others. After a
+/// loss of power all gateways introduce themselves to the new leader within this time, and until
+/// they know each other, each places requests as if it were alone.
+const EARLY_RENEWAL_INTERVAL: Duration = Duration::from_millis(120);
+
 /// Number of replicas asked for a configuration update between two renewals.
 const UPDATE_ATTEMPTS: usize = 3;
 
@@ -37,6 +44,7 @@
     let leader = LeaderClient::new(client, gateway.cfg.state.clone());
     let mut state = RenewalState {
         update_source: gateway.run_id as usize,
+        early_entries_version: Some(0),
         ..RenewalState::default()
     };
     loop {
@@ -62,7 +70,7 @@
             continue;
         }
         let elapsed = gateway.now().saturating_sub(sent_at);
-        tokio::time::sleep(RENEWAL_INTERVAL.saturating_sub(elapsed)).await;
+        tokio::time::sleep(state.renewal_interval().saturating_sub(elapsed)).await;
     }
 }
 
@@ -74,6 +82,12 @@
         }
     }
 
+    fn set_entries(&self, entries: Vec<EntryInfo>) {
+        let mut routing = (*self.routing()).clone();
+        routing.entries = Arc::new(entries);
+        self.set_routing(routing);
+    }
+
     /// Merges changed rows into the directory.
     fn merge_into_directory(&self, rows: Vec<Upstream>) {
         if rows.is_empty() {
@@ -112,6 +126,8 @@
     has_whole_directory: bool,
     /// The leader's change counter for its list of gateways.
     entries_version: u64,
+    /// Version of the incomplete list of the gateways; `None` once the complete one is held.
+    early_entries_version: Option<u64>,
     /// Digest of the replicas' addresses.
     replicas_digest: u32,
     /// Whether the last renewal was granted.
@@ -137,6 +153,16 @@
             release_stats: gateway.drain_release_stats(),
             is_leaving: gateway.is_draining(),
             releases_lease: false,
+            early_entries_version: self.early_entries_version,
+        }
+    }
+
+    /// Returns the time from one renewal to the next.
+    fn renewal_interval(&self) -> Duration {
+        if self.early_entries_version == Some(0) {
+            EARLY_RENEWAL_INTERVAL
+        } else {
+            RENEWAL_INTERVAL
         }
     }
 
@@ -164,9 +190,15 @@
             leader.set_replicas(replicas);
         }
         if let Some(entries) = grant.entries {
-            let mut routing = (*gateway.routing()).clone();
-            routing.entries = Arc::new(entries);
-            gateway.set_routing(routing);
+            self.early_entries_version = None;
+            gateway.set_entries(entries);
+        } else if let Some(list) = grant.early_entries
+            && let Some(entries) = list.entries()
+        {
+            // The shares of cold upstreams need the complete list.
+            self.early_entries_version = Some(list.version);
+            event!(Info, "gateways_known", count = entries.len());
+            gateway.set_entries(entries);
         }
         let rows = self.read_directory_update(&grant.directory);
         gateway.merge_into_directory(rows);
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -12,6 +12,7 @@
 use crate::agreement::Index;
 use crate::agreement::Message;
 use crate::agreement::ReplicaId;
+use crate::codec;
 use crate::collections::Name;
 use crate::config::Inventory;
 use crate::config::VersionName;
@@ -178,6 +179,9 @@
     pub is_leaving: bool,
     /// Whether the holder releases its lease instead of renewing it.
     pub releases_lease: bool,
+    /// Version of the incomplete list of gateways that the holder has, 0 for none; `None` where it
+    /// wants no incomplete list, because it has a complete one or needs none.
+    pub early_entries_version: Option<u64>,
 }
 
 /// Name and addresses of an entry or gateway.
@@ -276,6 +280,32 @@
     pub replicas_digest: u32,
     /// Upstreams whose heartbeats are overdue, by [`crate::upstream::Upstream::number`].
     pub suspects: Vec<Index>,
+    /// The entries and gateways that this leader knows so far, for a holder without a list; `None`
+    /// where it has this one or the leader knows all.
+    pub early_entries: Option<EntryList>,
+}
+
+/// A list of entries and gateways, encoded once for all holders that need it.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct EntryList {
+    /// Change counter, for [`Renewal::early_entries_version`].
+    pub version: u64,
+    data: Arc<[u8]>,
+}
+
+impl EntryList {
+    /// Encodes a list.
+    pub fn new(version: u64, entries: &Vec<EntryInfo>) -> Self {
+        Self {
+            version,
+            data: codec::compress(&codec::encode(entries)).into(),
+        }
+    }
+
+    /// Returns the list; `None` if it can't be decoded.
+    pub fn entries(&self) -> Option<Vec<EntryInfo>> {
+        codec::decode(&codec::decompress(&self.data)?).ok()
+    }
 }
 
 /// The part of the configuration that entries need.
@@ -357,6 +387,7 @@
             replicas: None,
             replicas_digest: 0,
             suspects: Vec::new(),
+            early_entries: None,
         }
     }
 }
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -17,6 +17,7 @@
 pub use self::message::BootstrapStatus;
 pub use self::message::ConfigView;
 pub use self::message::EntryInfo;
+pub use self::message::EntryList;
 pub use self::message::Grant;
 pub use self::message::OperatorChange;
 pub use self::message::OperatorChangeReply;
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -89,6 +89,19 @@
     pub tokens_to_target: Option<u64>,
 }
 
+impl Prefill {
+    /// Returns the prefill for a gateway that hears nothing of the others' requests, as after a
+    /// restart of all. Prompts that share no prefix have one order of upstreams at all gateways,
+    /// which would then all choose the same upstream. `draw` gives each of these prompts an order of
+    /// its own.
+    pub fn without_updates(self, draw: u64) -> Self {
+        Self {
+            prefix_id: self.prefix_id.or(Some(draw)),
+            ..self
+        }
+    }
+}
+
 /// What placement by expected time uses of a candidate besides [`Candidate`].
 #[derive(Clone, Copy, Debug, Default)]
 pub struct TimeHint {
--- a/src/replica/leader_state.rs
+++ b/src/replica/leader_state.rs
@@ -18,6 +18,7 @@
 use crate::lease::TTL;
 use crate::peer::ConfigView;
 use crate::peer::EntryInfo;
+use crate::peer::EntryList;
 use crate::peer::Grant;
 use crate::peer::ReleaseStats;
 use crate::peer::Renewal;
@@ -68,6 +69,8 @@
     /// Change counter: grows when the info or the leaving state of an entry changes, and when an
     /// entry is removed.
     entries_version: u64,
+    /// The last list for holders without one, before this leader knows all entries.
+    early_entries: Option<EntryList>,
     /// Running and queued requests of all entries, by target.
     demand: HashMap<Target, u64>,
     /// Upstreams that requests should avoid, and when they were determined.
@@ -97,6 +100,7 @@
             loads: LoadTable::default(),
             entries: HashMap::default(),
             entries_version: 1,
+            early_entries: None,
             demand: HashMap::default(),
             suspects: None,
             slots: None,
@@ -200,6 +204,24 @@
         entries
     }
 
+    /// Returns the entries known so far, for a holder that has the list of version `held`; `None` if
+    /// it is current.
+    fn early_entries(&mut self, held: u64, state: &State) -> Option<EntryList> {
+        let version = self.entries_version;
+        if held == version {
+            return None;
+        }
+        if self
+            .early_entries
+            .as_ref()
+            .is_none_or(|list| list.version != version)
+        {
+            let entries = self.listed_entries(state);
+            self.early_entries = Some(EntryList::new(version, &entries));
+        }
+        self.early_entries.clone()
+    }
+
     /// Returns whether no other lease holder lists `entry` in its address responses any more. A
     /// holder whose lease has expired sends no address responses.
     fn is_unlisted(&self, entry: u64) -> bool {
@@ -451,7 +473,15 @@
         if !has_all_entries {
             grant.entries_version = 0;
         }
+        // A holder that has just introduced itself asks again once the others have done so too.
+        let wants_early = renewal
+            .early_entries_version
+            .filter(|_| !has_all_entries && renewal.info.is_none());
         grant.is_unlisted = has_all_entries && leader_state.is_unlisted(renewal.entry);
+        if let Some(held) = wants_early {
+            let held = known_version(held);
+            grant.early_entries = self.leader_state.early_entries(held, &self.state);
+        }
         let replicas: Vec<_> = self
             .node
             .membership()
--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -15,6 +15,7 @@
 mod prefill;
 mod quarantine;
 mod reachability;
+mod recovery;
 mod regions;
 mod release_rollout;
 mod retry_budget;
--- a/tests/process/directory.rs
+++ b/tests/process/directory.rs
@@ -60,6 +60,7 @@
         release_stats: Vec::new(),
         is_leaving: false,
         releases_lease: false,
+        early_entries_version: None,
     }))
 }
 
