--- a/tests/process/recovery.rs
+++ b/tests/process/recovery.rs
@@ -37,16 +37,20 @@
     send("POST", address, "/lookup/a", &headers, "")
 }
 
-/// Returns the milliseconds of each reported phase of a program's last start.
-fn phases(cluster: &Cluster, log: &str) -> Vec<(String, u64)> {
+/// Returns what a program has logged since its last start.
+fn last_log(cluster: &Cluster, log: &str) -> String {
     let text = std::fs::read_to_string(cluster.folder.join(log)).unwrap();
     let start = text.rfind("_start ").unwrap_or(0);
+    text[start..].to_owned()
+}
+
+/// Returns the milliseconds of each phase that a log reports.
+fn phases(log: &str) -> Vec<(String, u64)> {
     let field = |line: &str, key: &str| {
         let (_, rest) = line.split_once(key)?;
         rest.split(' ').next().map(str::to_owned)
     };
-    text[start..]
-        .lines()
+    log.lines()
         .filter(|line| line.contains("event=recovered"))
         .map(|line| {
             let ms = field(line, " ms=").unwrap().parse().unwrap();
@@ -56,7 +60,7 @@
 }
 
 /// Guards against callers that wait for long after a loss of all power, and against acknowledged
-/// changes that are lost by it.
+/// changes that are lost by it, and against gateways that don't know of each other for seconds.
 #[test]
 fn serves_again_soon_after_all_processes_were_killed() {
     let upstream = Upstream::start(|seen, out| write(out, &ok_response(seen, "tile")));
@@ -108,16 +112,19 @@
         for (_, address) in &gateways {
             let log = format!("gateway-{}.log", address.port());
             let expected = ["leader", "configuration", "directory", "first_response"];
-            let phases = eventually("all phases are in the log", || {
-                let phases = phases(&cluster, &log);
+            let phases = eventually("all phases and gateways are in the log", || {
+                let log = last_log(&cluster, &log);
+                let phases = phases(&log);
                 let has = |name| phases.iter().any(|(phase, _)| phase == name);
-                expected.into_iter().all(has).then_some(phases)
+                // The leader knows that the list is complete only after 2.4 s.
+                let knows_all = log.contains(&format!("gateways_known count={GATEWAYS}"));
+                (knows_all && expected.into_iter().all(has)).then_some(phases)
             });
             eprintln!("{phases:?}");
             assert_eq!(phases.len(), expected.len(), "{phases:?}");
         }
         for i in 0..3 {
-            let phases = phases(&cluster, &format!("state-{i}.log"));
+            let phases = phases(&last_log(&cluster, &format!("state-{i}.log")));
             eprintln!("replica {phases:?}");
         }
     }
