Test what shows a restarted replica that no former leader leads

Guards the two conditions that random schedules rarely reach: an old request that is delivered late, and a log without an entry of the term on disk.

--- a/tests/fuzz/agreement/mod.rs
+++ b/tests/fuzz/agreement/mod.rs
@@ -4,6 +4,21 @@
 mod oracle;
 mod world;
 
+use std::time::Duration;
+
+use daisyquay::agreement::Body;
+use daisyquay::agreement::Entry;
+use daisyquay::agreement::HardState;
+use daisyquay::agreement::Log;
+use daisyquay::agreement::Membership;
+use daisyquay::agreement::Message;
+use daisyquay::agreement::Node;
+use daisyquay::agreement::Payload;
+use daisyquay::agreement::ReplicaId;
+use daisyquay::agreement::Restored;
+use daisyquay::agreement::Settings;
+use daisyquay::agreement::Snapshot;
+use daisyquay::agreement::Term;
 use quickcheck::Arbitrary;
 use quickcheck::Gen;
 
@@ -166,6 +181,56 @@
     }
 }
 
+/// Returns whether a replica that restarts with `term` on disk and a last entry of `entry_term`
+/// grants a pre-vote at once, when it has received requests of replicas in these terms.
+fn grants_at_once(term: Term, entry_term: Term, requests: &[(u64, Term)]) -> bool {
+    let address = |id: u16| std::net::SocketAddr::from(([127, 0, 0, 1], id));
+    let snapshot = Snapshot {
+        index: 1,
+        term: 1,
+        membership: Membership::from_voters((1..=3).map(|id| (ReplicaId(id.into()), address(id)))),
+        data: Vec::new(),
+    };
+    let last = Entry {
+        term: entry_term,
+        index: 2,
+        payload: Payload::Noop,
+    };
+    let restored = Restored {
+        hard_state: HardState { term, vote: None },
+        log: Log::new(snapshot, vec![last]),
+    };
+    let now = Duration::from_secs(1);
+    let mut node = Node::new(ReplicaId(1), restored, Settings::default(), 1, now);
+    let mut is_granted = false;
+    for &(from, term) in requests {
+        let message = Message {
+            from: ReplicaId(from),
+            to: ReplicaId(1),
+            term,
+            body: Body::PreVote {
+                last_index: 2,
+                last_term: entry_term,
+            },
+        };
+        let replies = node.receive(message, now).messages_after_sync;
+        is_granted = replies
+            .iter()
+            .any(|reply| reply.body == Body::PreVoteReply { granted: true });
+    }
+    is_granted
+}
+
+/// Guards against requests that do not show that their sender leads no more: old ones that are
+/// delivered late, and a leader that is not in the log of the replica.
+#[test]
+fn restarted_replica_votes_at_once_only_if_all_others_ask_for_a_later_term() {
+    assert!(grants_at_once(5, 5, &[(3, 6), (2, 6)]));
+    assert!(!grants_at_once(5, 5, &[(2, 6)]));
+    assert!(!grants_at_once(5, 5, &[(3, 5), (2, 6)]));
+    assert!(!grants_at_once(5, 4, &[(3, 6), (2, 6)]));
+}
+
 /// Guards against an election that waits for the lease of a former leader although all replicas
 /// have restarted, and against split votes then.
 #[test]
