Send a full update once a gateway finds the others after a start

Cause: the first full update was published before any other gateway was known, and the next only 1 s later; until then others heard of changed rows only. Change: a gateway that gets its first list sends a full update at once.

--- a/src/gateway/loads/mod.rs
+++ b/src/gateway/loads/mod.rs
@@ -224,8 +224,10 @@
         let fanout = current_fanout(&gateway, &transport, turn);
         tokio::time::sleep(interval(&fanout)).await;
         gateway.poll_quarantines();
-        let load_changed = gateway.load_changed.notified();
-        let _ = tokio::time::timeout(FULL_INTERVAL, load_changed).await;
+        if !publisher.finds_peers(fanout.peer_count) {
+            let load_changed = gateway.load_changed.notified();
+            let _ = tokio::time::timeout(FULL_INTERVAL, load_changed).await;
+        }
         if let Some(update) = publisher.next_update(&gateway, fanout.peer_count) {
             transport.publish(update, &fanout).await;
         }
--- a/src/gateway/loads/publisher.rs
+++ b/src/gateway/loads/publisher.rs
@@ -17,15 +17,25 @@
     seq: u64,
     published: HashMap<Index, Load>,
     last_full_at: Option<Duration>,
+    /// Whether the last update had receivers.
+    has_peers: bool,
     /// Sessions published since the last full update; the next one repeats them.
     sessions: Vec<Assignment>,
 }
 
 impl Publisher {
+    /// Returns whether the next update is the first that has receivers, as after a start: they must
+    /// not wait for a change to learn of this gateway's requests.
+    pub(super) fn finds_peers(&self, peer_count: usize) -> bool {
+        !self.has_peers && peer_count > 0
+    }
+
     /// Returns the next update; `None` if nothing has changed.
     pub(super) fn next_update(&mut self, gateway: &Gateway, peer_count: usize) -> Option<Update> {
         let now = gateway.now();
-        let is_full = self.last_full_at.is_none_or(|at| now >= at + FULL_INTERVAL);
+        let is_full = self.finds_peers(peer_count)
+            || self.last_full_at.is_none_or(|at| now >= at + FULL_INTERVAL);
+        self.has_peers = peer_count > 0;
         let loads = gateway.upstreams.borrow().own_loads();
         let rows = self.rows_to_publish(&loads, is_full, &gateway.managed_upstreams.borrow());
         let new_sessions = gateway.sessions.borrow_mut().take_unpublished();
--- a/src/gateway/renewal.rs
+++ b/src/gateway/renewal.rs
@@ -87,6 +87,7 @@
         let mut routing = (*self.routing()).clone();
         routing.entries = Arc::new(entries);
         self.set_routing(routing);
+        self.load_changed.notify_one();
     }
 
     /// Merges changed rows into the directory.
