Count only gateways where updates of others are missed

Cause: entries of the chat path are listed with the gateways but send no updates, so a gateway beside one never counted as the only one. Change: only those with a loads address count.

--- a/src/gateway/loads/mod.rs
+++ b/src/gateway/loads/mod.rs
@@ -242,7 +242,12 @@
     /// Returns whether other gateways may have requests of which no update is heard: there are
     /// others, or after a start the list of gateways is not known yet.
     pub(super) fn lacks_updates(&self) -> bool {
-        !self.peer_loads.borrow().hears_others() && self.routing.borrow().entries.len() != 1
+        let routing = self.routing.borrow();
+        // Entries of the chat path have no loads address.
+        let mut gateways = routing.entries.iter().filter(|e| e.loads_address.is_some());
+        let is_alone =
+            !routing.entries.is_empty() && gateways.all(|e| e.address == self.info.address);
+        !self.peer_loads.borrow().hears_others() && !is_alone
     }
 
     /// Returns whether the gateway has started only recently and hears of no others yet.
