--- a/src/gateway/loads/mod.rs
+++ b/src/gateway/loads/mod.rs
@@ -224,8 +224,10 @@
         let fanout = current_fanout(&gateway, &transport, turn);
         tokio::time::sleep(interval(&fanout)).await;
         gateway.poll_quarantines();
-        let load_changed = gateway.load_changed.notified();
-        let _ = tokio::time::timeout(FULL_INTERVAL, load_changed).await;
+        if !publisher.finds_peers(fanout.peer_count) {
+            let load_changed = gateway.load_changed.notified();
+            let _ = tokio::time::timeout(FULL_INTERVAL, load_changed).await;
+        }
         if let Some(update) = publisher.next_update(&gateway, fanout.peer_count) {
             transport.publish(update, &fanout).await;
         }
@@ -237,6 +239,22 @@
 }
 
 impl Gateway {
+    /// Returns whether other gateways may have requests of which no update is heard: there are
+    /// others, or after a start the list of gateways is not known yet.
+    pub(super) fn lacks_updates(&self) -> bool {
+        let routing = self.routing.borrow();
+        // Entries of the chat path have no loads address.
+        let mut gateways = routing.entries.iter().filter(|e| e.loads_address.is_some());
+        let is_alone =
+            !routing.entries.is_empty() && gateways.all(|e| e.address == self.info.address);
+        !self.peer_loads.borrow().hears_others() && !is_alone
+    }
+
+    /// Returns whether the gateway has started only recently and hears of no others yet.
+    pub(super) fn places_alone_after_start(&self) -> bool {
+        self.recovery.is_recent(self.now()) && self.lacks_updates()
+    }
+
     /// Returns the mean age of the other gateways' numbers of requests at an upstream: half an
     /// interval for each hop, and half the time between full updates if only those have them.
     pub(super) fn update_lag(&self, upstream: Index) -> Duration {
--- a/src/gateway/renewal.rs
+++ b/src/gateway/renewal.rs
@@ -4,6 +4,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use super::Gateway;
 use crate::evacuation;
@@ -12,17 +13,24 @@
 use crate::peer::Client;
 use crate::peer::ConfigUpdate;
 use crate::peer::DirectoryUpdate;
+use crate::peer::EntryInfo;
 use crate::peer::Grant;
 use crate::peer::LeaderClient;
 use crate::peer::Renewal;
 use crate::peer::Reply;
 use crate::peer::Request;
+use crate::recovery::Phase;
 use crate::upstream::Upstream;
 
 /// Largest configuration update that a grant may carry, in bytes. A larger one is fetched from any
 /// replica, so that the leader does not send it to every gateway.
 const MAX_GRANTED_CONFIG_BYTES: u32 = 16 * 1024;
 
+/// Time from the first grant to the next renewal of a gateway that does not know the others. After a
+/// loss of power all gateways introduce themselves to the new leader within this time, and until
+/// they know each other, each places requests as if it were alone.
+const EARLY_RENEWAL_INTERVAL: Duration = Duration::from_millis(120);
+
 /// Number of replicas asked for a configuration update between two renewals.
 const UPDATE_ATTEMPTS: usize = 3;
 
@@ -36,6 +44,7 @@
     let leader = LeaderClient::new(client, gateway.cfg.state.clone());
     let mut state = RenewalState {
         update_source: gateway.run_id as usize,
+        early_entries_version: Some(0),
         ..RenewalState::default()
     };
     loop {
@@ -52,16 +61,36 @@
         gateway.record_cold_start_grant(sent_at, grant.entries.as_deref());
         state.apply_grant(&gateway, &leader, *grant);
         state.fetch_directory(&gateway, &leader).await;
+        state.record_recovery(&gateway);
         state.fetch_config(&gateway, &leader).await;
+        state.record_recovery(&gateway);
+        if state.lacks_first_config() {
+            leader.wait_before_retry().await;
+            continue;
+        }
         if !state.has_whole_directory {
             continue;
         }
         let elapsed = gateway.now().saturating_sub(sent_at);
-        tokio::time::sleep(RENEWAL_INTERVAL.saturating_sub(elapsed)).await;
+        tokio::time::sleep(state.renewal_interval().saturating_sub(elapsed)).await;
     }
 }
 
 impl Gateway {
+    /// Reports a phase of the recovery when it is reached for the first time.
+    pub(super) fn record_phase(&self, phase: Phase) {
+        if !self.recovery.has_reached(phase) {
+            self.recovery.record(phase, self.now(), &self.metrics);
+        }
+    }
+
+    fn set_entries(&self, entries: Vec<EntryInfo>) {
+        let mut routing = (*self.routing()).clone();
+        routing.entries = Arc::new(entries);
+        self.set_routing(routing);
+        self.load_changed.notify_one();
+    }
+
     /// Merges changed rows into the directory.
     fn merge_into_directory(&self, rows: Vec<Upstream>) {
         if rows.is_empty() {
@@ -100,6 +129,8 @@
     has_whole_directory: bool,
     /// The leader's change counter for its list of gateways.
     entries_version: u64,
+    /// Version of the incomplete list of the gateways; `None` once the complete one is held.
+    early_entries_version: Option<u64>,
     /// Digest of the replicas' addresses.
     replicas_digest: u32,
     /// Whether the last renewal was granted.
@@ -125,6 +156,16 @@
             release_stats: gateway.drain_release_stats(),
             is_leaving: gateway.is_draining(),
             releases_lease: false,
+            early_entries_version: self.early_entries_version,
+        }
+    }
+
+    /// Returns the time from one renewal to the next.
+    fn renewal_interval(&self) -> Duration {
+        if self.early_entries_version == Some(0) {
+            EARLY_RENEWAL_INTERVAL
+        } else {
+            RENEWAL_INTERVAL
         }
     }
 
@@ -140,6 +181,7 @@
             self.is_connected = true;
             event!(Info, "state_found", term = grant.term);
         }
+        gateway.record_phase(Phase::Leader);
         self.term = grant.term;
         self.is_introduced = !grant.wants_info;
         self.entries_version = grant.entries_version;
@@ -150,9 +192,15 @@
             leader.set_replicas(replicas);
         }
         if let Some(entries) = grant.entries {
-            let mut routing = (*gateway.routing()).clone();
-            routing.entries = Arc::new(entries);
-            gateway.set_routing(routing);
+            self.early_entries_version = None;
+            gateway.set_entries(entries);
+        } else if let Some(list) = grant.early_entries
+            && let Some(entries) = list.entries()
+        {
+            // The shares of cold upstreams need the complete list.
+            self.early_entries_version = Some(list.version);
+            event!(Info, "gateways_known", count = entries.len());
+            gateway.set_entries(entries);
         }
         let rows = self.read_directory_update(&grant.directory);
         gateway.merge_into_directory(rows);
@@ -163,6 +211,21 @@
         gateway.record_leader_revision(self.leader_revision);
     }
 
+    /// Returns whether nothing can be served yet, although a configuration exists.
+    fn lacks_first_config(&self) -> bool {
+        self.revision == 0 && self.leader_revision > 0
+    }
+
+    /// Reports the phases of the recovery that have ended.
+    fn record_recovery(&self, gateway: &Gateway) {
+        if self.revision > 0 {
+            gateway.record_phase(Phase::Configuration);
+        }
+        if self.has_whole_directory {
+            gateway.record_phase(Phase::Directory);
+        }
+    }
+
     /// Fetches the rest of the directory from the replicas in turn, if the grant did not have all.
     /// Gateways start at different replicas, which share the load.
     async fn fetch_directory(&mut self, gateway: &Gateway, leader: &LeaderClient) {
@@ -203,7 +266,8 @@
 
     /// Fetches the configuration from the replicas in turn, if the leader has a newer one. Gateways
     /// start at different replicas, which share the load. One that does not reply ends the search
-    /// until after the next renewal, which brings the news of upstreams and must not wait for long.
+    /// until after the next renewal, which brings the news of upstreams and must not wait for long,
+    /// unless no configuration is held yet.
     async fn fetch_config(&mut self, gateway: &Gateway, leader: &LeaderClient) {
         for _ in 0..UPDATE_ATTEMPTS {
             if self.revision >= self.leader_revision {
@@ -223,7 +287,7 @@
                 }
                 reply => {
                     self.update_source = self.update_source.wrapping_add(1);
-                    if reply.is_none() {
+                    if reply.is_none() && self.revision > 0 {
                         return;
                     }
                 }
--- a/tests/fuzz/agreement/mod.rs
+++ b/tests/fuzz/agreement/mod.rs
@@ -4,6 +4,21 @@
 mod oracle;
 mod world;
 
+use std::time::Duration;
+
+use daisyquay::agreement::Body;
+use daisyquay::agreement::Entry;
+use daisyquay::agreement::HardState;
+use daisyquay::agreement::Log;
+use daisyquay::agreement::Membership;
+use daisyquay::agreement::Message;
+use daisyquay::agreement::Node;
+use daisyquay::agreement::Payload;
+use daisyquay::agreement::ReplicaId;
+use daisyquay::agreement::Restored;
+use daisyquay::agreement::Settings;
+use daisyquay::agreement::Snapshot;
+use daisyquay::agreement::Term;
 use quickcheck::Arbitrary;
 use quickcheck::Gen;
 
@@ -139,6 +154,102 @@
     }
 }
 
+/// Guards against a restarted replica that votes although a leader still relies on it for its
+/// lease: the leader is cut off, or has not started again, when the others restart.
+#[test]
+fn restarted_replicas_elect_no_leader_while_a_lease_may_be_valid() {
+    for rounds in 60..90 {
+        for leader_restarts in [false, true] {
+            let mut world = World::new(3, Fault::None);
+            run_rounds(&mut world, rounds);
+            let leader = world.leader().unwrap();
+            world.step(Step::Partition(1 << leader)).unwrap();
+            for i in 0..3 {
+                if i != leader || leader_restarts {
+                    world.step(Step::Crash(i as u8, 0)).unwrap();
+                }
+                if i != leader {
+                    world.step(Step::Restart(i as u8)).unwrap();
+                }
+            }
+            // Each step checks that no earlier leader holds a lease.
+            run_rounds(&mut world, 24);
+            assert!(world.leader().is_none_or(|elected| elected == leader));
+            run_rounds(&mut world, 100);
+            assert_ne!(world.leader(), Some(leader));
+        }
+    }
+}
+
+/// Returns whether a replica that restarts with `term` on disk and a last entry of `entry_term`
+/// grants a pre-vote at once, when it has received requests of replicas in these terms.
+fn grants_at_once(term: Term, entry_term: Term, requests: &[(u64, Term)]) -> bool {
+    let address = |id: u16| std::net::SocketAddr::from(([127, 0, 0, 1], id));
+    let snapshot = Snapshot {
+        index: 1,
+        term: 1,
+        membership: Membership::from_voters((1..=3).map(|id| (ReplicaId(id.into()), address(id)))),
+        data: Vec::new(),
+    };
+    let last = Entry {
+        term: entry_term,
+        index: 2,
+        payload: Payload::Noop,
+    };
+    let restored = Restored {
+        hard_state: HardState { term, vote: None },
+        log: Log::new(snapshot, vec![last]),
+    };
+    let now = Duration::from_secs(1);
+    let mut node = Node::new(ReplicaId(1), restored, Settings::default(), 1, now);
+    let mut is_granted = false;
+    for &(from, term) in requests {
+        let message = Message {
+            from: ReplicaId(from),
+            to: ReplicaId(1),
+            term,
+            body: Body::PreVote {
+                last_index: 2,
+                last_term: entry_term,
+            },
+        };
+        let replies = node.receive(message, now).messages_after_sync;
+        is_granted = replies
+            .iter()
+            .any(|reply| reply.body == Body::PreVoteReply { granted: true });
+    }
+    is_granted
+}
+
+/// Guards against requests that do not show that their sender leads no more: old ones that are
+/// delivered late, and a leader that is not in the log of the replica.
+#[test]
+fn restarted_replica_votes_at_once_only_if_all_others_ask_for_a_later_term() {
+    assert!(grants_at_once(5, 5, &[(3, 6), (2, 6)]));
+    assert!(!grants_at_once(5, 5, &[(2, 6)]));
+    assert!(!grants_at_once(5, 5, &[(3, 5), (2, 6)]));
+    assert!(!grants_at_once(5, 4, &[(3, 6), (2, 6)]));
+}
+
+/// Guards against an election that waits for the lease of a former leader although all replicas
+/// have restarted, and against split votes then.
+#[test]
+fn replicas_that_all_restart_elect_a_leader_at_once() {
+    for rounds in 60..90 {
+        let mut world = World::new(3, Fault::None);
+        run_rounds(&mut world, rounds);
+        for i in 0..3 {
+            world.step(Step::Crash(i, 0)).unwrap();
+        }
+        for i in 0..3 {
+            world.step(Step::Restart(i)).unwrap();
+            run_rounds(&mut world, 5);
+        }
+        run_rounds(&mut world, 5);
+        assert!(world.leader().is_some(), "{rounds}");
+    }
+}
+
 #[test]
 fn replica_back_from_a_partition_does_not_depose_the_leader() {
     for rounds in 60..160 {
