--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -252,8 +252,10 @@
     Ok(exit_code(&reply))
 }
 
-/// Starts or ends the evacuation of a data centre. A change id or an expected revision replaces the
-/// check that no other evacuation order is accepted first, which would make a retry another change.
+/// Starts or ends the evacuation of a data centre. The order applies only to the number of orders
+/// that was read before, so that a late copy does not undo a later order; after a conflict it is
+/// sent again with the current number. The number has no part in a change's identity, so a retry
+/// under the same change id gets the first outcome.
 async fn order_evacuation(
     cfg: &Config,
     state: &StateClient,
@@ -261,22 +263,19 @@
     data_centre: &Name,
     active: bool,
 ) -> Result<ExitCode, Failure> {
-    let mut expected_orders = None;
-    if options.change_id.is_none() && options.expected_revision.is_none() {
-        let Report::Status(status) = state.query(Query::Status).await? else {
-            return Ok(ExitCode::Failed);
-        };
-        expected_orders = Some(status.evacuation_orders);
-    }
+    let Report::Status(status) = state.query(Query::Status).await? else {
+        return Ok(ExitCode::Failed);
+    };
+    let mut expected_orders = status.evacuation_orders;
     loop {
         let change = Change::Evacuate {
             data_centre: data_centre.clone(),
             active,
-            expected_orders,
+            expected_orders: Some(expected_orders),
         };
         let (change_id, reply) = send_change(state, options, change).await?;
         if let ChangeOutcome::EvacuationConflict { orders } = reply.outcome {
-            expected_orders = Some(orders);
+            expected_orders = orders;
             continue;
         }
         print!("{}", output::change_result(&change_id, &reply, cfg.json));
--- a/src/state/command/change.rs
+++ b/src/state/command/change.rs
@@ -156,7 +156,8 @@
         /// Reason, and what the operator can do about it.
         reason: Name,
     },
-    /// Another evacuation order was accepted before this one.
+    /// Another evacuation order was accepted before this one, which had no effect and may be sent
+    /// again under the same id.
     EvacuationConflict {
         /// Current value of [`State::evacuation_orders`].
         orders: u64,
@@ -165,11 +166,20 @@
 
 impl ChangeRequest {
     /// Returns a digest of all but the id, by which another change under the same id is recognised.
+    /// The expected number of evacuation orders is left out: an order that is sent again is bound to
+    /// the number that is current then.
     pub(crate) fn digest(&self) -> u32 {
+        let mut change = self.change.clone();
+        if let Change::Evacuate {
+            expected_orders, ..
+        } = &mut change
+        {
+            *expected_orders = None;
+        }
         crc32fast::hash(&codec::encode(&(
             &self.who,
             self.expected_revision,
-            &self.change,
+            &change,
         )))
     }
 }
@@ -199,7 +209,10 @@
         }
         let what: Name = request.change.to_string().into();
         let outcome = self.execute(&request, at_ms);
-        self.store_outcome(&request.change_id, digest, &outcome);
+        // The order is not decided yet: its sender goes on under the same id.
+        if !matches!(outcome, ChangeOutcome::EvacuationConflict { .. }) {
+            self.store_outcome(&request.change_id, digest, &outcome);
+        }
         self.add_audit_record(at_ms, request.who, request.change_id, what, &outcome);
         outcome
     }
--- a/tests/fuzz/evacuation.rs
+++ b/tests/fuzz/evacuation.rs
@@ -1,6 +1,7 @@
 //! Evacuations through failovers, lost replies and late copies of orders, against the plain rule
 //! that an acknowledged order holds until the next order for its data centre.
 
+use daisyquay::collections::HashMap;
 use daisyquay::collections::Name;
 use daisyquay::peer::ConfigView;
 use daisyquay::replica::ConfigHistory;
@@ -30,6 +31,8 @@
     /// The caller of a data centre gives an order. It may give up an order that was not
     /// acknowledged and send the opposite one.
     Order(u8, bool),
+    /// The caller of a data centre sends its order again, as no acknowledgement has come.
+    Again(u8),
     /// One copy of a request reaches the leader.
     Deliver(u16),
     /// One copy reaches the leader and another one is still on its way.
@@ -53,7 +56,7 @@
     fn arbitrary(g: &mut Gen) -> Self {
         let pick = u16::arbitrary(g);
         let small = u8::arbitrary(g);
-        match u8::arbitrary(g) % 24 {
+        match u8::arbitrary(g) % 26 {
             0..=4 => Self::Order(small, bool::arbitrary(g)),
             5..=10 => Self::Deliver(pick),
             11 => Self::Duplicate(pick),
@@ -64,6 +67,7 @@
             18 => Self::Failover(small % 3),
             19 => Self::OtherChange,
             20..=22 => Self::Update(small),
+            23..=24 => Self::Again(small),
             _ => Self::Restart,
         }
     }
@@ -98,6 +102,8 @@
     /// Last order that was acknowledged.
     acknowledged: bool,
     attempt: u64,
+    /// Number of the order, of which its id is made if it keeps one.
+    order: u64,
 }
 
 struct World {
@@ -110,6 +116,8 @@
     gateways: Vec<ConfigView>,
     next_id: u64,
     binding: Binding,
+    /// First outcome of each id that was accepted.
+    accepted: HashMap<Name, ChangeOutcome>,
 }
 
 fn data_centre(i: usize) -> Name {
@@ -136,18 +144,24 @@
             gateways: vec![ConfigView::default(); GATEWAYS],
             next_id: 0,
             binding,
+            accepted: HashMap::default(),
         }
     }
 
-    /// Sends the order of a caller, as `Handle::evacuate` does, bound to the current state.
+    /// Sends the order of a caller bound to the current state: that of dc0 under a new id each time,
+    /// as `Handle::evacuate` does, the others under the order's id, as with `--change-id`.
     fn send(&mut self, caller: usize) {
         let Some(active) = self.callers[caller].in_progress else {
             return;
         };
         self.next_id += 1;
         self.callers[caller].attempt = self.next_id;
+        let change_id = match caller {
+            0 => format!("attempt-{}", self.next_id),
+            _ => format!("order-{}", self.callers[caller].order),
+        };
         let change = ChangeRequest {
-            change_id: format!("order-{}", self.next_id).into(),
+            change_id: change_id.into(),
             who: "test".into(),
             expected_revision: (self.binding == Binding::Revision).then_some(self.state.revision),
             change: Change::Evacuate {
@@ -182,7 +196,14 @@
             return Ok(());
         }
         let request = self.uncommitted.remove(0);
+        let id = request.change.change_id.clone();
         let outcome = self.apply(request.change);
+        if matches!(outcome, ChangeOutcome::Accepted { .. }) {
+            let first = self.accepted.entry(id).or_insert_with(|| outcome.clone());
+            if *first != outcome {
+                return Err(format!("accepted with {first:?} and {outcome:?}"));
+            }
+        }
         let caller = &mut self.callers[request.caller];
         if loses_reply || caller.attempt != request.attempt {
             return Ok(());
@@ -210,9 +231,12 @@
         match step {
             Step::Order(pick, active) => {
                 let caller = usize::from(pick) % DATA_CENTRES;
+                self.next_id += 1;
                 self.callers[caller].in_progress = Some(active);
+                self.callers[caller].order = self.next_id;
                 self.send(caller);
             }
+            Step::Again(pick) => self.send(usize::from(pick) % DATA_CENTRES),
             Step::Deliver(pick) => {
                 let request = self.take_in_flight(pick);
                 self.uncommitted.extend(request);
--- a/tests/process/evacuation.rs
+++ b/tests/process/evacuation.rs
@@ -267,13 +267,17 @@
     }
 }
 
-/// Guards against an order of the command line that applies after later orders, and against one
-/// that is given up, or sent under the id of a refused change, when another order comes first.
+/// Guards against an order of the command line that applies after later orders, whatever its flags,
+/// and against one that is given up when another order comes first or that then loses its id.
 #[test]
 fn order_of_the_command_line_applies_only_to_the_current_number_of_orders() {
-    let leader = BusyLeader::default();
-    let address = start_stub_replica(leader.clone()).to_string();
-    let order = |flags: &[&str]| {
+    for (flags, id, revision) in [
+        (&[][..], None, None),
+        (&["--change-id", "a"][..], Some("a"), None),
+        (&["--expect-revision", "3"][..], None, Some(3)),
+    ] {
+        let leader = BusyLeader::default();
+        let address = start_stub_replica(leader.clone()).to_string();
         let output = Command::new(env!("CARGO_BIN_EXE_daisyquay"))
             .args(["--state", &address, "--operator-key", PEER_KEY])
             .args(["evacuate", "begin", "dc1"])
@@ -281,28 +285,17 @@
             .output()
             .unwrap();
         assert!(output.status.success(), "{output:?}");
-    };
-    order(&[]);
-    order(&["--change-id", "a"]);
-    order(&["--expect-revision", "3"]);
-    let changes = leader.changes.lock().unwrap();
-    let expected: Vec<_> = changes
-        .iter()
-        .map(|change| match change.change {
+        let changes = leader.changes.lock().unwrap();
+        let orders = changes.iter().map(|change| match change.change {
             Change::Evacuate {
                 expected_orders, ..
             } => (expected_orders, change.expected_revision),
             _ => panic!("{change:?}"),
-        })
-        .collect();
-    assert_eq!(
-        expected,
-        [
-            (Some(7), None),
-            (Some(9), None),
-            (None, None),
-            (None, Some(3))
-        ]
-    );
-    assert_ne!(changes[0].change_id, changes[1].change_id);
+        });
+        assert!(orders.eq([(Some(7), revision), (Some(9), revision)]));
+        match id {
+            Some(id) => assert!(changes.iter().all(|change| *change.change_id == *id)),
+            None => assert_ne!(changes[0].change_id, changes[1].change_id),
+        }
+    }
 }
--- a/tests/state/evacuations.rs
+++ b/tests/state/evacuations.rs
@@ -86,6 +86,31 @@
     assert_eq!(machine.state.evacuation_orders, 2);
 }
 
+/// Guards against a retry under the same id that is refused as another change, that repeats the order
+/// or that can never apply because an earlier attempt met a conflict.
+#[test]
+fn order_sent_again_under_its_id_has_one_effect_and_one_outcome() {
+    let mut machine = Machine::default();
+    let accepted = |revision| ChangeOutcome::Accepted { revision };
+    machine.change("other", order_after(0, "dc2", true));
+    assert_eq!(
+        machine.change("a", order_after(0, "dc1", true)),
+        ChangeOutcome::EvacuationConflict { orders: 1 }
+    );
+    assert_eq!(
+        machine.change("a", order_after(1, "dc1", true)),
+        accepted(2)
+    );
+    machine.change("b", order_after(2, "dc1", false));
+    for orders in [0, 1, 3] {
+        let repeated = machine.change("a", order_after(orders, "dc1", true));
+        assert_eq!(repeated, accepted(2));
+    }
+    assert_eq!(evacuated(&machine), ["dc2".into()]);
+    let opposite = machine.change("a", order_after(3, "dc1", false));
+    assert!(matches!(opposite, ChangeOutcome::Refused { .. }));
+}
+
 /// Guards against an order that is not acknowledged while configurations change.
 #[test]
 fn order_applies_whatever_configurations_came_first() {
