Name the actual cause of a request without upstreams it may use

Cause: only a service whose upstreams were all evacuated counted as evacuated, so a request that a rollout restricts to the stable release, or whose other upstreams are leaving, was refused with no_upstream. The last upstream to spare, the pause and the cold refusal counted upstreams in regions that the request may not use. Change: policy::exclusion decides the cause from the upstreams of the release and region of the request, without those that are leaving. Exchange::may_use tells which upstreams count for the other three.

--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -51,7 +51,7 @@
              newer one was on its way or the leader was not reached"
         ),
         "evacuated" => format!(
-            "all upstreams of its service were in evacuated data centres in the gateway's \
+            "all upstreams of its service that might serve it were in evacuated data centres in the gateway's \
              configuration, revision {revision}"
         ),
         "no_upstream_in_region" => {
--- a/src/gateway/backpressure.rs
+++ b/src/gateway/backpressure.rs
@@ -7,10 +7,10 @@
 use http::StatusCode;
 
 use super::Gateway;
+use super::routing::ServicePool;
 use super::routing::Upstream;
 use crate::agreement::Index;
 use crate::collections::HashSet;
-use crate::collections::Name;
 use crate::log::event;
 use crate::policy::backpressure::LimitNotice;
 use crate::policy::backpressure::Sharing;
@@ -101,15 +101,18 @@
         }
     }
 
-    /// Returns how long no upstream of the service takes a request because of what they have asked
-    /// for; `None` if that keeps none of them from it.
-    pub(super) fn backpressure_wait(&self, service: &Name) -> Option<Duration> {
-        let routing = self.routing();
+    /// Returns how long no upstream of the service that a request `may_use` takes one because of what
+    /// they have asked for; `None` if that keeps none of them from it.
+    pub(super) fn backpressure_wait(
+        &self,
+        pool: &ServicePool,
+        may_use: &dyn Fn(&Upstream) -> bool,
+    ) -> Option<Duration> {
         let (now, sharing) = (self.now(), self.sharing());
         let backpressure = self.backpressure.borrow();
-        let upstreams = &routing.pool(service)?.upstreams;
-        upstreams
+        pool.upstreams
             .iter()
+            .filter(|upstream| may_use(upstream))
             .filter_map(|upstream| backpressure.wait(upstream.number, &sharing, now))
             .min()
             .filter(|wait| !wait.is_zero())
--- a/src/gateway/cold_start.rs
+++ b/src/gateway/cold_start.rs
@@ -8,6 +8,7 @@
 
 use super::Gateway;
 use super::refusal::Refusal;
+use super::routing::ServicePool;
 use super::routing::Upstream;
 use crate::agreement::Index;
 use crate::collections::HashMap;
@@ -179,18 +180,21 @@
             .add_to_counter("daisyquay_cold_turns", 1, &labels);
     }
 
-    /// Returns the refusal of a request for whose service all upstreams but the `tried` ones are
-    /// limited now, at least one because it is cold; `None` if that is not so.
-    pub(super) fn cold_refusal(&self, service: &Name, tried: &[Name]) -> Option<Refusal> {
-        let routing = self.routing();
+    /// Returns the refusal of a request for which all upstreams of the service that it `may_use`, but
+    /// the `tried` ones, are limited now, at least one because it is cold; `None` if that is not so.
+    pub(super) fn cold_refusal(
+        &self,
+        pool: &ServicePool,
+        tried: &[Name],
+        may_use: &dyn Fn(&Upstream) -> bool,
+    ) -> Option<Refusal> {
         let (now, sharing) = (self.now(), self.sharing());
         let upstreams = self.upstreams.borrow();
         let backpressure = self.backpressure.borrow();
         let mut has_cold = false;
         let mut wait = Duration::MAX;
-        let pool = routing.pool(service)?;
         for upstream in &pool.upstreams {
-            if tried.contains(upstream.id()) {
+            if tried.contains(upstream.id()) || !may_use(upstream) {
                 continue;
             }
             // One that is about to leave takes no request any more.
--- a/src/gateway/exchange/admit.rs
+++ b/src/gateway/exchange/admit.rs
@@ -88,7 +88,11 @@
         };
         let first_token = request.first_token;
         let admitted = gateway.admit(service, request).await;
-        admitted.map_err(|rejection| self.admission_refusal(&rejection, first_token))
+        // An evacuation may have begun, or the last permitted upstream left, while it was queued.
+        admitted.map_err(|rejection| {
+            self.placement_refusal()
+                .unwrap_or_else(|| self.admission_refusal(&rejection, first_token))
+        })
     }
 
     fn admission_request(
--- a/src/gateway/exchange/choose.rs
+++ b/src/gateway/exchange/choose.rs
@@ -87,7 +87,8 @@
     }
 
     /// Returns for how long the request must not be sent, because upstreams of the service crashed
-    /// under it and only one is left that serves the others; `None` if it may be sent.
+    /// under it and only one that it may use is left, which serves the others; `None` if it may be
+    /// sent.
     pub(super) fn must_spare_last_upstream(&self, service: &Name) -> Option<Duration> {
         let gateway = &self.gateway;
         let (crashed, left) = gateway.recent_crashes(&self.call)?;
@@ -98,14 +99,14 @@
         let reachability = gateway.reachability.borrow();
         let backpressure = gateway.backpressure.borrow();
         let context = self.placement_context(&peer_loads, &reachability, &backpressure, None);
-        let usable = pool
-            .upstreams
-            .iter()
+        let may_use = self.may_use(pool);
+        let permitted = || pool.upstreams.iter().filter(|upstream| may_use(upstream));
+        let usable = permitted()
             .filter(|upstream| !crashed.contains(&upstream.number))
             .map(|upstream| upstreams.placement_candidate(upstream, &context, false))
             .filter(|candidate| !candidate.is_suspect && candidate.circuit != Circuit::Open)
             .count();
-        (usable < 2 && pool.upstreams.len() > 1).then_some(left)
+        (usable < 2 && permitted().nth(1).is_some()).then_some(left)
     }
 
     pub(super) fn placement_context<'a>(
--- a/src/gateway/exchange/mod.rs
+++ b/src/gateway/exchange/mod.rs
@@ -459,13 +459,15 @@
             "no_upstream",
             "no upstream accepts the request now; retry later",
         );
-        let cold_refusal =
-            service.and_then(|service| self.gateway.cold_refusal(service, &self.tried));
-        if let Some(refusal) = cold_refusal {
+        let routing = self.gateway.routing();
+        let Some(pool) = service.and_then(|service| routing.pool(service)) else {
+            return Err(refusal);
+        };
+        let may_use = self.may_use(pool);
+        if let Some(refusal) = self.gateway.cold_refusal(pool, &self.tried, &may_use) {
             return Err(refusal);
         }
-        let wait = service.and_then(|service| self.gateway.backpressure_wait(service));
-        Err(match wait {
+        Err(match self.gateway.backpressure_wait(pool, &may_use) {
             Some(wait) => refusal.with_retry_after(wait),
             None => refusal,
         })
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -56,8 +56,8 @@
     pub(crate) on_trial: bool,
     /// The release that gets the rest of the traffic.
     pub(crate) stable_release: Option<Name>,
-    /// Whether it has upstreams, all of them in evacuated data centres.
-    pub(crate) is_evacuated: bool,
+    /// Upstreams that are left out because their data centres are evacuated.
+    pub(crate) evacuated: Vec<Upstream>,
 }
 
 /// An immutable snapshot; each update from the leader replaces it.
@@ -180,10 +180,12 @@
         let Some(config) = &self.config else {
             return;
         };
-        let had_upstreams = !pool.upstreams.is_empty();
-        pool.upstreams
-            .retain(|upstream| !config.evacuated.contains(&upstream.announced.data_centre));
-        pool.is_evacuated = had_upstreams && pool.upstreams.is_empty();
+        pool.evacuated = pool
+            .upstreams
+            .extract_if(.., |upstream| {
+                config.evacuated.contains(&upstream.announced.data_centre)
+            })
+            .collect();
     }
 
     /// Returns whether upstreams in a data centre must not get requests.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -8,6 +8,7 @@
 pub mod cold_start;
 pub mod crashing_requests;
 pub mod escalation;
+pub mod exclusion;
 pub mod fanout;
 pub mod fingerprint;
 pub mod gateway_queue;
--- a/tests/load/regions.rs
+++ b/tests/load/regions.rs
@@ -5,6 +5,9 @@
 use daisyquay::collections::HashMap;
 use daisyquay::collections::Name;
 use daisyquay::config::Route;
+use daisyquay::policy::exclusion::Exclusion;
+use daisyquay::policy::exclusion::Standing;
+use daisyquay::policy::exclusion::exclusion;
 use daisyquay::policy::regions::CallerLocation;
 use daisyquay::policy::regions::PermittedRegions;
 use daisyquay::policy::regions::gateways_for_caller;
@@ -126,3 +129,40 @@
     );
     assert!(addresses(&[], &[north], "dc1", "north").is_empty());
 }
+
+/// Guards against a rejection that names no cause, or another one, where some upstreams are leaving,
+/// evacuated or in other regions.
+#[test]
+fn exclusion_is_the_cause_of_the_upstreams_that_are_not_leaving() {
+    let usable = Standing::default();
+    let evacuated = Standing {
+        is_evacuated: true,
+        ..usable
+    };
+    let elsewhere = Standing {
+        is_elsewhere: true,
+        ..usable
+    };
+    let leaving = Standing {
+        is_leaving: true,
+        ..usable
+    };
+    let gone = Standing {
+        is_leaving: true,
+        ..elsewhere
+    };
+    let (by_evacuation, by_region) = (Some(Exclusion::Evacuated), Some(Exclusion::Region));
+    for (upstreams, any_region, some_regions) in [
+        (&[usable, evacuated, elsewhere][..], None, None),
+        (&[evacuated], by_evacuation, by_evacuation),
+        (&[leaving, evacuated], by_evacuation, by_evacuation),
+        (&[leaving], None, None),
+        (&[], None, by_region),
+        (&[leaving, elsewhere], by_region, by_region),
+        (&[evacuated, elsewhere], by_region, by_region),
+        (&[evacuated, gone], by_evacuation, by_evacuation),
+    ] {
+        let found = [false, true].map(|has_regions| exclusion(upstreams.to_vec(), has_regions));
+        assert_eq!(found, [any_region, some_regions], "{upstreams:?}");
+    }
+}
--- a/tests/process/regions.rs
+++ b/tests/process/regions.rs
@@ -1,10 +1,16 @@
 //! Regions of routes and organisations, in the gateway and in the entry.
 
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+
+use serde_json::json;
+
 use crate::gateway::ROUTES;
 use crate::gateway::announce_in;
 use crate::support::AUTH_HEADER;
 use crate::support::Cluster;
 use crate::support::INVENTORY;
+use crate::support::Response;
 use crate::support::Upstream;
 use crate::support::eventually;
 use crate::support::ok_response;
@@ -102,3 +108,50 @@
     assert!(["1", "2"].contains(&refused.header("retry-after")));
     assert_eq!(counts(), [before[0] + REQUESTS, before[1]]);
 }
+
+/// Guards against a rejection whose cause and `Retry-After` come from upstreams that the request may
+/// not use.
+#[test]
+fn rejection_counts_only_upstreams_in_permitted_regions() {
+    let near = Upstream::start(|request, out| write(out, &ok_response(request, "ok")));
+    let calls = AtomicU32::new(0);
+    let permitted = Upstream::start(move |request, out| {
+        let head = match calls.fetch_add(1, Ordering::SeqCst) {
+            0 => "503 Busy\r\nretry-after: 4\r\ndaisyquay-not-run: 1",
+            _ => "200 OK\r\ndaisyquay-cold-ms: 20000",
+        };
+        write(out, &ok_response(request, "ok").replacen("200 OK", head, 1))
+    });
+    let mut cluster = Cluster::start(1, 1);
+    cluster.gateway_flags = vec!["--regions".to_owned(), "dc1=north,dc2=south".to_owned()];
+    let service = "name = \"previews\"\n";
+    let limits = format!("{service}cold_per_s = 0.2\ncold_start_ms = 20000\n");
+    let inventory = INVENTORY.replacen(service, &limits, 1);
+    let inventory = format!("{inventory}{ROUTES}{SOUTH_ROUTE}");
+    cluster.apply(&inventory, &["--change-id", "first"]);
+    announce_in(&cluster, "dc1", "u0", near.address);
+    announce_in(&cluster, "dc2", "u1", permitted.address);
+    let (_gateway, address) = cluster.start_gateway();
+    let call = |id: &str| {
+        let headers = [
+            AUTH_HEADER,
+            ("host", "previews.example"),
+            ("daisyquay-attempt", id),
+        ];
+        send("POST", address, "/south/a", &headers, "")
+    };
+    let code = |response: &Response| response.json()["error"]["code"].clone();
+    let paused = eventually("the upstream asks for a pause", || {
+        call("paused").filter(|response| code(response) == "no_upstream")
+    });
+    let retry_after: f64 = paused.header("retry-after").parse().unwrap();
+    assert!((2.0..=4.0).contains(&retry_after), "{retry_after}");
+    // A response names the cold time; the turns of the cold upstream are seconds apart.
+    eventually("a request is served after the pause", || {
+        call("served").filter(|response| response.status == 200)
+    });
+    let refused = (0..2).map(|i| call(&format!("cold-{i}")).unwrap());
+    let codes: Vec<_> = refused.map(|response| code(&response)).collect();
+    assert!(codes.contains(&json!("upstreams_cold")), "{codes:?}");
+    assert!(near.received().is_empty());
+}
