--- a/tests/process/quarantine.rs
+++ b/tests/process/quarantine.rs
@@ -15,13 +15,16 @@
 use serde_json::json;
 
 use crate::gateway::ROUTES;
+use crate::gateway::announce_in;
 use crate::support::AUTH_HEADER;
 use crate::support::Cluster;
 use crate::support::INVENTORY;
 use crate::support::Program;
 use crate::support::Response;
+use crate::support::Upstream;
 use crate::support::chunk;
 use crate::support::eventually;
+use crate::support::ok_response;
 use crate::support::post;
 use crate::support::read_request;
 use crate::support::send;
@@ -495,7 +498,26 @@
 /// requests of all others.
 #[test]
 fn request_that_crashes_upstreams_leaves_one_of_a_small_service() {
-    let setup = Setup::with_upstreams(3);
+    assert_spares_last_upstream(&Setup::with_upstreams(3), 3);
+}
+
+/// Guards against a last upstream that is not spared because others are in regions that the request
+/// may not use.
+#[test]
+fn request_that_crashes_upstreams_leaves_one_in_its_regions() {
+    let setup = Setup::with_upstreams(2);
+    let elsewhere = Upstream::start(|request, out| write(out, &ok_response(request, "ok")));
+    announce_in(&setup.cluster, "dc2", "elsewhere", elsewhere.address);
+    let routes = ROUTES.replace("host = ", "regions = [\"dc1\"]\nhost = ");
+    let inventory = format!("{INVENTORY}{routes}");
+    setup.cluster.apply(&inventory, &["--change-id", "second"]);
+    let received = elsewhere.received().len();
+    assert_spares_last_upstream(&setup, 2);
+    assert_eq!(elsewhere.received().len(), received);
+}
+
+/// Sends a request that crashes each of `upstreams` that runs it.
+fn assert_spares_last_upstream(setup: &Setup, upstreams: usize) {
     let gateways: Vec<SocketAddr> = setup.gateways.iter().map(|(_, address)| *address).collect();
     let time = Duration::from_secs(10);
     let interval = Duration::from_millis(200);
@@ -507,9 +529,9 @@
     );
     let mut crashes = setup.log.crashes.lock().unwrap().clone();
     crashes.sort_unstable();
-    assert!(crashes.len() >= 2, "{} crashes", crashes.len());
-    for three in crashes.windows(3) {
-        let within = three[2] - three[0];
-        assert!(within > DOWN_TIME, "three crashes within {within:?}");
+    assert!(crashes.len() >= upstreams - 1, "{} crashes", crashes.len());
+    for all in crashes.windows(upstreams) {
+        let within = all[upstreams - 1] - all[0];
+        assert!(within > DOWN_TIME, "all crashed within {within:?}");
     }
 }
