--- a/tests/cli/explain.rs
+++ b/tests/cli/explain.rs
@@ -19,6 +19,9 @@
 time_ms=9410 level=info event=refused request=ahead route=- status=503 code=outdated_configuration
 time_ms=9450 level=info event=admission_rejected request=busy route=r-1 organisation=o service=s outcome=rejected_share run=0 queued=300 ahead=80 per_s=16.5 first_ms=20 left_ms=900 retry_ms=5000
 time_ms=9451 level=info event=refused request=busy route=r-1 status=429 code=beyond_share
+time_ms=9460 level=info event=refused request=away route=r-1 status=503 code=evacuated
+time_ms=9470 level=info event=refused request=abroad route=r-1 status=503 code=no_upstream_in_region
+time_ms=9480 level=info event=refused request=cold route=r-1 status=503 code=upstreams_cold
 half a line without a
 time_ms=9500 level=info event=state_lost revision=5
 time_ms=99500 level=info event=state_found term=4
@@ -43,7 +46,7 @@
     let (dir, files) = write_logs("explain");
     let mut text = String::new();
     for request in [
-        "lost", "key", "broke", "new", "late", "ahead", "busy", "unknown",
+        "lost", "key", "broke", "new", "late", "ahead", "busy", "away", "abroad", "cold", "unknown",
     ] {
         let paths = files.each_ref().map(|path| path.to_str().unwrap());
         let output = operator(&["explain", request, paths[0], paths[1]], "");
