--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -7,6 +7,7 @@
 mod cold_upstreams;
 mod directory;
 mod evacuation;
+mod evacuation_in_transit;
 mod failures;
 mod framing;
 mod gateway;
--- a/tests/process/regions.rs
+++ b/tests/process/regions.rs
@@ -1,7 +1,10 @@
 //! Regions of routes and organisations, in the gateway and in the entry.
 
+use std::sync::Arc;
+use std::sync::Barrier;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
+use std::thread;
 
 use serde_json::json;
 
@@ -12,8 +15,11 @@
 use crate::support::INVENTORY;
 use crate::support::Response;
 use crate::support::Upstream;
+use crate::support::chat_body;
+use crate::support::chat_response;
 use crate::support::eventually;
 use crate::support::ok_response;
+use crate::support::post;
 use crate::support::send;
 use crate::support::write;
 
@@ -155,3 +161,82 @@
     assert!(codes.contains(&json!("upstreams_cold")), "{codes:?}");
     assert!(near.received().is_empty());
 }
+
+/// Guards against a chat request that is sent to an evacuated data centre or to another region than
+/// its organisation's, and against an evacuation that cuts off one which is running.
+#[test]
+fn chat_request_follows_evacuations_and_the_regions_of_its_organisation() {
+    const HELD: &str = "held";
+    let gate = Arc::new(Barrier::new(2));
+    let upstreams = [(); 2].map(|()| {
+        let gate = gate.clone();
+        Upstream::start(move |request, out| {
+            if request.body.contains(HELD) {
+                gate.wait();
+            }
+            write(out, &chat_response(request))
+        })
+    });
+    let mut cluster = Cluster::start(1, 0);
+    cluster.entry_flags = vec!["--regions".to_owned(), "dc1=north,dc2=south".to_owned()];
+    cluster.add_entry("dc1");
+    let restricted =
+        INVENTORY.replacen("quality_target", "regions = [\"north\"]\nquality_target", 1);
+    cluster.apply(&restricted, &["--change-id", "first"]);
+    for (i, upstream) in upstreams.iter().enumerate() {
+        let body = json!({
+            "id": format!("u{i}"),
+            "incarnation": 1,
+            "address": upstream.address.to_string(),
+            "data_centre": format!("dc{}", i + 1),
+            "serves": { "versions": ["notes@small"] },
+            "slots": 8,
+        });
+        let headers = [("authorization", "Bearer dev-upstream-key")];
+        eventually("the upstream is announced", || {
+            let entry = cluster.entry_addresses[0];
+            let reply = post(entry, "/upstream/announce", &headers, &body.to_string())?;
+            (reply.status == 204).then_some(())
+        });
+    }
+    let call = |prompt: &str| cluster.chat(0, &[], &chat_body("notes@small", prompt, 3, false));
+    let evacuate = |action: &str, data_centre: &str| {
+        let output = cluster.run_cli(&["evacuate", action, data_centre, "--wait"]);
+        assert!(output.status.success(), "{output:?}");
+    };
+    let counts = || upstreams.each_ref().map(|u| u.received().len());
+    eventually("a request is served", || {
+        call("probe").filter(|response| response.status == 200)
+    });
+    // One region, then an evacuation under a running request.
+    let before = counts();
+    for _ in 0..REQUESTS {
+        assert_eq!(call("north").unwrap().status, 200);
+    }
+    assert_eq!(counts(), [before[0] + REQUESTS, before[1]]);
+    thread::scope(|scope| {
+        let held = scope.spawn(|| call(HELD).unwrap());
+        eventually("the request runs", || {
+            (counts()[0] > before[0] + REQUESTS).then_some(())
+        });
+        evacuate("begin", "dc1");
+        let refused = call("refused").unwrap();
+        assert_eq!(refused.json()["error"]["code"], "no_upstream_in_region");
+        gate.wait();
+        assert_eq!(held.join().unwrap().status, 200);
+    });
+    // Any region.
+    cluster.apply(INVENTORY, &["--change-id", "second"]);
+    let before = counts();
+    for _ in 0..REQUESTS {
+        assert_eq!(call("south").unwrap().status, 200);
+    }
+    assert_eq!(counts(), [before[0], before[1] + REQUESTS]);
+    evacuate("begin", "dc2");
+    let refused = call("refused").unwrap();
+    assert_eq!(refused.json()["error"]["code"], "evacuated");
+    assert!(["1", "2"].contains(&refused.header("retry-after")));
+    evacuate("finish", "dc1");
+    assert_eq!(call("back").unwrap().status, 200);
+    assert_eq!(counts(), [before[0] + 1, before[1] + REQUESTS]);
+}
--- a/tests/process/support/mod.rs
+++ b/tests/process/support/mod.rs
@@ -23,6 +23,7 @@
 pub(crate) use self::stub_replica::start_stub_replica;
 pub(crate) use self::upstream::ReceivedRequest;
 pub(crate) use self::upstream::Upstream;
+pub(crate) use self::upstream::chat_response;
 pub(crate) use self::upstream::chunk;
 pub(crate) use self::upstream::ok_response;
 pub(crate) use self::upstream::read_request;
--- a/tests/process/support/upstream.rs
+++ b/tests/process/support/upstream.rs
@@ -112,6 +112,12 @@
     )
 }
 
+/// Returns a complete chat response, which has the attempt's id in its body.
+pub(crate) fn chat_response(request: &ReceivedRequest) -> String {
+    let body = serde_json::json!({ "id": request.attempt_id() });
+    ok_response(request, &body.to_string())
+}
+
 /// Returns the head of a response with server-sent events in chunked encoding.
 pub(crate) fn stream_response_head(request: &ReceivedRequest) -> String {
     format!(
