Test evacuations during a rollout, a drain and a cut of the leader

The fuzz run has a rollout and a drain that orders must not change, and counts each order once. The process test suspends the leader while the order is given.

--- a/tests/fuzz/evacuation.rs
+++ b/tests/fuzz/evacuation.rs
@@ -1,10 +1,12 @@
 //! Evacuations through failovers, lost replies and late copies of orders, against the plain rule
-//! that an acknowledged order holds until the next order for its data centre.
+//! that an acknowledged order holds until the next order for its data centre. A rollout and a drain are
+//! in progress, which orders must not change.
 
 use daisyquay::collections::HashMap;
 use daisyquay::collections::Name;
 use daisyquay::peer::ConfigView;
 use daisyquay::replica::ConfigHistory;
+use daisyquay::state::Releases;
 use daisyquay::state::State;
 use daisyquay::state::command::Change;
 use daisyquay::state::command::ChangeOutcome;
@@ -44,8 +46,8 @@
     Commit { loses_reply: bool },
     /// Another leader takes over, which has only this many of the entries that are not committed.
     Failover(u8),
-    /// Another change makes a revision.
-    OtherChange,
+    /// The drain of a VM begins, or is undone, which makes a revision.
+    Drain(bool),
     /// A gateway fetches an update from the replicas.
     Update(u8),
     /// A replica loads its snapshot, and its history starts anew.
@@ -65,7 +67,7 @@
                 loses_reply: small % 4 == 0,
             },
             18 => Self::Failover(small % 3),
-            19 => Self::OtherChange,
+            19 => Self::Drain(bool::arbitrary(g)),
             20..=22 => Self::Update(small),
             23..=24 => Self::Again(small),
             _ => Self::Restart,
@@ -116,8 +118,11 @@
     gateways: Vec<ConfigView>,
     next_id: u64,
     binding: Binding,
-    /// First outcome of each id that was accepted.
+    /// First outcome of each order's id that was accepted.
     accepted: HashMap<Name, ChangeOutcome>,
+    is_draining: bool,
+    /// The rollout when it began.
+    releases: Releases,
 }
 
 fn data_centre(i: usize) -> Name {
@@ -134,7 +139,7 @@
 
 impl World {
     fn new(binding: Binding) -> Self {
-        Self {
+        let mut world = Self {
             state: State::default(),
             index: 0,
             uncommitted: Vec::new(),
@@ -145,7 +150,27 @@
             next_id: 0,
             binding,
             accepted: HashMap::default(),
-        }
+            is_draining: false,
+            releases: Releases::default(),
+        };
+        world.change(Change::ReleaseStart {
+            service: "previews".into(),
+            target: "v2".into(),
+            period_ms: 60_000,
+        });
+        world.releases = world.state.releases.clone();
+        world
+    }
+
+    /// Applies another change than an order.
+    fn change(&mut self, change: Change) {
+        self.next_id += 1;
+        self.apply(ChangeRequest {
+            change_id: format!("change-{}", self.next_id).into(),
+            who: "test".into(),
+            expected_revision: None,
+            change,
+        });
     }
 
     /// Sends the order of a caller bound to the current state: that of dc0 under a new id each time,
@@ -257,16 +282,11 @@
                     self.commit_first(true)?;
                 }
             }
-            Step::OtherChange => {
-                self.next_id += 1;
-                self.apply(ChangeRequest {
-                    change_id: format!("drain-{}", self.next_id).into(),
-                    who: "test".into(),
-                    expected_revision: None,
-                    change: Change::Drain {
-                        vm: "vm".into(),
-                        draining: true,
-                    },
+            Step::Drain(draining) => {
+                self.is_draining = draining;
+                self.change(Change::Drain {
+                    vm: "vm".into(),
+                    draining,
                 });
             }
             Step::Update(pick) => {
@@ -287,6 +307,14 @@
     }
 
     fn check(&self) -> Result<(), String> {
+        let is_draining = self.state.draining.contains("vm");
+        if is_draining != self.is_draining || self.state.releases != self.releases {
+            return Err("an order changed the rollout or the drain".to_owned());
+        }
+        let orders = self.state.evacuation_orders;
+        if orders != self.accepted.len() as u64 {
+            return Err(format!("{orders} orders for {} ids", self.accepted.len()));
+        }
         for (i, caller) in self.callers.iter().enumerate() {
             let is_evacuated = self.state.evacuated.contains(&data_centre(i));
             if caller.in_progress.is_none() && is_evacuated != caller.acknowledged {
--- a/tests/process/evacuation.rs
+++ b/tests/process/evacuation.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use daisyquay::peer::Caller;
+use daisyquay::peer::Client;
 use daisyquay::peer::Handler;
 use daisyquay::peer::OperatorChange;
 use daisyquay::peer::OperatorChangeReply;
@@ -19,6 +20,7 @@
 use daisyquay::peer::Request;
 use daisyquay::state::command::Change;
 use daisyquay::state::command::ChangeOutcome;
+use daisyquay::state::query::Query;
 use daisyquay::state::query::Report;
 use daisyquay::state::query::StatusReport;
 use serde_json::json;
@@ -36,6 +38,7 @@
 use crate::support::chunk;
 use crate::support::eventually;
 use crate::support::ok_response;
+use crate::support::post;
 use crate::support::send;
 use crate::support::sse_event;
 use crate::support::start_stub_replica;
@@ -299,3 +302,122 @@
         }
     }
 }
+
+/// Sends a request to the leader on behalf of an operator.
+fn call_leader(replica: SocketAddr, request: Request) -> Option<Reply> {
+    let request = Request::OnBehalf {
+        who: "ann".into(),
+        request: Box::new(request),
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    let client = Client::new(PEER_KEY);
+    let call = client.call(replica, &request, Duration::from_secs(3));
+    tokio::task::LocalSet::new().block_on(&runtime, call).ok()
+}
+
+fn releases(cluster: &Cluster) -> String {
+    eventually("the leader reports the releases", || {
+        let replica = cluster.replica_addresses[cluster.leader()];
+        match call_leader(replica, Request::Query(Query::Releases))? {
+            Reply::Report(report) => match *report {
+                Report::Releases(releases) => Some(format!("{releases:?}")),
+                _ => None,
+            },
+            _ => None,
+        }
+    })
+}
+
+/// Guards against an order that is lost or applied twice while the leader is cut off from the other
+/// replicas, that changes a rollout or a drain, and against a request that is refused without the
+/// cause while the rollout restricts it to the release in the evacuated data centre.
+#[test]
+fn evacuation_leaves_a_rollout_and_a_drain_as_they_are_and_takes_effect_once() {
+    let upstreams =
+        [(); 2].map(|()| Upstream::start(|request, out| write(out, &ok_response(request, "ok"))));
+    let cluster = Cluster::start(3, 1);
+    let inventory = format!("{INVENTORY}{ROUTES}");
+    cluster.apply(&inventory, &["--change-id", "first"]);
+    let announce = |i: usize| {
+        let body = json!({
+            "id": format!("u{i}"),
+            "incarnation": 1,
+            "address": upstreams[i].address.to_string(),
+            "data_centre": format!("dc{}", i + 1),
+            "serves": { "service": "previews" },
+            "slots": 8,
+            "release": format!("v{}", i + 1),
+        });
+        let headers = [("authorization", "Bearer dev-upstream-key")];
+        eventually("the upstream is announced", || {
+            let entry = cluster.entry_addresses[0];
+            let reply = post(entry, "/upstream/announce", &headers, &body.to_string())?;
+            (reply.status == 204).then_some(())
+        });
+    };
+    announce(0);
+    eventually("the first release is the stable one", || {
+        releases(&cluster).contains("v1").then_some(())
+    });
+    let start = Request::Change(OperatorChange {
+        change_id: "rollout".into(),
+        expected_revision: None,
+        change: Change::ReleaseStart {
+            service: "previews".into(),
+            target: "v2".into(),
+            period_ms: 3_600_000,
+        },
+        wait_ms: 0,
+    });
+    let leader = cluster.leader();
+    let reply = call_leader(cluster.replica_addresses[leader], start);
+    assert!(matches!(reply, Some(Reply::Change(_))), "{reply:?}");
+    announce(1);
+    assert!(cluster.run_cli(&["drain", "entry-9"]).status.success());
+    let before = releases(&cluster);
+
+    // The leader is cut off; the others accept the order, and its repetition has the same outcome.
+    let order = ["evacuate", "begin", "dc1", "--change-id", "begin"];
+    cluster.replicas[leader].suspend();
+    let first = eventually("the order is accepted", || {
+        let output = cluster.run_cli(&order);
+        output.status.success().then_some(output)
+    });
+    cluster.replicas[leader].resume();
+    assert_eq!(cluster.run_cli(&order).stdout, first.stdout);
+    let status = cluster.show("status");
+    assert_eq!(status["evacuated"], json!(["dc1"]));
+    assert_eq!(status["evacuation_orders"], 1);
+    assert_eq!(status["draining"], json!(["entry-9"]));
+    assert_eq!(releases(&cluster), before);
+
+    let (_gateway, address) = cluster.start_gateway();
+    let outcome = |id: &str| {
+        let response = call(address, "/lookup/a", id)?;
+        let code = response.json()["error"]["code"].as_str().map(str::to_owned);
+        Some((code, response))
+    };
+    eventually("the gateway has its configuration", || {
+        let code = outcome("probe")?.0;
+        (code.is_none() || code.as_deref() == Some("evacuated")).then_some(())
+    });
+    let mut evacuated = 0;
+    for i in 0..SAMPLE {
+        let (code, response) = outcome(&format!("sample-{i}")).unwrap();
+        match code.as_deref() {
+            // One of the few requests for the new release.
+            None => assert_eq!(response.status, 200),
+            Some("evacuated") => {
+                evacuated += 1;
+                let wait: f64 = response.header("retry-after").parse().unwrap();
+                assert!((1.0..=2.0).contains(&wait), "{wait}");
+            }
+            Some(code) => panic!("{code}"),
+        }
+    }
+    assert!(evacuated > SAMPLE / 2, "{evacuated}");
+    assert!(upstreams[0].received().is_empty());
+}
