Let the evacuation fuzz test find the late copy that it names

Cause: two callers kept one id under all bindings, so that with a binding to the revision a late copy was found as another change under the same id, not by its effect. Nothing checked that the rollout began. Change: ids are new unless the binding is to the orders; the start of the rollout must be accepted.

--- a/tests/fuzz/evacuation.rs
+++ b/tests/fuzz/evacuation.rs
@@ -153,37 +153,43 @@
             is_draining: false,
             releases: Releases::default(),
         };
-        world.change(Change::ReleaseStart {
+        let outcome = world.change(Change::ReleaseStart {
             service: "previews".into(),
             target: "v2".into(),
             period_ms: 60_000,
         });
+        assert!(
+            matches!(outcome, ChangeOutcome::Accepted { .. }),
+            "{outcome:?}"
+        );
         world.releases = world.state.releases.clone();
         world
     }
 
     /// Applies another change than an order.
-    fn change(&mut self, change: Change) {
+    fn change(&mut self, change: Change) -> ChangeOutcome {
         self.next_id += 1;
         self.apply(ChangeRequest {
             change_id: format!("change-{}", self.next_id).into(),
             who: "test".into(),
             expected_revision: None,
             change,
-        });
+        })
     }
 
     /// Sends the order of a caller bound to the current state: that of dc0 under a new id each time,
-    /// as `Handle::evacuate` does, the others under the order's id, as with `--change-id`.
+    /// as `Handle::evacuate` does, the others under the order's id, as with `--change-id`. With a
+    /// fault, all ids are new: an id would show a late copy as a reused id.
     fn send(&mut self, caller: usize) {
         let Some(active) = self.callers[caller].in_progress else {
             return;
         };
         self.next_id += 1;
         self.callers[caller].attempt = self.next_id;
-        let change_id = match caller {
-            0 => format!("attempt-{}", self.next_id),
-            _ => format!("order-{}", self.callers[caller].order),
+        let change_id = if caller == 0 || self.binding != Binding::Orders {
+            format!("attempt-{}", self.next_id)
+        } else {
+            format!("order-{}", self.callers[caller].order)
         };
         let change = ChangeRequest {
             change_id: change_id.into(),
