Spare the only upstream in a request's regions and correct the causes of refusals

Cause: the size of the pool was replaced by the number of upstreams that the request may use, so the only one of them was not spared; these, the pause and the cold refusal were also filtered by release, which changed what deployments without regions get. An evacuated upstream outside the regions counted as evacuated, a release without upstreams as a region without them. The query for the release assigned the session. Sessions::would_use_new does not assign. The messages hold for leaving upstreams and other releases too.

--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -51,12 +51,11 @@
              newer one was on its way or the leader was not reached"
         ),
         "evacuated" => format!(
-            "all upstreams of its service that might serve it were in evacuated data centres in the gateway's \
-             configuration, revision {revision}"
+            "the upstreams of its service that might serve it were in evacuated data centres in the \
+             gateway's configuration, revision {revision}"
         ),
         "no_upstream_in_region" => {
-            "no upstream of its service outside evacuated data centres is in a region that its \
-             route and its organisation permit"
+            "no upstream of its service took it in a region that its route and its organisation permit"
                 .to_owned()
         }
         "stopping" => "its gateway was shutting down".to_owned(),
--- a/src/gateway/backpressure.rs
+++ b/src/gateway/backpressure.rs
@@ -101,18 +101,18 @@
         }
     }
 
-    /// Returns how long no upstream of the service that a request `may_use` takes one because of what
-    /// they have asked for; `None` if that keeps none of them from it.
+    /// Returns how long no upstream of the service in a region that a request `permits` takes one
+    /// because of what they have asked for; `None` if that keeps none of them from it.
     pub(super) fn backpressure_wait(
         &self,
         pool: &ServicePool,
-        may_use: &dyn Fn(&Upstream) -> bool,
+        permits: &dyn Fn(&Upstream) -> bool,
     ) -> Option<Duration> {
         let (now, sharing) = (self.now(), self.sharing());
         let backpressure = self.backpressure.borrow();
         pool.upstreams
             .iter()
-            .filter(|upstream| may_use(upstream))
+            .filter(|upstream| permits(upstream))
             .filter_map(|upstream| backpressure.wait(upstream.number, &sharing, now))
             .min()
             .filter(|wait| !wait.is_zero())
--- a/src/gateway/cold_start.rs
+++ b/src/gateway/cold_start.rs
@@ -180,13 +180,14 @@
             .add_to_counter("daisyquay_cold_turns", 1, &labels);
     }
 
-    /// Returns the refusal of a request for which all upstreams of the service that it `may_use`, but
-    /// the `tried` ones, are limited now, at least one because it is cold; `None` if that is not so.
+    /// Returns the refusal of a request for which all upstreams of the service in a region that it
+    /// `permits`, but the `tried` ones, are limited now, at least one because it is cold; `None` if
+    /// that is not so.
     pub(super) fn cold_refusal(
         &self,
         pool: &ServicePool,
         tried: &[Name],
-        may_use: &dyn Fn(&Upstream) -> bool,
+        permits: &dyn Fn(&Upstream) -> bool,
     ) -> Option<Refusal> {
         let (now, sharing) = (self.now(), self.sharing());
         let upstreams = self.upstreams.borrow();
@@ -194,7 +195,7 @@
         let mut has_cold = false;
         let mut wait = Duration::MAX;
         for upstream in &pool.upstreams {
-            if tried.contains(upstream.id()) || !may_use(upstream) {
+            if tried.contains(upstream.id()) || !permits(upstream) {
                 continue;
             }
             // One that is about to leave takes no request any more.
--- a/src/gateway/exchange/choose.rs
+++ b/src/gateway/exchange/choose.rs
@@ -87,8 +87,8 @@
     }
 
     /// Returns for how long the request must not be sent, because upstreams of the service crashed
-    /// under it and only one that it may use is left, which serves the others; `None` if it may be
-    /// sent.
+    /// under it and at most one in its regions is left, which serves the others; `None` if it may be
+    /// sent. The only upstream of a service is not spared.
     pub(super) fn must_spare_last_upstream(&self, service: &Name) -> Option<Duration> {
         let gateway = &self.gateway;
         let (crashed, left) = gateway.recent_crashes(&self.call)?;
@@ -99,14 +99,14 @@
         let reachability = gateway.reachability.borrow();
         let backpressure = gateway.backpressure.borrow();
         let context = self.placement_context(&peer_loads, &reachability, &backpressure, None);
-        let may_use = self.may_use(pool);
-        let permitted = || pool.upstreams.iter().filter(|upstream| may_use(upstream));
-        let usable = permitted()
-            .filter(|upstream| !crashed.contains(&upstream.number))
+        let usable = pool
+            .upstreams
+            .iter()
+            .filter(|upstream| self.permits(upstream) && !crashed.contains(&upstream.number))
             .map(|upstream| upstreams.placement_candidate(upstream, &context, false))
             .filter(|candidate| !candidate.is_suspect && candidate.circuit != Circuit::Open)
             .count();
-        (usable < 2 && permitted().nth(1).is_some()).then_some(left)
+        (usable < 2 && pool.upstreams.len() > 1).then_some(left)
     }
 
     pub(super) fn placement_context<'a>(
@@ -231,6 +231,20 @@
         pool.new_share.map(|_| is_new)
     }
 
+    /// Returns what [`Self::uses_new_release`] would return, without assigning the session to a
+    /// release.
+    pub(super) fn would_use_new_release(&self, pool: &ServicePool) -> Option<bool> {
+        let share = pool.new_share?;
+        let id = self.call.session_id();
+        let draw = id as f64 / u64::MAX as f64;
+        if self.call.session.is_none() {
+            return Some(draw < share);
+        }
+        let gateway = &self.gateway;
+        let sessions = gateway.sessions.borrow();
+        Some(sessions.would_use_new(id, draw, Some(share), pool.on_trial, gateway.now()))
+    }
+
     /// Returns the prefill of the prompt for placement; `None` for a route without affinity.
     fn prefill(
         &self,
--- a/src/gateway/exchange/mod.rs
+++ b/src/gateway/exchange/mod.rs
@@ -463,11 +463,11 @@
         let Some(pool) = service.and_then(|service| routing.pool(service)) else {
             return Err(refusal);
         };
-        let may_use = self.may_use(pool);
-        if let Some(refusal) = self.gateway.cold_refusal(pool, &self.tried, &may_use) {
+        let permits = |upstream: &Upstream| self.permits(upstream);
+        if let Some(refusal) = self.gateway.cold_refusal(pool, &self.tried, &permits) {
             return Err(refusal);
         }
-        Err(match self.gateway.backpressure_wait(pool, &may_use) {
+        Err(match self.gateway.backpressure_wait(pool, &permits) {
             Some(wait) => refusal.with_retry_after(wait),
             None => refusal,
         })
--- a/src/policy/sessions.rs
+++ b/src/policy/sessions.rs
@@ -56,20 +56,14 @@
         on_trial: bool,
         now: Duration,
     ) -> bool {
-        let is_drawn = share.is_some_and(|share| draw < share);
+        let is_new = self.would_use_new(session, draw, share, on_trial, now);
         if draw >= TRIAL_SHARE {
-            return is_drawn;
+            return is_new;
         }
-        let known = self
-            .rows
-            .get(&session)
-            .filter(|row| now < row.last_used + ASSIGNMENT_TTL);
-        let is_new = match known {
-            Some(row) if on_trial => row.is_new,
-            None if self.rows.len() >= ASSIGNMENT_LIMIT => false,
-            _ => is_drawn,
-        };
-        if known.is_none_or(|row| row.is_new != is_new) {
+        if self
+            .known(session, now)
+            .is_none_or(|row| row.is_new != is_new)
+        {
             self.unpublished.push(Assignment { session, is_new });
         }
         self.rows.insert(
@@ -82,6 +76,31 @@
         is_new
     }
 
+    /// Returns what [`Self::assign`] would return, without an assignment.
+    pub fn would_use_new(
+        &self,
+        session: u64,
+        draw: f64,
+        share: Option<f64>,
+        on_trial: bool,
+        now: Duration,
+    ) -> bool {
+        let is_drawn = share.is_some_and(|share| draw < share);
+        if draw >= TRIAL_SHARE {
+            return is_drawn;
+        }
+        match self.known(session, now) {
+            Some(row) if on_trial => row.is_new,
+            None if self.rows.len() >= ASSIGNMENT_LIMIT => false,
+            _ => is_drawn,
+        }
+    }
+
+    fn known(&self, session: u64, now: Duration) -> Option<&Row> {
+        let row = self.rows.get(&session)?;
+        (now < row.last_used + ASSIGNMENT_TTL).then_some(row)
+    }
+
     /// Merges assignments of another gateway. An assignment that is known already wins.
     pub fn merge(&mut self, assignments: &[Assignment], now: Duration) {
         for assignment in assignments {
--- a/tests/load/regions.rs
+++ b/tests/load/regions.rs
@@ -5,8 +5,8 @@
 use daisyquay::collections::HashMap;
 use daisyquay::collections::Name;
 use daisyquay::config::Route;
+use daisyquay::policy::exclusion::Availability;
 use daisyquay::policy::exclusion::Exclusion;
-use daisyquay::policy::exclusion::Standing;
 use daisyquay::policy::exclusion::exclusion;
 use daisyquay::policy::regions::CallerLocation;
 use daisyquay::policy::regions::PermittedRegions;
@@ -134,35 +134,65 @@
 /// evacuated or in other regions.
 #[test]
 fn exclusion_is_the_cause_of_the_upstreams_that_are_not_leaving() {
-    let usable = Standing::default();
-    let evacuated = Standing {
+    let usable = Availability::default();
+    let evacuated = Availability {
         is_evacuated: true,
         ..usable
     };
-    let elsewhere = Standing {
-        is_elsewhere: true,
+    let outside = Availability {
+        is_outside_regions: true,
         ..usable
     };
-    let leaving = Standing {
+    let leaving = Availability {
         is_leaving: true,
         ..usable
     };
-    let gone = Standing {
+    let gone = Availability {
         is_leaving: true,
-        ..elsewhere
+        ..outside
+    };
+    let evacuated_outside = Availability {
+        is_evacuated: true,
+        ..outside
     };
     let (by_evacuation, by_region) = (Some(Exclusion::Evacuated), Some(Exclusion::Region));
-    for (upstreams, any_region, some_regions) in [
-        (&[usable, evacuated, elsewhere][..], None, None),
-        (&[evacuated], by_evacuation, by_evacuation),
-        (&[leaving, evacuated], by_evacuation, by_evacuation),
-        (&[leaving], None, None),
-        (&[], None, by_region),
-        (&[leaving, elsewhere], by_region, by_region),
-        (&[evacuated, elsewhere], by_region, by_region),
-        (&[evacuated, gone], by_evacuation, by_evacuation),
-    ] {
-        let found = [false, true].map(|has_regions| exclusion(upstreams.to_vec(), has_regions));
-        assert_eq!(found, [any_region, some_regions], "{upstreams:?}");
+    let table: [(&[Availability], &[Availability], _, _); 16] = [
+        (&[usable, evacuated, outside], &[], None, None),
+        (&[evacuated], &[], by_evacuation, by_evacuation),
+        (&[leaving, evacuated], &[], by_evacuation, by_evacuation),
+        (&[leaving], &[], None, None),
+        (&[], &[], None, by_region),
+        (&[leaving, outside], &[], by_region, by_region),
+        (&[evacuated, outside], &[], by_region, by_region),
+        (&[evacuated, gone], &[], by_evacuation, by_evacuation),
+        // Outside the regions even after the evacuation.
+        (&[evacuated_outside, leaving], &[], by_region, by_region),
+        (&[evacuated_outside, gone], &[], by_region, by_region),
+        (&[evacuated_outside], &[usable], by_region, by_region),
+        (
+            &[evacuated_outside],
+            &[evacuated],
+            by_evacuation,
+            by_evacuation,
+        ),
+        (
+            &[evacuated_outside, evacuated, leaving],
+            &[],
+            by_evacuation,
+            by_evacuation,
+        ),
+        // A release without upstreams.
+        (&[], &[usable], None, None),
+        (&[], &[evacuated, outside], None, None),
+        (&[], &[outside], None, by_region),
+    ];
+    for (upstreams, others, any_region, some_regions) in table {
+        let found = [false, true]
+            .map(|has_regions| exclusion(upstreams.to_vec(), others.to_vec(), has_regions));
+        assert_eq!(
+            found,
+            [any_region, some_regions],
+            "{upstreams:?} {others:?}"
+        );
     }
 }
--- a/tests/load/sessions.rs
+++ b/tests/load/sessions.rs
@@ -80,6 +80,11 @@
     let now = Duration::from_secs(1);
     assert!(!sessions.assign(1, 0.01, None, false, now));
     assert!(!sessions.assign(1, 0.01, Some(TRIAL_SHARE), true, now));
+    // A query gives the same result without an assignment.
+    sessions.take_unpublished();
+    assert!(!sessions.would_use_new(1, 0.01, Some(0.3), true, now));
+    assert!(sessions.would_use_new(3, 0.01, Some(0.3), true, now));
+    assert!(sessions.take_unpublished().is_empty());
     assert!(sessions.assign(1, 0.01, Some(0.3), false, now));
     assert!(sessions.assign(2, 0.2, Some(0.3), false, now));
 }
--- a/tests/process/quarantine.rs
+++ b/tests/process/quarantine.rs
@@ -498,40 +498,46 @@
 /// requests of all others.
 #[test]
 fn request_that_crashes_upstreams_leaves_one_of_a_small_service() {
-    assert_spares_last_upstream(&Setup::with_upstreams(3), 3);
+    assert_spares_last_upstream(&Setup::with_upstreams(3), 3, DOWN_TIME);
 }
 
 /// Guards against a last upstream that is not spared because others are in regions that the request
-/// may not use.
+/// may not use, or because it is the only one in its regions.
 #[test]
 fn request_that_crashes_upstreams_leaves_one_in_its_regions() {
-    let setup = Setup::with_upstreams(2);
-    let elsewhere = Upstream::start(|request, out| write(out, &ok_response(request, "ok")));
-    announce_in(&setup.cluster, "dc2", "elsewhere", elsewhere.address);
-    let routes = ROUTES.replace("host = ", "regions = [\"dc1\"]\nhost = ");
-    let inventory = format!("{INVENTORY}{routes}");
-    setup.cluster.apply(&inventory, &["--change-id", "second"]);
-    let received = elsewhere.received().len();
-    assert_spares_last_upstream(&setup, 2);
-    assert_eq!(elsewhere.received().len(), received);
+    for in_regions in [2, 1] {
+        let mut setup = Setup::with_upstreams(in_regions);
+        // One gateway: the others learn of a crash only later.
+        setup.gateways.truncate(1);
+        let gateway = setup.gateways[0].1;
+        let elsewhere = Upstream::start(|request, out| write(out, &ok_response(request, "ok")));
+        announce_in(&setup.cluster, "dc2", "elsewhere", elsewhere.address);
+        eventually("the gateway uses the upstream elsewhere", || {
+            call_path(gateway, "GET", "/lookup/sound", "")?;
+            (!elsewhere.received().is_empty()).then_some(())
+        });
+        let routes = ROUTES.replace("host = ", "regions = [\"dc1\"]\nhost = ");
+        let inventory = format!("{INVENTORY}{routes}");
+        setup.cluster.apply(&inventory, &["--change-id", "second"]);
+        let received = elsewhere.received().len();
+        // The upstream that crashed is back after `DOWN_TIME`, and spared for longer.
+        assert_spares_last_upstream(&setup, 2, 2 * DOWN_TIME);
+        assert_eq!(elsewhere.received().len(), received);
+    }
 }
 
-/// Sends a request that crashes each of `upstreams` that runs it.
-fn assert_spares_last_upstream(setup: &Setup, upstreams: usize) {
+/// Sends a request that crashes each upstream that runs it. Of `count` crashes in a row, the last must
+/// come more than `interval` after the first.
+fn assert_spares_last_upstream(setup: &Setup, count: usize, interval: Duration) {
     let gateways: Vec<SocketAddr> = setup.gateways.iter().map(|(_, address)| *address).collect();
     let time = Duration::from_secs(10);
-    let interval = Duration::from_millis(200);
-    repeat_for(
-        &gateways,
-        time,
-        interval,
-        ("GET", "/lookup/deadly", "small"),
-    );
+    let pause = Duration::from_millis(200);
+    repeat_for(&gateways, time, pause, ("GET", "/lookup/deadly", "small"));
     let mut crashes = setup.log.crashes.lock().unwrap().clone();
     crashes.sort_unstable();
-    assert!(crashes.len() >= upstreams - 1, "{} crashes", crashes.len());
-    for all in crashes.windows(upstreams) {
-        let within = all[upstreams - 1] - all[0];
-        assert!(within > DOWN_TIME, "all crashed within {within:?}");
+    assert!(crashes.len() >= count - 1, "{} crashes", crashes.len());
+    for all in crashes.windows(count) {
+        let within = all[count - 1] - all[0];
+        assert!(within > interval, "{count} crashes within {within:?}");
     }
 }
