Refuse queued requests at once whose last upstream is evacuated

Cause: while all slots were in use, dispatch examined no request, so one whose last permitted upstream had been evacuated waited until its latest start. Change: with a new routing table, a queue removes the requests that have no upstream left, whatever the capacity. Result: the process test passes, and fails without the call.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -7,12 +7,15 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::Weak;
 use std::time::Duration;
 
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
 use super::Gateway;
+use super::routing::RoutingTable;
 use super::upstreams::Demand;
 use super::upstreams::PlacementContext;
 use crate::agreement::Index;
@@ -62,6 +65,8 @@
     room: Option<(Room, Duration, u64)>,
     /// Gateways with requests to the service, and when they were counted.
     gateways: Option<(u32, Duration)>,
+    /// Routing table by which requests without an upstream were last looked for.
+    routing: Weak<RoutingTable>,
 }
 
 /// Place of a request in a queue; dropping it gives it up.
@@ -262,6 +267,7 @@
         now: Duration,
         jitter: f64,
     ) {
+        self.release_unplaceable(service, queue, now);
         let freed = self.admission.freed.get();
         let is_current = queue.room.as_ref().is_some_and(|(_, at, known_freed)| {
             !queue.queue.is_empty() && now < *at + ROOM_TTL && *known_freed == freed
@@ -296,6 +302,37 @@
         }
     }
 
+    /// Wakes the requests for which a new routing table has no upstream, which are then refused with
+    /// the cause. While all slots are in use, dispatch does not examine them.
+    fn release_unplaceable(&self, service: &Name, queue: &mut ServiceQueue, now: Duration) {
+        let routing = self.routing();
+        let version = Arc::downgrade(&routing);
+        if queue.routing.ptr_eq(&version) {
+            return;
+        }
+        queue.routing = version;
+        queue.room = None;
+        let upstreams = routing
+            .pool(service)
+            .map_or(&[][..], |pool| &pool.upstreams);
+        let is_left = |needs: &Needs| {
+            let mut left = upstreams.iter();
+            left.any(|upstream| {
+                (needs.wants_new != Some(false) || !upstream.is_new)
+                    && !needs.excluded.contains(&upstream.number)
+            })
+        };
+        let removed = queue.queue.remove_unplaceable(is_left, now);
+        if !removed.is_empty() {
+            self.meter_queue(service, queue.queue.len(), None);
+        }
+        for ticket in removed {
+            if let Some(wake) = queue.waiting.remove(&ticket) {
+                let _ = wake.send(Ok(()));
+            }
+        }
+    }
+
     /// Returns the capacity of the service's upstreams, less what has been granted.
     fn room(&self, service: &Name, granted: &HashMap<u64, Index>, demand: Demand) -> Room {
         let mut places: Vec<Place> = Vec::new();
--- a/src/policy/gateway_queue.rs
+++ b/src/policy/gateway_queue.rs
@@ -557,6 +557,29 @@
         removed.into_iter().map(reject).collect()
     }
 
+    /// Removes the requests for which no upstream is left, whatever the capacity, and returns their
+    /// tickets; `is_left` tells whether one is.
+    pub fn remove_unplaceable(
+        &mut self,
+        is_left: impl Fn(&Needs) -> bool,
+        now: Duration,
+    ) -> Vec<u64> {
+        // Most requests may use the same upstreams, of which there may be hundreds.
+        let mut known: HashMap<(Option<bool>, &[Index]), bool> = HashMap::default();
+        let mut removed = Vec::new();
+        for (&ticket, entry) in &self.entries {
+            let needs = &entry.request.needs;
+            let key = (needs.wants_new, &*needs.excluded);
+            if !*known.entry(key).or_insert_with(|| is_left(needs)) {
+                removed.push(ticket);
+            }
+        }
+        for &ticket in &removed {
+            self.remove(ticket, now);
+        }
+        removed
+    }
+
     /// Removes a queued request whose caller has gone; returns whether it was queued.
     pub fn cancel(&mut self, ticket: u64, now: Duration) -> bool {
         self.remove(ticket, now).is_some()
--- a/tests/load/gateway_queue.rs
+++ b/tests/load/gateway_queue.rs
@@ -495,6 +495,21 @@
     assert_eq!(queue.earliest_latest_start(), Some(ms(480)));
 }
 
+/// Guards against a request that waits until its latest start because the upstreams that it may not
+/// use are full, though the last one that it may use is gone.
+#[test]
+fn request_without_an_upstream_leaves_the_queue_while_the_others_are_full() {
+    let mut queue = Queue::default();
+    for excluded in [vec![], vec![1], vec![2], vec![1]] {
+        let mut request = request("a", 0, ms(700));
+        request.needs.excluded = excluded;
+        let mut room = Room::new(vec![place(1, 0, 0), place(2, 0, 0)]);
+        queue.arrive(request, &mut room, ms(0), 0.0);
+    }
+    let removed = queue.remove_unplaceable(|needs| !needs.excluded.contains(&1), ms(1));
+    assert_eq!((removed, queue.len()), (vec![2, 4], 2));
+}
+
 /// Guards against an organisation whose callers wait as told and lose their turn to new requests.
 #[test]
 fn request_that_comes_back_as_told_precedes_first_attempts_of_its_organisation() {
--- a/tests/process/regions.rs
+++ b/tests/process/regions.rs
@@ -18,6 +18,7 @@
 use crate::support::chat_body;
 use crate::support::chat_response;
 use crate::support::eventually;
+use crate::support::free_address;
 use crate::support::ok_response;
 use crate::support::post;
 use crate::support::send;
@@ -162,6 +163,93 @@
     assert!(near.received().is_empty());
 }
 
+/// Guards against a queued request that waits until its latest start because an upstream that it may
+/// not use is full, after the evacuation of the last one that it may use.
+#[test]
+fn queued_request_is_refused_once_its_last_upstream_is_evacuated() {
+    /// Requests that an upstream with one slot gets at a time.
+    const CAPACITY: usize = 2;
+    let gate = Arc::new(Barrier::new(2 * CAPACITY + 1));
+    let upstreams = [(); 2].map(|()| {
+        let gate = gate.clone();
+        Upstream::start(move |request, out| {
+            if request.request_line.contains("/hold") {
+                gate.wait();
+            }
+            write(out, &ok_response(request, "ok"))
+        })
+    });
+    let mut cluster = Cluster::start(1, 1);
+    let flags = ["--admission", "on", "--regions", "dc1=north,dc2=south"];
+    cluster.gateway_flags = flags.map(str::to_owned).to_vec();
+    let north = SOUTH_ROUTE.replace("south", "north");
+    let inventory = format!("{INVENTORY}{north}{SOUTH_ROUTE}").replace("= 4000", "= 60000");
+    cluster.apply(&inventory, &["--change-id", "first"]);
+    for (i, upstream) in upstreams.iter().enumerate() {
+        let body = json!({
+            "id": format!("u{i}"),
+            "incarnation": 1,
+            "address": upstream.address.to_string(),
+            "data_centre": format!("dc{}", i + 1),
+            "serves": { "service": "previews" },
+            "slots": 1,
+        });
+        let headers = [("authorization", "Bearer dev-upstream-key")];
+        eventually("the upstream is announced", || {
+            let entry = cluster.entry_addresses[0];
+            let reply = post(entry, "/upstream/announce", &headers, &body.to_string())?;
+            (reply.status == 204).then_some(())
+        });
+    }
+    let (address, admin) = (free_address(), free_address());
+    let _gateway = cluster.start_gateway_with(address, &["--admin-listen", &admin.to_string()]);
+    let call = |path: &str| {
+        let id = format!("{:016x}", fastrand::u64(..));
+        let headers = [
+            AUTH_HEADER,
+            ("host", "previews.example"),
+            ("daisyquay-attempt", &id),
+            ("daisyquay-deadline-ms", "60000"),
+        ];
+        send("POST", address, path, &headers, "")
+    };
+    for path in ["/north/a", "/south/a"] {
+        eventually("a request is served", || {
+            call(path).filter(|response| response.status == 200)
+        });
+    }
+    let before: usize = upstreams.iter().map(|u| u.received().len()).sum();
+    thread::scope(|scope| {
+        let held: Vec<_> = ["/north/hold", "/south/hold"]
+            .repeat(CAPACITY)
+            .into_iter()
+            .map(|path| scope.spawn(move || call(path)))
+            .collect();
+        eventually("the slots are in use", || {
+            let received: usize = upstreams.iter().map(|u| u.received().len()).sum();
+            (received == before + 2 * CAPACITY).then_some(())
+        });
+        let queued = scope.spawn(|| call("/south/a").unwrap());
+        eventually("the request is queued", || {
+            let metrics = send("GET", admin, "/metrics", &[], "")?;
+            let mut lines = metrics.body.lines();
+            lines
+                .any(|line| line.starts_with("daisyquay_queue_length{") && line.ends_with(" 1"))
+                .then_some(())
+        });
+        let output = cluster.run_cli(&["evacuate", "begin", "dc2", "--wait"]);
+        assert!(output.status.success(), "{output:?}");
+        // All slots are still in use.
+        let refused = queued.join().unwrap();
+        let code = &refused.json()["error"]["code"];
+        assert_eq!(code, "no_upstream_in_region");
+        gate.wait();
+        for held in held {
+            assert_eq!(held.join().unwrap().unwrap().status, 200);
+        }
+    });
+}
+
 /// Guards against a chat request that is sent to an evacuated data centre or to another region than
 /// its organisation's, and against an evacuation that cuts off one which is running.
 #[test]
