Log the admission rejection of a request that is refused with another cause

Cause: where no upstream may serve a rejected request, only the line of the refusal was logged, without the state of the queue. Change: the rejection is logged in all cases. Result: builds; no test of its own.

--- a/src/gateway/exchange/admit.rs
+++ b/src/gateway/exchange/admit.rs
@@ -90,8 +90,8 @@
         let admitted = gateway.admit(service, request).await;
         // An evacuation may have begun, or the last permitted upstream left, while it was queued.
         admitted.map_err(|rejection| {
-            self.placement_refusal()
-                .unwrap_or_else(|| self.admission_refusal(&rejection, first_token))
+            let refusal = self.admission_refusal(&rejection, first_token);
+            self.placement_refusal().unwrap_or(refusal)
         })
     }
 
