Test orders during a cut of the leader with a gateway running

The stub leader evacuates on the first claim only, so that a second claim does not evacuate the other data centre too. A proxy in front of the replicas does not cut off a gateway, since it learns their addresses from the leader's grants.

--- a/tests/process/evacuation.rs
+++ b/tests/process/evacuation.rs
@@ -331,6 +331,30 @@
     })
 }
 
+/// Guards against a gateway that loses or reorders the orders that the other replicas accept while the
+/// leader is cut off, or that takes an earlier configuration from it afterwards.
+#[test]
+fn gateway_applies_the_orders_of_a_cut_of_the_leader() {
+    let setup = Setup::new(&Arc::new(Barrier::new(1)));
+    setup.order("begin", "dc1");
+    setup.wait_until_only(1);
+    let leader = &setup.cluster.replicas[setup.cluster.leader()];
+    leader.suspend();
+    for (action, data_centre) in [("finish", "dc1"), ("begin", "dc2")] {
+        eventually("the order is accepted", || {
+            let order = ["evacuate", action, data_centre, "--change-id", action];
+            setup.cluster.run_cli(&order).status.success().then_some(())
+        });
+    }
+    setup.wait_until_only(0);
+    leader.resume();
+    eventually("the former leader follows", || {
+        let status = setup.cluster.show("status");
+        (status["evacuation_orders"] == 3 && status["evacuated"] == json!(["dc2"])).then_some(())
+    });
+    assert_eq!(setup.sample(), [SAMPLE, 0]);
+}
+
 /// Guards against an order that is lost or applied twice while the leader is cut off from the other
 /// replicas, that changes a rollout or a drain, and against a request that is refused without the
 /// cause while the rollout restricts it to the release in the evacuated data centre.
--- a/tests/process/evacuation_in_transit.rs
+++ b/tests/process/evacuation_in_transit.rs
@@ -59,6 +59,8 @@
     /// that lags behind, and none with its grants.
     lags: Arc<AtomicBool>,
     fetches: Arc<AtomicU64>,
+    /// Whether a claim has come.
+    has_claim: Arc<AtomicBool>,
 }
 
 fn view(state: &State) -> ConfigView {
@@ -148,11 +150,14 @@
         }
     }
 
-    /// Evacuates the data centre of the upstream that a claim names, and replies once the sender has
-    /// that configuration.
+    /// Evacuates the data centre of the upstream that the first claim names, and replies once the
+    /// sender has that configuration.
     async fn claim(self, ops: Vec<LedgerOp>) -> Reply {
         for op in &ops {
             let LedgerOp::Claim(claim) = op else { continue };
+            if self.has_claim.swap(true, Ordering::SeqCst) {
+                continue;
+            }
             let directory = self.state.lock().unwrap().directory.clone();
             let chosen = directory.get(&claim.upstream).unwrap();
             self.evacuate(chosen.announced.data_centre.clone());
