--- a/src/gateway/exchange/choose.rs
+++ b/src/gateway/exchange/choose.rs
@@ -87,7 +87,8 @@
     }
 
     /// Returns for how long the request must not be sent, because upstreams of the service crashed
-    /// under it and only one is left that serves the others; `None` if it may be sent.
+    /// under it and at most one in its regions is left, which serves the others; `None` if it may be
+    /// sent. The only upstream of a service is not spared.
     pub(super) fn must_spare_last_upstream(&self, service: &Name) -> Option<Duration> {
         let gateway = &self.gateway;
         let (crashed, left) = gateway.recent_crashes(&self.call)?;
@@ -101,7 +102,7 @@
         let usable = pool
             .upstreams
             .iter()
-            .filter(|upstream| !crashed.contains(&upstream.number))
+            .filter(|upstream| self.permits(upstream) && !crashed.contains(&upstream.number))
             .map(|upstream| upstreams.placement_candidate(upstream, &context, false))
             .filter(|candidate| !candidate.is_suspect && candidate.circuit != Circuit::Open)
             .count();
@@ -230,6 +231,20 @@
         pool.new_share.map(|_| is_new)
     }
 
+    /// Returns what [`Self::uses_new_release`] would return, without assigning the session to a
+    /// release.
+    pub(super) fn would_use_new_release(&self, pool: &ServicePool) -> Option<bool> {
+        let share = pool.new_share?;
+        let id = self.call.session_id();
+        let draw = id as f64 / u64::MAX as f64;
+        if self.call.session.is_none() {
+            return Some(draw < share);
+        }
+        let gateway = &self.gateway;
+        let sessions = gateway.sessions.borrow();
+        Some(sessions.would_use_new(id, draw, Some(share), pool.on_trial, gateway.now()))
+    }
+
     /// Returns the prefill of the prompt for placement; `None` for a route without affinity.
     fn prefill(
         &self,
