Call a late announcement stale also where the directory is full

The check for a full directory came before the one for an address that a later start has taken over, so the sender of a late announcement got 400 instead of 409.

--- a/src/upstream/directory.rs
+++ b/src/upstream/directory.rs
@@ -215,14 +215,15 @@
     }
 
     /// Returns why applying the announcement would be rejected, with the remedy; `None` if it is
-    /// valid and the directory has space. A rejected one changes nothing, so that the leader need not
+    /// valid, and the directory has space or the announcement is late. A rejected one changes nothing, so that the leader need not
     /// write it to the log.
     pub fn rejection(&self, announcement: &Announcement, inventory: &Inventory) -> Option<Name> {
         if let Err(reason) = validate(announcement, inventory) {
             return Some(reason.into());
         }
-        let is_full =
-            self.rows.len() >= UPSTREAM_LIMIT && !self.rows.contains_key(&announcement.id);
+        let is_full = self.rows.len() >= UPSTREAM_LIMIT
+            && !self.rows.contains_key(&announcement.id)
+            && !self.is_address_taken_over(announcement);
         is_full.then(|| format!("the directory is full with {UPSTREAM_LIMIT} upstreams").into())
     }
 
--- a/tests/state/announcements.rs
+++ b/tests/state/announcements.rs
@@ -108,6 +108,28 @@
     assert_eq!(live(&machine), [("later".to_owned(), 8)]);
 }
 
+/// Guards against a sender that has stopped and is told that the directory is full.
+#[test]
+fn late_announcement_is_stale_also_where_the_directory_is_full() {
+    let mut machine = machine();
+    announce(&mut machine, &announcement("later", 8));
+    let row = machine.state.directory.get("later").unwrap().clone();
+    let rows = (1..20_000).map(|i| {
+        let mut row = row.clone();
+        row.announced.id = format!("u{i}").into();
+        row.announced.address.set_port(1_000 + i);
+        row
+    });
+    machine.state.directory.merge(rows.collect());
+    let late = announcement("former", 5);
+    let state = &machine.state;
+    assert_eq!(state.directory.rejection(&late, &state.inventory), None);
+    assert_eq!(announce(&mut machine, &late), AnnounceOutcome::Stale);
+    let new = announcement("new", 9);
+    let outcome = announce(&mut machine, &new);
+    assert!(matches!(outcome, AnnounceOutcome::Rejected(_)));
+}
+
 #[test]
 fn directory_contains_only_an_identical_announcement() {
     let mut machine = machine();
