Order an announcement behind a pending change that adds its service

The leader rejected an announcement with 400 while the change that adds its service was queued or proposed, but not yet applied. It now rejects early only while no change is pending.

--- a/src/replica/core.rs
+++ b/src/replica/core.rs
@@ -60,6 +60,8 @@
 struct Waiter {
     /// Term in which it was proposed: an entry of another term is another command.
     term: Term,
+    /// Whether it is an operator's change.
+    is_change: bool,
     tx: oneshot::Sender<Outcome>,
 }
 
@@ -206,6 +208,14 @@
         Some(rx)
     }
 
+    /// Returns whether an operator's change is queued or proposed here and not yet applied. While
+    /// this replica has the leader lease, all changes of former leaders are applied.
+    pub(super) fn has_pending_change(&self) -> bool {
+        let mut queued = self.queue.iter();
+        queued.any(|(op, _)| matches!(op, Op::Change(_)))
+            || self.waiters.values().any(|waiter| waiter.is_change)
+    }
+
     /// Proposes all queued commands: those that arrived during one sync share the next.
     fn flush(&mut self) {
         if self.queue.is_empty() {
@@ -216,14 +226,20 @@
         let mut commands = Vec::with_capacity(queue.len());
         let mut senders = Vec::with_capacity(queue.len());
         for (op, tx) in queue {
+            let is_change = matches!(op, Op::Change(_));
             commands.push(Command { at_ms, op }.to_bytes());
-            senders.push(tx);
+            senders.push((tx, is_change));
         }
         let term = self.node.term();
         // If this replica is no longer the leader, the senders are dropped and the receivers fail.
         if let Ok((first, effects)) = self.node.propose(commands, self.clock.now()) {
-            for (i, tx) in senders.into_iter().enumerate() {
-                self.waiters.insert(first + i as u64, Waiter { term, tx });
+            for (i, (tx, is_change)) in senders.into_iter().enumerate() {
+                let waiter = Waiter {
+                    term,
+                    is_change,
+                    tx,
+                };
+                self.waiters.insert(first + i as u64, waiter);
             }
             self.apply_effects(effects);
         }
--- a/src/replica/handler.rs
+++ b/src/replica/handler.rs
@@ -132,8 +132,9 @@
 
 /// Records the heartbeat once its announcement is accepted, and proposes the announcement only if
 /// it changes the directory: one that changes nothing costs no write to the log, and a follower
-/// answers it as well. One that is not valid, as of a service that is not in the inventory, is
-/// rejected by the leader without a command, because its sender repeats it with each heartbeat.
+/// answers it as well. An invalid one, such as one that names a service that is not in the
+/// inventory, is rejected by the leader without a command, because its sender repeats it with each
+/// heartbeat.
 async fn announce(core: Rc<RefCell<Core>>, announcement: Announcement) -> Reply {
     let (id, incarnation) = (announcement.id.clone(), announcement.incarnation);
     {
@@ -150,7 +151,9 @@
             }
         } else if core.has_leader_lease() {
             let state = &core.state;
-            if let Some(reason) = state.directory.rejection(&announcement, &state.inventory) {
+            let rejection = state.directory.rejection(&announcement, &state.inventory);
+            // The change may add what the announcement names, and is applied before it.
+            if let Some(reason) = rejection.filter(|_| !core.has_pending_change()) {
                 return Reply::Announce(AnnounceOutcome::Rejected(reason));
             }
         }
