Give a cold period whose limit arrives later its turns, and log it then

A period that began while no limit was known, as before a gateway's first configuration, had its first turn by an interval of 1,000 s and was never logged. The configuration of a grant is now applied before its rows, and when a limit arrives during a period, the first turn is set anew (1.8 s and a part of the interval later) and the period is logged as cold.

Retry-After is no longer earlier than the turn for waits from 4.5 to 5 s, and is rounded up to hundredths of a second. For longer waits it stays spread from 4.5 to 5 s.

--- a/src/gateway/cold_start.rs
+++ b/src/gateway/cold_start.rs
@@ -99,13 +99,7 @@
         let phase = self.rng.borrow_mut().f64();
         let mut upstreams = self.upstreams.borrow_mut();
         match upstreams.cold_starts.apply(&report, phase, self.now()) {
-            Some(Transition::Cold) => event!(
-                Info,
-                "upstream_cold",
-                upstream = announced.id,
-                ms = remaining.as_millis(),
-                source = source.name()
-            ),
+            Some(Transition::Cold) => log_cold(announced, &report),
             Some(Transition::Warm) => event!(Info, "upstream_warm", upstream = announced.id),
             None => {}
         }
@@ -156,10 +150,15 @@
             }
         }
         cold_starts.retain(|number| rows.contains_key(&number), now);
-        cold_starts.refresh(now, |number| {
+        let begun = cold_starts.refresh(now, |number| {
             let announced = rows.get(&number);
             announced.map_or(0.0, |announced| self.cold_per_s(announced))
         });
+        for report in begun {
+            if let Some(announced) = rows.get(&report.upstream) {
+                log_cold(announced, &report);
+            }
+        }
         let lost = cold_starts.take_lost();
         if lost > 0 {
             self.count_cold_turns("lost", lost);
@@ -216,3 +215,13 @@
         )
     }
 }
+
+fn log_cold(announced: &Announcement, report: &Report) {
+    event!(
+        Info,
+        "upstream_cold",
+        upstream = announced.id,
+        ms = report.remaining.as_millis(),
+        source = report.source.name()
+    );
+}
--- a/src/gateway/renewal.rs
+++ b/src/gateway/renewal.rs
@@ -2,10 +2,12 @@
 //! statistics; the grant in reply carries the configuration, the directory of upstreams and the
 //! other gateways.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
 
 use super::Gateway;
+use crate::collections::Name;
 use crate::evacuation;
 use crate::lease::RENEWAL_INTERVAL;
 use crate::log::event;
@@ -154,11 +156,15 @@
             routing.entries = Arc::new(entries);
             gateway.set_routing(routing);
         }
+        self.leader_revision = grant.revision;
+        // Before the rows, whose cold periods begin with the limits of the configuration.
+        let update = grant.config.as_ref();
+        let formerly_evacuated = update.and_then(|update| self.apply_config(gateway, update));
         let rows = self.read_directory_update(&grant.directory);
         gateway.merge_into_directory(rows);
-        self.leader_revision = grant.revision;
-        if let Some(update) = grant.config {
-            self.apply_config(gateway, &update);
+        if let Some(former) = formerly_evacuated {
+            // After the rows: they may be older than the end of an evacuation.
+            gateway.apply_evacuations_ended(&former);
         }
         gateway.record_leader_revision(self.leader_revision);
     }
@@ -219,7 +225,9 @@
                 Some(Reply::ConfigUpdate(Some(update)))
                     if self.revision > 0 || update.revision() >= self.leader_revision =>
                 {
-                    self.apply_config(gateway, &update);
+                    if let Some(former) = self.apply_config(gateway, &update) {
+                        gateway.apply_evacuations_ended(&former);
+                    }
                 }
                 reply => {
                     self.update_source = self.update_source.wrapping_add(1);
@@ -231,9 +239,11 @@
         }
     }
 
-    fn apply_config(&mut self, gateway: &Gateway, update: &ConfigUpdate) {
+    /// Applies a newer configuration. Returns the data centres that were evacuated before, or `None`
+    /// if nothing was applied.
+    fn apply_config(&mut self, gateway: &Gateway, update: &ConfigUpdate) -> Option<BTreeSet<Name>> {
         if update.revision() <= self.revision {
-            return;
+            return None;
         }
         let routing = (*gateway.routing()).clone();
         let held = routing.config.clone().unwrap_or_default();
@@ -241,7 +251,7 @@
             Ok(config) => config,
             Err(e) => {
                 event!(Warn, "config_update_rejected", error = e);
-                return;
+                return None;
             }
         };
         self.revision = config.revision;
@@ -258,7 +268,7 @@
         if let Some(config) = &gateway.routing().config {
             evacuation::report(&gateway.metrics, &held, config);
         }
-        gateway.apply_evacuations_ended(&held.evacuated);
         gateway.refresh_cold_starts();
+        Some(held.evacuated.clone())
     }
 }
--- a/src/policy/cold_start.rs
+++ b/src/policy/cold_start.rs
@@ -56,14 +56,26 @@
 /// Least span over which the retries of requests that wait for the same turn are spread.
 const MIN_RETRY_SPREAD: Duration = Duration::from_millis(500);
 
+/// Unit of `Retry-After` in responses.
+const RETRY_AFTER_UNIT: Duration = Duration::from_millis(10);
+
 /// Returns the `Retry-After` of a request for which the earliest turn, or the end of the earliest
-/// cold period, comes after `wait`. `draw`, from 0 to 1, is random and spreads the retries over half
-/// of that time, because those of a long wait are more. A turn later than the limit of 5 s is not
-/// waited for.
+/// cold period, comes after `wait`, in whole units. `draw`, from 0 to 1, is random and spreads the
+/// retries over half of that time, because more requests are rejected during a long wait. Where
+/// `wait` exceeds the limit of 5 s, `Retry-After` ends by that limit, and the request may be rejected
+/// again.
 pub fn retry_after(wait: Duration, draw: f64) -> Duration {
-    let earliest = wait.min(MAX_RETRY_AFTER - MIN_RETRY_SPREAD);
-    let spread = (earliest / 2).clamp(MIN_RETRY_SPREAD, MAX_RETRY_AFTER - earliest);
-    earliest + spread.mul_f64(draw)
+    let earliest = if wait > MAX_RETRY_AFTER {
+        MAX_RETRY_AFTER - MIN_RETRY_SPREAD
+    } else {
+        wait
+    };
+    let spread = (earliest / 2).max(MIN_RETRY_SPREAD);
+    let spread = spread.min(MAX_RETRY_AFTER - earliest);
+    let after = earliest + spread.mul_f64(draw);
+    // Rounded up: the nearest unit may be before the turn.
+    let units = after.as_nanos().div_ceil(RETRY_AFTER_UNIT.as_nanos());
+    RETRY_AFTER_UNIT * units as u32
 }
 
 /// How a gateway learnt that an upstream is cold.
@@ -123,7 +135,11 @@
     share: u32,
     /// Earliest start of the next request.
     next_turn: Duration,
-    /// Whether there was a limit when the period began. Without one, its begin is not reported as a
+    /// How the gateway learnt of it.
+    source: Source,
+    /// Random part of an interval by which the first turn is delayed, from 0 to 1.
+    phase: f64,
+    /// Whether there has been a limit in the period. Until then its begin is not reported as a
     /// transition, and neither is its end.
     is_reported: bool,
     /// Turns that have passed unused, parts of them included.
@@ -172,8 +188,8 @@
     /// Records a grant in reply to a renewal that was sent at `sent_at`. The leader has counted this
     /// gateway from then on at the earliest; it may have removed it since if the reply was delayed.
     pub fn record_grant(&mut self, sent_at: Duration, now: Duration) {
-        // After a suspension, no refresh may have found the last grant old before this one arrives.
         self.count_lost(now);
+        // After a suspension, no refresh may have found the last grant old before this one arrives.
         let was_cut_off = self.is_cut_off || now >= self.last_grant + CUT_OFF_AFTER;
         self.last_grant = self.last_grant.max(sent_at);
         let is_recent = now < self.last_grant + CUT_OFF_AFTER;
@@ -209,8 +225,8 @@
     }
 
     /// Applies a report. `phase`, from 0 to 1, is random and spreads the first turns of the
-    /// gateways; the limit does not depend on it. Returns the transition of an upstream that had a
-    /// limit when its cold period began.
+    /// gateways; the limit does not depend on it. Returns the transition of an upstream that has had a
+    /// limit in its cold period.
     pub fn apply(&mut self, report: &Report, phase: f64, now: Duration) -> Option<Transition> {
         let upstream = report.upstream;
         let until = now + report.remaining.min(MAX_COLD);
@@ -240,6 +256,8 @@
             per_s: report.per_s,
             share: self.share(upstream, report.per_s),
             next_turn: now,
+            source: report.source,
+            phase,
             is_reported: report.per_s > 0.0,
             lost: 0.0,
             counted_until: now,
@@ -257,14 +275,31 @@
         period.is_reported.then_some(Transition::Cold)
     }
 
-    /// Updates the tolerated rates, which `per_s` returns, and this gateway's shares.
-    pub fn refresh(&mut self, now: Duration, per_s: impl Fn(Index) -> f64) {
+    /// Updates the tolerated rates, which `per_s` returns, and this gateway's shares. Returns the
+    /// cold periods that have a limit for the first time, as when the configuration arrives after
+    /// the directory.
+    pub fn refresh(&mut self, now: Duration, per_s: impl Fn(Index) -> f64) -> Vec<Report> {
         self.count_lost(now);
         let mut has_changed = false;
+        let mut limited = Vec::new();
+        let mut begun = Vec::new();
         for (&upstream, period) in &mut self.periods {
             let per_s = per_s(upstream);
             has_changed |= period.per_s.to_bits() != per_s.to_bits();
+            let had_limit = period.per_s > 0.0;
             period.per_s = per_s;
+            if had_limit || !(per_s > 0.0 && now < period.until) {
+                continue;
+            }
+            limited.push(upstream);
+            if !std::mem::replace(&mut period.is_reported, true) {
+                begun.push(Report {
+                    upstream,
+                    remaining: period.until - now,
+                    source: period.source,
+                    per_s,
+                });
+            }
         }
         if now >= self.last_grant + CUT_OFF_AFTER {
             // The list is kept as it is: the absence of others can't be known.
@@ -280,6 +315,15 @@
         if has_changed {
             self.recompute_shares(now);
         }
+        for upstream in limited {
+            if let Some(period) = self.periods.get_mut(&upstream) {
+                // The former turn is by the interval without a limit, of up to 1,000 s. The delay
+                // covers requests that the upstream has had without a limit.
+                let delay = JOIN_DELAY + period.interval().mul_f64(period.phase);
+                period.next_turn = now + delay;
+            }
+        }
+        begun
     }
 
     /// Records that a request is sent to an upstream; returns whether that took a turn.
@@ -324,8 +368,8 @@
         self.periods.is_empty()
     }
 
-    /// Removes the cold periods that have ended, and returns the upstreams of those that began with
-    /// a limit.
+    /// Removes the cold periods that have ended, and returns the upstreams of those that had a
+    /// limit.
     pub fn remove_ended(&mut self, now: Duration) -> Vec<Index> {
         self.count_lost(now);
         let ended = self.periods.extract_if(|_, period| now >= period.until);
@@ -342,7 +386,8 @@
     }
 
     /// Returns the turns of this gateway that passed unused in the periods that have ended since the
-    /// last call. The part of a turn is kept for the next call.
+    /// last call. The part of a turn is kept for the next call. Turns at upstreams that take no
+    /// requests meanwhile, as in an evacuated data centre, are included.
     pub fn take_lost(&mut self) -> u64 {
         let whole = self.lost.floor();
         self.lost -= whole;
--- a/tests/load/cold_upstreams.rs
+++ b/tests/load/cold_upstreams.rs
@@ -521,12 +521,32 @@
     assert!(table.wait(UPSTREAM, at).is_zero());
     assert!(!table.record_sent(UPSTREAM, at));
     assert_eq!(table.apply(&warm, 0.0, at), None);
-    // A limit that is configured during a period is obeyed; the log has no end without a begin.
-    let unlimited = report(UPSTREAM, SECOND, Source::Heartbeat, 0.0);
-    assert_eq!(table.apply(&unlimited, 0.0, at), None);
-    table.refresh(at, |_| 4.0);
+}
+
+/// Guards against a gateway that starts during a period, receives the limit after the directory, and
+/// then has no turn for 1,000 s or logs neither the begin nor the end of the period.
+#[test]
+fn limit_that_arrives_during_a_period_is_obeyed_and_the_period_is_reported_then() {
+    let mut table = ColdStarts::default();
+    let now = 10 * SECOND;
+    table.record_grant(now, now);
+    table.set_gateways(address(0), [address(0)], now);
+    let unlimited = report(UPSTREAM, 600 * SECOND, Source::Heartbeat, 0.0);
+    assert_eq!(table.apply(&unlimited, 0.8, now), None);
+    let at = now + SECOND;
+    table.record_grant(at, at);
+    let begun = table.refresh(at, |_| 4.0);
+    assert_eq!(begun.len(), 1);
+    assert_eq!(begun[0].remaining, 599 * SECOND);
+    assert_eq!(begun[0].source, Source::Heartbeat);
     assert!(table.is_cold(UPSTREAM, at));
-    assert_eq!(table.apply(&warm, 0.0, at), None);
+    assert_eq!(table.wait(UPSTREAM, at), ms(2_000));
+    // Later changes of the limit are no other begin.
+    for per_s in [4.0, 2.0, 0.0, 4.0] {
+        assert!(table.refresh(at, |_| per_s).is_empty());
+    }
+    let warm = report(UPSTREAM, Duration::ZERO, Source::Heartbeat, 4.0);
+    assert_eq!(table.apply(&warm, 0.0, at), Some(Transition::Warm));
 }
 
 /// Guards against callers of a gateway without a share that are told to retry while it would reject
@@ -552,6 +572,18 @@
     waits.sort_unstable();
     // The turn of the gateway with the share, and the end of the period for the other.
     assert_eq!(waits, [ms(1_800), 4 * SECOND]);
+    // Close to the limit there is less of a spread; no retry comes before the turn.
+    for wait in [ms(4_501), ms(4_803), ms(4_996), 5 * SECOND] {
+        for draw in [0.0, 0.5, 1.0] {
+            let after = retry_after(wait, draw);
+            assert!((wait..=5 * SECOND).contains(&after), "{wait:?}: {after:?}");
+        }
+    }
+    // The header has hundredths of a second.
+    assert_eq!(
+        retry_after(Duration::from_micros(1_800_001), 0.0),
+        ms(1_810)
+    );
     for wait in [Duration::ZERO, ms(10), 2 * SECOND, 4 * SECOND, FOREVER] {
         let spread = retry_after(wait, 1.0) - retry_after(wait, 0.0);
         assert!(spread >= ms(500) && retry_after(wait, 1.0) <= 5 * SECOND);
