--- a/tests/process/directory.rs
+++ b/tests/process/directory.rs
@@ -1,18 +1,24 @@
 //! A large directory of upstreams that many gateways need at once.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
+use daisyquay::config::parse;
 use daisyquay::peer::Client;
 use daisyquay::peer::DirectoryUpdate;
+use daisyquay::peer::OperatorChange;
 use daisyquay::peer::Renewal;
 use daisyquay::peer::Reply;
 use daisyquay::peer::Request;
+use daisyquay::state::command::Change;
+use daisyquay::upstream::AnnounceOutcome;
 use daisyquay::upstream::Announcement;
 use daisyquay::upstream::Directory;
 use daisyquay::upstream::Serves;
 
 use crate::support::Cluster;
+use crate::support::INVENTORY;
 use crate::support::PEER_KEY;
 
 const UPSTREAMS: usize = 3_000;
@@ -97,6 +103,55 @@
     }
 }
 
+/// Guards against an announcement that is rejected although the change that adds its service was sent
+/// before it, because the change is not applied yet.
+#[test]
+fn announcement_is_ordered_behind_a_pending_change_that_adds_its_service() {
+    let cluster = Cluster::start(3, 0);
+    let client = Client::new(PEER_KEY);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    // A leader that loses its followers for too long steps down; another round follows.
+    let outcome = (0..5).find_map(|round| {
+        let service = format!("late-{round}");
+        let inventory = parse(&INVENTORY.replace("previews", &service)).unwrap();
+        let change = Request::OnBehalf {
+            who: "ann".into(),
+            request: Box::new(Request::Change(OperatorChange {
+                change_id: service.as_str().into(),
+                expected_revision: None,
+                change: Change::Apply(Arc::new(inventory)),
+                wait_ms: 0,
+            })),
+        };
+        let announcement = Request::Announce(Announcement {
+            serves: Serves::Service(service.into()),
+            ..announcement(round)
+        });
+        let leader = cluster.leader();
+        let call = |request| client.call(cluster.replica_addresses[leader], request, CALL_TIMEOUT);
+        let followers = || cluster.replicas.iter().enumerate();
+        let followers = || followers().filter(|(i, _)| *i != leader);
+        let calls = async {
+            // Opens the connection, on which the requests arrive in order.
+            call(&Request::BootstrapStatus).await.unwrap();
+            followers().for_each(|(_, follower)| follower.suspend());
+            let resume = async {
+                tokio::time::sleep(Duration::from_millis(150)).await;
+                followers().for_each(|(_, follower)| follower.resume());
+            };
+            tokio::join!(call(&change), call(&announcement), resume).1
+        };
+        match tokio::task::LocalSet::new().block_on(&runtime, calls) {
+            Ok(Reply::Announce(outcome)) => Some(outcome),
+            _ => None,
+        }
+    });
+    assert_eq!(outcome, Some(AnnounceOutcome::Accepted));
+}
+
 fn start_fetch() -> (Cluster, Vec<Reply>) {
     let cluster = Cluster::start_with_inventory(1, 0);
     let replica = cluster.replica_addresses[0];
