Widen the margins of the response timeouts of cold upstreams' test

The margins were 430 ms, and the end accepted any status but 200, also of a request that was never sent. The timeouts are now 3 s and 6 s, the response takes 4 s, and the test asserts the status and that the upstream received each request once.

A check that all are served requires a request, and the log's size must not shrink while it is measured.

--- a/tests/process/cold_upstreams.rs
+++ b/tests/process/cold_upstreams.rs
@@ -95,8 +95,8 @@
         let cluster = Cluster::start(1, 1);
         let service = "name = \"previews\"\n";
         let limits = format!("{service}cold_per_s = {PER_S:?}\ncold_start_ms = 6000\n");
-        // The response timeout of a warm upstream on the path of notes is 0.84 s.
-        let routes = ROUTES.replacen("target_ms = 2000", "target_ms = 1200", 1);
+        // The response timeout of a warm upstream on the path of notes is 3 s.
+        let routes = ROUTES.replacen("target_ms = 2000", "target_ms = 4286", 1);
         let inventory = format!("{}{routes}", INVENTORY.replacen(service, &limits, 1));
         cluster.apply(&inventory, &["--change-id", "first"]);
         let gateways: Vec<_> = (0..gateways).map(|_| cluster.start_gateway()).collect();
@@ -202,7 +202,7 @@
         AUTH_HEADER,
         ("host", "previews.example"),
         ("daisyquay-attempt", id),
-        ("daisyquay-deadline-ms", "6000"),
+        ("daisyquay-deadline-ms", "8000"),
         ("daisyquay-tokens", "5000,100"),
     ];
     // Only prompts, on the path of notes, have tokens.
@@ -287,7 +287,7 @@
     let upstream = ColdUpstream::start();
     let are_served = || {
         let responses = setup.send_for(SECOND);
-        responses.iter().all(|response| response.status == 200)
+        !responses.is_empty() && responses.iter().all(|response| response.status == 200)
     };
     setup.announce("u", 1, &upstream, 60_000);
     assert!(!are_served(), "its former incarnation was cold");
@@ -307,19 +307,26 @@
 fn response_timeout_of_a_cold_upstream_is_twice_as_long_and_its_times_are_not_learned() {
     let setup = Setup::new(1);
     let upstream = Upstream::start(|seen, out| {
-        thread::sleep(Duration::from_millis(1_250));
+        thread::sleep(4 * SECOND);
         write(out, &ok_response(seen, "note"))
     });
     let gateway = setup.gateways[0].1;
     let status = |id: &str| call(gateway, "/notes/a", id).map(|response| response.status);
+    let received = |id: &str| {
+        let received = upstream.received();
+        received.iter().filter(|r| r.attempt_id() == id).count()
+    };
     setup.announce_at(upstream.address, "u", 1, 60_000);
     thread::sleep(SECOND);
     // Five responses suffice for a rate.
     for i in 0..6 {
-        assert_eq!(status(&format!("cold-{i}")), Some(200));
+        let id = format!("cold-{i}");
+        assert_eq!(status(&id), Some(200));
+        assert_eq!(received(&id), 1, "no response counts as a failure");
     }
     setup.announce_at(upstream.address, "u", 1, 0);
-    assert_ne!(status("warm"), Some(200), "it has responded too late");
+    assert_eq!(status("warm"), Some(502), "it would respond too late");
+    assert_eq!(received("warm"), 1);
 }
 
 /// Guards against a release that is judged by the response times of its cold upstreams.
@@ -384,26 +391,19 @@
         row.map(|row| row["presence"].clone())
     };
     assert_eq!(presence(), Some(json!("live")));
-    let headers = [("authorization", "Bearer dev-upstream-key")];
-    let entry = setup.cluster.entry_addresses[0];
     // Guards against a command of the log for each heartbeat that is rejected.
     let disk_bytes = || setup.cluster.show("status")["disk_bytes"].as_u64();
     let before = disk_bytes().unwrap();
     for _ in 0..60 {
-        let reply = post(
-            entry,
-            "/upstream/announce",
-            &headers,
-            &body(2, "unknown").to_string(),
-        );
-        assert_eq!(reply.unwrap().status, 400);
+        setup.post(&body(2, "unknown"), 400);
     }
-    let grown = disk_bytes().unwrap().saturating_sub(before);
+    let after = disk_bytes().unwrap();
+    assert!(after >= before, "{before}, then {after} bytes of log");
+    let grown = after - before;
     assert!(grown < 60 * 40, "{grown} bytes of log for 60 heartbeats");
     eventually("the upstream counts as silent", || {
-        for body in [body(1, "previews"), body(2, "unknown")] {
-            post(entry, "/upstream/announce", &headers, &body.to_string())?;
-        }
+        setup.post(&body(1, "previews"), 409);
+        setup.post(&body(2, "unknown"), 400);
         thread::sleep(SECOND / 2);
         (presence()? != json!("live")).then_some(())
     });
