Give each request of the cold upstreams' tests its own id

The ids began anew with each call of send_for, and a session or id keeps its release during a trial. If none of the first ids of a run was assigned to the new release, none ever was: the test of the release evidence failed once with 1,026 requests to the old release and none to the new one. The ids are now numbered over the whole test. The 7 process tests of cold upstreams pass.

--- a/tests/process/cold_upstreams.rs
+++ b/tests/process/cold_upstreams.rs
@@ -88,6 +88,8 @@
 struct Setup {
     cluster: Cluster,
     gateways: Vec<(Program, SocketAddr)>,
+    /// Number of the next request. The id of a request decides which release gets it.
+    next_number: AtomicU64,
 }
 
 impl Setup {
@@ -108,7 +110,11 @@
         }
         // The gateways learn of each other, and their turns begin.
         thread::sleep(3 * SECOND);
-        Self { cluster, gateways }
+        Self {
+            cluster,
+            gateways,
+            next_number: AtomicU64::new(0),
+        }
     }
 
     /// Announces an upstream, and waits until the gateways have received that.
@@ -167,7 +173,8 @@
         let send = |address: SocketAddr| {
             let mut responses = Vec::new();
             while Instant::now() < until {
-                let id = format!("id-{}-{}", address.port(), responses.len());
+                let number = self.next_number.fetch_add(1, Ordering::SeqCst);
+                let id = format!("id-{number}");
                 responses.extend(call(address, "/lookup/a", &id));
                 thread::sleep(Duration::from_millis(50));
             }
