Start no election after a restart in a term with a vote for another

A voter that had just granted its vote after a restart could be the first candidate of its own list and start a second election in the next tick, which deposed the leader that it had helped to elect. It now leaves the term to that candidate until the election timeout. Probes are sent for 4 s instead of 2 s, the skew of the starts that they must cover.

Adds the missing test that a leader cannot remove itself.

--- a/src/agreement/node/mod.rs
+++ b/src/agreement/node/mod.rs
@@ -366,7 +366,8 @@
         if is_pending {
             return ChangePendingSnafu.fail();
         }
-        // Replicas rely on finding a leader among the voters of its own log; see `Restart`.
+        // A restarted replica assumes that the leader of its term is a voter in its log; see
+        // `Restart`.
         let removes_self = *change == Change::Remove(self.id);
         let Some(next) = membership.with_change(change).filter(|_| !removes_self) else {
             return InvalidChangeSnafu.fail();
@@ -424,7 +425,7 @@
         let Message {
             from, term, body, ..
         } = message;
-        self.record_candidacy(from, term, &body);
+        self.record_vote_request(from, term, &body);
         match body {
             Body::PreVote {
                 last_index,
--- a/src/agreement/node/restart.rs
+++ b/src/agreement/node/restart.rs
@@ -33,15 +33,16 @@
 const PROBE_INTERVAL: Duration = Duration::from_millis(30);
 
 /// Time after a restart for which pre-vote requests are sent at short intervals: after a loss of
-/// power all VMs start within 2 s of each other.
-const PROBE_PERIOD: Duration = Duration::from_secs(2);
+/// power all VMs start within 2 s of each other, and the first one must still send requests when the
+/// last one has started.
+const PROBE_PERIOD: Duration = Duration::from_secs(4);
 
 /// What a replica knows of the other voters since its own start.
 #[derive(Debug)]
 pub(super) struct Restart {
     started_at: Duration,
-    /// Term on disk at the start.
-    term: Term,
+    /// Term and vote on disk at the start.
+    hard_state: HardState,
     /// Whether the log has an entry of that term.
     has_entry_of_term: bool,
     /// Replicas that have asked for votes in a later term, with the term and index of their last
@@ -55,7 +56,7 @@
     pub(super) fn new(hard_state: HardState, log: &Log, now: Duration) -> Self {
         Self {
             started_at: now,
-            term: hard_state.term,
+            hard_state,
             has_entry_of_term: log.last_term() == hard_state.term,
             heard: BTreeMap::new(),
             next_probe_at: now,
@@ -66,7 +67,7 @@
 impl Node {
     /// Records that `from` asks for votes, and ends the wait for a former leader's lease if no
     /// voter can hold it any more.
-    pub(super) fn record_candidacy(&mut self, from: ReplicaId, term: Term, body: &Body) {
+    pub(super) fn record_vote_request(&mut self, from: ReplicaId, term: Term, body: &Body) {
         let (Body::PreVote {
             last_index,
             last_term,
@@ -81,7 +82,7 @@
         let Some(restart) = &mut self.restart else {
             return;
         };
-        if term > restart.term {
+        if term > restart.hard_state.term {
             restart.heard.insert(from, (last_term, last_index));
         }
         self.end_restart_wait();
@@ -102,7 +103,8 @@
     }
 
     /// Sends pre-vote requests after a restart. Once all voters have restarted, the one with the
-    /// most complete log starts the election, so that votes are not split.
+    /// most complete log starts the election, so that votes are not split. One that has voted for
+    /// another since its start leaves the term to that candidate until the election timeout.
     pub(super) fn tick_restart(&mut self, now: Duration) {
         let Some(restart) = &mut self.restart else {
             return;
@@ -115,7 +117,7 @@
         if !self.membership().is_voter(self.id) {
             return;
         }
-        if self.end_restart_wait() && self.is_first_candidate() {
+        if self.end_restart_wait() && self.is_first_candidate() && !self.has_voted_since_restart() {
             self.start_pre_vote(now);
             return;
         }
@@ -126,6 +128,13 @@
         self.send_to_voters(self.hard_state.term + 1, &body);
     }
 
+    /// Returns whether this replica has voted for another one in the present term since its start.
+    fn has_voted_since_restart(&self) -> bool {
+        let is_new = |restart: &Restart| restart.hard_state != self.hard_state;
+        self.restart.as_ref().is_some_and(is_new)
+            && self.hard_state.vote.is_some_and(|vote| vote != self.id)
+    }
+
     /// Returns whether no voter heard of has a more complete log, or an equal one and a lower
     /// identity.
     fn is_first_candidate(&self) -> bool {
--- a/tests/fuzz/agreement/mod.rs
+++ b/tests/fuzz/agreement/mod.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use daisyquay::agreement::Body;
+use daisyquay::agreement::Change;
 use daisyquay::agreement::Entry;
 use daisyquay::agreement::HardState;
 use daisyquay::agreement::Log;
@@ -14,8 +15,10 @@
 use daisyquay::agreement::Message;
 use daisyquay::agreement::Node;
 use daisyquay::agreement::Payload;
+use daisyquay::agreement::ProposeError;
 use daisyquay::agreement::ReplicaId;
 use daisyquay::agreement::Restored;
+use daisyquay::agreement::Role;
 use daisyquay::agreement::Settings;
 use daisyquay::agreement::Snapshot;
 use daisyquay::agreement::Term;
@@ -181,9 +184,8 @@
     }
 }
 
-/// Returns whether a replica that restarts with `term` on disk and a last entry of `entry_term`
-/// grants a pre-vote at once, when it has received requests of replicas in these terms.
-fn grants_at_once(term: Term, entry_term: Term, requests: &[(u64, Term)]) -> bool {
+/// Returns a replica of three that restarts with `term` on disk and a last entry of `entry_term`.
+fn restarted(term: Term, entry_term: Term, now: Duration) -> Node {
     let address = |id: u16| std::net::SocketAddr::from(([127, 0, 0, 1], id));
     let snapshot = Snapshot {
         index: 1,
@@ -200,19 +202,30 @@
         hard_state: HardState { term, vote: None },
         log: Log::new(snapshot, vec![last]),
     };
+    Node::new(ReplicaId(1), restored, Settings::default(), 1, now)
+}
+
+fn to_restarted(from: u64, term: Term, body: Body) -> Message {
+    Message {
+        from: ReplicaId(from),
+        to: ReplicaId(1),
+        term,
+        body,
+    }
+}
+
+/// Returns whether a restarted replica grants a pre-vote at once, when it has received requests of
+/// replicas in these terms.
+fn grants_at_once(term: Term, entry_term: Term, requests: &[(u64, Term)]) -> bool {
     let now = Duration::from_secs(1);
-    let mut node = Node::new(ReplicaId(1), restored, Settings::default(), 1, now);
+    let mut node = restarted(term, entry_term, now);
     let mut is_granted = false;
     for &(from, term) in requests {
-        let message = Message {
-            from: ReplicaId(from),
-            to: ReplicaId(1),
-            term,
-            body: Body::PreVote {
-                last_index: 2,
-                last_term: entry_term,
-            },
+        let body = Body::PreVote {
+            last_index: 2,
+            last_term: entry_term,
         };
+        let message = to_restarted(from, term, body);
         let replies = node.receive(message, now).messages_after_sync;
         is_granted = replies
             .iter()
@@ -231,6 +244,50 @@
     assert!(!grants_at_once(5, 4, &[(3, 6), (2, 6)]));
 }
 
+/// Guards against a voter that starts another election right after it has granted its vote, which
+/// deposes the leader that it has helped to elect.
+#[test]
+fn restarted_replica_that_has_voted_starts_no_other_election_at_once() {
+    let mut now = Duration::from_secs(1);
+    let mut node = restarted(5, 5, now);
+    for (from, last_index) in [(3, 1), (2, 2)] {
+        let last_term = 5;
+        let body = Body::Vote {
+            last_index,
+            last_term,
+        };
+        node.receive(to_restarted(from, 6, body), now);
+    }
+    for _ in 0..20 {
+        now += Duration::from_millis(20);
+        node.tick(now);
+        assert_eq!(node.role(), Role::Follower);
+    }
+}
+
+#[test]
+fn leader_cannot_remove_itself() {
+    let now = Duration::from_secs(1);
+    let mut node = restarted(5, 5, now);
+    let later = now + Duration::from_secs(1);
+    node.tick(later);
+    for body in [
+        Body::PreVoteReply { granted: true },
+        Body::VoteReply { granted: true },
+    ] {
+        node.receive(to_restarted(2, 6, body), later);
+    }
+    let reply = Body::AppendEntriesReply {
+        success: true,
+        index: 3,
+        round: 1,
+    };
+    node.persisted(3, 6);
+    node.receive(to_restarted(2, 6, reply), later);
+    let result = node.propose_change(&Change::Remove(ReplicaId(1)), later);
+    assert_eq!(result.err(), Some(ProposeError::InvalidChange));
+}
+
 /// Guards against an election that waits for the lease of a former leader although all replicas
 /// have restarted, and against split votes then.
 #[test]
