Refuse to let a replica join from the leader's own address

The next membership change was then the removal of the leader, which it can't propose, so all later changes waited for it without a message. The leader refuses such a join, the joining replica logs the reason, and the leader is never chosen for removal.

--- a/src/replica/bootstrap.rs
+++ b/src/replica/bootstrap.rs
@@ -173,8 +173,10 @@
         {
             reply = client.call(leader, &request, CALL_TIMEOUT).await;
         }
-        if let Ok(Reply::Done) = reply {
-            return;
+        match reply {
+            Ok(Reply::Done) => return,
+            Ok(Reply::Refused(reason)) => event!(Warn, "join_refused", reason = reason),
+            _ => {}
         }
     }
 }
--- a/src/replica/handler.rs
+++ b/src/replica/handler.rs
@@ -85,6 +85,14 @@
             if !core.has_leader_lease() {
                 return not_leader(&core);
             }
+            // The member at the address would be removed, but a leader can't remove itself.
+            if address == core.address && id != core.node.id() {
+                return Reply::Refused(
+                    "the leader of the log has this address; pass the joining replica's own \
+                     address with --advertise"
+                        .into(),
+                );
+            }
             core.join_requests.insert(address, id);
             Reply::Done
         }
--- a/src/replica/housekeeping.rs
+++ b/src/replica/housekeeping.rs
@@ -54,6 +54,10 @@
         id != self.node.id() && self.now > since + LOST_AFTER
     }
 
+    fn is_leader(&self, id: ReplicaId) -> bool {
+        id == self.node.id()
+    }
+
     fn is_caught_up(&self, id: ReplicaId) -> bool {
         self.node.is_caught_up(id)
     }
--- a/src/replica/membership.rs
+++ b/src/replica/membership.rs
@@ -13,14 +13,17 @@
     /// Returns whether a member has not responded for so long that it counts as lost.
     fn is_lost(&self, id: ReplicaId) -> bool;
 
+    /// Returns whether a member is the leader, which can't be removed.
+    fn is_leader(&self, id: ReplicaId) -> bool;
+
     /// Returns whether a member has all committed entries.
     fn is_caught_up(&self, id: ReplicaId) -> bool;
 }
 
 /// Returns the next single change towards `target` voters, or `None` where nothing is to be done.
 ///
-/// A replica that asks to join from a member's address replaces that member, whose disk is lost. A
-/// learner is promoted while there are fewer than `target` voters, or exactly `target` of which one
+/// A replica that asks to join from a member's address replaces that member, whose disk is lost,
+/// unless it is the leader, whose address was given to two replicas. A learner is promoted while there are fewer than `target` voters, or exactly `target` of which one
 /// is lost. A lost voter is removed once there are more than `target`.
 pub(super) fn next_change(
     membership: &Membership,
@@ -32,10 +35,11 @@
         if membership.members.contains_key(&id) {
             continue;
         }
-        return Some(match membership.member_at(address) {
-            Some(lost) => Change::Remove(lost),
-            None => Change::AddLearner(id, address),
-        });
+        match membership.member_at(address) {
+            Some(leader) if members.is_leader(leader) => {}
+            Some(lost) => return Some(Change::Remove(lost)),
+            None => return Some(Change::AddLearner(id, address)),
+        }
     }
     let voters = membership.voters().count();
     let lost = membership.voters().find(|&id| members.is_lost(id));
--- a/tests/process/replacement.rs
+++ b/tests/process/replacement.rs
@@ -7,11 +7,13 @@
 use daisyquay::agreement::ReplicaId;
 use daisyquay::peer::BootstrapStatus;
 use daisyquay::peer::Caller;
+use daisyquay::peer::Client;
 use daisyquay::peer::Handler;
 use daisyquay::peer::Reply;
 use daisyquay::peer::Request;
 
 use crate::support::Cluster;
+use crate::support::PEER_KEY;
 use crate::support::Program;
 use crate::support::eventually;
 use crate::support::start_stub_replica;
@@ -45,6 +47,27 @@
     drop(replacement);
 }
 
+/// Guards against a replica with the leader's address that blocks all changes of the membership,
+/// because the leader can't remove itself.
+#[test]
+fn join_from_the_leaders_own_address_is_refused() {
+    let cluster = Cluster::start_with_inventory(1, 0);
+    let address = cluster.replica_addresses[0];
+    let request = Request::Join {
+        id: ReplicaId(1),
+        address,
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    let timeout = std::time::Duration::from_secs(5);
+    let client = Client::new(PEER_KEY);
+    let call = client.call(address, &request, timeout);
+    let reply = tokio::task::LocalSet::new().block_on(&runtime, call);
+    assert!(matches!(reply, Ok(Reply::Refused(_))), "{reply:?}");
+}
+
 /// Returns the identity under which replica `i` is a member of the log.
 fn member_id(cluster: &Cluster, i: usize) -> Option<String> {
     let address = cluster.replica_addresses[i].to_string();
