Spread the renewals of gateways that have restarted together

Causes: replicas hold the first renewals for up to 400 ms and release them at once, but the 120 ms until the second were counted from when the first was sent, and all stayed in lockstep. Without a configuration a gateway renewed every 40 ms, also when an update was rejected. A follower that lagged behind ended the fetch of the directory after the first piece, and so did an update that can't be decoded. An incomplete list with only this gateway counted as alone, and an entry in the list as another gateway.

The delay is now decided by policy::renewal_timing: 120 ms from the first grant, a random part of the first normal interval, doubled delays after no reply, the normal interval after a rejected update. Updates of the directory carry the sender's applied index. Requests wait for the directory until one deadline per gateway. The complete list of gateways is logged too.

--- a/src/entry/link.rs
+++ b/src/entry/link.rs
@@ -154,7 +154,7 @@
             release_stats: Vec::new(),
             is_leaving: shared.is_leaving(),
             releases_lease: false,
-            early_entries_version: None,
+            partial_entries_version: None,
         }
     }
 
--- a/src/gateway/loads/mod.rs
+++ b/src/gateway/loads/mod.rs
@@ -25,6 +25,7 @@
 use crate::collections::HashMap;
 use crate::collections::HashSet;
 use crate::log::event;
+use crate::peer::EntryInfo;
 use crate::policy::backpressure::LimitNotice;
 use crate::policy::crashing_requests;
 use crate::policy::fanout;
@@ -238,9 +239,15 @@
 
 impl Gateway {
     /// Returns whether other gateways may have requests of which no update is heard: there are
-    /// others, or after a start the list of gateways is not known yet.
+    /// others, or after a start the complete list of gateways is not known yet.
     pub(super) fn lacks_updates(&self) -> bool {
-        !self.peer_loads.borrow().hears_others() && self.routing.borrow().entries.len() != 1
+        let routing = self.routing.borrow();
+        // Entries, which are in the list too, send no updates.
+        let mut gateways = routing.entries.iter();
+        let is_other =
+            |info: &EntryInfo| info.loads_address.is_some() && info.address != self.info.address;
+        let is_alone = self.has_all_gateways.get() && !gateways.any(is_other);
+        !is_alone && !self.peer_loads.borrow().hears_others()
     }
 
     /// Returns the mean age of the other gateways' numbers of requests at an upstream: half an
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -76,7 +76,8 @@
 /// milliseconds, and a restart of all replicas takes about a second.
 const CONFIG_WAIT_LIMIT: Duration = Duration::from_millis(1200);
 
-/// How long a request waits after a start for the rest of a large directory. Otherwise the first
+/// How long requests wait for the rest of a large directory, from a gateway's first configuration.
+/// Otherwise the first
 /// requests of all gateways would go to the upstreams of the first piece.
 const DIRECTORY_WAIT_LIMIT: Duration = Duration::from_millis(200);
 
@@ -143,6 +144,10 @@
     /// What the gateway tells the leader about itself.
     info: EntryInfo,
     routing: RefCell<Arc<RoutingTable>>,
+    /// Whether the list of gateways in `routing` has all of them.
+    has_all_gateways: Cell<bool>,
+    /// Until when requests wait for the directory; `None` before the first configuration.
+    directory_deadline: Cell<Option<Duration>>,
     /// The leader's revision of the configuration and when it was received; `None` before the first
     /// grant.
     leader_revision: Cell<Option<(u64, Duration)>>,
@@ -233,6 +238,8 @@
         run_id: fastrand::u64(1..),
         info,
         routing: RefCell::default(),
+        has_all_gateways: Cell::new(false),
+        directory_deadline: Cell::new(None),
         leader_revision: Cell::new(None),
         upstreams: RefCell::default(),
         peer_loads: RefCell::default(),
@@ -351,18 +358,23 @@
     }
 
     /// Waits for the first configuration, up to [`CONFIG_WAIT_LIMIT`], and for the directory, up to
-    /// [`DIRECTORY_WAIT_LIMIT`].
+    /// [`DIRECTORY_WAIT_LIMIT`] after the first configuration.
     async fn wait_for_config(&self) {
         let deadline = self.now() + CONFIG_WAIT_LIMIT;
         while !self.routing.borrow().has_routes() && self.now() < deadline {
             tokio::time::sleep(CONFIG_POLL_INTERVAL).await;
         }
-        let deadline = self.now() + DIRECTORY_WAIT_LIMIT;
-        while !self.recovery.has_reached(Phase::Directory)
-            && self.routing.borrow().has_routes()
-            && self.now() < deadline
-        {
+        let deadline = self.directory_deadline.get().unwrap_or_default();
+        while !self.recovery.has_reached(Phase::Directory) && self.now() < deadline {
             tokio::time::sleep(CONFIG_POLL_INTERVAL).await;
         }
     }
+
+    /// Starts the time for which requests wait for the directory, unless it has started before.
+    fn start_directory_wait(&self) {
+        if self.directory_deadline.get().is_none() {
+            let deadline = self.now() + DIRECTORY_WAIT_LIMIT;
+            self.directory_deadline.set(Some(deadline));
+        }
+    }
 }
--- a/src/gateway/renewal.rs
+++ b/src/gateway/renewal.rs
@@ -4,11 +4,9 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use super::Gateway;
 use crate::evacuation;
-use crate::lease::RENEWAL_INTERVAL;
 use crate::log::event;
 use crate::peer::Client;
 use crate::peer::ConfigUpdate;
@@ -19,6 +17,8 @@
 use crate::peer::Renewal;
 use crate::peer::Reply;
 use crate::peer::Request;
+use crate::policy::renewal_timing::Progress;
+use crate::policy::renewal_timing::RenewalTiming;
 use crate::recovery::Phase;
 use crate::upstream::Upstream;
 
@@ -26,11 +26,6 @@
 /// replica, so that the leader does not send it to every gateway.
 const MAX_GRANTED_CONFIG_BYTES: u32 = 16 * 1024;
 
-/// Time from the first grant to the next renewal of a gateway that does not know the others. After a
-/// loss of power all gateways introduce themselves to the new leader within this time, and until
-/// they know each other, each places requests as if it were alone.
-const EARLY_RENEWAL_INTERVAL: Duration = Duration::from_millis(120);
-
 /// Number of replicas asked for a configuration update between two renewals.
 const UPDATE_ATTEMPTS: usize = 3;
 
@@ -44,34 +39,31 @@
     let leader = LeaderClient::new(client, gateway.cfg.state.clone());
     let mut state = RenewalState {
         update_source: gateway.run_id as usize,
-        early_entries_version: Some(0),
+        partial_entries_version: Some(0),
         ..RenewalState::default()
     };
+    let mut timing = RenewalTiming::new(fastrand::f64());
     loop {
         let sent_at = gateway.now();
-        let renewal = state.next_renewal(&gateway);
+        let renewal = state.next_renewal(&gateway, timing.may_list_gateways(sent_at));
         let release_stats = renewal.release_stats.clone();
         let reply = leader.try_call(&Request::Renew(Box::new(renewal))).await;
         let Some(Reply::Grant(grant)) = reply else {
             gateway.restore_release_stats(release_stats);
             state.mark_disconnected();
+            timing.record_failure();
             leader.wait_before_retry().await;
             continue;
         };
+        timing.record_grant(gateway.now());
         state.apply_grant(&gateway, &leader, *grant);
         state.fetch_directory(&gateway, &leader).await;
         state.record_recovery(&gateway);
         state.fetch_config(&gateway, &leader).await;
         state.record_recovery(&gateway);
-        if state.lacks_first_config() {
-            leader.wait_before_retry().await;
-            continue;
-        }
-        if !state.has_whole_directory {
-            continue;
-        }
-        let elapsed = gateway.now().saturating_sub(sent_at);
-        tokio::time::sleep(state.renewal_interval().saturating_sub(elapsed)).await;
+        let (progress, has_list) = (state.progress(), state.has_list());
+        let delay = timing.next_delay(progress, has_list, sent_at, gateway.now());
+        tokio::time::sleep(delay).await;
     }
 }
 
@@ -83,7 +75,16 @@
         }
     }
 
-    fn set_entries(&self, entries: Vec<EntryInfo>) {
+    /// Sets the list of gateways. `is_complete` is whether the leader knows all of them.
+    fn set_entries(&self, entries: Vec<EntryInfo>, is_complete: bool) {
+        let has_loads = |info: &&EntryInfo| info.loads_address.is_some();
+        event!(
+            Info,
+            "gateways_known",
+            count = entries.iter().filter(has_loads).count(),
+            complete = is_complete
+        );
+        self.has_all_gateways.set(is_complete);
         let mut routing = (*self.routing()).clone();
         routing.entries = Arc::new(entries);
         self.set_routing(routing);
@@ -123,12 +124,19 @@
     update_source: usize,
     /// Log index up to which changes of the directory have been received.
     directory_index: u64,
-    /// Whether the last update of the directory was followed by no other.
+    /// Lowest log index up to which the leader's directory was current at the last grant.
+    leader_directory_index: u64,
+    /// Whether all upstreams that the leader knew of at the last grant are held.
     has_whole_directory: bool,
+    /// Whether the last replica asked for a piece of the directory had one.
+    has_directory_source: bool,
+    /// Whether an update of the configuration or the directory has been rejected since the last
+    /// renewal.
+    has_rejected_update: bool,
     /// The leader's change counter for its list of gateways.
     entries_version: u64,
     /// Version of the incomplete list of the gateways; `None` once the complete one is held.
-    early_entries_version: Option<u64>,
+    partial_entries_version: Option<u64>,
     /// Digest of the replicas' addresses.
     replicas_digest: u32,
     /// Whether the last renewal was granted.
@@ -136,7 +144,8 @@
 }
 
 impl RenewalState {
-    fn next_renewal(&self, gateway: &Gateway) -> Renewal {
+    /// `wants_list` is whether the leader may send an incomplete list of the gateways.
+    fn next_renewal(&self, gateway: &Gateway, wants_list: bool) -> Renewal {
         Renewal {
             entry: gateway.run_id,
             info: (!self.is_introduced).then(|| gateway.info.clone()),
@@ -154,16 +163,25 @@
             release_stats: gateway.drain_release_stats(),
             is_leaving: gateway.is_draining(),
             releases_lease: false,
-            early_entries_version: self.early_entries_version,
+            partial_entries_version: self.partial_entries_version.filter(|_| wants_list),
         }
     }
 
-    /// Returns the time from one renewal to the next.
-    fn renewal_interval(&self) -> Duration {
-        if self.early_entries_version == Some(0) {
-            EARLY_RENEWAL_INTERVAL
+    /// Returns whether a list of the gateways is held, complete or not.
+    fn has_list(&self) -> bool {
+        self.partial_entries_version != Some(0)
+    }
+
+    /// Returns whether this gateway holds what it needs to serve requests.
+    fn progress(&self) -> Progress {
+        if !self.lacks_first_config() && self.has_whole_directory {
+            Progress::Complete
+        } else if self.has_rejected_update {
+            Progress::Rejected
+        } else if !self.lacks_first_config() && self.has_directory_source {
+            Progress::Partial
         } else {
-            RENEWAL_INTERVAL
+            Progress::Unavailable
         }
     }
 
@@ -180,6 +198,7 @@
             event!(Info, "state_found", term = grant.term);
         }
         gateway.record_phase(Phase::Leader);
+        self.has_rejected_update = false;
         self.term = grant.term;
         self.is_introduced = !grant.wants_info;
         self.entries_version = grant.entries_version;
@@ -191,18 +210,18 @@
             leader.set_replicas(replicas);
         }
         if let Some(entries) = grant.entries {
-            self.early_entries_version = None;
-            gateway.set_entries(entries);
-        } else if let Some(list) = grant.early_entries
+            self.partial_entries_version = None;
+            gateway.set_entries(entries, true);
+        } else if let Some(list) = grant.partial_entries
             && let Some(entries) = list.entries()
         {
             // The shares of cold upstreams need the complete list.
-            self.early_entries_version = Some(list.version);
-            event!(Info, "gateways_known", count = entries.len());
-            gateway.set_entries(entries);
+            self.partial_entries_version = Some(list.version);
+            gateway.set_entries(entries, false);
         }
+        self.leader_directory_index = grant.directory.applied();
         let rows = self.read_directory_update(&grant.directory);
-        gateway.merge_into_directory(rows);
+        gateway.merge_into_directory(rows.unwrap_or_default());
         self.leader_revision = grant.revision;
         if let Some(update) = grant.config {
             self.apply_config(gateway, &update);
@@ -226,7 +245,8 @@
     }
 
     /// Fetches the rest of the directory from the replicas in turn, if the grant did not have all.
-    /// Gateways start at different replicas, which share the load.
+    /// Gateways start at different replicas, which share the load. One that does not reply, lags
+    /// behind or sends an update that can't be decoded ends the search until after the next renewal.
     async fn fetch_directory(&mut self, gateway: &Gateway, leader: &LeaderClient) {
         let mut rows = Vec::new();
         for _ in 0..DIRECTORY_UPDATES {
@@ -238,27 +258,44 @@
             };
             let reply = leader.call_replica_at(self.update_source, &request).await;
             let Some(Reply::DirectoryUpdate(update)) = reply else {
-                self.update_source = self.update_source.wrapping_add(1);
+                self.try_next_source();
+                break;
+            };
+            let Some(piece) = self.read_directory_update(&update) else {
+                self.try_next_source();
                 break;
             };
-            rows.extend(self.read_directory_update(&update));
+            rows.extend(piece);
+            self.has_directory_source = true;
+            if update.is_last() && !self.has_whole_directory {
+                self.try_next_source();
+                break;
+            }
         }
         gateway.merge_into_directory(rows);
     }
 
-    /// Returns the rows of an update and records up to which log index they lead.
-    fn read_directory_update(&mut self, update: &DirectoryUpdate) -> Vec<Upstream> {
+    fn try_next_source(&mut self) {
+        self.has_directory_source = false;
+        self.update_source = self.update_source.wrapping_add(1);
+    }
+
+    /// Returns the rows of an update and records up to which log index they lead; `None` if the
+    /// update is rejected.
+    fn read_directory_update(&mut self, update: &DirectoryUpdate) -> Option<Vec<Upstream>> {
         match update.rows() {
             Ok(rows) => {
-                self.has_whole_directory = update.is_last();
+                // A replica that lags behind lacks the last pieces.
+                let needed = self.leader_directory_index.max(self.directory_index);
+                self.has_whole_directory = update.is_last_for(needed);
                 self.directory_index = self.directory_index.max(update.index());
-                rows
+                Some(rows)
             }
             Err(e) => {
                 event!(Warn, "directory_update_rejected", error = e);
-                // The next grant is asked for as usual, not at once.
-                self.has_whole_directory = true;
-                Vec::new()
+                self.has_whole_directory = false;
+                self.has_rejected_update = true;
+                None
             }
         }
     }
@@ -266,7 +303,7 @@
     /// Fetches the configuration from the replicas in turn, if the leader has a newer one. Gateways
     /// start at different replicas, which share the load. One that does not reply ends the search
     /// until after the next renewal, which brings the news of upstreams and must not wait for long,
-    /// unless no configuration is held yet.
+    /// unless no configuration is held yet. So does one whose update is rejected.
     async fn fetch_config(&mut self, gateway: &Gateway, leader: &LeaderClient) {
         for _ in 0..UPDATE_ATTEMPTS {
             if self.revision >= self.leader_revision {
@@ -282,7 +319,10 @@
                 Some(Reply::ConfigUpdate(Some(update)))
                     if self.revision > 0 || update.revision() >= self.leader_revision =>
                 {
-                    self.apply_config(gateway, &update);
+                    if !self.apply_config(gateway, &update) {
+                        self.update_source = self.update_source.wrapping_add(1);
+                        return;
+                    }
                 }
                 reply => {
                     self.update_source = self.update_source.wrapping_add(1);
@@ -294,9 +334,10 @@
         }
     }
 
-    fn apply_config(&mut self, gateway: &Gateway, update: &ConfigUpdate) {
+    /// Applies an update of the configuration. Returns `false` if it is rejected.
+    fn apply_config(&mut self, gateway: &Gateway, update: &ConfigUpdate) -> bool {
         if update.revision() <= self.revision {
-            return;
+            return true;
         }
         let routing = (*gateway.routing()).clone();
         let held = routing.config.clone().unwrap_or_default();
@@ -304,10 +345,12 @@
             Ok(config) => config,
             Err(e) => {
                 event!(Warn, "config_update_rejected", error = e);
-                return;
+                self.has_rejected_update = true;
+                return false;
             }
         };
         self.revision = config.revision;
+        gateway.start_directory_wait();
         event!(
             Info,
             "config_taken",
@@ -323,5 +366,6 @@
         }
         gateway.apply_evacuations_ended(&held.evacuated);
         gateway.refresh_cold_starts();
+        true
     }
 }
--- a/src/peer/directory_update.rs
+++ b/src/peer/directory_update.rs
@@ -26,6 +26,8 @@
     is_last: bool,
     /// The rows, encoded and compressed; empty if there are none.
     data: Arc<[u8]>,
+    /// Log index up to which the sender's directory is current.
+    applied: Index,
 }
 
 impl DirectoryUpdate {
@@ -42,6 +44,7 @@
             index: rest.unwrap_or_else(|| applied.max(held)),
             is_last: rest.is_none(),
             data: data.into(),
+            applied,
         }
     }
 
@@ -51,6 +54,7 @@
             index: held,
             is_last: true,
             data: Arc::default(),
+            applied: held,
         }
     }
 
@@ -65,6 +69,25 @@
         self.is_last
     }
 
+    /// Returns whether a receiver that merges the rows holds all that changed up to log index
+    /// `needed`: a sender that lags behind does not know of the latest changes.
+    pub fn is_last_for(&self, needed: Index) -> bool {
+        self.is_last && self.applied >= needed
+    }
+
+    /// Returns the log index up to which the sender's directory is current.
+    pub fn applied(&self) -> Index {
+        self.applied
+    }
+
+    /// Returns the same update, sent by a replica that is current up to `applied`.
+    pub(crate) fn with_applied(&self, applied: Index) -> Self {
+        Self {
+            applied,
+            ..self.clone()
+        }
+    }
+
     /// Returns the rows.
     ///
     /// # Errors
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -181,7 +181,7 @@
     pub releases_lease: bool,
     /// Version of the incomplete list of gateways that the holder has, 0 for none; `None` where it
     /// wants no incomplete list, because it has a complete one or needs none.
-    pub early_entries_version: Option<u64>,
+    pub partial_entries_version: Option<u64>,
 }
 
 /// Name and addresses of an entry or gateway.
@@ -282,13 +282,13 @@
     pub suspects: Vec<Index>,
     /// The entries and gateways that this leader knows so far, for a holder without a list; `None`
     /// where it has this one or the leader knows all.
-    pub early_entries: Option<EntryList>,
+    pub partial_entries: Option<EntryList>,
 }
 
 /// A list of entries and gateways, encoded once for all holders that need it.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct EntryList {
-    /// Change counter, for [`Renewal::early_entries_version`].
+    /// Change counter, for [`Renewal::partial_entries_version`].
     pub version: u64,
     data: Arc<[u8]>,
 }
@@ -387,7 +387,7 @@
             replicas: None,
             replicas_digest: 0,
             suspects: Vec::new(),
-            early_entries: None,
+            partial_entries: None,
         }
     }
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -22,6 +22,7 @@
 pub mod reachability;
 pub mod regions;
 pub mod release_rollout;
+pub mod renewal_timing;
 pub mod retry;
 pub mod retry_budget;
 pub mod sessions;
--- a/src/replica/directory_history.rs
+++ b/src/replica/directory_history.rs
@@ -24,7 +24,7 @@
         applied: Index,
     ) -> DirectoryUpdate {
         if let Some(update) = self.updates.get(&held) {
-            return update.clone();
+            return update.with_applied(applied);
         }
         let update = DirectoryUpdate::after(directory, held, applied);
         if !update.is_last() {
--- a/src/replica/leader_state.rs
+++ b/src/replica/leader_state.rs
@@ -70,7 +70,7 @@
     /// entry is removed.
     entries_version: u64,
     /// The last list for holders without one, before this leader knows all entries.
-    early_entries: Option<EntryList>,
+    partial_entries: Option<EntryList>,
     /// Running and queued requests of all entries, by target.
     demand: HashMap<Target, u64>,
     /// Upstreams that requests should avoid, and when they were determined.
@@ -100,7 +100,7 @@
             loads: LoadTable::default(),
             entries: HashMap::default(),
             entries_version: 1,
-            early_entries: None,
+            partial_entries: None,
             demand: HashMap::default(),
             suspects: None,
             slots: None,
@@ -206,20 +206,20 @@
 
     /// Returns the entries known so far, for a holder that has the list of version `held`; `None` if
     /// it is current.
-    fn early_entries(&mut self, held: u64, state: &State) -> Option<EntryList> {
+    fn partial_entries(&mut self, held: u64, state: &State) -> Option<EntryList> {
         let version = self.entries_version;
         if held == version {
             return None;
         }
         if self
-            .early_entries
+            .partial_entries
             .as_ref()
             .is_none_or(|list| list.version != version)
         {
             let entries = self.listed_entries(state);
-            self.early_entries = Some(EntryList::new(version, &entries));
+            self.partial_entries = Some(EntryList::new(version, &entries));
         }
-        self.early_entries.clone()
+        self.partial_entries.clone()
     }
 
     /// Returns whether no other lease holder lists `entry` in its address responses any more. A
@@ -474,13 +474,13 @@
             grant.entries_version = 0;
         }
         // A holder that has just introduced itself asks again once the others have done so too.
-        let wants_early = renewal
-            .early_entries_version
+        let wants_partial = renewal
+            .partial_entries_version
             .filter(|_| !has_all_entries && renewal.info.is_none());
         grant.is_unlisted = has_all_entries && leader_state.is_unlisted(renewal.entry);
-        if let Some(held) = wants_early {
+        if let Some(held) = wants_partial {
             let held = known_version(held);
-            grant.early_entries = self.leader_state.early_entries(held, &self.state);
+            grant.partial_entries = self.leader_state.partial_entries(held, &self.state);
         }
         let replicas: Vec<_> = self
             .node
--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -18,6 +18,7 @@
 mod recovery;
 mod regions;
 mod release_rollout;
+mod renewals;
 mod retry_budget;
 mod sessions;
 mod timeouts;
--- a/tests/load/recovery.rs
+++ b/tests/load/recovery.rs
@@ -97,7 +97,8 @@
 }
 
 /// Guards against gateways that all choose the same upstreams because they know nothing of each
-/// other: a common order of upstreams, and a list of gateways that comes only after 2.4 s.
+/// other: a common order of upstreams, and a list of gateways that comes only after 2.4 s. That a
+/// gateway applies `Prefill::without_updates` is tested in `tests/process/recovery.rs`.
 #[test]
 fn first_requests_after_a_loss_of_power_are_spread_over_the_upstreams() {
     let [former, without_list, ours] =
--- a/tests/process/directory.rs
+++ b/tests/process/directory.rs
@@ -60,7 +60,7 @@
         release_stats: Vec::new(),
         is_leaving: false,
         releases_lease: false,
-        early_entries_version: None,
+        partial_entries_version: None,
     }))
 }
 
@@ -125,6 +125,15 @@
     }
 }
 
+/// Guards against a directory that counts as whole because a replica that lags behind the leader has
+/// sent all that it knows.
+#[test]
+fn update_of_a_replica_that_lags_behind_is_not_the_last_one() {
+    let update = DirectoryUpdate::after(&Directory::default(), 7, 8);
+    assert!(update.is_last() && update.is_last_for(8));
+    assert!(!update.is_last_for(9));
+}
+
 #[test]
 fn pieces_of_a_large_directory_hold_every_upstream() {
     let (_cluster, replies) = start_fetch();
