--- a/tests/process/directory.rs
+++ b/tests/process/directory.rs
@@ -1,10 +1,15 @@
 //! A large directory of upstreams that many gateways need at once.
 
+use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::time::Duration;
+use std::time::Instant;
 
+use daisyquay::peer::Caller;
 use daisyquay::peer::Client;
 use daisyquay::peer::DirectoryUpdate;
+use daisyquay::peer::Handler;
 use daisyquay::peer::Renewal;
 use daisyquay::peer::Reply;
 use daisyquay::peer::Request;
@@ -12,8 +17,14 @@
 use daisyquay::upstream::Directory;
 use daisyquay::upstream::Serves;
 
+use crate::gateway::ROUTES;
+use crate::support::AUTH_HEADER;
 use crate::support::Cluster;
+use crate::support::INVENTORY;
 use crate::support::PEER_KEY;
+use crate::support::eventually;
+use crate::support::send;
+use crate::support::start_stub_replica;
 
 const UPSTREAMS: usize = 3_000;
 const GATEWAYS: usize = 300;
@@ -64,8 +75,8 @@
     }))
 }
 
-async fn announce_all(client: &Client, replica: SocketAddr) {
-    for number in 0..UPSTREAMS {
+async fn announce_all(client: &Client, replica: SocketAddr, count: usize) {
+    for number in 0..count {
         let request = Request::Announce(announcement(number));
         let reply = client.call(replica, &request, CALL_TIMEOUT).await.unwrap();
         assert!(matches!(reply, Reply::Announce(_)), "{reply:?}");
@@ -101,18 +112,72 @@
 fn start_fetch() -> (Cluster, Vec<Reply>) {
     let cluster = Cluster::start_with_inventory(1, 0);
     let replica = cluster.replica_addresses[0];
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .unwrap();
-    let replies = tokio::task::LocalSet::new().block_on(&runtime, async {
+    let replies = run(async {
         let client = Client::new(PEER_KEY);
-        announce_all(&client, replica).await;
+        announce_all(&client, replica, UPSTREAMS).await;
         fetch_directory(&client, replica).await
     });
     (cluster, replies)
 }
 
+fn run<T>(calls: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, calls)
+}
+
+/// Passes renewals to a replica as those of a gateway that has no upstream yet, and nothing else.
+struct OnlyFirstPiece {
+    replica: SocketAddr,
+}
+
+impl Handler for OnlyFirstPiece {
+    fn call(&self, _: Caller, mut request: Request) -> Pin<Box<dyn Future<Output = Reply>>> {
+        let replica = self.replica;
+        Box::pin(async move {
+            let Request::Renew(renewal) = &mut request else {
+                return Reply::Done;
+            };
+            renewal.directory_index = 0;
+            let client = Client::new(PEER_KEY);
+            let mut reply = client.call(replica, &request, CALL_TIMEOUT).await.unwrap();
+            if let Reply::Grant(grant) = &mut reply {
+                grant.replicas = None;
+            }
+            reply
+        })
+    }
+}
+
+/// Guards against requests that each wait 200 ms while replicas don't send the whole directory.
+#[test]
+fn requests_wait_for_the_directory_only_at_first() {
+    let mut cluster = Cluster::start(1, 0);
+    cluster.apply(&format!("{INVENTORY}{ROUTES}"), &["--change-id", "first"]);
+    let replica = cluster.replica_addresses[0];
+    run(async { announce_all(&Client::new(PEER_KEY), replica, 400).await });
+    cluster.configured_replicas = vec![start_stub_replica(OnlyFirstPiece { replica })];
+    let (_gateway, address) = cluster.start_gateway();
+    let call = || {
+        let headers = [AUTH_HEADER, ("host", "previews.example")];
+        let response = send("GET", address, "/nowhere/", &headers, "")?;
+        (response.status == 404).then_some(())
+    };
+    eventually("the gateway has its routes", call);
+    let start = Instant::now();
+    assert!((0..30).all(|_| call().is_some()));
+    assert!(
+        start.elapsed() < Duration::from_secs(3),
+        "{:?}",
+        start.elapsed()
+    );
+    let log = format!("gateway-{}.log", address.port());
+    let log = std::fs::read_to_string(cluster.folder.join(log)).unwrap();
+    assert!(!log.contains("phase=directory"), "{log}");
+}
+
 /// Guards against replicas that exit at the limit of their memory after a start: a reply stays in
 /// the leader's memory until the gateway's link has taken it.
 #[test]
