--- a/src/gateway/loads/mod.rs
+++ b/src/gateway/loads/mod.rs
@@ -25,6 +25,7 @@
 use crate::collections::HashMap;
 use crate::collections::HashSet;
 use crate::log::event;
+use crate::peer::EntryInfo;
 use crate::policy::backpressure::LimitNotice;
 use crate::policy::crashing_requests;
 use crate::policy::fanout;
@@ -240,14 +241,15 @@
 
 impl Gateway {
     /// Returns whether other gateways may have requests of which no update is heard: there are
-    /// others, or after a start the list of gateways is not known yet.
+    /// others, or after a start the complete list of gateways is not known yet.
     pub(super) fn lacks_updates(&self) -> bool {
         let routing = self.routing.borrow();
-        // Entries of the chat path have no loads address.
-        let mut gateways = routing.entries.iter().filter(|e| e.loads_address.is_some());
-        let is_alone =
-            !routing.entries.is_empty() && gateways.all(|e| e.address == self.info.address);
-        !self.peer_loads.borrow().hears_others() && !is_alone
+        // Entries of the chat path are in the list too and send no updates.
+        let mut gateways = routing.entries.iter();
+        let is_other =
+            |info: &EntryInfo| info.loads_address.is_some() && info.address != self.info.address;
+        let is_alone = self.has_all_gateways.get() && !gateways.any(is_other);
+        !is_alone && !self.peer_loads.borrow().hears_others()
     }
 
     /// Returns whether the gateway has started only recently and hears of no others yet.
--- a/tests/process/directory.rs
+++ b/tests/process/directory.rs
@@ -1,12 +1,18 @@
 //! A large directory of upstreams that many gateways need at once.
 
+use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use daisyquay::config::parse;
+use daisyquay::peer::Caller;
 use daisyquay::peer::Client;
 use daisyquay::peer::DirectoryUpdate;
+use daisyquay::peer::Handler;
+use daisyquay::peer::LeaderClient;
 use daisyquay::peer::OperatorChange;
 use daisyquay::peer::Renewal;
 use daisyquay::peer::Reply;
@@ -17,9 +23,15 @@
 use daisyquay::upstream::Directory;
 use daisyquay::upstream::Serves;
 
+use crate::gateway::ROUTES;
+use crate::support::AUTH_HEADER;
+use crate::support::CONDITION_TIMEOUT;
 use crate::support::Cluster;
 use crate::support::INVENTORY;
 use crate::support::PEER_KEY;
+use crate::support::eventually;
+use crate::support::send;
+use crate::support::start_stub_replica;
 
 const UPSTREAMS: usize = 3_000;
 const GATEWAYS: usize = 300;
@@ -66,7 +78,7 @@
         release_stats: Vec::new(),
         is_leaving: false,
         releases_lease: false,
-        early_entries_version: None,
+        partial_entries_version: None,
     }))
 }
 
@@ -163,11 +175,7 @@
 fn start_fetch() -> (Cluster, Vec<Reply>) {
     let cluster = Cluster::start_with_inventory(1, 0);
     let replica = cluster.replica_addresses[0];
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .unwrap();
-    let replies = tokio::task::LocalSet::new().block_on(&runtime, async {
+    let replies = run(async {
         let client = Client::new(PEER_KEY);
         announce_all(&client, replica).await;
         fetch_directory(&client, replica).await
@@ -175,6 +183,74 @@
     (cluster, replies)
 }
 
+fn run<T>(calls: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, calls)
+}
+
+/// Passes renewals to a replica as those of a gateway that has no upstream yet, and nothing else.
+struct OnlyFirstPiece {
+    replica: SocketAddr,
+}
+
+impl Handler for OnlyFirstPiece {
+    fn call(&self, _: Caller, mut request: Request) -> Pin<Box<dyn Future<Output = Reply>>> {
+        let replica = self.replica;
+        Box::pin(async move {
+            let Request::Renew(renewal) = &mut request else {
+                return Reply::Done;
+            };
+            renewal.directory_index = 0;
+            let client = Client::new(PEER_KEY);
+            match client.call(replica, &request, CALL_TIMEOUT).await {
+                Ok(Reply::Grant(mut grant)) => {
+                    grant.replicas = None;
+                    Reply::Grant(grant)
+                }
+                _ => Reply::NotLeader { leader: None },
+            }
+        })
+    }
+}
+
+/// Guards against requests that each wait 200 ms while replicas don't send the whole directory.
+#[test]
+fn requests_wait_for_the_directory_only_at_first() {
+    let mut cluster = Cluster::start(1, 0);
+    cluster.apply(&format!("{INVENTORY}{ROUTES}"), &["--change-id", "first"]);
+    let replica = cluster.replica_addresses[0];
+    run(async {
+        // A replica whose disk is stuck for a while steps down.
+        let leader = LeaderClient::new(Client::new(PEER_KEY), vec![replica]);
+        for number in 0..400 {
+            let request = Request::Announce(announcement(number));
+            let reply = leader.call_with_timeout(request, CONDITION_TIMEOUT).await;
+            assert!(matches!(reply, Some(Reply::Announce(_))), "{reply:?}");
+        }
+    });
+    cluster.configured_replicas = vec![start_stub_replica(OnlyFirstPiece { replica })];
+    let (_gateway, address) = cluster.start_gateway();
+    let call = || {
+        let headers = [AUTH_HEADER, ("host", "previews.example")];
+        let response = send("GET", address, "/nowhere/", &headers, "")?;
+        (response.status == 404).then_some(())
+    };
+    eventually("the gateway has its routes", call);
+    let start = Instant::now();
+    assert!((0..30).all(|_| call().is_some()));
+    assert!(
+        start.elapsed() < Duration::from_secs(3),
+        "{:?}",
+        start.elapsed()
+    );
+    let log = format!("gateway-{}.log", address.port());
+    let log = std::fs::read_to_string(cluster.folder.join(log)).unwrap();
+    assert!(!log.contains("phase=directory"), "{log}");
+}
+
 /// Guards against replicas that exit at the limit of their memory after a start: a reply stays in
 /// the leader's memory until the gateway's link has taken it.
 #[test]
@@ -187,6 +263,15 @@
     }
 }
 
+/// Guards against a directory that counts as whole because a replica that lags behind the leader has
+/// sent all that it knows.
+#[test]
+fn update_of_a_replica_that_lags_behind_is_not_the_last_one() {
+    let update = DirectoryUpdate::after(&Directory::default(), 7, 8);
+    assert!(update.is_last() && update.is_last_for(8));
+    assert!(!update.is_last_for(9));
+}
+
 #[test]
 fn pieces_of_a_large_directory_hold_every_upstream() {
     let (_cluster, replies) = start_fetch();
--- a/tests/process/evacuation_in_transit.rs
+++ b/tests/process/evacuation_in_transit.rs
@@ -147,6 +147,7 @@
             replicas: None,
             replicas_digest: 0,
             suspects: Vec::new(),
+            partial_entries: None,
         }
     }
 
