Leave responses that waited in an upstream's queue out of its learned slowness

Cause: the time to the response head includes the wait in the upstream's own queue, so a busy upstream of usual speed was learned as slow.

Change: a sample is left out if the upstream reported waiting requests in the response, or less than 500 ms before the request was sent. It is not corrected: requests that came later would be taken off too, so a busy upstream would look fast and get more requests.

--- a/src/gateway/speeds.rs
+++ b/src/gateway/speeds.rs
@@ -162,7 +162,7 @@
         let Some(service) = self.upstream.service() else {
             return;
         };
-        if !gateway.manages_load(service) || self.is_cold() {
+        if !gateway.manages_load(service) || self.is_cold() || self.queue.may_have_waited() {
             return;
         }
         let number = self.upstream.number;
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -27,6 +27,7 @@
 use crate::policy::placement::TimeHint;
 use crate::policy::placement::stable_hash;
 use crate::policy::reachability::Reachability;
+use crate::policy::speed::QueueReports;
 use crate::policy::speed::Speeds;
 use crate::policy::timeouts;
 use crate::policy::timeouts::QueueProgress;
@@ -50,6 +51,8 @@
 struct LoadReport {
     /// Running and waiting requests, of all gateways.
     requests: u32,
+    /// Waiting requests.
+    waiting: u32,
     received_at: Duration,
     /// Requests of this gateway that were in flight then.
     in_flight_at_report: u32,
@@ -321,6 +324,8 @@
     /// Estimated requests at the upstream when the request was sent, its own excluded, as a share
     /// of the slots.
     pub(super) utilization: f64,
+    /// Queue of the upstream before and after the response.
+    pub(super) queue: QueueReports,
 }
 
 impl InFlightRequest {
@@ -344,6 +349,9 @@
         let slots = f64::from(upstream.announced.slots.max(1));
         let row = upstreams.row(&upstream);
         let utilization = row.expected_requests(peer_load.requests, report_ttl, sent_at) / slots;
+        let last_report = row
+            .report
+            .map(|report| (report.waiting, sent_at.saturating_sub(report.received_at)));
         row.in_flight.increment(sent_at);
         row.health.record_start();
         row.load.add(&load);
@@ -369,6 +377,10 @@
             rank: rank as usize,
             prefill_tokens_ahead,
             utilization,
+            queue: QueueReports {
+                before: last_report,
+                after: None,
+            },
         }
     }
 
@@ -504,7 +516,7 @@
     }
 
     /// Records the load that the upstream reports in its response headers, if any.
-    pub(super) fn record_load_report(&self, headers: &HeaderMap) {
+    pub(super) fn record_load_report(&mut self, headers: &HeaderMap) {
         let names = &self.gateway.cfg.header_names;
         let Some(text) = headers.get(&names.load).and_then(|v| v.to_str().ok()) else {
             return;
@@ -514,10 +526,12 @@
             return;
         };
         let received_at = self.gateway.now();
+        self.queue.after = Some(waiting);
         let mut upstreams = self.gateway.upstreams.borrow_mut();
         let row = upstreams.row(&self.upstream);
         row.report = Some(LoadReport {
             requests: running.saturating_add(waiting),
+            waiting,
             received_at,
             in_flight_at_report: row.in_flight.count(),
         });
--- a/src/policy/speed.rs
+++ b/src/policy/speed.rs
@@ -61,6 +61,9 @@
 /// Time for which a report of momentary slowness shows that a service's upstreams send them.
 const REPORT_TTL: Duration = Duration::from_secs(10);
 
+/// Age from which a load report no longer tells whether a request finds a queue.
+const QUEUE_REPORT_TTL: Duration = Duration::from_millis(500);
+
 /// Factor by which a momentary slowness must differ from what other gateways know to be published.
 const MOMENTARY_CHANGE: f64 = 1.5;
 
@@ -103,6 +106,26 @@
 /// Times before a baseline is used. The mean of fewer is mostly noise.
 const BASELINE_MIN_SAMPLES: u32 = 5;
 
+/// Requests that wait in an upstream's own queue, as its load reports before and after one of its
+/// responses show them.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct QueueReports {
+    /// Waiting requests in the last report before the request was sent, and its age then.
+    pub before: Option<(u32, Duration)>,
+    /// Waiting requests in the report that came with the response.
+    pub after: Option<u32>,
+}
+
+impl QueueReports {
+    /// Returns whether the request may have waited in the queue. The time of its response is then
+    /// no sample of the upstream's speed: the part that it waited is not known, and a correction
+    /// by requests that came later would make a busy upstream look fast and get more requests.
+    pub fn may_have_waited(&self) -> bool {
+        let before = self.before.filter(|(_, age)| *age < QUEUE_REPORT_TTL);
+        before.map_or(0, |(waiting, _)| waiting) > 0 || self.after.unwrap_or(0) > 0
+    }
+}
+
 /// Slowness that one gateway has learned of an upstream.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LearnedRow {
--- a/tests/load/uneven_upstreams.rs
+++ b/tests/load/uneven_upstreams.rs
@@ -16,6 +16,7 @@
 use daisyquay::policy::speed::MAX_NOTICE_BYTES;
 use daisyquay::policy::speed::MomentaryRow;
 use daisyquay::policy::speed::Notice;
+use daisyquay::policy::speed::QueueReports;
 use daisyquay::policy::speed::Speeds;
 use daisyquay::policy::timeouts;
 use daisyquay::upstream::Circuit;
@@ -538,6 +539,53 @@
     assert_eq!(gateways[0].learned(4), 1.0);
 }
 
+/// Requests of an upstream with four slots, as the times in ms at which each was sent, began and
+/// ended: one every 50 ms and, if it `has_bursts`, 16 more at once every second.
+fn queued_requests(work: u64, has_bursts: bool) -> Vec<[u64; 3]> {
+    let (mut free, mut requests) = ([0; 4], Vec::new());
+    for sent in (0..60_000).step_by(50) {
+        let burst = has_bursts && sent % 1_000 == 500;
+        for _ in 0..if burst { 17 } else { 1 } {
+            let slot = free.iter_mut().min().unwrap();
+            let began = sent.max(*slot);
+            *slot = began + work;
+            requests.push([sent, began, *slot]);
+        }
+    }
+    requests
+}
+
+/// The gateway does not know of the requests of others, so that a wait looks like slowness.
+#[test]
+fn waits_in_an_upstreams_queue_are_not_learned_as_slowness() {
+    let mut speeds = Speeds::default();
+    for upstream in 1..=5 {
+        let work = if upstream == 4 { 100 } else { 50 };
+        let requests = queued_requests(work, upstream >= 4);
+        let waiting = |now| {
+            let waits = |&&[sent, began, _]: &&[u64; 3]| sent <= now && now < began;
+            requests.iter().filter(waits).count() as u32
+        };
+        for &[sent, _, done] in &requests {
+            let last = requests.iter().map(|request| request[2]);
+            let last = last.filter(|&done| done <= sent).max();
+            let queue = QueueReports {
+                before: last.map(|last| (waiting(last), Duration::from_millis(sent - last))),
+                after: Some(waiting(done)),
+            };
+            if !queue.may_have_waited() {
+                let observed = Duration::from_millis(done - sent);
+                let now = Duration::from_millis(done);
+                speeds.record_sample(upstream, observed, at(0.05), now);
+            }
+        }
+    }
+    let all: Vec<(u64, bool)> = (1..=5).map(|i| (i, false)).collect();
+    speeds.refresh(&all, at(60.0));
+    assert_eq!(speeds.learned(5), 1.0);
+    assert!(speeds.learned(4) > 1.5, "{}", speeds.learned(4));
+}
+
 #[test]
 fn a_momentary_slowness_decays_with_age_and_reaches_other_gateways() {
     let (mut here, mut there) = (Speeds::default(), Speeds::default());
