Log learned slowness with hysteresis, publish recent changes first, and test equal upstreams

- An upstream whose learned slowness moved across 1.5 was logged again and again.
It is now reported as slow above 1.5, and as no longer slow below 1.25.
- Which rows of momentary slowness fitted into an update depended on the order of a hash table.
The most recently changed ones now go first; the others wait for the next update.
- Placement by expected time is kept for services with equal upstreams: it is better there than the rule of services that are not managed.
A test compares the two.

--- a/src/policy/speed.rs
+++ b/src/policy/speed.rs
@@ -6,6 +6,7 @@
 //! holds for [`MOMENTARY_TTL`]. One gateway sees too few responses of an upstream, so gateways
 //! share both (see [`Notice`]).
 
+use std::cmp::Reverse;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -22,8 +23,10 @@
 /// Learned slowness that counts as 1, so that services with equal upstreams are placed as usual.
 const USUAL_SLOWNESS: std::ops::RangeInclusive<f64> = 0.87..=1.15;
 
-/// Learned slowness from which an upstream is logged as slow.
+/// Learned slowness above which an upstream is logged as slow, and below which a slow one is logged
+/// as no longer slow. One sample more or less moves the value of an upstream with few by 0.1.
 const SLOW_FACTOR: f64 = 1.5;
+const NOT_SLOW_FACTOR: f64 = 1.25;
 
 /// Largest difference of the logarithm of a sample from the mean that counts in full. One response
 /// that is delayed by something else then hardly moves the mean.
@@ -227,12 +230,15 @@
     momentary: Option<Momentary>,
     /// Momentary slowness that the other gateways know.
     shared: Option<Momentary>,
-    has_momentary_news: bool,
+    /// When the momentary slowness changed to one that is yet to be published.
+    unpublished_since: Option<Duration>,
     /// The learned row that was published last, and when.
     published: Option<(LearnedRow, Duration)>,
     /// Learned slowness relative to the service and to the upstreams of the same release.
     slowness: f64,
     slowness_in_release: f64,
+    /// Whether it was last reported as slow (see [`Change`]).
+    is_slow: bool,
 }
 
 impl Default for Row {
@@ -242,10 +248,11 @@
             peers: Vec::new(),
             momentary: None,
             shared: None,
-            has_momentary_news: false,
+            unpublished_since: None,
             published: None,
             slowness: 1.0,
             slowness_in_release: 1.0,
+            is_slow: false,
         }
     }
 }
@@ -269,14 +276,14 @@
     }
 }
 
-/// An upstream whose learned slowness has risen above 1.5 or fallen below it.
+/// An upstream whose learned slowness has risen above 1.5 or then fallen below 1.25.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Change {
     /// Number of the upstream.
     pub upstream: Index,
     /// Its learned slowness.
     pub slowness: f64,
-    /// Whether it is above 1.5 now.
+    /// Whether it has risen above 1.5.
     pub is_slow: bool,
 }
 
@@ -346,13 +353,19 @@
             return;
         };
         let slowness = clamp(f64::from(percent) / 100.0);
-        row.momentary = Some(Momentary {
+        let previous = row.momentary.replace(Momentary {
             slowness,
             reported_at: now,
         });
+        let has_changed = |from: f64| (slowness / from).max(from / slowness) >= MOMENTARY_CHANGE;
+        let changed_at = match row.unpublished_since {
+            Some(since) if !previous.is_some_and(|previous| has_changed(previous.slowness)) => {
+                since
+            }
+            _ => now,
+        };
         let known = row.shared.map_or(1.0, |shared| shared.at(now));
-        let change = (slowness / known).max(known / slowness);
-        row.has_momentary_news = change >= MOMENTARY_CHANGE;
+        row.unpublished_since = has_changed(known).then_some(changed_at);
     }
 
     /// Returns whether upstreams of the service report their momentary slowness to this gateway.
@@ -452,20 +465,27 @@
         if !is_due && !is_full {
             return Vec::new();
         }
-        let mut news = Vec::new();
+        let mut changed: Vec<(Duration, Index, Momentary)> = Vec::new();
         for (&upstream, row) in &mut self.rows {
-            if !row.has_momentary_news || news.len() == MAX_NOTICE_ROWS {
-                continue;
-            }
-            row.has_momentary_news = false;
-            let Some(momentary) = row.momentary.filter(|_| accepts(upstream)) else {
+            let Some((since, momentary)) = row.unpublished_since.zip(row.momentary) else {
                 continue;
             };
-            let age = now.saturating_sub(momentary.reported_at);
-            if age >= MOMENTARY_TTL {
-                continue;
+            if accepts(upstream) && now < momentary.reported_at + MOMENTARY_TTL {
+                changed.push((since, upstream, momentary));
+            } else {
+                row.unpublished_since = None;
             }
-            row.shared = Some(momentary);
+        }
+        // The others wait for the next notice, and are left out when they are too old by then.
+        changed.sort_unstable_by_key(|&(since, upstream, _)| (Reverse(since), upstream));
+        changed.truncate(MAX_NOTICE_ROWS);
+        let mut news = Vec::with_capacity(changed.len());
+        for (_, upstream, momentary) in changed {
+            if let Some(row) = self.rows.get_mut(&upstream) {
+                row.unpublished_since = None;
+                row.shared = Some(momentary);
+            }
+            let age = now.saturating_sub(momentary.reported_at);
             news.push(MomentaryRow {
                 upstream,
                 ratio: encode_ratio(momentary.slowness),
@@ -512,7 +532,7 @@
                 .is_none_or(|known| known.reported_at < momentary.reported_at);
             if is_newer {
                 row.momentary = Some(momentary);
-                row.has_momentary_news = false;
+                row.unpublished_since = None;
             }
         }
     }
@@ -555,8 +575,13 @@
             let Some(row) = self.rows.get_mut(&upstream) else {
                 continue;
             };
-            let is_slow = slowness > SLOW_FACTOR;
-            if is_slow != (row.slowness > SLOW_FACTOR) {
+            let limit = if row.is_slow {
+                NOT_SLOW_FACTOR
+            } else {
+                SLOW_FACTOR
+            };
+            let is_slow = slowness > limit;
+            if std::mem::replace(&mut row.is_slow, is_slow) != is_slow {
                 changes.push(Change {
                     upstream,
                     slowness,
--- a/tests/load/uneven_upstreams.rs
+++ b/tests/load/uneven_upstreams.rs
@@ -9,6 +9,7 @@
 use daisyquay::policy::placement::Prefill;
 use daisyquay::policy::placement::TimeContext;
 use daisyquay::policy::placement::TimeHint;
+use daisyquay::policy::placement::place;
 use daisyquay::policy::placement::place_by_time;
 use daisyquay::policy::placement::stable_hash;
 use daisyquay::policy::speed::Baselines;
@@ -27,6 +28,8 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Choice {
     ByTime,
+    /// The rule of services that are not managed.
+    Former,
     RoundRobin,
     LeastRequests,
 }
@@ -219,7 +222,12 @@
                     })
                     .collect();
                 let usual = baselines[gateway].expected(&service, &route);
+                let prefill = scenario.is_prefill.then_some(Prefill {
+                    own_tokens: tokens,
+                    ..Prefill::default()
+                });
                 let upstream = match choice {
+                    Choice::Former => place(&candidates, prefill, true, &mut rng).unwrap(),
                     Choice::RoundRobin => {
                         next_round_robin[gateway] += 1;
                         next_round_robin[gateway] % upstreams
@@ -244,10 +252,6 @@
                             request_s: usual.map(|time| time.as_secs_f64()),
                             is_connected: &|_| true,
                         };
-                        let prefill = scenario.is_prefill.then_some(Prefill {
-                            own_tokens: tokens,
-                            ..Prefill::default()
-                        });
                         place_by_time(&candidates, prefill, true, &context, &mut rng).unwrap()
                     }
                 };
@@ -382,11 +386,36 @@
     }));
 }
 
+/// Placement by time must not cost services with equal upstreams anything.
 #[test]
 fn equal_upstreams_get_equal_shares() {
-    let [ours, _, least] = run_all(PLAIN);
-    assert!(ours.busiest < 1.2, "{ours:?}");
-    assert!(ours.p99_ms < least.p99_ms && ours.late < least.late);
+    let few_slots = Scenario {
+        gateways: 64,
+        upstreams: 3,
+        work_ms: 200.0,
+        per_s: 50.0,
+        target_ms: 400.0,
+        updates_behind: 3,
+        ..PLAIN
+    };
+    let prefill = Scenario {
+        slots: 16,
+        is_prefill: true,
+        work_ms: 100.0,
+        per_s: 100.0,
+        target_ms: 800.0,
+        updates_behind: 3,
+        ..PLAIN
+    };
+    for scenario in [PLAIN, few_slots, prefill] {
+        let [ours, former, least] = [Choice::ByTime, Choice::Former, Choice::LeastRequests]
+            .map(|choice| run(scenario, choice));
+        assert!(ours.busiest < 1.2, "{ours:?}");
+        for other in [former, least] {
+            assert!(ours.p99_ms < other.p99_ms, "{ours:?} {other:?}");
+            assert!(ours.late < other.late, "{ours:?} {other:?}");
+        }
+    }
 }
 
 /// With argmin over the same lagging counts, all gateways would send to the same upstream.
@@ -605,6 +634,53 @@
     assert!(again.is_empty(), "published without a change: {again:?}");
 }
 
+/// An upstream near the threshold must not be logged again and again.
+#[test]
+fn an_upstream_near_the_threshold_is_reported_as_slow_once() {
+    let mut speeds = Speeds::default();
+    let all: Vec<(u64, bool)> = (1..=3).map(|i| (i, false)).collect();
+    let mut changes = Vec::new();
+    for i in 0..400 {
+        let now = at(f64::from(i) / 4.0);
+        // Its mean goes up and down across 1.5 every 10 s, and is usual in the end.
+        let ratio = match i {
+            300.. => 1.0,
+            _ if i / 40 % 2 == 0 => 1.9,
+            _ => 1.45,
+        };
+        for (upstream, ratio) in [(1, ratio), (2, 1.0), (3, 1.0)] {
+            speeds.record_sample(upstream, at(0.05 * ratio), at(0.05), now);
+        }
+        changes.extend(speeds.refresh(&all, now).0);
+    }
+    let reported: Vec<bool> = changes.iter().map(|change| change.is_slow).collect();
+    assert_eq!(reported, [true, false], "{changes:?}");
+}
+
+/// The upstreams with the latest changes would otherwise wait behind others, depending on the hashes
+/// of their numbers.
+#[test]
+fn the_most_recent_changes_of_momentary_slowness_are_published_first() {
+    let mut speeds = Speeds::default();
+    let service: Name = "service".into();
+    for i in 0..20 {
+        let now = at(1.0 + i as f64 / 100.0);
+        speeds.record_momentary(&service, i, 300, now);
+        // Reports without a change must not make the first one look recent.
+        speeds.record_momentary(&service, 0, 310, now);
+    }
+    let published = |notice: &Notice| {
+        let rows = notice.momentary.iter();
+        rows.map(|row| row.upstream).collect::<Vec<_>>()
+    };
+    let notice = speeds.notice(true, 9, at(1.2), |_| true);
+    assert_eq!(published(&notice), [19, 18, 17, 16, 15, 14, 13, 12]);
+    let next = speeds.notice(true, 9, at(1.45), |_| true);
+    assert_eq!(published(&next), [11, 10, 9, 8, 7, 6, 5, 4]);
+    let last = speeds.notice(true, 9, at(1.6), |_| true);
+    assert_eq!(published(&last), [0], "old reports are not published");
+}
+
 /// A gateway's VM may have 7.5 Mbit/s, and receives one such notice a second from each of 360.
 #[test]
 fn notices_are_bounded_and_what_they_contain_is_checked() {
