Place admitted requests where the queue sees capacity, and answer 429 only beside others

Cause: prefer_free counted free slots but not KV cache, so a large prompt could be sent to an upstream with a full cache while another had space. An organisation that waits alone got 429 at its limit of the queue.

Change: gateway_queue::preferred uses Place::fits; after a long wait for KV cache a free slot is enough, as in the queue. 429 requires that others wait and that the request takes its organisation beyond its share; otherwise the answer is 503.

--- a/src/gateway/exchange/admit.rs
+++ b/src/gateway/exchange/admit.rs
@@ -6,10 +6,12 @@
 
 use super::Exchange;
 use super::MIN_TIME_LEFT;
+use crate::collections::Name;
 use crate::config::RetryPolicy;
 use crate::gateway::admission;
 use crate::gateway::attempt::rank;
 use crate::gateway::refusal::Refusal;
+use crate::gateway::routing::RoutingTable;
 use crate::gateway::routing::Upstream;
 use crate::log::event;
 use crate::policy::gateway_queue::Kind;
@@ -91,6 +93,15 @@
         admitted.map_err(|rejection| self.admission_refusal(&rejection, first_token))
     }
 
+    /// Returns the tokens that the request is expected to hold in the KV cache, 0 for a service
+    /// without one.
+    pub(super) fn kv_tokens(&self, routing: &RoutingTable, service: &Name) -> u64 {
+        let prompt = &self.call.prompt;
+        routing.engine(service).map_or(0, |_| {
+            prompt.tokens_in.saturating_add(prompt.tokens_out / 2)
+        })
+    }
+
     fn admission_request(
         &self,
         model: Option<usize>,
@@ -103,10 +114,7 @@
         let routing = gateway.routing();
         let pool = routing.pool(service)?;
         let engine = routing.engine(service);
-        let kv_tokens = engine.map_or(0, |_| {
-            let prompt = &call.prompt;
-            prompt.tokens_in.saturating_add(prompt.tokens_out / 2)
-        });
+        let kv_tokens = self.kv_tokens(&routing, service);
         // A request takes a slot or a share of the KV cache, whichever is more.
         let cost = engine.map_or(1.0, |engine| {
             let slots = kv_tokens as f64 / engine.cache_tokens.max(1) as f64;
--- a/src/gateway/exchange/choose.rs
+++ b/src/gateway/exchange/choose.rs
@@ -12,6 +12,9 @@
 use crate::gateway::upstreams::PlacementContext;
 use crate::policy::backpressure::Backpressure;
 use crate::policy::escalation::TtftForecast;
+use crate::policy::gateway_queue;
+use crate::policy::gateway_queue::Needs;
+use crate::policy::gateway_queue::Place;
 use crate::policy::placement;
 use crate::policy::placement::Candidate;
 use crate::policy::placement::Prefill;
@@ -176,10 +179,17 @@
                 })
                 .collect();
             if let Some(demand) = demand {
-                prefer_free(&mut eligible, &mut candidates, |upstream, candidate| {
-                    let place = upstreams.place_of(upstream, candidate, &context, demand);
-                    place.is_some_and(|place| place.free > 0 && !place.is_last_resort)
-                });
+                let needs = Needs {
+                    kv_tokens: self.kv_tokens(&routing, service),
+                    wants_new,
+                    excluded: Vec::new(),
+                };
+                prefer_free(
+                    &mut eligible,
+                    &mut candidates,
+                    &needs,
+                    |upstream, candidate| upstreams.place_of(upstream, candidate, &context, demand),
+                );
             }
             let can_probe = self.call.route.is_safe_to_retry();
             let rng = &mut *gateway.rng.borrow_mut();
@@ -260,19 +270,18 @@
     }
 }
 
-/// Keeps only the untried upstreams that `has_room`, unless there are none.
+/// Keeps only the untried upstreams that `gateway_queue::preferred` selects.
 fn prefer_free(
     upstreams: &mut Vec<&Upstream>,
     candidates: &mut Vec<Candidate>,
-    has_room: impl Fn(&Upstream, &Candidate) -> bool,
+    needs: &Needs,
+    place: impl Fn(&Upstream, &Candidate) -> Option<Place>,
 ) {
     let rows = upstreams.iter().zip(&*candidates);
-    let kept: Vec<bool> = rows
-        .map(|(upstream, candidate)| !candidate.was_tried && has_room(upstream, candidate))
+    let places: Vec<Option<Place>> = rows
+        .map(|(upstream, candidate)| place(upstream, candidate).filter(|_| !candidate.was_tried))
         .collect();
-    if !kept.contains(&true) {
-        return;
-    }
+    let kept = gateway_queue::preferred(&places, needs);
     let mut flags = kept.iter();
     upstreams.retain(|_| flags.next() == Some(&true));
     let mut flags = kept.iter();
--- a/src/policy/gateway_queue.rs
+++ b/src/policy/gateway_queue.rs
@@ -186,6 +186,24 @@
     }
 }
 
+/// Returns which of the places a request is sent to: those with capacity for it; without any, those
+/// with a free slot, because after a long wait for KV cache the request needs only that; without
+/// any, all. `None` is an upstream that accepts no request or has had this one.
+pub fn preferred(places: &[Option<Place>], needs: &Needs) -> Vec<bool> {
+    let slot_only = Needs {
+        kv_tokens: 0,
+        ..needs.clone()
+    };
+    for needs in [needs, &slot_only] {
+        let fits = |place: &Option<Place>| place.is_some_and(|place| place.fits(needs));
+        let kept: Vec<bool> = places.iter().map(fits).collect();
+        if kept.contains(&true) {
+            return kept;
+        }
+    }
+    vec![true; places.len()]
+}
+
 /// Capacity of the upstreams of a service that accept requests.
 #[derive(Clone, Debug, Default)]
 pub struct Room {
@@ -288,7 +306,8 @@
     Late,
     /// The queue is full.
     Full,
-    /// The same, for an organisation that has more than its share of the queue.
+    /// One of these, for an organisation that has more than its share of the queue while others
+    /// wait.
     Share,
 }
 
@@ -460,7 +479,9 @@
         let rate = self.highest_rate(now);
         let wait = rate.map_or(Duration::ZERO, |rate| time_for(ahead + 1, rate));
         if is_full || now.saturating_add(wait) > request.latest_start() {
-            let reason = if of_organisation >= ORGANISATION_LIMIT || self.exceeds_share(&request) {
+            // At a limit, a request counts as the one by which its organisation exceeds its share.
+            let added = usize::from(is_full);
+            let reason = if self.exceeds_share(&request, added) {
                 Reason::Share
             } else if is_full {
                 Reason::Full
@@ -532,7 +553,7 @@
             };
             let organisation = &entry.request.organisation;
             if !over_share.contains_key(organisation) {
-                let is_over = self.exceeds_share(&entry.request);
+                let is_over = self.exceeds_share(&entry.request, 0);
                 over_share.insert(organisation.clone(), is_over);
             }
         }
@@ -748,9 +769,10 @@
         queued.copied().unwrap_or_default()
     }
 
-    /// Returns whether the request's organisation has more of the queue than its weight entitles it
-    /// to, while others wait.
-    fn exceeds_share(&self, request: &Request) -> bool {
+    /// Returns whether the request's organisation, with `added` further requests, has more of the
+    /// queue than its weight entitles it to, while others wait. An organisation that waits alone
+    /// takes nothing from others.
+    fn exceeds_share(&self, request: &Request, added: usize) -> bool {
         let own = self.queued_of(&request.organisation);
         if own == 0 || own == self.len() {
             return false;
@@ -762,7 +784,7 @@
         }
         weights.insert(&request.organisation, weight);
         let total: f64 = weights.values().sum();
-        own as f64 * total > self.len() as f64 * weight
+        (own + added) as f64 * total > (self.len() + added) as f64 * weight
     }
 
     /// Estimates the queued requests that would be dispatched before this one.
--- a/tests/load/gateway_queue.rs
+++ b/tests/load/gateway_queue.rs
@@ -457,6 +457,50 @@
     }
 }
 
+/// Guards against 429 for an organisation that takes nothing from others, because it waits alone.
+#[test]
+fn organisation_that_waits_alone_is_not_beyond_its_share() {
+    let mut queue = Queue::default();
+    let mut arrive = |organisation: &str| {
+        let mut room = Room::new(vec![place(1, 0, 0)]);
+        queue.arrive(request(organisation, 0, ms(60_000)), &mut room, ms(0), 0.0)
+    };
+    for _ in 0..ORGANISATION_LIMIT {
+        assert!(matches!(arrive("a"), Arrival::Queued(_)));
+    }
+    for (other, expected) in [(None, Reason::Full), (Some("b"), Reason::Share)] {
+        if let Some(other) = other {
+            assert!(matches!(arrive(other), Arrival::Queued(_)));
+        }
+        let Arrival::Rejected(rejection) = arrive("a") else {
+            panic!("the queue exceeds its limit");
+        };
+        assert_eq!(rejection.reason, expected);
+    }
+}
+
+/// Guards against a large prompt that is sent to an upstream with a free slot and a full KV cache
+/// while another has space, and against one that is sent to a full upstream after its wait for
+/// space.
+#[test]
+fn placement_prefers_what_the_queue_counts_as_capacity() {
+    let needs = Needs {
+        kv_tokens: 50,
+        ..Needs::default()
+    };
+    let places = [(0, 90), (1, 10), (1, 90)];
+    let mut places: Vec<_> = (1..)
+        .zip(places)
+        .map(|(i, (free, kv_free))| Some(place(i, free, kv_free)))
+        .collect();
+    let preferred = |places: &[_]| gateway_queue::preferred(places, &needs);
+    assert_eq!(preferred(&places), [false, false, true]);
+    places[2] = None;
+    assert_eq!(preferred(&places), [false, true, false]);
+    places[1] = None;
+    assert_eq!(preferred(&places), [true, true, true]);
+}
+
 /// Guards against rejections on chance at a gateway that sees few dispatches, and against requests
 /// that are kept though nothing is dispatched for long.
 #[test]
