Bound what gateways add to an upstream that is half free, too

Cause: up to half of an upstream's slots, each gateway could take all that were free at once, so the stated bound did not hold from an idle upstream. Processes that are not gateways counted as such, so a single gateway was limited by a share.

Change: the share applies at any occupancy; while at most half of the slots are in use, a gateway may add an eighth of them more. n gateways exceed the capacity by at most n * (1 + slots / 8), by n above half. Only entries with an address for updates count as gateways.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -194,7 +194,11 @@
         };
         // The directory may lack gateways that have just joined, if the replicas are not reached.
         let heard = peer_loads.run_ids().count() + 1;
-        let gateways = routing.entries.len().max(heard);
+        let entries = routing.entries.iter();
+        let known = entries
+            .filter(|entry| entry.loads_address.is_some())
+            .count();
+        let gateways = known.max(heard);
         let demands = self.admission.demands.borrow();
         demands.share(
             service_key(service),
--- a/src/policy/gateway_queue.rs
+++ b/src/policy/gateway_queue.rs
@@ -143,21 +143,26 @@
 
 /// Returns how many requests this gateway may send to the upstream now.
 ///
-/// An upstream has capacity up to its slots and an eighth of them, at least one. Once more than half
-/// of the slots are in use, each gateway may add its share of the free ones and one request more
-/// until the others know of its requests. The sum of the shares is 1 at most, so `n` gateways that
-/// add requests exceed the capacity by no more than `n`.
+/// An upstream has capacity up to its slots and an eighth of them, at least one. Each gateway may add
+/// its share of the free ones and one request more until the others know of its requests; while at
+/// most half of the slots are in use, another eighth of them, so that a burst at one gateway is not
+/// kept waiting until the others know of its demand. The sum of the shares is 1 at most, so `n`
+/// gateways that add requests exceed the capacity by no more than `n`, or `n * (1 + slots / 8)`,
+/// rounded up, if half of the slots were free.
 pub fn free_slots(occupancy: &Occupancy) -> u32 {
     let slots = occupancy.slots.max(1);
     let limit = slots.saturating_add((slots / 8).max(1));
     let free = limit.saturating_sub(occupancy.requests);
-    if occupancy.requests <= slots / 2 {
-        return free;
-    }
+    let extra = if occupancy.requests <= slots / 2 {
+        1 + slots.div_ceil(8)
+    } else {
+        1
+    };
     let added = occupancy.own.saturating_sub(occupancy.own_before);
     let free_before = free.saturating_add(added);
     let share = f64::from(free_before) * occupancy.share.clamp(0.0, 1.0);
-    free.min((share as u32 + 1).saturating_sub(added))
+    let limit = (share as u32).saturating_add(extra);
+    free.min(limit.saturating_sub(added))
 }
 
 /// Capacity of one upstream.
