Keep requests queued that a pause of all upstreams leaves in time

Cause: upstreams that pause were left out of the room, so the queue was emptied with 503 as if there were none.

Change: Place::opens_at; a request stays queued if the first pause ends before its latest start, and is otherwise rejected with the time to that end (and up to 250 ms) as Retry-After. The dispatch rate of a pause does not reject what comes after it.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -228,6 +228,7 @@
             is_idle: false,
             is_new: false,
             is_last_resort: false,
+            opens_at: None,
         })
         .collect()
 }
--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -98,6 +98,7 @@
     };
     let reason = match field(rejected, "outcome") {
         "rejected_full" => "the queue was full",
+        "rejected_paused" => "all of them asked for a pause that ends too late for it",
         "rejected_share" => "its organisation had more than its share of the queue",
         _ => "it could not be served before its deadline",
     };
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -354,7 +354,8 @@
         let Some((room, ..)) = queue.room.as_mut() else {
             return;
         };
-        let late = queue.queue.remove_late(now, jitter);
+        let mut late = queue.queue.remove_paused(room, now, jitter);
+        late.extend(queue.queue.remove_late(now, jitter));
         if !late.is_empty() {
             self.meter_queue(service, queue.queue.len(), None);
         }
@@ -462,6 +463,7 @@
 pub(super) fn outcome(reason: Reason) -> &'static str {
     match reason {
         Reason::Late => "rejected_late",
+        Reason::Paused => "rejected_paused",
         Reason::Full => "rejected_full",
         Reason::Share => "rejected_share",
     }
--- a/src/gateway/exchange/admit.rs
+++ b/src/gateway/exchange/admit.rs
@@ -183,17 +183,20 @@
             left_ms = self.call.time_left(self.gateway.now()).as_millis(),
             retry_ms = rejection.retry_after.as_millis()
         );
-        let refusal = if rejection.reason == Reason::Share {
-            Refusal::new(
+        let refusal = match rejection.reason {
+            Reason::Share => Refusal::new(
                 StatusCode::TOO_MANY_REQUESTS,
                 "beyond_share",
                 "the service is at its capacity and the organisation beyond its share; retry later",
-            )
-        } else {
-            Refusal::unavailable(
+            ),
+            Reason::Paused => Refusal::unavailable(
+                "overloaded",
+                "all upstreams of the service ask for a pause; retry later",
+            ),
+            Reason::Late | Reason::Full => Refusal::unavailable(
                 "overloaded",
                 "the service cannot serve the request in time; retry later",
-            )
+            ),
         };
         refusal.with_retry_after(rejection.retry_after)
     }
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -182,7 +182,8 @@
         }
     }
 
-    /// Returns the capacity of one upstream for admission; `None` if it accepts no request now.
+    /// Returns the capacity of one upstream for admission; `None` if it accepts no request now and
+    /// the end of that is not known or not waited for.
     pub(super) fn place(
         &self,
         upstream: &Upstream,
@@ -201,10 +202,15 @@
         context: &PlacementContext<'_>,
         demand: Demand,
     ) -> Option<Place> {
+        let now = context.now;
+        let mut opens_at = None;
         if candidate.is_blocked {
-            return None;
+            if !self.cold_starts.wait(upstream.number, now).is_zero() {
+                return None;
+            }
+            let backpressure = context.backpressure;
+            opens_at = Some(backpressure.opens_at(upstream.number, &context.sharing, now)?);
         }
-        let now = context.now;
         let row = self
             .rows
             .get(upstream.id())
@@ -227,11 +233,16 @@
         });
         Some(Place {
             upstream: upstream.number,
-            free: gateway_queue::free_slots(&occupancy),
+            free: if opens_at.is_some() {
+                0
+            } else {
+                gateway_queue::free_slots(&occupancy)
+            },
             kv_free,
             is_idle: occupancy.requests == 0,
             is_new: upstream.is_new,
             is_last_resort: candidate.is_suspect || candidate.circuit == Circuit::Open,
+            opens_at,
         })
     }
 }
--- a/src/policy/backpressure.rs
+++ b/src/policy/backpressure.rs
@@ -166,6 +166,15 @@
         Some(at.saturating_sub(now))
     }
 
+    /// Returns when an upstream takes requests of this gateway again, if it has asked for a pause and
+    /// is not leaving; `None` without a pause.
+    pub fn opens_at(&self, upstream: Index, sharing: &Sharing, now: Duration) -> Option<Duration> {
+        self.paused_until
+            .get(&upstream)
+            .filter(|until| now < **until)?;
+        self.wait(upstream, sharing, now).map(|wait| now + wait)
+    }
+
     /// Returns all limits, for the other gateways.
     pub fn notices(&self, now: Duration) -> Vec<LimitNotice> {
         self.limits
--- a/src/policy/gateway_queue.rs
+++ b/src/policy/gateway_queue.rs
@@ -43,6 +43,9 @@
 /// See [`MIN_RETRY_AFTER`].
 pub const MAX_RETRY_AFTER: Duration = Duration::from_secs(5);
 
+/// Time after the end of a pause over which retries are spread.
+const PAUSE_RETRY_SPREAD: Duration = Duration::from_millis(250);
+
 /// `Retry-After` before jitter while the dispatch rate is not known.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(250);
 
@@ -180,12 +183,15 @@
     pub is_new: bool,
     /// Whether it is suspect or cut off by its circuit breaker, and so used only without others.
     pub is_last_resort: bool,
+    /// When a pause ends that the upstream has asked for; it takes no request until then.
+    pub opens_at: Option<Duration>,
 }
 
 impl Place {
     /// Returns whether the request may be sent there now, and not only as a last resort.
     pub fn fits(&self, needs: &Needs) -> bool {
         !self.is_last_resort
+            && self.opens_at.is_none()
             && self.free > 0
             && (self.is_idle || self.kv_free >= needs.kv_tokens)
             && needs.wants_new.is_none_or(|new| new == self.is_new)
@@ -229,6 +235,8 @@
     NoSlot,
     /// There are free slots without enough KV cache; the place has the most.
     NoKvCache(usize),
+    /// All upstreams that the request may use pause; the first one until then.
+    Paused(Duration),
     /// There is no upstream that the request may use, so waiting does not help.
     NoUpstream,
 }
@@ -251,16 +259,24 @@
             wants_new.is_none_or(|new| new == place.is_new)
                 && !needs.excluded.contains(&place.upstream)
         };
+        let is_open =
+            |place: &Place| place.opens_at.is_none() && is_allowed(place, needs.wants_new);
         let mut wants_new = needs.wants_new;
         // As in the choice of the upstream: the stable release may serve what the new one cannot.
-        if wants_new == Some(true) && !self.places.iter().any(|place| is_allowed(place, wants_new))
-        {
+        if wants_new == Some(true) && !self.places.iter().any(is_open) {
             wants_new = Some(false);
         }
+        let mut opens_at = None;
         let mut result = Fit::NoUpstream;
         let mut is_last_resort = true;
         let mut best = (0, 0);
         for (i, place) in self.places.iter().enumerate() {
+            if place.opens_at.is_some() {
+                if is_allowed(place, wants_new) || is_allowed(place, needs.wants_new) {
+                    opens_at = opens_at.into_iter().chain(place.opens_at).min();
+                }
+                continue;
+            }
             if !is_allowed(place, wants_new) || place.is_last_resort && !is_last_resort {
                 continue;
             }
@@ -283,7 +299,15 @@
                 }
             };
         }
-        result
+        match (result, opens_at) {
+            (Fit::NoUpstream, Some(opens_at)) => Fit::Paused(opens_at),
+            (result, _) => result,
+        }
+    }
+
+    /// Returns whether all upstreams pause.
+    fn is_paused(&self) -> bool {
+        !self.places.is_empty() && self.places.iter().all(|place| place.opens_at.is_some())
     }
 
     /// Takes capacity for a request and returns the number of the upstream.
@@ -311,6 +335,8 @@
 pub enum Reason {
     /// Its response cannot begin before its deadline.
     Late,
+    /// The upstreams pause until it is late.
+    Paused,
     /// The queue is full.
     Full,
     /// One of these, for an organisation that has more than its share of the queue while others
@@ -379,7 +405,7 @@
         match room.find(needs, self.ignores_kv_cache(now)) {
             Fit::At(index) => Ok(Some(room.take(index, needs))),
             Fit::NoUpstream => Ok(None),
-            Fit::NoSlot => Err(true),
+            Fit::NoSlot | Fit::Paused(_) => Err(true),
             Fit::NoKvCache(index) => {
                 let since = *self.lacks_kv_since.get_or_insert(now);
                 if now >= since + MAX_BYPASS {
@@ -466,6 +492,7 @@
         now: Duration,
         jitter: f64,
     ) -> Arrival {
+        let mut pause = None;
         match room.find(&request.needs, false) {
             Fit::At(index) => {
                 room.take(index, &request.needs);
@@ -475,15 +502,20 @@
                 return Arrival::AtOnce;
             }
             Fit::NoUpstream => return Arrival::AtOnce,
+            Fit::Paused(opens_at) => pause = Some(opens_at),
             Fit::NoSlot | Fit::NoKvCache(_) => {}
         }
+        if let Some(opens_at) = pause.filter(|opens_at| *opens_at > request.latest_start()) {
+            return Arrival::Rejected(self.reject_paused(&request, opens_at, now, jitter));
+        }
         if request.kind == Kind::First && self.take_return(&request, now) {
             request.kind = Kind::Returning;
         }
         let of_organisation = self.queued_of(&request.organisation);
         let is_full = self.len() >= QUEUE_LIMIT || of_organisation >= ORGANISATION_LIMIT;
         let ahead = self.count_ahead(&request);
-        let rate = self.highest_rate(now);
+        // The rate of a pause says nothing about the time after it.
+        let rate = self.highest_rate(now).filter(|_| pause.is_none());
         let wait = rate.map_or(Duration::ZERO, |rate| time_for(ahead + 1, rate));
         if is_full || now.saturating_add(wait) > request.latest_start() {
             // At a limit, a request counts as the one by which its organisation exceeds its share.
@@ -497,7 +529,53 @@
             };
             return Arrival::Rejected(self.reject(&request, reason, ahead, now, jitter));
         }
-        Arrival::Queued(self.push(request, now))
+        let ticket = self.push(request, now);
+        if let Some(opens_at) = pause {
+            self.busy_since = Some(opens_at);
+        }
+        Arrival::Queued(ticket)
+    }
+
+    /// Removes the requests whose response can no longer begin before the deadline because all
+    /// upstreams pause; `jitter` is uniform from 0 to 1.
+    pub fn remove_paused(
+        &mut self,
+        room: &Room,
+        now: Duration,
+        jitter: f64,
+    ) -> Vec<(u64, Rejection)> {
+        if self.is_empty() || !room.is_paused() {
+            return Vec::new();
+        }
+        let opens_at = room.places.iter().filter_map(|place| place.opens_at).min();
+        let late: Vec<(u64, Duration)> = self
+            .entries
+            .iter()
+            .filter_map(|(&ticket, entry)| {
+                let needs = &entry.request.needs;
+                let is_any = needs.excluded.is_empty() && needs.wants_new.is_none();
+                let opens_at = match opens_at {
+                    Some(opens_at) if is_any => opens_at,
+                    _ => match room.find(needs, true) {
+                        Fit::Paused(opens_at) => opens_at,
+                        _ => return None,
+                    },
+                };
+                (opens_at > entry.request.latest_start()).then_some((ticket, opens_at))
+            })
+            .collect();
+        let removed: Vec<(u64, Duration, Entry)> = late
+            .into_iter()
+            .filter_map(|(ticket, opens_at)| Some((ticket, opens_at, self.remove(ticket, now)?)))
+            .collect();
+        if !self.is_empty() {
+            self.busy_since = self.busy_since.max(opens_at);
+        }
+        let reject = |(ticket, opens_at, entry): (u64, Duration, Entry)| {
+            let rejection = self.reject_paused(&entry.request, opens_at, now, jitter);
+            (ticket, rejection)
+        };
+        removed.into_iter().map(reject).collect()
     }
 
     /// Removes the request that is to be sent next and takes its capacity from `room`; `None` if
@@ -855,6 +933,37 @@
         let retry_after = wait
             .mul_f64(1.0 + jitter.clamp(0.0, 1.0) / 2.0)
             .clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
+        self.expect_return(request, retry_after, now);
+        Rejection {
+            reason,
+            retry_after,
+            queued: self.len(),
+            ahead,
+            rate,
+        }
+    }
+
+    /// Returns the rejection of a request until the end of a pause, and expects it back then.
+    fn reject_paused(
+        &mut self,
+        request: &Request,
+        opens_at: Duration,
+        now: Duration,
+        jitter: f64,
+    ) -> Rejection {
+        let retry_after = opens_at.saturating_sub(now).max(MIN_RETRY_AFTER)
+            + PAUSE_RETRY_SPREAD.mul_f64(jitter.clamp(0.0, 1.0));
+        self.expect_return(request, retry_after, now);
+        Rejection {
+            reason: Reason::Paused,
+            retry_after,
+            queued: self.len(),
+            ahead: 0,
+            rate: None,
+        }
+    }
+
+    fn expect_return(&mut self, request: &Request, retry_after: Duration, now: Duration) {
         if request.kind != Kind::Begun {
             if self.returns.len() >= MAX_RETURNS {
                 self.returns.pop_front();
@@ -866,13 +975,6 @@
                 until: now + retry_after * 2 + RETURN_DELAY,
             });
         }
-        Rejection {
-            reason,
-            retry_after,
-            queued: self.len(),
-            ahead,
-            rate,
-        }
     }
 }
 
--- a/tests/load/gateway_queue.rs
+++ b/tests/load/gateway_queue.rs
@@ -58,6 +58,7 @@
         is_idle: false,
         is_new: false,
         is_last_resort: false,
+        opens_at: None,
     }
 }
 
@@ -503,6 +504,49 @@
     assert_eq!(preferred(&places), [true, true, true]);
 }
 
+/// Guards against a queue that is emptied by a short pause of all upstreams, and against requests
+/// that wait, or are told to come back, for longer or shorter than the pause lasts.
+#[test]
+fn requests_that_a_pause_leaves_in_time_stay_queued() {
+    let mut queue = Queue::default();
+    let paused = |until| {
+        let rows = [ms(until), ms(9_000)].map(Some);
+        let rows = rows.map(|opens_at| Place {
+            opens_at,
+            ..place(1, 0, 0)
+        });
+        Room::new(rows.to_vec())
+    };
+    let full = || Room::new(vec![place(1, 0, 0)]);
+    for deadline in [1_000, 4_000] {
+        let arrival = queue.arrive(request("a", 0, ms(deadline)), &mut full(), ms(0), 0.0);
+        assert!(matches!(arrival, Arrival::Queued(_)));
+    }
+    let mut room = paused(2_000);
+    let rejected = queue.remove_paused(&room, ms(500), 0.0);
+    assert_eq!(rejected.len(), 1);
+    assert_eq!(rejected[0].1.reason, Reason::Paused);
+    assert_eq!(rejected[0].1.retry_after, ms(1_500));
+    assert!(queue.dispatch_next(&mut room, ms(500)).is_none());
+    // No dispatch for almost 2 s says nothing about the time after the pause.
+    for (deadline, is_queued) in [(2_100, true), (1_900, false)] {
+        let arrival = queue.arrive(request("a", 0, ms(deadline)), &mut room, ms(1_800), 0.0);
+        assert_eq!(
+            matches!(arrival, Arrival::Queued(_)),
+            is_queued,
+            "{arrival:?}"
+        );
+    }
+    let arrival = queue.arrive(request("a", 0, ms(2_200)), &mut full(), ms(2_010), 0.0);
+    assert!(matches!(arrival, Arrival::Queued(_)), "{arrival:?}");
+    assert!(queue.remove_paused(&full(), ms(2_010), 0.0).is_empty());
+    assert!(
+        queue
+            .dispatch_next(&mut Room::new(vec![place(1, 1, 0)]), ms(2_010))
+            .is_some()
+    );
+}
+
 /// Guards against rejections on chance at a gateway that sees few dispatches, and against requests
 /// that are kept though nothing is dispatched for long.
 #[test]
--- a/tests/process/admission.rs
+++ b/tests/process/admission.rs
@@ -56,6 +56,10 @@
 /// Requests that the two upstreams get at a time: their slots and one more each.
 const CAPACITY: usize = 2 * (SLOTS + 1);
 
+/// Response by which an upstream asks for a pause.
+const PAUSE: &str =
+    "HTTP/1.1 503 Service Unavailable\r\nretry-after: 2\r\ncontent-length: 0\r\n\r\n";
+
 /// Response to a request on the route that is retried.
 const FAILURE: &str = "HTTP/1.1 500 Internal Server Error\r\ndaisyquay-attempt: ID\r\n\
     daisyquay-signature: s-ID\r\ncontent-length: 6\r\n\r\nbroken";
@@ -83,6 +87,9 @@
                 if seen.request_line.contains(" /retried/") {
                     return write(out, &FAILURE.replace("ID", seen.attempt_id()));
                 }
+                if seen.request_line.contains("?pause") {
+                    return write(out, PAUSE);
+                }
                 thread::sleep(work);
                 write(out, &ok_response(seen, "tile"))
             })
@@ -233,6 +240,29 @@
     assert!(!received.iter().any(|id| id == "hopeless" || id == "gone"));
 }
 
+/// Guards against a queue that is emptied while all upstreams pause, though the pause ends in time,
+/// and against requests that wait for the end of a pause that comes too late.
+#[test]
+fn requests_wait_for_the_end_of_a_pause_that_leaves_them_in_time() {
+    const WORK: Duration = Duration::from_millis(50);
+    let setup = Setup::new(WORK);
+    eventually("both upstreams pause", || {
+        call(setup.address, LAGON, "/bulk/?pause", "pausing", 20_000).0?;
+        let received = setup.upstreams.iter().map(|row| row.received().len());
+        received.min().filter(|least| *least > 0)
+    });
+    let waiting = setup.start(LAGON, "/bulk/", "waiting".to_owned());
+    let (reply, time) = call(setup.address, LAGON, "/bulk/", "hopeless", 700);
+    let reply = reply.unwrap();
+    assert_eq!(reply.status, 503, "{}", reply.body);
+    assert!(time < Duration::from_millis(500), "rejected after {time:?}");
+    let retry_after: f64 = reply.header("retry-after").parse().unwrap();
+    assert!((0.7..=2.3).contains(&retry_after), "{retry_after}");
+    for time in join(vec![waiting]) {
+        assert!(time > Duration::from_millis(700), "{time:?}");
+    }
+}
+
 /// Guards against a retry whose rejection replaces the earlier answer: the request has run, so the
 /// caller must not be told that it was rejected.
 #[test]
