Bound the wait of an escalation by what its caller gains

Cause: an escalation waited until the target while the response of the smaller model held its slot.

Measured: tests/load gateway_queue passes with the new test.

--- a/src/gateway/exchange/admit.rs
+++ b/src/gateway/exchange/admit.rs
@@ -19,13 +19,15 @@
 use crate::policy::gateway_queue::Reason;
 use crate::policy::gateway_queue::Rejection;
 use crate::policy::gateway_queue::Request;
+use crate::policy::gateway_queue::max_escalation_wait;
+use crate::policy::model_choice::good_probability;
 use crate::policy::placement::stable_hash;
 
 impl Exchange {
     /// Waits until the next attempt may be made. The refusal tells that the request has not run, so
     /// it may be returned only if there was no run before.
     pub(super) async fn wait_for_dispatch(&self) -> Result<(), Refusal> {
-        self.wait_until(self.model, self.call.deadline).await
+        self.wait_until(self.model, self.call.deadline, None).await
     }
 
     /// Takes a retry from the retry budget before it waits, so that a failure without a retry left
@@ -53,8 +55,9 @@
     }
 
     /// Waits until the request may be sent to a larger model; returns whether it may. The response
-    /// of the smaller one is kept meanwhile, so the wait ends when the larger model's would be late.
-    pub(super) async fn wait_for_escalation(&self, model: usize) -> bool {
+    /// of the smaller one, with its `confidence` from 0 to 100, is kept meanwhile. So the wait ends
+    /// when the larger model's would be late, or costs more than the caller gains.
+    pub(super) async fn wait_for_escalation(&self, model: usize, confidence: Option<f64>) -> bool {
         let gateway = &self.gateway;
         let Some(service) = self.service.as_ref().filter(|_| gateway.cfg.admission) else {
             return true;
@@ -63,13 +66,23 @@
         let deadline = target.min(self.call.deadline);
         // After the wait there may be no time or no upstream left. The response of the smaller
         // model must not be given up for nothing.
-        self.wait_until(Some(model), deadline).await.is_ok()
+        let good_answer = good_probability(100.0);
+        let gain = good_answer - good_probability(confidence.unwrap_or_default().max(0.0));
+        self.wait_until(Some(model), deadline, Some(gain))
+            .await
+            .is_ok()
             && self.has_attempts_left()
             && gateway.quarantined_for(service, &self.call).is_none()
             && self.choose_upstream(service, Some(model), &[]).is_some()
     }
 
-    async fn wait_until(&self, model: Option<usize>, deadline: Duration) -> Result<(), Refusal> {
+    /// `gain` is that of an escalation, and bounds its wait.
+    async fn wait_until(
+        &self,
+        model: Option<usize>,
+        deadline: Duration,
+        gain: Option<f64>,
+    ) -> Result<(), Refusal> {
         let gateway = &self.gateway;
         let Some(service) = self.service.as_ref().filter(|_| gateway.cfg.admission) else {
             return Ok(());
@@ -84,11 +97,14 @@
         if gateway.quarantined_for(service, &self.call).is_some() {
             return Ok(());
         }
-        let is_escalation = model != self.model;
-        let Some(request) = self.admission_request(model, is_escalation, deadline) else {
+        let Some(mut request) = self.admission_request(model, gain.is_some(), deadline) else {
             return Ok(());
         };
         let first_token = request.first_token;
+        if let Some(gain) = gain {
+            let latest_start = gateway.now() + max_escalation_wait(gain, first_token);
+            request.deadline = request.deadline.min(latest_start + first_token);
+        }
         let admitted = gateway.admit(service, request).await;
         admitted.map_err(|rejection| self.admission_refusal(&rejection, first_token))
     }
--- a/src/gateway/exchange/mod.rs
+++ b/src/gateway/exchange/mod.rs
@@ -279,8 +279,9 @@
                     }
                 }
                 AttemptOutcome::Stream(response, in_flight) => {
+                    let confidence = self.confidence(&response.headers);
                     if let Some(larger_model) = self.try_escalate(&response.headers)
-                        && self.wait_for_escalation(larger_model).await
+                        && self.wait_for_escalation(larger_model, confidence).await
                     {
                         is_dispatched = true;
                         self.model = Some(larger_model);
--- a/src/policy/gateway_queue.rs
+++ b/src/policy/gateway_queue.rs
@@ -128,6 +128,14 @@
     }
 }
 
+/// Returns the longest time for which an escalation may wait, by the expected gain of its answer (as
+/// a share of a good answer's value) and the predicted time to its first token. The response of the
+/// smaller model holds a slot meanwhile, in which another request would be worth a good answer in
+/// about that time.
+pub fn max_escalation_wait(gain: f64, first_token: Duration) -> Duration {
+    first_token.mul_f64(gain.clamp(0.0, 1.0))
+}
+
 /// What is known of the requests at an upstream.
 #[derive(Clone, Copy, Debug)]
 pub struct Occupancy {
--- a/tests/load/gateway_queue.rs
+++ b/tests/load/gateway_queue.rs
@@ -547,6 +547,24 @@
     );
 }
 
+/// Guards against escalations that hold the slot of the smaller model's response for longer than
+/// the better answer is worth.
+#[test]
+fn escalation_waits_only_as_long_as_its_gain_is_worth() {
+    let mut queue = Queue::default();
+    let mut full = Room::new(vec![place(1, 0, 0)]);
+    let mut escalation = request("a", 0, ms(0));
+    escalation.kind = Kind::Begun;
+    escalation.first_token = ms(400);
+    let wait = gateway_queue::max_escalation_wait(0.5, escalation.first_token);
+    assert_eq!(wait, ms(200));
+    escalation.deadline = wait + escalation.first_token;
+    let arrival = queue.arrive(escalation, &mut full, ms(0), 0.0);
+    assert!(matches!(arrival, Arrival::Queued(_)));
+    assert_eq!(queue.remove_late(ms(201), 0.0).len(), 1);
+    assert_eq!(gateway_queue::max_escalation_wait(-0.1, ms(400)), ms(0));
+}
+
 /// Guards against rejections on chance at a gateway that sees few dispatches, and against requests
 /// that are kept though nothing is dispatched for long.
 #[test]
