Keep the queue in the order of dispatch

Cause: each dispatch, arrival, rejection and look for late requests took a pass over the queue or over all organisations with queued requests.

Change: requests are indexed by class, organisation and latest start, and the weights of those who wait are summed as they come and go. The bench has two cases more: a rejection by a full queue, and a dispatch while KV cache lacks everywhere.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -257,6 +257,22 @@
                 queue.dispatch_next(black_box(&mut room), now).unwrap()
             });
         });
+        while matches!(
+            queue.arrive(admission_request(next), &mut full, now, 0.5),
+            Arrival::Queued(_)
+        ) {
+            next += 1;
+        }
+        let name = format!("{upstreams} upstreams, {} queued", queue.len());
+        group.bench_function(BenchmarkId::new("reject", &name), |b| {
+            b.iter(|| queue.arrive(admission_request(next), &mut full, now, 0.5));
+        });
+        let mut lacking = places(upstreams, 1);
+        lacking.iter_mut().for_each(|place| place.kv_free = 0);
+        let mut lacking = Room::new(lacking);
+        group.bench_function(BenchmarkId::new("without KV cache", &name), |b| {
+            b.iter(|| queue.dispatch_next(black_box(&mut lacking), now));
+        });
     }
     group.finish();
 }
--- a/src/policy/gateway_queue.rs
+++ b/src/policy/gateway_queue.rs
@@ -11,6 +11,7 @@
 //! after a rejection, then by the latest useful start.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -424,32 +425,118 @@
         }
     }
 
+    /// Returns whether the request may need less than each of `unfit`, whose flag is whether it
+    /// lacked a slot.
+    fn may_fit(&self, unfit: &[(Needs, bool)], now: Duration) -> bool {
+        let needs = &self.request.needs;
+        unfit.iter().all(|(failed, lacks_slot)| {
+            needs.wants_new != failed.wants_new
+                || !failed.excluded.iter().all(|i| needs.excluded.contains(i))
+                || !lacks_slot && (needs.kv_tokens < failed.kv_tokens || self.ignores_kv_cache(now))
+        })
+    }
+
     fn ignores_kv_cache(&self, now: Duration) -> bool {
         self.lacks_kv_since
             .is_some_and(|since| now >= since + MAX_KV_WAIT)
     }
-
-    /// Order within an organisation.
-    fn order(&self) -> (Kind, Duration) {
-        (self.request.kind, self.request.latest_start())
-    }
 }
 
 fn class(request: &Request) -> (bool, u32) {
     (request.kind != Kind::Begun, request.rank)
 }
 
+fn lane_key(request: &Request, ticket: u64) -> LaneKey {
+    (request.kind, request.latest_start(), ticket)
+}
+
 /// Fair-queueing state of an organisation in one rank.
 #[derive(Debug)]
 struct Account {
     rank: u32,
-    organisation: Name,
     weight: f64,
     /// Virtual start time of its next request.
     start: f64,
     queued: usize,
 }
 
+/// Position of an organisation's first request among those of its class: the virtual start of the
+/// account, the latest start of the request, and the account. The virtual start is not negative, so
+/// its bits are in the order of its values.
+type HeadKey = (u64, Duration, usize);
+
+/// Order of a request within an organisation: its precedence, latest start and ticket.
+type LaneKey = (Kind, Duration, u64);
+
+/// Queued requests of one organisation in one class.
+#[derive(Debug, Default)]
+struct Lane {
+    requests: BTreeSet<LaneKey>,
+    head: Option<HeadKey>,
+}
+
+/// Queued requests of one class. A dispatch and an arrival must not take a pass over the queue.
+#[derive(Debug, Default)]
+struct Class {
+    /// By account.
+    lanes: HashMap<usize, Lane>,
+    heads: BTreeSet<HeadKey>,
+    queued: usize,
+}
+
+impl Class {
+    /// Moves an organisation to the position of its first request.
+    fn update_head(&mut self, account: usize, start: f64) {
+        let Some(lane) = self.lanes.get_mut(&account) else {
+            return;
+        };
+        let first = lane.requests.first();
+        let head = first.map(|&(_, latest_start, _)| (start.to_bits(), latest_start, account));
+        if let Some(previous) = std::mem::replace(&mut lane.head, head) {
+            self.heads.remove(&previous);
+        }
+        match head {
+            Some(head) => {
+                self.heads.insert(head);
+            }
+            None => {
+                self.lanes.remove(&account);
+            }
+        }
+    }
+
+    fn insert(&mut self, account: usize, start: f64, key: LaneKey) {
+        let lane = self.lanes.entry(account).or_default();
+        if lane.requests.insert(key) {
+            self.queued += 1;
+        }
+        self.update_head(account, start);
+    }
+
+    fn remove(&mut self, account: usize, start: f64, key: &LaneKey) {
+        if let Some(lane) = self.lanes.get_mut(&account)
+            && lane.requests.remove(key)
+        {
+            self.queued -= 1;
+        }
+        self.update_head(account, start);
+    }
+
+    /// Iterates over the tickets in the order of dispatch.
+    fn tickets(&self) -> impl Iterator<Item = u64> + '_ {
+        let accounts = self.heads.iter().map(|(_, _, account)| account);
+        let lanes = accounts.filter_map(|account| self.lanes.get(account));
+        lanes.flat_map(|lane| lane.requests.iter().map(|&(_, _, ticket)| ticket))
+    }
+}
+
+/// Queued requests of one organisation, over all ranks, and its weight.
+#[derive(Clone, Copy, Debug, Default)]
+struct QueuedOrganisation {
+    queued: usize,
+    weight: f64,
+}
+
 /// A rejection whose caller may come back.
 #[derive(Debug)]
 struct ExpectedReturn {
@@ -464,6 +551,10 @@
 pub struct Queue {
     /// By ticket, so in the order of arrival.
     entries: BTreeMap<u64, Entry>,
+    /// The same in the order of dispatch, by class.
+    classes: BTreeMap<(bool, u32), Class>,
+    /// The same by latest start.
+    by_latest_start: BTreeSet<(Duration, u64)>,
     next_ticket: u64,
     accounts: Vec<Account>,
     /// Index of an account by rank and organisation.
@@ -471,8 +562,11 @@
     free_accounts: Vec<usize>,
     /// Virtual time by rank.
     virtual_times: BTreeMap<u32, f64>,
-    /// Queued requests by organisation, over all ranks.
-    queued_by_organisation: HashMap<Name, usize>,
+    organisations: HashMap<Name, QueuedOrganisation>,
+    /// Sum of the weights of the organisations with queued requests.
+    total_weight: f64,
+    /// The same by rank, of the accounts.
+    rank_weights: HashMap<u32, f64>,
     /// Dispatches since the last one in favour of the longest waiting request.
     since_oldest: u32,
     busy_since: Option<Duration>,
@@ -605,38 +699,44 @@
         if room.free == 0 && !room.places.is_empty() {
             return None;
         }
-        for _ in 0..MAX_EXAMINED {
-            let ticket = self.first_except(&unfit, now)?;
-            let entry = self.entries.get_mut(&ticket)?;
+        let most_unfit = unfit.len() + MAX_EXAMINED;
+        let mut found = None;
+        for ticket in self.classes.values().flat_map(Class::tickets) {
+            let Some(entry) = self.entries.get_mut(&ticket) else {
+                continue;
+            };
+            if !entry.may_fit(&unfit, now) {
+                continue;
+            }
             match entry.find(room, now) {
                 Ok(upstream) => {
-                    self.since_oldest = self.since_oldest.saturating_add(1);
-                    let account = &self.accounts[entry.account];
-                    let virtual_time = self.virtual_times.entry(account.rank).or_default();
-                    *virtual_time = virtual_time.max(account.start);
-                    return Some(self.dispatch(ticket, upstream, now));
+                    found = Some((ticket, entry.account, upstream));
+                    break;
                 }
                 Err(lacks_slot) => unfit.push((entry.request.needs.clone(), lacks_slot)),
             }
+            if unfit.len() >= most_unfit {
+                break;
+            }
         }
-        None
+        let (ticket, account, upstream) = found?;
+        self.since_oldest = self.since_oldest.saturating_add(1);
+        let account = &self.accounts[account];
+        let virtual_time = self.virtual_times.entry(account.rank).or_default();
+        *virtual_time = virtual_time.max(account.start);
+        Some(self.dispatch(ticket, upstream, now))
     }
 
     /// Returns the earliest time after which [`Self::remove_late`] removes a request.
     pub fn earliest_latest_start(&self) -> Option<Duration> {
-        let entries = self.entries.values();
-        entries.map(|entry| entry.request.latest_start()).min()
+        self.by_latest_start.first().map(|&(at, _)| at)
     }
 
     /// Removes the requests whose response can no longer begin before the deadline; `jitter` is
     /// uniform from 0 to 1.
     pub fn remove_late(&mut self, now: Duration, jitter: f64) -> Vec<(u64, Rejection)> {
-        let late: Vec<u64> = self
-            .entries
-            .iter()
-            .filter(|(_, entry)| now > entry.request.latest_start())
-            .map(|(&ticket, _)| ticket)
-            .collect();
+        let late = self.by_latest_start.range(..(now, 0));
+        let late: Vec<u64> = late.map(|&(_, ticket)| ticket).collect();
         // After an outage the whole queue may be late at once, so what takes a pass over the queue
         // is computed once for requests of the same organisation and precedence.
         let mut over_share: HashMap<Name, bool> = HashMap::default();
@@ -684,10 +784,21 @@
             row.start = row.start.max(virtual_time.unwrap_or_default());
         }
         row.queued += 1;
+        if row.queued == 1 {
+            *self.rank_weights.entry(request.rank).or_default() += row.weight;
+        }
         let organisation = request.organisation.clone();
-        *self.queued_by_organisation.entry(organisation).or_default() += 1;
+        let known = self.organisations.entry(organisation).or_default();
+        let weight = f64::from(request.weight.max(1));
+        self.total_weight += weight - known.weight;
+        known.weight = weight;
+        known.queued += 1;
         self.busy_since.get_or_insert(now);
         self.next_ticket += 1;
+        let key = lane_key(&request, self.next_ticket);
+        self.by_latest_start.insert((key.1, key.2));
+        let class = self.classes.entry(class(&request)).or_default();
+        class.insert(account, row.start, key);
         let entry = Entry {
             request,
             account,
@@ -717,7 +828,6 @@
         }
         let account = Account {
             rank: request.rank,
-            organisation: request.organisation.clone(),
             weight: f64::from(request.weight.max(1)),
             start: 0.0,
             queued: 0,
@@ -736,52 +846,19 @@
         index
     }
 
-    /// Returns the first request in the order of dispatch, of those that may need less than each of
-    /// `unfit`, whose flag is whether it lacked a slot.
-    fn first_except(&self, unfit: &[(Needs, bool)], now: Duration) -> Option<u64> {
-        let may_fit = |entry: &Entry| {
-            let needs = &entry.request.needs;
-            unfit.iter().all(|(failed, lacks_slot)| {
-                needs.wants_new != failed.wants_new
-                    || !failed.excluded.iter().all(|i| needs.excluded.contains(i))
-                    || !lacks_slot
-                        && (needs.kv_tokens < failed.kv_tokens || entry.ignores_kv_cache(now))
-            })
-        };
-        let mut first: Option<(u64, &Entry)> = None;
-        for (&ticket, entry) in &self.entries {
-            let precedes = first.is_none_or(|(_, first)| {
-                entry
-                    .class()
-                    .cmp(&first.class())
-                    .then_with(|| {
-                        let (a, b) = (entry.account, first.account);
-                        let (x, y) = (self.accounts[a].start, self.accounts[b].start);
-                        let by_start = x.total_cmp(&y);
-                        by_start.then_with(|| {
-                            if a == b {
-                                entry.order().cmp(&first.order())
-                            } else {
-                                entry.order().1.cmp(&first.order().1).then(a.cmp(&b))
-                            }
-                        })
-                    })
-                    .is_lt()
-            });
-            if precedes && (unfit.is_empty() || may_fit(entry)) {
-                first = Some((ticket, entry));
-            }
-        }
-        first.map(|(ticket, _)| ticket)
-    }
-
     fn dispatch(&mut self, ticket: u64, upstream: Option<Index>, now: Duration) -> Dispatch {
         self.record_dispatch(now);
         let entry = self.entries.get(&ticket);
         let waited = entry.map_or(Duration::ZERO, |entry| now.saturating_sub(entry.queued_at));
         if let Some(entry) = entry {
-            let account = &mut self.accounts[entry.account];
+            let index = entry.account;
+            let account = &mut self.accounts[index];
             account.start += entry.request.cost.max(1.0) / account.weight;
+            for is_first in [false, true] {
+                if let Some(class) = self.classes.get_mut(&(is_first, account.rank)) {
+                    class.update_head(index, account.start);
+                }
+            }
         }
         self.remove(ticket, now);
         Dispatch {
@@ -795,11 +872,25 @@
         let entry = self.entries.remove(&ticket)?;
         let account = &mut self.accounts[entry.account];
         account.queued = account.queued.saturating_sub(1);
+        if account.queued == 0
+            && let Some(weight) = self.rank_weights.get_mut(&account.rank)
+        {
+            *weight -= account.weight;
+        }
+        let key = lane_key(&entry.request, ticket);
+        self.by_latest_start.remove(&(key.1, key.2));
+        if let Some(class) = self.classes.get_mut(&entry.class()) {
+            class.remove(entry.account, account.start, &key);
+            if class.queued == 0 {
+                self.classes.remove(&entry.class());
+            }
+        }
         let organisation = &entry.request.organisation;
-        if let Some(queued) = self.queued_by_organisation.get_mut(organisation) {
-            *queued = queued.saturating_sub(1);
-            if *queued == 0 {
-                self.queued_by_organisation.remove(organisation);
+        if let Some(known) = self.organisations.get_mut(organisation) {
+            known.queued = known.queued.saturating_sub(1);
+            if known.queued == 0 {
+                self.total_weight -= known.weight;
+                self.organisations.remove(organisation);
             }
         }
         if self.entries.is_empty() {
@@ -808,6 +899,9 @@
             self.account_indices.clear();
             self.free_accounts.clear();
             self.virtual_times.clear();
+            self.organisations.clear();
+            self.total_weight = 0.0;
+            self.rank_weights.clear();
             self.busy_since = None;
             self.dispatch_times.clear();
             self.returns.retain(|expected| now <= expected.until);
@@ -858,8 +952,8 @@
     }
 
     fn queued_of(&self, organisation: &Name) -> usize {
-        let queued = self.queued_by_organisation.get(organisation);
-        queued.copied().unwrap_or_default()
+        let known = self.organisations.get(organisation);
+        known.map_or(0, |known| known.queued)
     }
 
     /// Returns whether the request's organisation, with `added` further requests, has more of the
@@ -871,40 +965,31 @@
             return false;
         }
         let weight = f64::from(request.weight.max(1));
-        let mut weights: HashMap<&Name, f64> = HashMap::default();
-        for account in self.accounts.iter().filter(|account| account.queued > 0) {
-            weights.insert(&account.organisation, account.weight);
-        }
-        weights.insert(&request.organisation, weight);
-        let total: f64 = weights.values().sum();
+        let known = self.organisations.get(&request.organisation);
+        let total = self.total_weight - known.map_or(0.0, |known| known.weight) + weight;
         (own + added) as f64 * total > (self.len() + added) as f64 * weight
     }
 
     /// Estimates the queued requests that would be dispatched before this one.
     fn count_ahead(&self, request: &Request) -> usize {
         let own_class = class(request);
-        let own_order = (request.kind, request.latest_start());
-        let (mut urgent, mut own, mut others) = (0, 0, 0);
-        for entry in self.entries.values() {
-            match entry.class().cmp(&own_class) {
-                std::cmp::Ordering::Less => urgent += 1,
-                std::cmp::Ordering::Greater => {}
-                std::cmp::Ordering::Equal => {
-                    if entry.request.organisation != request.organisation {
-                        others += 1;
-                    } else if entry.order() <= own_order {
-                        own += 1;
-                    }
-                }
-            }
-        }
-        let other_weights: f64 = self
-            .accounts
-            .iter()
-            .filter(|account| account.queued > 0 && account.rank == request.rank)
-            .filter(|account| account.organisation != request.organisation)
-            .map(|account| account.weight)
-            .sum();
+        let more_urgent = self.classes.range(..own_class);
+        let urgent: usize = more_urgent.map(|(_, class)| class.queued).sum();
+        let Some(class) = self.classes.get(&own_class) else {
+            return urgent;
+        };
+        let key = (request.rank, request.organisation.clone());
+        let account = self.account_indices.get(&key).copied();
+        let lane = account.and_then(|account| class.lanes.get(&account));
+        let last = lane_key(request, u64::MAX);
+        let own = lane.map_or(0, |lane| lane.requests.range(..=last).count());
+        let others = class.queued - lane.map_or(0, |lane| lane.requests.len());
+        let own_account = account.map(|account| &self.accounts[account]);
+        let own_weight = own_account
+            .filter(|account| account.queued > 0)
+            .map_or(0.0, |account| account.weight);
+        let weights = self.rank_weights.get(&request.rank);
+        let other_weights = weights.copied().unwrap_or_default() - own_weight;
         let weight = f64::from(request.weight.max(1));
         let interleaved = ((own + 1) as f64 * other_weights / weight) as usize;
         urgent + own + others.min(interleaved)
