Place requests of small plain services by expected time only

Cause: with admission, placement was restricted to upstreams that are counted as having capacity. In a service of 3 or 4 upstreams of 6 slots these counts are out of date when they are used, and all gateways avoided the same upstream.

Change: plain services of fewer than 64 slots are not restricted; placement by expected time allows for the age of the counts. The test of 64 gateways before few slots measures the share of time in which requests wait beside a free slot.

--- a/src/gateway/exchange/choose.rs
+++ b/src/gateway/exchange/choose.rs
@@ -178,7 +178,14 @@
                     upstreams.placement_candidate(upstream, &context, tried.contains(upstream.id()))
                 })
                 .collect();
-            if let Some(demand) = demand {
+            // In a plain service of few slots, the numbers of requests have changed by the time that
+            // they are known, and all gateways would avoid the same upstream. Placement by expected
+            // time allows for the age of the numbers.
+            let is_small = pool.upstreams.first().is_some_and(|first| {
+                let managed = &context.managed_upstreams;
+                kv_capacity_tokens.is_none() && managed.is_of_small_service(first.number)
+            });
+            if let Some(demand) = demand.filter(|_| !is_small) {
                 let needs = Needs {
                     kv_tokens: self.kv_tokens(&routing, service),
                     wants_new,
--- a/tests/load/uneven_upstreams.rs
+++ b/tests/load/uneven_upstreams.rs
@@ -60,6 +60,8 @@
     busiest: f64,
     /// Share of requests that had to wait while another upstream had a free slot.
     queued_needlessly: f64,
+    /// Share of time in which an upstream had queued requests while another had a free slot.
+    needless_time: f64,
 }
 
 #[derive(Clone, Copy)]
@@ -151,10 +153,18 @@
         let shared = 1.0 + 0.3 * running as f64 / slots as f64;
         (job.work_ms * permanent * noise * shared * 1_000.0) as u64
     };
+    let (mut last, mut needless_us) = (WARM_UP_S * 1_000_000, 0);
     while let Some(std::cmp::Reverse((at, event))) = events.pop() {
         if at > RUN_S * 1_000_000 {
             break;
         }
+        if at > last {
+            let has_free = running.iter().any(|&running| running < servers);
+            if has_free && queues.iter().any(|queue| !queue.is_empty()) {
+                needless_us += at - last;
+            }
+            last = at;
+        }
         let now = Duration::from_micros(at);
         match event {
             Event::Update => {
@@ -322,6 +332,7 @@
         late: late as f64 / times.len() as f64,
         busiest: f64::from(*served.iter().max().unwrap()) / mean,
         queued_needlessly: f64::from(needless) / f64::from(measured),
+        needless_time: needless_us as f64 / ((RUN_S - WARM_UP_S) * 1_000_000) as f64,
     };
     println!("{choice:?}: {outcome:?}");
     outcome
@@ -407,6 +418,21 @@
     for other in [round_robin, least] {
         assert!(ours.queued_needlessly < other.queued_needlessly, "{ours:?}");
     }
+    // The share of time, also near the capacity.
+    for (upstreams, per_s) in [(3, 50.0), (3, 65.0), (4, 65.0), (4, 85.0)] {
+        let [ours, round_robin, least] = run_all(Scenario {
+            upstreams,
+            per_s,
+            updates_behind: 2,
+            ..few_slots
+        });
+        for other in [round_robin, least] {
+            assert!(
+                ours.needless_time < other.needless_time,
+                "{ours:?} {other:?}"
+            );
+        }
+    }
     // Requests that end before the others know of them: the counts are of no use, and do no harm.
     let [ours, round_robin, least] = run_all(Scenario {
         work_ms: 40.0,
