Split the choice of the upstream into steps

Cause: choose_upstream collected the inputs, filtered the candidates and placed the request in one function of 80 lines.

Change: choose_upstream collects the inputs, candidates() selects the upstreams, place_by_time() places.

--- a/src/gateway/exchange/choose.rs
+++ b/src/gateway/exchange/choose.rs
@@ -9,7 +9,9 @@
 use crate::gateway::routing::RoutingTable;
 use crate::gateway::routing::ServicePool;
 use crate::gateway::routing::Upstream;
+use crate::gateway::upstreams::Demand;
 use crate::gateway::upstreams::PlacementContext;
+use crate::gateway::upstreams::UpstreamTable;
 use crate::policy::backpressure::Backpressure;
 use crate::policy::escalation::TtftForecast;
 use crate::policy::gateway_queue;
@@ -27,6 +29,19 @@
 /// Tokens for which the prefill time is predicted to learn the time of one.
 const RATE_TOKENS: u64 = 100_000;
 
+/// Inputs of one choice that are the same for all upstreams.
+struct ChoiceInputs<'a> {
+    service: &'a Name,
+    model: Option<usize>,
+    prefill: Option<Prefill>,
+    upstreams: &'a UpstreamTable,
+    context: PlacementContext<'a>,
+    /// Tokens that the request will hold in the KV cache.
+    kv_tokens: u64,
+    /// Demand of all gateways; `None` without admission.
+    demand: Option<Demand>,
+}
+
 impl Exchange {
     /// Returns whether the request may go to another upstream if its upstream does not respond.
     pub(super) fn can_fail_over(&self) -> bool {
@@ -151,73 +166,27 @@
         let peer_loads = gateway.peer_loads.borrow();
         let reachability = gateway.reachability.borrow();
         let backpressure = gateway.backpressure.borrow();
-        let context = self.placement_context(
-            &peer_loads,
-            &reachability,
-            &backpressure,
-            kv_capacity_tokens,
-        );
-        let is_managed = context.speeds.is_some();
-        let token_time = prefill.filter(|_| is_managed).and_then(|_| {
-            let model = self.model_name(model);
-            gateway.predict_prefill_time(service, model, RATE_TOKENS)
-        });
-        let first = pool.upstreams.first().filter(|_| is_managed);
-        let update_lag = first.map_or(Duration::ZERO, |first| gateway.update_lag(first.number));
-        let demand = gateway.cfg.admission.then(|| gateway.demand(service));
+        let inputs = ChoiceInputs {
+            service,
+            model,
+            prefill,
+            upstreams: &upstreams,
+            context: self.placement_context(
+                &peer_loads,
+                &reachability,
+                &backpressure,
+                kv_capacity_tokens,
+            ),
+            kv_tokens: self.kv_tokens(&routing, service),
+            demand: gateway.cfg.admission.then(|| gateway.demand(service)),
+        };
         let choose = |wants_new: Option<bool>| -> Option<Upstream> {
-            let mut eligible: Vec<&Upstream> = pool
-                .upstreams
-                .iter()
-                .filter(|upstream| wants_new.is_none_or(|new| new == upstream.is_new))
-                .filter(|upstream| self.permits(upstream))
-                .collect();
-            let mut candidates: Vec<Candidate> = eligible
-                .iter()
-                .map(|upstream| {
-                    upstreams.placement_candidate(upstream, &context, tried.contains(upstream.id()))
-                })
-                .collect();
-            // In a plain service of few slots, the numbers of requests have changed by the time that
-            // they are known, and all gateways would avoid the same upstream. Placement by expected
-            // time allows for the age of the numbers.
-            let is_small = pool.upstreams.first().is_some_and(|first| {
-                let managed = &context.managed_upstreams;
-                kv_capacity_tokens.is_none() && managed.is_of_small_service(first.number)
-            });
-            if let Some(demand) = demand.filter(|_| !is_small) {
-                let needs = Needs {
-                    kv_tokens: self.kv_tokens(&routing, service),
-                    wants_new,
-                    excluded: Vec::new(),
-                };
-                prefer_free(
-                    &mut eligible,
-                    &mut candidates,
-                    &needs,
-                    |upstream, candidate| upstreams.place_of(upstream, candidate, &context, demand),
-                );
-            }
-            let can_probe = self.call.route.is_safe_to_retry();
-            let rng = &mut *gateway.rng.borrow_mut();
-            let index = if is_managed {
-                let hints: Vec<TimeHint> = eligible
-                    .iter()
-                    .zip(&candidates)
-                    .filter(|_| prefill.is_none())
-                    .map(|(upstream, candidate)| {
-                        upstreams.time_hint(upstream, &context, candidate.load, update_lag)
-                    })
-                    .collect();
-                let usual = gateway.usual_response_time(service, &self.call);
-                let context = TimeContext {
-                    hints: &hints,
-                    token_s: token_time.map(|time| time.as_secs_f64() / RATE_TOKENS as f64),
-                    request_s: usual.map(|time| time.as_secs_f64()),
-                    is_connected: &|i| gateway.connections.has_idle(eligible[i].address()),
-                };
-                placement::place_by_time(&candidates, prefill, can_probe, &context, rng)?
+            let (eligible, candidates) = self.candidates(&inputs, pool, wants_new, tried);
+            let index = if inputs.context.speeds.is_some() {
+                self.place_by_time(&inputs, &eligible, &candidates)?
             } else {
+                let can_probe = self.call.route.is_safe_to_retry();
+                let rng = &mut *gateway.rng.borrow_mut();
                 placement::place(&candidates, prefill, can_probe, rng)?
             };
             Some(eligible[index].clone())
@@ -228,6 +197,88 @@
         })
     }
 
+    /// Returns the upstreams that the request may use, with the input of the placement for each.
+    /// With admission, these are only those with capacity for it, unless there are none.
+    fn candidates<'p>(
+        &self,
+        inputs: &ChoiceInputs<'_>,
+        pool: &'p ServicePool,
+        wants_new: Option<bool>,
+        tried: &[Name],
+    ) -> (Vec<&'p Upstream>, Vec<Candidate>) {
+        let (upstreams, context) = (inputs.upstreams, &inputs.context);
+        let mut eligible: Vec<&Upstream> = pool
+            .upstreams
+            .iter()
+            .filter(|upstream| wants_new.is_none_or(|new| new == upstream.is_new))
+            .filter(|upstream| self.permits(upstream))
+            .collect();
+        let mut candidates: Vec<Candidate> = eligible
+            .iter()
+            .map(|upstream| {
+                upstreams.placement_candidate(upstream, context, tried.contains(upstream.id()))
+            })
+            .collect();
+        // In a plain service of few slots, the numbers of requests have changed by the time that they
+        // are known, and all gateways would avoid the same upstream. Placement by expected time
+        // allows for the age of the numbers.
+        let is_small = pool.upstreams.first().is_some_and(|first| {
+            let managed = &context.managed_upstreams;
+            context.kv_capacity_tokens.is_none() && managed.is_of_small_service(first.number)
+        });
+        if let Some(demand) = inputs.demand.filter(|_| !is_small) {
+            let needs = Needs {
+                kv_tokens: inputs.kv_tokens,
+                wants_new,
+                excluded: Vec::new(),
+            };
+            prefer_free(
+                &mut eligible,
+                &mut candidates,
+                &needs,
+                |upstream, candidate| upstreams.place_of(upstream, candidate, context, demand),
+            );
+        }
+        (eligible, candidates)
+    }
+
+    /// Returns the index of the candidate with the least expected time.
+    fn place_by_time(
+        &self,
+        inputs: &ChoiceInputs<'_>,
+        eligible: &[&Upstream],
+        candidates: &[Candidate],
+    ) -> Option<usize> {
+        let gateway = &self.gateway;
+        let (service, prefill) = (inputs.service, inputs.prefill);
+        let update_lag = eligible
+            .first()
+            .map_or(Duration::ZERO, |first| gateway.update_lag(first.number));
+        let hint = |(upstream, candidate): (&&Upstream, &Candidate)| {
+            let (table, context) = (inputs.upstreams, &inputs.context);
+            table.time_hint(upstream, context, candidate.load, update_lag)
+        };
+        let hints: Vec<TimeHint> = if prefill.is_none() {
+            eligible.iter().zip(candidates).map(hint).collect()
+        } else {
+            Vec::new()
+        };
+        let token_time = prefill.and_then(|_| {
+            let model = self.model_name(inputs.model);
+            gateway.predict_prefill_time(service, model, RATE_TOKENS)
+        });
+        let usual = gateway.usual_response_time(service, &self.call);
+        let context = TimeContext {
+            hints: &hints,
+            token_s: token_time.map(|time| time.as_secs_f64() / RATE_TOKENS as f64),
+            request_s: usual.map(|time| time.as_secs_f64()),
+            is_connected: &|i| gateway.connections.has_idle(eligible[i].address()),
+        };
+        let can_probe = self.call.route.is_safe_to_retry();
+        let rng = &mut *gateway.rng.borrow_mut();
+        placement::place_by_time(candidates, prefill, can_probe, &context, rng)
+    }
+
     /// Returns whether the request goes to the release that is being rolled out; `None` outside a
     /// rollout.
     pub(super) fn uses_new_release(&self, pool: &ServicePool) -> Option<bool> {
