--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -267,12 +267,6 @@
         group.bench_function(BenchmarkId::new("reject", &name), |b| {
             b.iter(|| queue.arrive(admission_request(next), &mut full, now, 0.5));
         });
-        let mut lacking = places(upstreams, 1);
-        lacking.iter_mut().for_each(|place| place.kv_free = 0);
-        let mut lacking = Room::new(lacking);
-        group.bench_function(BenchmarkId::new("without KV cache", &name), |b| {
-            b.iter(|| queue.dispatch_next(black_box(&mut lacking), now));
-        });
     }
     group.finish();
 }
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -200,13 +200,17 @@
             .count();
         let gateways = known.max(heard);
         let demands = self.admission.demands.borrow();
-        demands.share(
+        let share = demands.share(
             service_key(service),
             gateways,
             peer_loads.run_ids(),
             is_busy,
             self.now(),
-        )
+        );
+        let labels = [("service", &**service)];
+        self.metrics
+            .set_labelled_gauge("daisyquay_capacity_share", share, &labels);
+        share
     }
 
     /// Returns this gateway's demand for the next update, and whether the update is due for it;
--- a/tests/load/demand.rs
+++ b/tests/load/demand.rs
@@ -1,5 +1,6 @@
 //! Shares of the free slots by demand, with updates that are late or lost.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use daisyquay::policy::demand::DISPATCH_SPAN;
@@ -18,15 +19,15 @@
     Duration::from_millis(ms)
 }
 
+#[derive(Default)]
 struct Gateway {
     demands: Demands,
     demand: usize,
     /// Gateways in its directory.
     directory: usize,
     has_stopped: bool,
-    /// Gateways that it has heard of, with when they were last heard and how many updates in a row
-    /// were lost.
-    heard: Vec<(u64, Duration, u32)>,
+    /// When each gateway was last heard, and how many updates in a row were lost.
+    heard: BTreeMap<u64, (Duration, u32)>,
 }
 
 /// Gateways that send each other updates, of which up to three in a row are lost.
@@ -51,11 +52,8 @@
 
     fn join(&mut self, directory: usize) {
         self.gateways.push(Gateway {
-            demands: Demands::default(),
-            demand: 0,
             directory,
-            has_stopped: false,
-            heard: Vec::new(),
+            ..Gateway::default()
         });
     }
 
@@ -66,24 +64,14 @@
         while self.now < end {
             self.now += ms(10);
             let now = self.now;
-            let mut due = Vec::new();
-            self.in_transit.retain(|row| {
-                let is_due = row.0 <= now;
-                is_due.then(|| due.push(row.clone()));
-                !is_due
-            });
-            for (_, from, to, notice) in due {
+            for (_, from, to, notice) in self.in_transit.extract_if(.., |row| row.0 <= now) {
                 let gateway = &mut self.gateways[to];
                 gateway.demands.apply(from as u64, notice, now);
-                match gateway.heard.iter_mut().find(|row| row.0 == from as u64) {
-                    Some(row) => row.1 = now,
-                    None => gateway.heard.push((from as u64, now, 0)),
-                }
-            }
-            for from in 0..self.gateways.len() {
-                self.step(from, varies);
+                gateway.heard.entry(from as u64).or_default().0 = now;
             }
-            let count = self.gateways.iter().filter(|row| !row.has_stopped).count() as u32;
+            (0..self.gateways.len()).for_each(|from| self.step(from, varies));
+            let running = self.gateways.iter().filter(|row| !row.has_stopped);
+            let count = running.count() as u32;
             for (requests, extra) in [(0, 1 + SLOTS / 8), (SLOTS / 2 + 1, 1)] {
                 let all = 0..self.gateways.len();
                 let added: u32 = all.map(|i| self.may_add(i, requests)).sum();
@@ -102,40 +90,33 @@
         if varies && self.rng.u32(..40) == 0 {
             gateway.demand = self.rng.choice([0, 3, 20, 400]).unwrap();
         }
-        gateway.heard.retain(|row| now < row.1 + ms(3_500));
-        let heard: Vec<u64> = gateway.heard.iter().map(|row| row.0).collect();
-        gateway.demands.retain(|row| heard.contains(&row));
+        gateway.heard.retain(|_, row| now < row.0 + ms(3_500));
+        let heard = &gateway.heard;
+        gateway.demands.retain(|row| heard.contains_key(&row));
         let notice = Notice::new([(SERVICE, gateway.demand)].into_iter());
         if !gateway.demands.is_due(&notice, now) && !now.as_millis().is_multiple_of(1_000) {
             return;
         }
         gateway.demands.record_published(notice.clone(), now);
         for to in (0..self.gateways.len()).filter(|to| *to != from) {
-            let lost = &mut self.gateways[to].heard;
-            let lost = lost.iter_mut().find(|row| row.0 == from as u64);
-            if let Some((_, _, lost)) = lost {
-                *lost = if *lost < 3 && self.rng.bool() {
-                    *lost + 1
-                } else {
-                    0
-                };
-                if *lost > 0 {
+            if let Some((_, lost)) = self.gateways[to].heard.get_mut(&(from as u64)) {
+                let is_lost = *lost < 3 && self.rng.bool();
+                *lost = if is_lost { *lost + 1 } else { 0 };
+                if is_lost {
                     continue;
                 }
             }
-            let delay = ms(self.rng.u64(1..130));
-            self.in_transit
-                .push((now + delay, from, to, notice.clone()));
+            let at = now + ms(self.rng.u64(1..130));
+            self.in_transit.push((at, from, to, notice.clone()));
         }
     }
 
     fn share(&self, i: usize) -> f64 {
         let gateway = &self.gateways[i];
         let gateways = gateway.directory.max(gateway.heard.len() + 1);
-        let heard = gateway.heard.iter().map(|row| row.0);
-        gateway
-            .demands
-            .share(SERVICE, gateways, heard, |_| true, self.now)
+        let heard = gateway.heard.keys().copied();
+        let demands = &gateway.demands;
+        demands.share(SERVICE, gateways, heard, |_| true, self.now)
     }
 
     fn may_add(&self, i: usize, requests: u32) -> u32 {
