Limit the effects of a pause to the requests that it stops

One request that may use only paused upstreams made the dispatch rate of the whole queue unknown. Requests rejected at a limit during a pause got the default Retry-After. Requests whose permitted upstreams all pause stayed queued until late if another one was open, and each arrival and poll during a pause took a pass over the queue with a search for each request.

The rate is unknown only if all upstreams pause, Retry-After is the time to the end of the pause, and the search runs when the capacity has been computed anew, only over requests that a pause can make late, once for each set of permitted upstreams. Comments of the same file are corrected.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -354,7 +354,10 @@
         let Some((room, ..)) = queue.room.as_mut() else {
             return;
         };
-        let mut late = queue.queue.remove_paused(room, now, jitter);
+        let mut late = Vec::new();
+        if !is_current {
+            late = queue.queue.remove_paused(room, now, jitter);
+        }
         late.extend(queue.queue.remove_late(now, jitter));
         if !late.is_empty() {
             self.meter_queue(service, queue.queue.len(), None);
--- a/src/policy/gateway_queue.rs
+++ b/src/policy/gateway_queue.rs
@@ -173,8 +173,8 @@
     let added = occupancy.own.saturating_sub(occupancy.own_before);
     let free_before = free.saturating_add(added);
     let share = f64::from(free_before) * occupancy.share.clamp(0.0, 1.0);
-    let limit = (share as u32).saturating_add(extra);
-    free.min(limit.saturating_sub(added))
+    let allowance = (share as u32).saturating_add(extra);
+    free.min(allowance.saturating_sub(added))
 }
 
 /// Capacity of one upstream.
@@ -244,7 +244,7 @@
     NoSlot,
     /// There are free slots without enough KV cache; the place has the most.
     NoKvCache(usize),
-    /// All upstreams that the request may use pause; the first one until then.
+    /// All upstreams that the request may use pause; the earliest end of a pause.
     Paused(Duration),
     /// There is no upstream that the request may use, so waiting does not help.
     NoUpstream,
@@ -314,9 +314,11 @@
         }
     }
 
-    /// Returns whether all upstreams pause.
-    fn is_paused(&self) -> bool {
-        !self.places.is_empty() && self.places.iter().all(|place| place.opens_at.is_some())
+    /// Returns the earliest end of a pause if all upstreams pause.
+    fn paused_until(&self) -> Option<Duration> {
+        let is_paused = self.places.iter().all(|place| place.opens_at.is_some());
+        let ends = self.places.iter().filter_map(|place| place.opens_at);
+        ends.min().filter(|_| is_paused)
     }
 
     /// Takes capacity for a request and returns the number of the upstream.
@@ -348,8 +350,7 @@
     Paused,
     /// The queue is full.
     Full,
-    /// One of these, for an organisation that has more than its share of the queue while others
-    /// wait.
+    /// The queue is full or the request is late, and its organisation has more than its share.
     Share,
 }
 
@@ -530,7 +531,8 @@
     }
 }
 
-/// Queued requests of one organisation, over all ranks, and its weight.
+/// The number of queued requests of one organisation over all ranks, and the weight of the
+/// organisation's most recent request.
 #[derive(Clone, Copy, Debug, Default)]
 struct QueuedOrganisation {
     queued: usize,
@@ -565,7 +567,7 @@
     organisations: HashMap<Name, QueuedOrganisation>,
     /// Sum of the weights of the organisations with queued requests.
     total_weight: f64,
-    /// The same by rank, of the accounts.
+    /// Sum by rank of the weights of the accounts with queued requests.
     rank_weights: HashMap<u32, f64>,
     /// Dispatches since the last one in favour of the longest waiting request.
     since_oldest: u32,
@@ -608,7 +610,8 @@
             Fit::NoSlot | Fit::NoKvCache(_) => {}
         }
         if let Some(opens_at) = pause.filter(|opens_at| *opens_at > request.latest_start()) {
-            return Arrival::Rejected(self.reject_paused(&request, opens_at, now, jitter));
+            let reason = Reason::Paused;
+            return Arrival::Rejected(self.reject_paused(&request, reason, opens_at, now, jitter));
         }
         if request.kind == Kind::First && self.take_return(&request, now) {
             request.kind = Kind::Returning;
@@ -629,52 +632,64 @@
             } else {
                 Reason::Late
             };
-            return Arrival::Rejected(self.reject(&request, reason, ahead, now, jitter));
+            return Arrival::Rejected(match pause {
+                Some(opens_at) => self.reject_paused(&request, reason, opens_at, now, jitter),
+                None => self.reject(&request, reason, ahead, now, jitter),
+            });
         }
         let ticket = self.push(request, now);
-        if let Some(opens_at) = pause {
+        // A pause of only those upstreams that this request may use does not stop the others.
+        if let Some(opens_at) = room.paused_until() {
             self.busy_since = Some(opens_at);
         }
         Arrival::Queued(ticket)
     }
 
     /// Removes the requests whose response can no longer begin before the deadline because all
-    /// upstreams pause; `jitter` is uniform from 0 to 1.
+    /// upstreams that they may use pause; `jitter` is uniform from 0 to 1. Must be called when
+    /// `room` has been computed anew; later arrivals are checked by [`Self::arrive`].
     pub fn remove_paused(
         &mut self,
         room: &Room,
         now: Duration,
         jitter: f64,
     ) -> Vec<(u64, Rejection)> {
-        if self.is_empty() || !room.is_paused() {
+        let ends = room.places.iter().filter_map(|place| place.opens_at);
+        let Some(last_end) = ends.max().filter(|_| !self.is_empty()) else {
             return Vec::new();
+        };
+        // Whether all permitted upstreams pause does not depend on the KV cache, so the places are
+        // examined once for requests that may use the same ones.
+        let mut ends_by_needs: HashMap<(Option<bool>, &[Index]), Option<Duration>> =
+            HashMap::default();
+        let mut late: Vec<(u64, Duration)> = Vec::new();
+        for &(latest_start, ticket) in self.by_latest_start.range(..(last_end, 0)) {
+            let Some(entry) = self.entries.get(&ticket) else {
+                continue;
+            };
+            let needs = &entry.request.needs;
+            let end = *ends_by_needs
+                .entry((needs.wants_new, &needs.excluded))
+                .or_insert_with(|| match room.find(needs, true) {
+                    Fit::Paused(opens_at) => Some(opens_at),
+                    _ => None,
+                });
+            late.extend(
+                end.filter(|end| *end > latest_start)
+                    .map(|end| (ticket, end)),
+            );
         }
-        let opens_at = room.places.iter().filter_map(|place| place.opens_at).min();
-        let late: Vec<(u64, Duration)> = self
-            .entries
-            .iter()
-            .filter_map(|(&ticket, entry)| {
-                let needs = &entry.request.needs;
-                let is_any = needs.excluded.is_empty() && needs.wants_new.is_none();
-                let opens_at = match opens_at {
-                    Some(opens_at) if is_any => opens_at,
-                    _ => match room.find(needs, true) {
-                        Fit::Paused(opens_at) => opens_at,
-                        _ => return None,
-                    },
-                };
-                (opens_at > entry.request.latest_start()).then_some((ticket, opens_at))
-            })
-            .collect();
+        drop(ends_by_needs);
         let removed: Vec<(u64, Duration, Entry)> = late
             .into_iter()
             .filter_map(|(ticket, opens_at)| Some((ticket, opens_at, self.remove(ticket, now)?)))
             .collect();
-        if !self.is_empty() {
-            self.busy_since = self.busy_since.max(opens_at);
+        if let Some(opens_at) = room.paused_until().filter(|_| !self.is_empty()) {
+            self.busy_since = self.busy_since.max(Some(opens_at));
         }
         let reject = |(ticket, opens_at, entry): (u64, Duration, Entry)| {
-            let rejection = self.reject_paused(&entry.request, opens_at, now, jitter);
+            let request = &entry.request;
+            let rejection = self.reject_paused(request, Reason::Paused, opens_at, now, jitter);
             (ticket, rejection)
         };
         removed.into_iter().map(reject).collect()
@@ -1040,6 +1055,7 @@
     fn reject_paused(
         &mut self,
         request: &Request,
+        reason: Reason,
         opens_at: Duration,
         now: Duration,
         jitter: f64,
@@ -1048,7 +1064,7 @@
             + PAUSE_RETRY_SPREAD.mul_f64(jitter.clamp(0.0, 1.0));
         self.expect_return(request, retry_after, now);
         Rejection {
-            reason: Reason::Paused,
+            reason,
             retry_after,
             queued: self.len(),
             ahead: 0,
--- a/tests/load/gateway_queue.rs
+++ b/tests/load/gateway_queue.rs
@@ -547,6 +547,52 @@
     );
 }
 
+/// Guards against a request that may use only paused upstreams and makes the dispatch rate of the
+/// others unknown, against one that waits for a pause that ends too late because another upstream
+/// is open, and against a full queue that tells callers to come back during a pause.
+#[test]
+fn pause_of_permitted_upstreams_concerns_only_their_requests() {
+    let paused = || Place {
+        opens_at: Some(ms(2_000)),
+        ..place(1, 0, 0)
+    };
+    let limited = |deadline| Request {
+        needs: Needs {
+            excluded: vec![2],
+            ..Needs::default()
+        },
+        ..request("limited", 0, ms(deadline))
+    };
+    let mut queue = Queue::default();
+    let mut full = Room::new(vec![place(1, 0, 0), place(2, 0, 0)]);
+    let mut room = Room::new(vec![paused(), place(2, 0, 0)]);
+    for request in [request("a", 0, ms(1_500)), limited(1_500)] {
+        let arrival = queue.arrive(request, &mut full, ms(0), 0.0);
+        assert!(matches!(arrival, Arrival::Queued(_)), "{arrival:?}");
+    }
+    let rejected = queue.remove_paused(&room, ms(100), 0.0);
+    let results: Vec<_> = rejected
+        .iter()
+        .map(|(ticket, row)| (*ticket, row.reason, row.retry_after))
+        .collect();
+    assert_eq!(results, [(2, Reason::Paused, ms(1_900))]);
+    let arrival = queue.arrive(limited(9_000), &mut room, ms(500), 0.0);
+    assert!(matches!(arrival, Arrival::Queued(_)), "{arrival:?}");
+    // None was dispatched in 1 s, so the rate is too low for this one.
+    let arrival = queue.arrive(request("a", 0, ms(1_010)), &mut room, ms(1_000), 0.0);
+    assert!(matches!(arrival, Arrival::Rejected(row) if row.reason == Reason::Late));
+
+    let mut room = Room::new(vec![paused()]);
+    let mut queue = Queue::default();
+    let mut arrive = || queue.arrive(request("a", 0, ms(9_000)), &mut room, ms(500), 0.0);
+    (0..ORGANISATION_LIMIT).for_each(|_| assert!(matches!(arrive(), Arrival::Queued(_))));
+    let Arrival::Rejected(rejection) = arrive() else {
+        panic!("the queue exceeds its limit");
+    };
+    assert_eq!(rejection.reason, Reason::Full);
+    assert_eq!(rejection.retry_after, ms(1_500));
+}
+
 /// Guards against escalations that hold the slot of the smaller model's response for longer than
 /// the better answer is worth.
 #[test]
