Measure a decision for requests that all lack KV cache

The case dispatched a request that needs no tokens and then measured an early return. Each request now needs less than those before it in the order of dispatch, and the result and the length are asserted.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -267,12 +267,31 @@
         group.bench_function(BenchmarkId::new("reject", &name), |b| {
             b.iter(|| queue.arrive(admission_request(next), &mut full, now, 0.5));
         });
+        // In the order of dispatch each request needs less than those before, so that as many as
+        // possible are examined.
+        let mut queue = Queue::default();
+        for i in 0..queued {
+            let request = Request {
+                rank: 0,
+                organisation: format!("o{}", i / 25).into(),
+                deadline: Duration::from_secs(60),
+                needs: Needs {
+                    kv_tokens: queued - i,
+                    ..Needs::default()
+                },
+                ..admission_request(i)
+            };
+            let arrival = queue.arrive(request, &mut full, now, 0.5);
+            assert!(matches!(arrival, Arrival::Queued(_)));
+        }
         let mut lacking = places(upstreams, 1);
         lacking.iter_mut().for_each(|place| place.kv_free = 0);
         let mut lacking = Room::new(lacking);
-        group.bench_function(BenchmarkId::new("without KV cache", &name), |b| {
-            b.iter(|| queue.dispatch_next(black_box(&mut lacking), now));
+        let name = format!("{upstreams} upstreams, {queued} queued");
+        group.bench_function(BenchmarkId::new("without KV cache", name), |b| {
+            b.iter(|| assert!(queue.dispatch_next(black_box(&mut lacking), now).is_none()));
         });
+        assert_eq!(queue.len(), queued as usize);
     }
     group.finish();
 }
