Count only gateways that exchange updates for the age of updates

Entries without loads_address neither send nor receive updates, but update_age and update_lag counted them. Not covered by a test: the function needs a running gateway.

--- a/src/gateway/loads/mod.rs
+++ b/src/gateway/loads/mod.rs
@@ -246,10 +246,18 @@
 }
 
 impl Gateway {
+    /// Returns the number of other gateways that take part in the exchange of updates.
+    fn peer_count(&self) -> usize {
+        let routing = self.routing();
+        let entries = routing.entries.iter();
+        let others = entries.filter(|info| info.address != self.info.address);
+        others.filter(|info| info.loads_address.is_some()).count()
+    }
+
     /// Returns the time after which the other gateways know of a changed number of requests, if it
     /// is published and no update is lost.
     pub(super) fn update_age(&self) -> Duration {
-        let peers = self.routing().entries.len().saturating_sub(1);
+        let peers = self.peer_count();
         let has_hubs = peers > fanout::FULL_MESH_PEER_LIMIT;
         interval_for(peers, has_hubs) * if has_hubs { HUB_HOPS } else { 1 }
     }
@@ -257,7 +265,7 @@
     /// Returns the mean age of the other gateways' numbers of requests at an upstream: half an
     /// interval for each hop, and half the time between full updates if only those have them.
     pub(super) fn update_lag(&self, upstream: Index) -> Duration {
-        let peers = self.routing().entries.len().saturating_sub(1);
+        let peers = self.peer_count();
         let has_hubs = peers > fanout::FULL_MESH_PEER_LIMIT;
         let hops = if has_hubs { HUB_HOPS } else { 1 };
         let lag = interval_for(peers, has_hubs) * hops / 2;
