--- a/benches/capacity/failover.rs
+++ b/benches/capacity/failover.rs
@@ -83,7 +83,7 @@
             let request = ureq::http::Request::builder()
                 .method(method)
                 .uri(&url)
-                .header("authorization", "Bearer dev-lagon-key");
+                .header("authorization", "Bearer dev-maple-key");
             let response = agent.run(request.body(()).unwrap());
             if response.is_ok_and(|response| response.status() == 200) {
                 longest_s = longest_s.max(last_served.elapsed().as_secs_f64());
--- a/benches/capacity/ledger.rs
+++ b/benches/capacity/ledger.rs
@@ -120,7 +120,7 @@
         thread::sleep(due.saturating_sub(started.elapsed()));
         let request = agent
             .post(&url)
-            .header("authorization", "Bearer dev-lagon-key");
+            .header("authorization", "Bearer dev-maple-key");
         if let Ok(mut reply) = request.send(body)
             && reply.status() == 200
         {
@@ -134,7 +134,7 @@
 pub(crate) fn claim(request: u128) -> LedgerOp {
     LedgerOp::Claim(Claim {
         request: RequestId(request),
-        organisation: "lagon".into(),
+        organisation: "maple".into(),
         target: Target::Version("notes@small".parse().unwrap()),
         upstream: "runner-1".into(),
         entry: 7,
--- a/benches/capacity/state.rs
+++ b/benches/capacity/state.rs
@@ -34,7 +34,7 @@
     for count in [10_000, 100_000, 1_000_000] {
         measure("pinned sessions", count, |i| {
             Op::Pin(PinRequest {
-                organisation: "lagon".into(),
+                organisation: "maple".into(),
                 session: format!("session-{i:012}").into(),
                 proposed: "notes@small".parse().unwrap(),
             })
--- a/benches/relay.rs
+++ b/benches/relay.rs
@@ -48,7 +48,7 @@
         let started = Instant::now();
         let head = format!(
             "POST /v1/chat/completions HTTP/1.1\r\nhost: {}\r\nauthorization: Bearer \
-             dev-lagon-key\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+             dev-maple-key\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
             self.address,
             body.len()
         );
--- a/src/dev.rs
+++ b/src/dev.rs
@@ -27,7 +27,7 @@
 const PEER_KEY: &str = "dev-peer-key";
 const OPERATOR_KEY: &str = "dev-operator-key";
 const UPSTREAM_KEY: &str = "dev-upstream-key";
-const CALLER_KEY: &str = "dev-lagon-key";
+const CALLER_KEY: &str = "dev-maple-key";
 
 /// Time in which the sample inventory must be applied at the entry.
 const APPLY_TIMEOUT: Duration = Duration::from_secs(20);
--- a/tests/cli/main.rs
+++ b/tests/cli/main.rs
@@ -89,7 +89,7 @@
         ),
         (
             "duplicate organisation",
-            VALID.replace("\"castles\"", "\"lagon\""),
+            VALID.replace("\"castles\"", "\"maple\""),
         ),
         (
             "negative cost",
@@ -173,7 +173,7 @@
 
 #[test]
 fn hash_key_reads_key_from_standard_input() {
-    let output = operator(&["hash-key"], "dev-lagon-key\n");
+    let output = operator(&["hash-key"], "dev-maple-key\n");
     let hash = String::from_utf8(output.stdout).unwrap();
     assert!(VALID.contains(hash.trim()));
     assert_eq!(operator(&["hash-key"], "").status.code(), Some(2));
--- a/tests/fuzz/ledger.rs
+++ b/tests/fuzz/ledger.rs
@@ -229,7 +229,7 @@
         }
         let outcome = self.ledger(LedgerOp::Claim(Claim {
             request: RequestId(request.into()),
-            organisation: "lagon".into(),
+            organisation: "maple".into(),
             target: Target::Version(version(small)),
             upstream: "u".into(),
             entry: 1,
@@ -292,7 +292,7 @@
         if *settled && self.fault == Fault::SettleTwice {
             let claim = Claim {
                 request: RequestId(request.into()),
-                organisation: "lagon".into(),
+                organisation: "maple".into(),
                 target: Target::Version(version(true)),
                 upstream: "u".into(),
                 entry: 1,
@@ -333,7 +333,7 @@
     fn pin(&mut self, session: u8, small: bool) -> Result<(), String> {
         let name: Name = format!("s{session}").into();
         let outcome = self.apply(Op::Pin(PinRequest {
-            organisation: "lagon".into(),
+            organisation: "maple".into(),
             session: name,
             proposed: version(small),
         }));
--- a/tests/fuzz/rollout.rs
+++ b/tests/fuzz/rollout.rs
@@ -68,7 +68,7 @@
         let request = RequestId(self.index.into());
         let claim = Claim {
             request,
-            organisation: "lagon".into(),
+            organisation: "maple".into(),
             target: Target::Version(version.clone()),
             upstream: "u".into(),
             entry: 1,
@@ -111,7 +111,7 @@
     for i in 0..1000_u128 {
         let claim = Claim {
             request: RequestId(i),
-            organisation: "lagon".into(),
+            organisation: "maple".into(),
             target: Target::Version(candidate()),
             upstream: "u".into(),
             entry: 1,
--- a/tests/process/admission.rs
+++ b/tests/process/admission.rs
@@ -66,7 +66,7 @@
 const FAILURE: &str = "HTTP/1.1 500 Internal Server Error\r\ndaisyquay-attempt: ID\r\n\
     daisyquay-signature: s-ID\r\ncontent-length: 6\r\n\r\nbroken";
 
-const LAGON: &str = "Bearer dev-lagon-key";
+const MAPLE: &str = "Bearer dev-maple-key";
 const CASTLES: &str = "Bearer dev-castles-key";
 
 struct Setup {
@@ -142,7 +142,7 @@
         }
         let (gateway, address) = cluster.start_gateway();
         eventually("the gateway has its routes", || {
-            let reply = call(address, LAGON, "/nowhere/", "probe", 20_000).0?;
+            let reply = call(address, MAPLE, "/nowhere/", "probe", 20_000).0?;
             (reply.status == 404).then_some(())
         });
         Self {
@@ -177,7 +177,7 @@
 
     /// Sends `count` requests and waits until the upstreams have received them.
     fn occupy(&self, count: usize) -> Vec<JoinHandle<Reply>> {
-        let running = self.start_all(count, LAGON, "/bulk/", "running");
+        let running = self.start_all(count, MAPLE, "/bulk/", "running");
         eventually("the slots are in use", || {
             (self.received().len() == count).then_some(())
         });
@@ -225,8 +225,8 @@
     const WORK: Duration = Duration::from_millis(1_500);
     let setup = Setup::new(WORK);
     let mut replies = setup.occupy(CAPACITY);
-    replies.extend(setup.start_all(2 * CAPACITY, LAGON, "/bulk/", "bulk"));
-    replies.extend(setup.start_all(4, LAGON, "/urgent/", "urgent"));
+    replies.extend(setup.start_all(2 * CAPACITY, MAPLE, "/bulk/", "bulk"));
+    replies.extend(setup.start_all(4, MAPLE, "/urgent/", "urgent"));
     join(replies);
     let runs = setup.runs.lock().unwrap();
     assert_eq!(runs.most_running, CAPACITY, "the slots are exceeded");
@@ -243,7 +243,7 @@
 fn organisation_that_sends_more_leaves_the_others_their_share() {
     const WORK: Duration = Duration::from_millis(800);
     let setup = Setup::new(WORK);
-    let mut replies = setup.start_all(8 * CAPACITY, LAGON, "/bulk/", "greedy");
+    let mut replies = setup.start_all(8 * CAPACITY, MAPLE, "/bulk/", "greedy");
     replies.extend(setup.start_all(CAPACITY, CASTLES, "/bulk/", "modest"));
     join(replies);
     // Its weight is a quarter of all, so it needs four rounds after the first; the whole backlog
@@ -263,10 +263,10 @@
     const WORK: Duration = Duration::from_secs(4);
     let setup = Setup::new(WORK);
     let mut replies = setup.occupy(CAPACITY);
-    replies.extend(setup.start_all(4, LAGON, "/urgent/", "queued"));
+    replies.extend(setup.start_all(4, MAPLE, "/urgent/", "queued"));
     let mut gone = TcpStream::connect(setup.address).unwrap();
     let head = format!(
-        "GET /bulk/ HTTP/1.1\r\nhost: previews.example\r\nauthorization: {LAGON}\r\n\
+        "GET /bulk/ HTTP/1.1\r\nhost: previews.example\r\nauthorization: {MAPLE}\r\n\
          daisyquay-attempt: gone\r\n\r\n"
     );
     gone.write_all(head.as_bytes()).unwrap();
@@ -274,7 +274,7 @@
     // not to be expected to be dispatched within 1 s.
     thread::sleep(WORK / 4);
     drop(gone);
-    let (reply, time) = call(setup.address, LAGON, "/bulk/", "hopeless", 1_000);
+    let (reply, time) = call(setup.address, MAPLE, "/bulk/", "hopeless", 1_000);
     let reply = reply.unwrap();
     assert_eq!(reply.status, 503, "{}", reply.body);
     assert_eq!(reply.json()["error"]["code"], "overloaded");
@@ -296,12 +296,12 @@
     const WORK: Duration = Duration::from_millis(50);
     let setup = Setup::new(WORK);
     eventually("both upstreams pause", || {
-        call(setup.address, LAGON, "/bulk/?pause", "pausing", 20_000).0?;
+        call(setup.address, MAPLE, "/bulk/?pause", "pausing", 20_000).0?;
         let received = setup.upstreams.iter().map(|row| row.received().len());
         received.min().filter(|least| *least > 0)
     });
-    let waiting = setup.start(LAGON, "/bulk/", "waiting".to_owned());
-    let (reply, time) = call(setup.address, LAGON, "/bulk/", "hopeless", 3_000);
+    let waiting = setup.start(MAPLE, "/bulk/", "waiting".to_owned());
+    let (reply, time) = call(setup.address, MAPLE, "/bulk/", "hopeless", 3_000);
     let reply = reply.unwrap();
     assert_eq!(reply.status, 503, "{}", reply.body);
     assert!(
@@ -324,7 +324,7 @@
     let setup = Setup::new(WORK);
     let running = setup.occupy(CAPACITY - 1);
     // It fails at the upstream with the last free slot; the other one has none until it is late.
-    let (reply, time) = call(setup.address, LAGON, "/retried/", "failing", 1_500);
+    let (reply, time) = call(setup.address, MAPLE, "/retried/", "failing", 1_500);
     let reply = reply.unwrap();
     assert_eq!((reply.status, &*reply.body), (500, "broken"));
     assert!(time > Duration::from_secs(1), "not queued: {time:?}");
@@ -345,7 +345,7 @@
         thread::sleep(Duration::from_millis(5));
         let address = setup.address;
         let id = format!("failing-{i}");
-        thread::spawn(move || call(address, LAGON, "/retried/", &id, DEADLINE_MS))
+        thread::spawn(move || call(address, MAPLE, "/retried/", &id, DEADLINE_MS))
     };
     let failing: Vec<JoinHandle<Reply>> = (0..FAILURES).map(fail).collect();
     let replies: Vec<Reply> = failing.into_iter().map(|row| row.join().unwrap()).collect();
--- a/tests/process/failures.rs
+++ b/tests/process/failures.rs
@@ -72,7 +72,7 @@
     assert!(served > 0);
     cluster.wait_until_settled();
     // A request that failed for its caller may have run: it is billed too, at most once.
-    let billed = cluster.billed_requests("lagon");
+    let billed = cluster.billed_requests("maple");
     assert!(billed >= served, "{billed} billed, {served} served");
     let bill = cluster.show("bill");
     let failed: u64 = bill
--- a/tests/process/gateway.rs
+++ b/tests/process/gateway.rs
@@ -153,7 +153,7 @@
     assert_eq!(seen.len(), 1);
     assert_eq!(seen[0].request_line, "POST /lookup/a?b=%20c HTTP/1.1\r\n");
     assert_eq!(seen[0].body, "body");
-    assert_eq!(seen[0].header("daisyquay-organisation"), Some("lagon"));
+    assert_eq!(seen[0].header("daisyquay-organisation"), Some("maple"));
     assert_eq!(seen[0].header("daisyquay-upstream"), Some("u0"));
     assert_eq!(seen[0].header("authorization"), None);
     let deadline_ms: u64 = seen[0]
--- a/tests/process/path.rs
+++ b/tests/process/path.rs
@@ -38,7 +38,7 @@
         assert!(streamed.body.contains("\"usage\":{\"completion_tokens\":5"));
     }
     cluster.wait_until_settled();
-    assert_eq!(cluster.billed_requests("lagon"), 4);
+    assert_eq!(cluster.billed_requests("maple"), 4);
     assert_eq!(cluster.total_requests(runner, "runs"), 4);
 }
 
@@ -89,7 +89,7 @@
         .unwrap();
     let body = vec![b'x'; 5 << 20];
     let head = format!(
-        "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\nauthorization: Bearer dev-lagon-key\r\n\
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\nauthorization: Bearer dev-maple-key\r\n\
          content-length: {}\r\n\r\n",
         body.len()
     );
--- a/tests/process/stops.rs
+++ b/tests/process/stops.rs
@@ -93,7 +93,7 @@
         total += served;
     }
     cluster.wait_until_settled();
-    assert_eq!(cluster.billed_requests("lagon"), total);
+    assert_eq!(cluster.billed_requests("maple"), total);
 }
 
 #[test]
--- a/tests/process/streams.rs
+++ b/tests/process/streams.rs
@@ -52,7 +52,7 @@
         );
     }
     cluster.wait_until_settled();
-    assert_eq!(cluster.billed_requests("lagon"), sent);
+    assert_eq!(cluster.billed_requests("maple"), sent);
 }
 
 #[test]
@@ -149,7 +149,7 @@
     let reply = caller.join().unwrap();
     assert!(reply.is_none_or(|reply| stream_text(&reply).is_none()));
     cluster.wait_until_settled();
-    assert_eq!(cluster.billed_requests("lagon"), 1);
+    assert_eq!(cluster.billed_requests("maple"), 1);
     let bill = cluster.show("bill");
     let tokens = bill[0]["tokens_out"].as_u64().unwrap();
     assert!((1..400).contains(&tokens), "{bill}");
--- a/tests/process/support/cluster.rs
+++ b/tests/process/support/cluster.rs
@@ -26,7 +26,7 @@
 pub(crate) const INVENTORY: &str = include_str!("../../../examples/inventory.toml");
 
 /// Header with the key of the first organisation of the sample inventory.
-pub(crate) const AUTH_HEADER: (&str, &str) = ("authorization", "Bearer dev-lagon-key");
+pub(crate) const AUTH_HEADER: (&str, &str) = ("authorization", "Bearer dev-maple-key");
 
 /// Key of the processes of a cluster.
 pub(crate) const PEER_KEY: &str = "test-peer-key";
