--- a/src/agreement/node/mod.rs
+++ b/src/agreement/node/mod.rs
@@ -153,8 +153,8 @@
     delivered_index: Index,
     role: Role,
     leader: Option<ReplicaId>,
-    /// What this replica knows of the others since its start; `None` once it has followed a leader
-    /// or led.
+    /// Vote requests of the other voters since this replica's start; `None` once it has followed a
+    /// leader or led.
     restart: Option<Restart>,
     /// When this replica last received a message from a leader.
     leader_contact: Option<Duration>,
--- a/src/agreement/node/restart.rs
+++ b/src/agreement/node/restart.rs
@@ -37,7 +37,7 @@
 /// last one has started.
 const PROBE_PERIOD: Duration = Duration::from_secs(4);
 
-/// What a replica knows of the other voters since its own start.
+/// Vote requests that a replica has received since its start, and its state on disk at that time.
 #[derive(Debug)]
 pub(super) struct Restart {
     started_at: Duration,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -77,8 +77,7 @@
 const CONFIG_WAIT_LIMIT: Duration = Duration::from_millis(1200);
 
 /// How long requests wait for the rest of a large directory, from a gateway's first configuration.
-/// Otherwise the first
-/// requests of all gateways would go to the upstreams of the first piece.
+/// Otherwise the first requests of all gateways would go to the upstreams of the first piece.
 const DIRECTORY_WAIT_LIMIT: Duration = Duration::from_millis(200);
 
 /// Interval between checks for the first configuration.
