--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -22,11 +22,11 @@
 use crate::policy::gateway_queue;
 use crate::policy::gateway_queue::Occupancy;
 use crate::policy::gateway_queue::Place;
-use crate::policy::gateway_queue::UPDATE_AGE;
 use crate::policy::placement::Candidate;
 use crate::policy::placement::TimeHint;
 use crate::policy::placement::stable_hash;
 use crate::policy::reachability::Reachability;
+use crate::policy::speed::QueueReports;
 use crate::policy::speed::Speeds;
 use crate::policy::timeouts;
 use crate::policy::timeouts::QueueProgress;
@@ -50,6 +50,8 @@
 struct LoadReport {
     /// Running and waiting requests, of all gateways.
     requests: u32,
+    /// Waiting requests.
+    waiting: u32,
     received_at: Duration,
     /// Requests of this gateway that were in flight then.
     in_flight_at_report: u32,
@@ -183,7 +185,8 @@
         }
     }
 
-    /// Returns the capacity of one upstream for admission; `None` if it accepts no request now.
+    /// Returns the capacity of one upstream for admission; `None` if it accepts no request now and
+    /// the end of that is not known or not waited for.
     pub(super) fn place(
         &self,
         upstream: &Upstream,
@@ -202,10 +205,15 @@
         context: &PlacementContext<'_>,
         demand: Demand,
     ) -> Option<Place> {
+        let now = context.now;
+        let mut opens_at = None;
         if candidate.is_blocked {
-            return None;
+            if !self.cold_starts.wait(upstream.number, now).is_zero() {
+                return None;
+            }
+            let backpressure = context.backpressure;
+            opens_at = Some(backpressure.opens_at(upstream.number, &context.sharing, now)?);
         }
-        let now = context.now;
         let row = self
             .rows
             .get(upstream.id())
@@ -218,20 +226,26 @@
             }),
             own: row.map_or(0, |row| row.in_flight.count()),
             own_before: row.map_or(0, |row| {
-                row.in_flight.count_at(now.saturating_sub(UPDATE_AGE))
+                row.in_flight
+                    .count_at(now.saturating_sub(demand.update_age))
             }),
-            gateways: demand.gateways,
+            share: demand.share,
         };
         let kv_free = context.kv_capacity_tokens.map_or(u64::MAX, |capacity| {
             (capacity as f64 * (1.0 - candidate.kv_cache_use)).max(0.0) as u64
         });
         Some(Place {
             upstream: upstream.number,
-            free: gateway_queue::free_slots(&occupancy),
+            free: if opens_at.is_some() {
+                0
+            } else {
+                gateway_queue::free_slots(&occupancy)
+            },
             kv_free,
             is_idle: occupancy.requests == 0,
             is_new: upstream.is_new,
             is_last_resort: candidate.is_suspect || candidate.circuit == Circuit::Open,
+            opens_at,
         })
     }
 }
@@ -239,8 +253,10 @@
 /// Demand of all gateways for a service, as this one knows it.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Demand {
-    /// Gateways with requests to the service, this one included.
-    pub(super) gateways: u32,
+    /// Part of the free slots that this gateway may use.
+    pub(super) share: f64,
+    /// Time after which the other gateways know of this one's requests.
+    pub(super) update_age: Duration,
     /// Whether there are other gateways of which no update is heard, so that only the upstreams'
     /// reports count their requests.
     pub(super) lacks_updates: bool,
@@ -321,6 +337,8 @@
     /// Estimated requests at the upstream when the request was sent, its own excluded, as a share
     /// of the slots.
     pub(super) utilization: f64,
+    /// Queue of the upstream before and after the response.
+    pub(super) queue: QueueReports,
 }
 
 impl InFlightRequest {
@@ -344,6 +362,9 @@
         let slots = f64::from(upstream.announced.slots.max(1));
         let row = upstreams.row(&upstream);
         let utilization = row.expected_requests(peer_load.requests, report_ttl, sent_at) / slots;
+        let last_report = row
+            .report
+            .map(|report| (report.waiting, sent_at.saturating_sub(report.received_at)));
         row.in_flight.increment(sent_at);
         row.health.record_start();
         row.load.add(&load);
@@ -369,6 +390,10 @@
             rank: rank as usize,
             prefill_tokens_ahead,
             utilization,
+            queue: QueueReports {
+                before: last_report,
+                after: None,
+            },
         }
     }
 
@@ -504,7 +529,7 @@
     }
 
     /// Records the load that the upstream reports in its response headers, if any.
-    pub(super) fn record_load_report(&self, headers: &HeaderMap) {
+    pub(super) fn record_load_report(&mut self, headers: &HeaderMap) {
         let names = &self.gateway.cfg.header_names;
         let Some(text) = headers.get(&names.load).and_then(|v| v.to_str().ok()) else {
             return;
@@ -514,10 +539,12 @@
             return;
         };
         let received_at = self.gateway.now();
+        self.queue.after = Some(waiting);
         let mut upstreams = self.gateway.upstreams.borrow_mut();
         let row = upstreams.row(&self.upstream);
         row.report = Some(LoadReport {
             requests: running.saturating_add(waiting),
+            waiting,
             received_at,
             in_flight_at_report: row.in_flight.count(),
         });
