--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -98,8 +98,8 @@
     /// Returns the prefill for a gateway that hears nothing of the others' requests, as after a
     /// restart of all. All gateways would then choose the same upstream for prompts that share no
     /// prefix, or a popular one. `draw` gives each prompt without a shared prefix an order of
-    /// upstreams of its own, and divides the others of a prefix among a few
-    /// upstreams, each of which has to prefill it once.
+    /// upstreams of its own, and divides the others of a prefix among a few upstreams, each of which
+    /// has to prefill it once.
     pub fn without_updates(self, draw: u64) -> Self {
         let home = |id: u64| id.wrapping_add(draw % HOMES_WITHOUT_UPDATES);
         Self {
--- a/src/replica/membership.rs
+++ b/src/replica/membership.rs
@@ -23,8 +23,9 @@
 /// Returns the next single change towards `target` voters, or `None` where nothing is to be done.
 ///
 /// A replica that asks to join from a member's address replaces that member, whose disk is lost,
-/// unless it is the leader, whose address was given to two replicas. A learner is promoted while there are fewer than `target` voters, or exactly `target` of which one
-/// is lost. A lost voter is removed once there are more than `target`.
+/// unless it is the leader, whose address was given to two replicas. A learner is promoted while
+/// there are fewer than `target` voters, or exactly `target` of which one is lost. A lost voter is
+/// removed once there are more than `target`.
 pub(super) fn next_change(
     membership: &Membership,
     join_requests: &BTreeMap<SocketAddr, ReplicaId>,
--- a/src/upstream/directory.rs
+++ b/src/upstream/directory.rs
@@ -215,8 +215,8 @@
     }
 
     /// Returns why applying the announcement would be rejected, with the remedy; `None` if it is
-    /// valid, and the directory has space or the announcement is late. A rejected one changes nothing, so that the leader need not
-    /// write it to the log.
+    /// valid, and the directory has space or the announcement is late. A rejected one changes
+    /// nothing, so that the leader need not write it to the log.
     pub fn rejection(&self, announcement: &Announcement, inventory: &Inventory) -> Option<Name> {
         if let Err(reason) = validate(announcement, inventory) {
             return Some(reason.into());
