--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -60,7 +60,7 @@
     freed: Cell<u64>,
     /// Notified when a request has been queued, or capacity may have become free.
     changed: Notify,
-    /// What the gateways have told each other of their demand.
+    /// Demand of this gateway and of the others, from their updates.
     demands: RefCell<Demands>,
 }
 
