--- a/src/policy/demand.rs
+++ b/src/policy/demand.rs
@@ -18,7 +18,8 @@
 use crate::collections::HashMap;
 
 /// Time for which a published demand counts. Each gateway must receive at least one update of each
-/// other gateway within it, or the sum of the shares may exceed 1. An update takes up to 0.49 s with 360 gateways and up to 0.13 s with 94.
+/// other gateway within it, or the sum of the shares may exceed 1. An update takes up to 0.49 s with
+/// 360 gateways and up to 0.13 s with 94.
 pub const WINDOW: Duration = Duration::from_millis(650);
 
 /// Longest time between two updates of a gateway that has demand.
