Log what is unfinished when a gateway exits and which responses were cut

Cause: at the exit the log had only the number of open requests.

Change: requests are open with a stage (queued, sent, streaming) and an upstream; those that are left at the exit are logged as request_unfinished, gateway_stop has the connections and the unwritten bytes, and a connection that ends with unwritten bytes is logged as response_cut with the reason. No decision changes.

--- a/src/gateway/exchange/mod.rs
+++ b/src/gateway/exchange/mod.rs
@@ -24,11 +24,12 @@
 use crate::gateway::call::Call;
 use crate::gateway::call::header_text;
 use crate::gateway::call::read_body;
+use crate::gateway::open_requests::OpenRequest;
+use crate::gateway::open_requests::Stage;
 use crate::gateway::quarantine;
 use crate::gateway::refusal::Refusal;
 use crate::gateway::response;
 use crate::gateway::routing::Upstream;
-use crate::gateway::stop::OpenRequest;
 use crate::gateway::stream;
 use crate::gateway::upstreams::InFlightRequest;
 use crate::http_client::ResponseHead;
@@ -141,7 +142,7 @@
 pub(super) struct Exchange {
     gateway: Rc<Gateway>,
     /// Counts the request as open until its response has ended.
-    _open: Rc<OpenRequest>,
+    open: Rc<OpenRequest>,
     call: Rc<Call>,
     service: Option<Name>,
     /// Index of the model in the route's `ladder`, the smallest first; `None` if the caller chose
@@ -170,7 +171,7 @@
         let ladder = call.route.ladder.len();
         Self {
             gateway: gateway.clone(),
-            _open: Rc::new(OpenRequest::new(gateway)),
+            open: Rc::new(OpenRequest::new(gateway, &call.id, &call.route.name)),
             call: call.clone(),
             service: call.route.pick_service(draw).cloned(),
             model: if call.gateway_chooses_model {
@@ -212,6 +213,7 @@
             is_first: self.is_first_attempt(),
         };
         self.runs += 1;
+        self.open.set_stage(Stage::Sent, Some(upstream.id()));
         let service = self.service.as_ref();
         let outcome = tokio::select! {
             biased;
@@ -229,6 +231,13 @@
         };
         self.log_attempt(upstream, &outcome);
         self.is_charged = matches!(outcome, AttemptOutcome::NotSent(_));
+        match outcome {
+            AttemptOutcome::Stream(..) => {
+                self.open.set_stage(Stage::Streaming, Some(upstream.id()));
+            }
+            AttemptOutcome::Complete(..) => {}
+            _ => self.open.set_stage(Stage::Queued, None),
+        }
         match outcome {
             AttemptOutcome::NotSent(reason) => {
                 self.runs -= 1;
@@ -304,7 +313,7 @@
     fn detach(&mut self) -> Self {
         Self {
             gateway: self.gateway.clone(),
-            _open: self._open.clone(),
+            open: self.open.clone(),
             call: self.call.clone(),
             service: self.service.clone(),
             model: self.model,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod loads;
 mod model_choices;
 mod observations;
+mod open_requests;
 mod quarantine;
 mod refusal;
 mod renewal;
@@ -31,6 +32,7 @@
 mod upstreams;
 
 use std::cell::Cell;
+use std::cell::OnceCell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -47,6 +49,7 @@
 use self::admission::Admission;
 use self::loads::PeerLoads;
 use self::model_choices::ModelChoices;
+use self::open_requests::OpenRequests;
 use self::routing::RoutingTable;
 use self::speeds::ManagedUpstreams;
 use self::upstreams::UpstreamTable;
@@ -55,6 +58,7 @@
 use crate::collections::Name;
 use crate::http_client::ConnectionPool;
 use crate::listen;
+use crate::listen::Connections;
 use crate::log::event;
 use crate::metrics::Metrics;
 use crate::peer::EntryInfo;
@@ -191,7 +195,11 @@
     recovery: Recovery,
     /// When the shutdown began; `None` before it.
     draining_since: Cell<Option<Duration>>,
-    open_requests: Cell<usize>,
+    open_requests: OpenRequests,
+    /// Number of the next open request.
+    next_open_request: Cell<u64>,
+    /// Connections of callers.
+    callers: OnceCell<Connections>,
 }
 
 /// Handle of a gateway that runs on the current thread.
@@ -263,15 +271,18 @@
         rng: RefCell::new(fastrand::Rng::new()),
         metrics: Metrics::new(),
         draining_since: Cell::new(None),
-        open_requests: Cell::new(0),
+        open_requests: OpenRequests::default(),
+        next_open_request: Cell::new(0),
+        callers: OnceCell::new(),
     });
     let shared = gateway.clone();
     let handler = Rc::new(move |req| -> listen::ResponseFuture {
         Box::pin(exchange::handle(shared.clone(), req))
     });
-    listen::serve(address, listen::MAX_CONNECTIONS, handler)
+    let connections = listen::serve(address, listen::MAX_CONNECTIONS, handler)
         .await
         .context(ListenSnafu { address })?;
+    let _ = gateway.callers.set(connections);
     if let Some(address) = gateway.cfg.admin_listen {
         let shared = gateway.clone();
         let handler = move |req: ntex::http::Request| -> listen::ResponseFuture {
--- /dev/null
+++ b/src/gateway/open_requests.rs
@@ -0,0 +1,120 @@
+//! The requests that have no complete response yet, and what each waits for.
+
+use std::cell::RefCell;
+use std::fmt;
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::Gateway;
+use crate::collections::HashMap;
+use crate::collections::Name;
+
+/// What an open request waits for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Stage {
+    /// For an upstream: capacity, a retry or the end of a pause.
+    Queued,
+    /// For the head of an upstream's response.
+    Sent,
+    /// For the rest of a stream whose head the caller has.
+    Streaming,
+}
+
+impl fmt::Display for Stage {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Queued => "queued",
+            Self::Sent => "sent",
+            Self::Streaming => "streaming",
+        })
+    }
+}
+
+/// An open request, as of its last change of stage.
+#[derive(Clone, Debug)]
+pub(super) struct Snapshot {
+    pub(super) id: Name,
+    pub(super) route: Name,
+    pub(super) stage: Stage,
+    /// Upstream that has the request; `None` while it is queued.
+    pub(super) upstream: Option<Name>,
+    pub(super) opened_at: Duration,
+    pub(super) stage_since: Duration,
+}
+
+/// The open requests of a gateway.
+#[derive(Debug, Default)]
+pub(super) struct OpenRequests {
+    rows: RefCell<HashMap<u64, Snapshot>>,
+}
+
+impl OpenRequests {
+    pub(super) fn count(&self) -> usize {
+        self.rows.borrow().len()
+    }
+
+    /// Returns the open requests, the oldest first.
+    pub(super) fn snapshots(&self) -> Vec<Snapshot> {
+        let mut rows: Vec<Snapshot> = self.rows.borrow().values().cloned().collect();
+        rows.sort_by_key(|row| row.opened_at);
+        rows
+    }
+}
+
+/// Counts a request as open until it is dropped.
+pub(super) struct OpenRequest {
+    gateway: Rc<Gateway>,
+    key: u64,
+}
+
+impl OpenRequest {
+    pub(super) fn new(gateway: &Rc<Gateway>, id: &Name, route: &Name) -> Self {
+        let now = gateway.now();
+        let snapshot = Snapshot {
+            id: id.clone(),
+            route: route.clone(),
+            stage: Stage::Queued,
+            upstream: None,
+            opened_at: now,
+            stage_since: now,
+        };
+        // Callers may use an id twice, so it can't be the key.
+        let key = gateway.next_open_request.get();
+        gateway.next_open_request.set(key + 1);
+        gateway
+            .open_requests
+            .rows
+            .borrow_mut()
+            .insert(key, snapshot);
+        Self {
+            gateway: gateway.clone(),
+            key,
+        }
+    }
+
+    /// Records what the request waits for from now on.
+    pub(super) fn set_stage(&self, stage: Stage, upstream: Option<&Name>) {
+        let now = self.gateway.now();
+        if let Some(row) = self
+            .gateway
+            .open_requests
+            .rows
+            .borrow_mut()
+            .get_mut(&self.key)
+        {
+            row.stage = stage;
+            row.upstream = upstream.cloned();
+            row.stage_since = now;
+        }
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.gateway
+            .open_requests
+            .rows
+            .borrow_mut()
+            .remove(&self.key);
+    }
+}
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -7,6 +7,7 @@
 use super::Gateway;
 use crate::config::RetryPolicy;
 use crate::config::Route;
+use crate::listen::Connections;
 use crate::log::event;
 
 /// Interval between checks whether all requests have ended.
@@ -23,6 +24,9 @@
 /// Fraction of the stop limit after which the process exits as soon as no request is open.
 const MIN_DRAIN_FRACTION: f64 = 0.8;
 
+/// Most unfinished requests that are logged at the exit, one line each.
+const MAX_LOGGED_REQUESTS: usize = 64;
+
 /// Waits for SIGTERM or SIGINT, then until the open requests have ended or the stop limit has
 /// passed.
 pub(super) async fn wait(gateway: &Rc<Gateway>) {
@@ -34,20 +38,46 @@
     loop {
         tokio::time::sleep(POLL_INTERVAL).await;
         let elapsed = gateway.now().saturating_sub(since);
-        let idle = gateway.open_requests.get() == 0 && elapsed >= limit.mul_f64(MIN_DRAIN_FRACTION);
+        let idle =
+            gateway.open_requests.count() == 0 && elapsed >= limit.mul_f64(MIN_DRAIN_FRACTION);
         if idle || elapsed >= limit {
             break;
         }
     }
-    event!(
-        Info,
-        "gateway_stop",
-        vm = gateway.cfg.vm,
-        open = gateway.open_requests.get()
-    );
+    gateway.log_unfinished();
 }
 
 impl Gateway {
+    /// Logs what is left at the exit: requests without a complete response, and what their callers
+    /// have not got.
+    fn log_unfinished(&self) {
+        let now = self.now();
+        let unfinished = self.open_requests.snapshots();
+        for request in unfinished.iter().take(MAX_LOGGED_REQUESTS) {
+            event!(
+                Warn,
+                "request_unfinished",
+                request = request.id,
+                route = request.route,
+                stage = request.stage,
+                upstream = request.upstream.as_deref().unwrap_or("-"),
+                stage_ms = now.saturating_sub(request.stage_since).as_millis(),
+                open_ms = now.saturating_sub(request.opened_at).as_millis()
+            );
+        }
+        let backlog = self.callers.get().map(Connections::backlog);
+        let backlog = backlog.unwrap_or_default();
+        event!(
+            Info,
+            "gateway_stop",
+            vm = self.cfg.vm,
+            open = unfinished.len(),
+            connections = backlog.connections,
+            unwritten_connections = backlog.unwritten_connections,
+            unwritten = backlog.unwritten_bytes
+        );
+    }
+
     /// Returns whether the exit is so near that a new request of the route might not finish before
     /// it.
     pub(super) fn refuses_new_requests(&self, route: &Route) -> bool {
@@ -62,19 +92,3 @@
             .is_some_and(|since| self.now() >= since + limit)
     }
 }
-
-/// Counts a request as open until it is dropped.
-pub(super) struct OpenRequest(Rc<Gateway>);
-
-impl OpenRequest {
-    pub(super) fn new(gateway: &Rc<Gateway>) -> Self {
-        gateway.open_requests.set(gateway.open_requests.get() + 1);
-        Self(gateway.clone())
-    }
-}
-
-impl Drop for OpenRequest {
-    fn drop(&mut self) {
-        self.0.open_requests.set(self.0.open_requests.get() - 1);
-    }
-}
--- a/src/listen/mod.rs
+++ b/src/listen/mod.rs
@@ -3,6 +3,8 @@
 //! A daemon that listens with [`serve`] handles all connections on one thread: on a small VM,
 //! handing each connection to a worker thread costs more wake-ups than the requests themselves.
 
+mod connections;
+
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -22,6 +24,8 @@
 use ntex::time::Seconds;
 use tokio::net::TcpListener;
 
+pub use self::connections::Connections;
+
 use crate::http_client;
 use crate::log::event;
 
@@ -108,7 +112,7 @@
     }
 }
 
-/// Listens on `address` until the process ends; returns the bound address. Connections beyond
+/// Listens on `address` until the process ends; returns the open connections. Those beyond
 /// `max_connections` are closed at once, so that their callers turn to another process: each takes
 /// 10 to 30 kB of memory.
 ///
@@ -119,7 +123,7 @@
     address: SocketAddr,
     max_connections: usize,
     handler: Rc<dyn Handler>,
-) -> io::Result<SocketAddr> {
+) -> io::Result<Connections> {
     let listener = TcpListener::bind(address).await?;
     let local = listener.local_addr()?;
     let http = HttpServiceConfig::new()
@@ -137,13 +141,14 @@
         .await
         .map_err(|()| io::Error::other("the HTTP service can't be created"))?;
     let service = Pipeline::new(service);
-    let open = Rc::new(());
+    let connections = Connections::default();
+    let open_connections = connections.clone();
     let mut is_full = false;
     tokio::task::spawn_local(async move {
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    let count = Rc::strong_count(&open) - 1;
+                    let count = open_connections.count();
                     if count >= max_connections {
                         if !is_full {
                             event!(Warn, "connections_full", address = local, open = count);
@@ -152,7 +157,6 @@
                         continue;
                     }
                     is_full = false;
-                    let open = open.clone();
                     http_client::configure_accepted_socket(&stream);
                     let io = stream
                         .into_std()
@@ -160,12 +164,12 @@
                     let Ok(io) = io else {
                         continue;
                     };
+                    let open = open_connections.register(io.get_ref());
                     let call = service.call_static(io);
                     tokio::task::spawn_local(async move {
-                        // A connection error needs no log line: the outcome of the request itself
-                        // is logged.
+                        // The outcome of the request itself is logged elsewhere.
                         let _ = call.await;
-                        drop(open);
+                        open.log_end(local);
                     });
                 }
                 Err(e) => {
@@ -175,5 +179,5 @@
             }
         }
     });
-    Ok(local)
+    Ok(connections)
 }
