Let callers pause: end a connection only when its caller takes nothing

Cause: accepted connections had a TCP user timeout of 4.8 s. On Linux it also counts while the caller's window is closed, although the caller acknowledges the probes, and short reads do not always restart it. A caller that did something else for some seconds was reset; what it had not read was lost, without a log line.

Each listener looks at its connections every 250 ms and ends those whose first unwritten byte has not moved for 30 s (caller_stalled). While more than 32 MB are unwritten in all, those that have stalled longest (500 ms at least) end at once.

--- a/src/listen/connections.rs
+++ b/src/listen/connections.rs
@@ -4,11 +4,15 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use ntex::io::IoRef;
 
 use crate::collections::HashMap;
 use crate::log::event;
+use crate::policy::stalled_callers;
+use crate::policy::stalled_callers::Progress;
+use crate::policy::stalled_callers::Unwritten;
 
 /// The open connections of a listener; clones share them.
 #[derive(Clone, Default)]
@@ -19,7 +23,12 @@
 #[derive(Default)]
 struct Shared {
     next_key: Cell<u64>,
-    rows: RefCell<HashMap<u64, IoRef>>,
+    rows: RefCell<HashMap<u64, Row>>,
+}
+
+struct Row {
+    io: IoRef,
+    progress: Progress,
 }
 
 /// What the open connections of a listener still have to do.
@@ -35,10 +44,14 @@
 
 impl Connections {
     /// Counts a connection as open until the returned value is dropped.
-    pub(super) fn register(&self, io: IoRef) -> OpenConnection {
+    pub(super) fn register(&self, io: IoRef, now: Duration) -> OpenConnection {
         let key = self.shared.next_key.get();
         self.shared.next_key.set(key + 1);
-        self.shared.rows.borrow_mut().insert(key, io.clone());
+        let row = Row {
+            io: io.clone(),
+            progress: Progress::new(now),
+        };
+        self.shared.rows.borrow_mut().insert(key, row);
         OpenConnection {
             connections: self.clone(),
             key,
@@ -59,7 +72,7 @@
         };
         for bytes in rows
             .values()
-            .map(unwritten_bytes)
+            .map(|row| unwritten_bytes(&row.io))
             .filter(|&bytes| bytes > 0)
         {
             backlog.unwritten_connections += 1;
@@ -67,6 +80,38 @@
         }
         backlog
     }
+
+    /// Ends connections whose callers take nothing. To be called regularly.
+    pub(super) fn end_stalled(&self, listener: SocketAddr, now: Duration) {
+        let mut unwritten = Vec::new();
+        for (&key, row) in self.shared.rows.borrow_mut().iter_mut() {
+            let left = left_to_write(&row.io);
+            let stalled_for = row.progress.observe(left, now);
+            if left.bytes > 0 {
+                unwritten.push(stalled_callers::Connection {
+                    key,
+                    bytes: left.bytes,
+                    stalled_for,
+                });
+            }
+        }
+        for connection in stalled_callers::to_end(unwritten) {
+            let rows = self.shared.rows.borrow();
+            let io = rows.get(&connection.key).map(|row| row.io.clone());
+            drop(rows);
+            let Some(io) = io else {
+                continue;
+            };
+            event!(
+                Warn,
+                "caller_stalled",
+                address = listener,
+                unwritten = connection.bytes,
+                stalled_ms = connection.stalled_for.as_millis()
+            );
+            io.terminate();
+        }
+    }
 }
 
 /// A registered connection.
@@ -104,6 +149,13 @@
     }
 }
 
+fn left_to_write(io: &IoRef) -> Unwritten {
+    io.with_write_dst_buf(|buf| Unwritten {
+        bytes: buf.len(),
+        position: buf.iter().next().map_or(0, |page| page.as_ptr() as usize),
+    })
+}
+
 /// Returns the bytes of responses that have not been handed to the operating system.
 fn unwritten_bytes(io: &IoRef) -> usize {
     io.with_write_dst_buf(|buf| buf.len())
--- a/src/listen/mod.rs
+++ b/src/listen/mod.rs
@@ -23,6 +23,7 @@
 use ntex::service::fn_service;
 use ntex::time::Seconds;
 use tokio::net::TcpListener;
+use tokio::time::Instant;
 
 pub use self::connections::Connections;
 
@@ -42,6 +43,9 @@
 /// were told; closing one while a request is arriving costs them a retry.
 const KEEP_ALIVE_TIMEOUT: Seconds = Seconds(75);
 
+/// Interval between checks for callers that take nothing.
+const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Most connections of a listener for callers: three quarters of the descriptors of a small VM's
 /// process.
 pub const MAX_CONNECTIONS: usize = 3072;
@@ -143,6 +147,8 @@
     let service = Pipeline::new(service);
     let connections = Connections::default();
     let open_connections = connections.clone();
+    let started_at = Instant::now();
+    tokio::task::spawn_local(watch_callers(connections.clone(), local, started_at));
     let mut is_full = false;
     tokio::task::spawn_local(async move {
         loop {
@@ -164,7 +170,7 @@
                     let Ok(io) = io else {
                         continue;
                     };
-                    let open = open_connections.register(io.get_ref());
+                    let open = open_connections.register(io.get_ref(), started_at.elapsed());
                     let call = service.call_static(io);
                     tokio::task::spawn_local(async move {
                         // The outcome of the request itself is logged elsewhere.
@@ -181,3 +187,11 @@
     });
     Ok(connections)
 }
+
+/// Ends the connections of callers that take nothing.
+async fn watch_callers(connections: Connections, listener: SocketAddr, started_at: Instant) {
+    loop {
+        tokio::time::sleep(STALL_CHECK_INTERVAL).await;
+        connections.end_stalled(listener, started_at.elapsed());
+    }
+}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -30,5 +30,6 @@
 pub mod sessions;
 pub mod slot_allocation;
 pub mod speed;
+pub mod stalled_callers;
 pub mod timeouts;
 pub mod version_rollout;
--- /dev/null
+++ b/src/policy/stalled_callers.rs
@@ -0,0 +1,79 @@
+//! Decides which connections are ended because their callers take nothing of a response.
+//!
+//! A caller that pauses still acknowledges what it is sent, so that the operating system keeps the
+//! connection for as long as the pause lasts.
+
+use std::time::Duration;
+
+/// Longest time for which a caller may take nothing.
+pub const STALL_LIMIT: Duration = Duration::from_secs(30);
+
+/// Most unwritten bytes of all connections together. Above it, the connections that have stalled for
+/// the longest time end before the limit.
+pub const UNWRITTEN_LIMIT_BYTES: usize = 32 * 1024 * 1024;
+
+/// Least time after which a connection counts as stalled. One that is written to at this moment
+/// does not.
+const MIN_STALL: Duration = Duration::from_millis(500);
+
+/// What is left to write to a connection.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Unwritten {
+    /// Number of bytes.
+    pub bytes: usize,
+    /// Position of the first byte, which changes whenever the caller takes some.
+    pub position: usize,
+}
+
+/// Progress of a caller in taking responses.
+#[derive(Clone, Copy, Debug)]
+pub struct Progress {
+    unwritten: Unwritten,
+    since: Duration,
+}
+
+impl Progress {
+    /// Starts with nothing to write.
+    pub fn new(now: Duration) -> Self {
+        Self {
+            unwritten: Unwritten::default(),
+            since: now,
+        }
+    }
+
+    /// Records what is left to write now; returns for how long the caller has taken nothing.
+    pub fn observe(&mut self, unwritten: Unwritten, now: Duration) -> Duration {
+        let is_stalled = unwritten.bytes > 0 && unwritten == self.unwritten;
+        if !is_stalled {
+            self.unwritten = unwritten;
+            self.since = now;
+        }
+        now.saturating_sub(self.since)
+    }
+}
+
+/// A connection with unwritten bytes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Connection {
+    /// Identifies the connection.
+    pub key: u64,
+    /// Unwritten bytes.
+    pub bytes: usize,
+    /// For how long the caller has taken nothing.
+    pub stalled_for: Duration,
+}
+
+/// Returns the connections to end, the one that has stalled for the longest time first.
+pub fn to_end(mut connections: Vec<Connection>) -> Vec<Connection> {
+    let mut unwritten: usize = connections.iter().map(|connection| connection.bytes).sum();
+    connections.sort_by_key(|connection| std::cmp::Reverse(connection.stalled_for));
+    connections
+        .into_iter()
+        .take_while(|connection| {
+            let is_over_limit =
+                unwritten > UNWRITTEN_LIMIT_BYTES && connection.stalled_for >= MIN_STALL;
+            unwritten -= connection.bytes;
+            is_over_limit || connection.stalled_for >= STALL_LIMIT
+        })
+        .collect()
+}
--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -22,5 +22,6 @@
 mod renewals;
 mod retry_budget;
 mod sessions;
+mod stalled_callers;
 mod timeouts;
 mod uneven_upstreams;
--- a/tests/process/framing.rs
+++ b/tests/process/framing.rs
@@ -26,7 +26,7 @@
 use crate::support::write;
 
 /// Memory of the users' smallest VMs.
-const MEMORY_LIMIT_KB: u64 = 88 * 1024;
+pub(crate) const MEMORY_LIMIT_KB: u64 = 88 * 1024;
 
 struct Setup {
     _cluster: Cluster,
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -19,6 +19,7 @@
 mod regions;
 mod replacement;
 mod sessions;
+mod slow_peers;
 mod soak;
 mod stops;
 mod streams;
--- /dev/null
+++ b/tests/process/slow_peers.rs
@@ -0,0 +1,305 @@
+//! Callers and upstreams that read late, slowly or in bursts: what they were sent arrives whole.
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+
+use socket2::Domain;
+use socket2::Socket;
+use socket2::Type;
+
+use crate::framing::MEMORY_LIMIT_KB;
+use crate::gateway::announce;
+use crate::support::Cluster;
+use crate::support::INVENTORY;
+use crate::support::Program;
+use crate::support::ReceivedRequest;
+use crate::support::Upstream;
+use crate::support::chunk;
+use crate::support::eventually;
+use crate::support::get;
+use crate::support::ok_response;
+use crate::support::stream_response_head;
+use crate::support::write;
+
+/// Routes whose time limits leave room for the callers of these tests.
+const ROUTES: &str = r#"
+[[routes]]
+name = "tile"
+host = "previews.example"
+prefix = "/tile/"
+timeout_ms = 30000
+target_ms = 8000
+split = [{ service = "previews", weight = 1 }]
+
+[[routes]]
+name = "notes"
+host = "previews.example"
+prefix = "/notes/"
+repeat = "stream"
+timeout_ms = 30000
+target_ms = 8000
+resume = true
+split = [{ service = "previews", weight = 1 }]
+"#;
+
+/// More than the buffers of both sockets take, and less than the largest body.
+const LARGE: usize = 7_900_000;
+
+/// Receive buffer of callers with small buffers.
+const SMALL_BUFFER: usize = 32 * 1024;
+
+/// Bytes of the text of one event.
+const EVENT_BYTES: usize = 8 * 1024;
+
+/// How a caller reads.
+#[derive(Clone, Copy, Debug)]
+struct Pace {
+    /// Time from the end of its request to its first read.
+    starts_after: Duration,
+    /// Bytes that it reads at a time.
+    burst: usize,
+    /// Time between two bursts.
+    pause: Duration,
+    /// Whether it asks for the end of the connection after the response.
+    asks_to_close: bool,
+    /// Size of its receive buffer; `None` for the usual one.
+    buffer: Option<usize>,
+}
+
+const PROMPT: Pace = Pace {
+    starts_after: Duration::ZERO,
+    burst: usize::MAX,
+    pause: Duration::ZERO,
+    asks_to_close: false,
+    buffer: None,
+};
+
+fn connect(address: SocketAddr, buffer: Option<usize>) -> TcpStream {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    if let Some(bytes) = buffer {
+        socket.set_recv_buffer_size(bytes).unwrap();
+    }
+    socket.connect(&address.into()).unwrap();
+    let stream = TcpStream::from(socket);
+    let limit = Some(Duration::from_secs(40));
+    stream.set_read_timeout(limit).unwrap();
+    stream.set_write_timeout(limit).unwrap();
+    stream
+}
+
+fn request_head(method: &str, path: &str, id: &str, length: usize, asks_to_close: bool) -> String {
+    let connection = if asks_to_close { "close" } else { "keep-alive" };
+    format!(
+        "{method} {path} HTTP/1.1\r\nhost: previews.example\r\nauthorization: Bearer dev-maple-key\
+         \r\ndaisyquay-attempt: {id}\r\ndaisyquay-deadline-ms: 30000\r\nconnection: {connection}\
+         \r\ncontent-length: {length}\r\n\r\n"
+    )
+}
+
+/// Reads one response at that pace; returns its status and the body, as far as it came.
+fn read_response(stream: TcpStream, pace: Pace) -> (u16, Vec<u8>) {
+    thread::sleep(pace.starts_after);
+    let mut reader = BufReader::with_capacity(
+        4096,
+        Paced {
+            stream,
+            pace,
+            left: pace.burst,
+        },
+    );
+    let mut line = String::new();
+    let _ = reader.read_line(&mut line);
+    let status = line.split(' ').nth(1).map_or(0, |s| s.parse().unwrap());
+    let mut length = None;
+    loop {
+        line.clear();
+        let read = reader.read_line(&mut line).unwrap_or_default();
+        if read == 0 || line == "\r\n" {
+            break;
+        }
+        let line = line.to_ascii_lowercase();
+        if let Some(value) = line.strip_prefix("content-length:") {
+            length = Some(value.trim().parse::<u64>().unwrap());
+        }
+    }
+    let mut body = Vec::new();
+    if let Some(length) = length {
+        let _ = reader.take(length).read_to_end(&mut body);
+        return (status, body);
+    }
+    loop {
+        line.clear();
+        let _ = reader.read_line(&mut line);
+        let Ok(length) = u64::from_str_radix(line.trim(), 16) else {
+            return (status, body);
+        };
+        if length == 0 {
+            body.extend_from_slice(b"the end");
+            return (status, body);
+        }
+        let _ = reader.by_ref().take(length).read_to_end(&mut body);
+        line.clear();
+        let _ = reader.read_line(&mut line);
+    }
+}
+
+/// Reads a connection in bursts.
+struct Paced {
+    stream: TcpStream,
+    pace: Pace,
+    left: usize,
+}
+
+impl Read for Paced {
+    fn read(&mut self, buf: &mut [u8]) -> std::io::Result<usize> {
+        if self.left == 0 {
+            thread::sleep(self.pace.pause);
+            self.left = self.pace.burst;
+        }
+        let limit = buf.len().min(self.left);
+        let n = self.stream.read(&mut buf[..limit])?;
+        self.left -= n;
+        Ok(n)
+    }
+}
+
+/// Sends a request without a body and reads the response at that pace.
+fn fetch(address: SocketAddr, path: &str, pace: Pace) -> (u16, Vec<u8>) {
+    let mut stream = connect(address, pace.buffer);
+    let id = format!("{}{path}", stream.local_addr().unwrap().port());
+    let head = request_head("GET", path, &id, 0, pace.asks_to_close);
+    stream.write_all(head.as_bytes()).unwrap();
+    read_response(stream, pace)
+}
+
+/// Returns a text of that length whose pieces differ.
+fn text(length: usize) -> String {
+    let mut text = String::with_capacity(length + 16);
+    while text.len() < length {
+        text.push_str(&format!("{:015}\n", text.len()));
+    }
+    text.truncate(length);
+    text
+}
+
+fn events(length: usize) -> Vec<String> {
+    (1..=length / EVENT_BYTES)
+        .map(|id| format!("id: {id}\ndata: {}\n\n", "y".repeat(EVENT_BYTES)))
+        .collect()
+}
+
+/// Answers `/tile/BYTES` by a body of that size and `/notes/BYTES` by a stream.
+fn answer(seen: &ReceivedRequest, out: &mut TcpStream) -> bool {
+    let path = seen.request_line.split(' ').nth(1).unwrap();
+    let length = path.rsplit('/').next().unwrap().parse().unwrap();
+    if !path.starts_with("/notes/") {
+        return write(out, &ok_response(seen, &text(length)));
+    }
+    write(out, &stream_response_head(seen))
+        && events(length).iter().all(|event| write(out, &chunk(event)))
+        && write(out, "0\r\n\r\n")
+}
+
+struct Setup {
+    cluster: Cluster,
+    gateway: Program,
+    address: SocketAddr,
+}
+
+impl Setup {
+    fn new(upstream: SocketAddr) -> Self {
+        let cluster = Cluster::start(1, 1);
+        cluster.apply(&format!("{INVENTORY}{ROUTES}"), &["--change-id", "first"]);
+        announce(&cluster, "u0", upstream);
+        let (gateway, address) = cluster.start_gateway();
+        eventually("the gateway has its routes", || {
+            let reply = get(address, "/nowhere/", &[])?;
+            (reply.status == 404).then_some(())
+        });
+        Self {
+            cluster,
+            gateway,
+            address,
+        }
+    }
+}
+
+/// Fetches all `paths` at once, each at its pace, and checks that each response is whole.
+fn assert_whole(address: SocketAddr, calls: &[(&str, usize, Pace)]) {
+    let replies: Vec<_> = calls
+        .iter()
+        .map(|&(prefix, length, pace)| {
+            let path = format!("{prefix}{length}");
+            thread::spawn(move || fetch(address, &path, pace))
+        })
+        .collect();
+    let mut cut = Vec::new();
+    for (&(prefix, length, pace), reply) in calls.iter().zip(replies) {
+        let (status, body) = reply.join().unwrap();
+        let expected = if prefix.starts_with("/notes/") {
+            events(length).concat() + "the end"
+        } else {
+            text(length)
+        };
+        if (status, &*body) != (200, expected.as_bytes()) {
+            let (got, all) = (body.len(), expected.len());
+            cut.push(format!("{prefix} {pace:?}: {status}, {got} of {all}"));
+        }
+    }
+    assert!(cut.is_empty(), "{cut:#?}");
+}
+
+/// Guards against resetting the connection of a caller that does not read for some seconds.
+#[test]
+fn response_is_whole_for_a_caller_that_begins_to_read_late() {
+    let upstream = Upstream::start(answer);
+    let setup = Setup::new(upstream.address);
+    let late = Pace {
+        starts_after: Duration::from_secs(8),
+        ..PROMPT
+    };
+    let asks_to_close = Pace {
+        asks_to_close: true,
+        ..late
+    };
+    assert_whole(
+        setup.address,
+        &[
+            ("/tile/", LARGE, late),
+            ("/notes/", LARGE, late),
+            ("/tile/", LARGE, asks_to_close),
+            ("/notes/", LARGE, asks_to_close),
+        ],
+    );
+}
+
+/// Guards against holding the responses of callers that read nothing until the memory is used up.
+#[test]
+fn callers_that_read_nothing_do_not_take_the_memory_of_a_small_vm() {
+    let upstream = Upstream::start(answer);
+    let setup = Setup::new(upstream.address);
+    let path = format!("/tile/{LARGE}");
+    let callers: Vec<_> = (0..24)
+        .map(|i| {
+            let mut stream = connect(setup.address, Some(SMALL_BUFFER));
+            let head = request_head("GET", &path, &format!("idle-{i}"), 0, false);
+            stream.write_all(head.as_bytes()).unwrap();
+            thread::sleep(Duration::from_millis(250));
+            stream
+        })
+        .collect();
+    assert_whole(setup.address, &[("/tile/", LARGE, PROMPT)]);
+    let peak_kb = setup.gateway.peak_memory_kb();
+    assert!(peak_kb < MEMORY_LIMIT_KB, "{peak_kb} kB");
+    let port = setup.address.port();
+    let log = setup.cluster.folder.join(format!("gateway-{port}.log"));
+    let log = std::fs::read_to_string(log).unwrap();
+    assert!(log.contains("event=caller_stalled"), "{log}");
+    drop(callers);
+}
