Let an upstream pause in reading a large request

Cause: connections to upstreams have a TCP user timeout of 1.2 s, which on Linux also counts while the upstream's window is closed. An upstream that read the head of a request with a body of 7.9 MB, paused for 3 s and then read the rest lost its connection, and the caller got 502 answer_lost.

Change: the timeout is off from the byte that may no longer fit into a receive buffer (48 kB since the upstream last sent something) until the upstream sends something, and again on for an abandoned request, so that the operating system does not keep its rest.

A dead upstream is still noticed within 1.2 s by requests of up to 48 kB, which fit into any receive buffer of the usual size. For a larger one, the response timeout of the route moves the request elsewhere, the deadline ends it, and once the whole request is acknowledged the keep-alive probes end the connection after 9 s.

--- a/src/http_client/pool.rs
+++ b/src/http_client/pool.rs
@@ -17,7 +17,7 @@
 use tokio::time::Instant;
 
 use super::RequestError;
-use super::socket;
+use super::socket::UpstreamStream;
 use crate::collections::HashMap;
 
 /// Keep-alive time of a connection whose response has no `Keep-Alive: timeout=` parameter.
@@ -188,7 +188,7 @@
             ErrorKind::ConnectionRefused => RequestError::Refused,
             _ => RequestError::NotSent("connection failed"),
         })?;
-    socket::configure_connected_socket(&stream);
+    let stream = UpstreamStream::new(stream);
     let mut builder = http1::Builder::new();
     builder.max_buf_size(HEAD_LIMIT_BYTES);
     let (sender, connection) = builder
--- a/tests/process/slow_peers.rs
+++ b/tests/process/slow_peers.rs
@@ -5,6 +5,7 @@
 use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::net::TcpStream;
 use std::thread;
 use std::time::Duration;
@@ -37,6 +38,15 @@
 target_ms = 8000
 split = [{ service = "previews", weight = 1 }]
 
+[[routes]]
+name = "upload"
+host = "previews.example"
+prefix = "/upload/"
+repeat = "once"
+timeout_ms = 30000
+target_ms = 8000
+split = [{ service = "previews", weight = 1 }]
+
 [[routes]]
 name = "notes"
 host = "previews.example"
@@ -303,3 +313,49 @@
     assert!(log.contains("event=caller_stalled"), "{log}");
     drop(callers);
 }
+
+/// Guards against giving up a request while its upstream pauses in reading the body.
+#[test]
+fn upstream_that_pauses_in_reading_a_large_body_answers_it() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let upstream = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            thread::spawn(move || read_after_pause(stream));
+        }
+    });
+    let setup = Setup::new(upstream);
+    let body = text(LARGE);
+    for path in ["/upload/a", "/tile/a"] {
+        let mut stream = connect(setup.address, None);
+        let head = request_head("POST", path, path, LARGE, false);
+        stream.write_all(head.as_bytes()).unwrap();
+        stream.write_all(body.as_bytes()).unwrap();
+        let (status, reply) = read_response(stream, PROMPT);
+        let reply = String::from_utf8(reply).unwrap();
+        assert_eq!((status, &*reply), (200, &*LARGE.to_string()), "{path}");
+    }
+}
+
+/// Serves one request: reads its head, pauses, reads its body and answers with the body's length.
+fn read_after_pause(stream: TcpStream) {
+    let mut out = stream.try_clone().unwrap();
+    let mut reader = BufReader::new(stream);
+    let mut seen = ReceivedRequest::default();
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line).unwrap_or_default() == 0 {
+            return;
+        }
+        if line == "\r\n" {
+            break;
+        }
+        seen.headers.push_str(&line);
+    }
+    thread::sleep(Duration::from_secs(3));
+    let length: u64 = seen.header("content-length").unwrap().parse().unwrap();
+    let mut body = Vec::new();
+    let _ = reader.take(length).read_to_end(&mut body);
+    let reply = body.len().to_string();
+    write(&mut out, &ok_response(&seen, &reply));
+}
