Write the rest of a response before its connection closes

Cause: after a response with `Connection: close`, which callers may ask for and which a stopping gateway sets, the HTTP library gives the unwritten bytes 1 s and then drops them. A caller that paused, or that read slowly enough not to free a third of the send buffer in that time, lost the end of the response.

Change: listeners give the rest of a response 10 minutes. The check for callers that take nothing ends a stalled connection earlier, by the same 30 s and 32 MB.

--- a/src/listen/mod.rs
+++ b/src/listen/mod.rs
@@ -18,6 +18,7 @@
 use ntex::http::Payload;
 use ntex::http::Request;
 use ntex::http::Response;
+use ntex::io::IoConfig;
 use ntex::service::Pipeline;
 use ntex::service::ServiceFactory;
 use ntex::service::fn_service;
@@ -43,6 +44,10 @@
 /// were told; closing one while a request is arriving costs them a retry.
 const KEEP_ALIVE_TIMEOUT: Seconds = Seconds(75);
 
+/// Longest time in which the rest of a response is written to a connection that is being closed. A
+/// caller that takes nothing is given up earlier.
+const CLOSE_TIMEOUT: Seconds = Seconds(600);
+
 /// Interval between checks for callers that take nothing.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -135,7 +140,8 @@
         .set_max_buf_size(MAX_HEAD_BYTES)
         .set_client_timeout(HEAD_TIMEOUT)
         .set_keepalive(KEEP_ALIVE_TIMEOUT);
-    let cfg: SharedCfg = SharedCfg::new("listen").add(http).into();
+    let io = IoConfig::new().set_disconnect_timeout(CLOSE_TIMEOUT);
+    let cfg: SharedCfg = SharedCfg::new("listen").add(http).add(io).into();
     let service = HttpService::h1(fn_service(move |req: Request| {
         let response = handler.handle(req);
         async move { Ok::<_, io::Error>(response.await) }
--- a/tests/process/slow_peers.rs
+++ b/tests/process/slow_peers.rs
@@ -314,6 +314,66 @@
     drop(callers);
 }
 
+/// Returns the bytes that the sockets between the gateway and a caller take while the caller reads
+/// nothing.
+fn socket_capacity(gateway: SocketAddr) -> usize {
+    let mut caller = connect(gateway, Some(SMALL_BUFFER));
+    let path = format!("/tile/{LARGE}");
+    let head = request_head("GET", &path, "capacity", 0, false);
+    caller.write_all(head.as_bytes()).unwrap();
+    let ports = [gateway.port(), caller.local_addr().unwrap().port()];
+    let mut last = 0;
+    eventually("the sockets are full", || {
+        thread::sleep(Duration::from_millis(300));
+        let queued = queued_bytes(ports);
+        (queued > 0 && std::mem::replace(&mut last, queued) == queued).then_some(queued)
+    })
+}
+
+/// Returns the unacknowledged and unread bytes of the connection between two local ports.
+fn queued_bytes(ports: [u16; 2]) -> usize {
+    let hex = |text: &str| usize::from_str_radix(text, 16).unwrap();
+    let port = |address: &str| hex(address.rsplit(':').next().unwrap());
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let mut queued = 0;
+    for line in table.lines().skip(1) {
+        let fields: Vec<_> = line.split_whitespace().collect();
+        let found = [port(fields[1]), port(fields[2])];
+        let (tx, rx) = fields[4].split_once(':').unwrap();
+        if found == ports.map(usize::from) {
+            queued += hex(tx);
+        } else if found == [ports[1], ports[0]].map(usize::from) {
+            queued += hex(rx);
+        }
+    }
+    queued
+}
+
+/// Guards against dropping the last bytes of a response when its connection is closed after it.
+#[test]
+fn last_bytes_arrive_before_a_connection_closes() {
+    let upstream = Upstream::start(answer);
+    let setup = Setup::new(upstream.address);
+    let capacity = socket_capacity(setup.address);
+    let late = Pace {
+        starts_after: Duration::from_secs(3),
+        asks_to_close: true,
+        buffer: Some(SMALL_BUFFER),
+        ..PROMPT
+    };
+    // These responses leave the gateway with a few kB when the sockets are full.
+    let plain = (0..16).map(|i| ("/tile/", capacity - 12_000 + i * 2_000, late));
+    let streams = (0..16).map(|i| {
+        (
+            "/notes/",
+            capacity - 8 * EVENT_BYTES + i * EVENT_BYTES,
+            late,
+        )
+    });
+    let calls: Vec<_> = plain.chain(streams).collect();
+    assert_whole(setup.address, &calls);
+}
+
 /// Guards against giving up a request while its upstream pauses in reading the body.
 #[test]
 fn upstream_that_pauses_in_reading_a_large_body_answers_it() {
