Write the rest of an entry's response before its connection closes

Cause: as on the gateways, the HTTP library drops what is unwritten 1 s after it has begun to close a connection. An entry also closes a connection 5 s after the end of a response if no request follows, although the caller may not have read the response yet. Its connections had no socket options, so that a dead caller that waits was not noticed.

Change: an entry gives the rest of a response 30 s, and sets the options of the gateways' connections on its listener, whose connections inherit them (checked: keep-alive 1/1/8, no delay, TCP_NOTSENT_LOWAT).

Result: last_bytes_arrive_before_an_entry_closes_the_connection failed before for callers that begin to read after 3 s with `Connection: close` (3768164 of 3768320 to 3778320 bytes) and after 8 s without it (3768183 of as many); it passes. The process tests streams::, stops:: and slow_peers:: pass.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -20,6 +20,7 @@
 use std::time::Duration;
 
 use ntex::http::HttpServiceConfig;
+use ntex::io::IoConfig;
 use ntex::time::Seconds;
 use ntex::web;
 use ntex::web::App;
@@ -40,6 +41,7 @@
 use crate::collections::HashMap;
 use crate::collections::Name;
 use crate::engine::HttpEngine;
+use crate::http_client;
 use crate::log::event;
 
 /// Most headers of a request.
@@ -51,6 +53,10 @@
 /// Longest wait for a complete request head.
 const HEAD_TIMEOUT: Seconds = Seconds(10);
 
+/// Longest time in which the rest of a response, a few kB, is written to a connection that is being
+/// closed.
+const CLOSE_TIMEOUT: Seconds = Seconds(30);
+
 /// Time for open requests to end once all cached address responses have expired.
 const SHUTDOWN_TIMEOUT: Seconds = Seconds(600);
 
@@ -154,6 +160,8 @@
         .set_max_headers(MAX_HEADERS)
         .set_max_buf_size(MAX_HEAD_BYTES)
         .set_client_timeout(HEAD_TIMEOUT);
+    let io = IoConfig::new().set_disconnect_timeout(CLOSE_TIMEOUT);
+    http_client::configure_accepted_socket(&listener);
     let server = HttpServer::new(async move || {
         let engine = HttpEngine::new(shared.cfg.rater).await;
         let worker = Worker::new(shared.clone(), engine);
@@ -173,7 +181,7 @@
     .maxconn(cfg.connections)
     .shutdown_timeout(SHUTDOWN_TIMEOUT)
     .disable_signals()
-    .config(ntex::SharedCfg::new("entry").add(http))
+    .config(ntex::SharedCfg::new("entry").add(http).add(io))
     .listen(listener)?
     .run();
     Ok(server)
--- a/src/http_client/socket.rs
+++ b/src/http_client/socket.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::io::IoSlice;
+use std::os::fd::AsFd;
 use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
@@ -33,25 +34,27 @@
 /// stays where it is counted, and the progress of a slow caller is seen in steps of half of this.
 const UNSENT_LIMIT: u32 = 128 * 1024;
 
-/// Sets the options of a connection accepted from a caller.
+/// Sets the options of a connection accepted from a caller, or of a listener, whose connections
+/// inherit them.
 ///
 /// It has no user timeout, which also counts while a caller that acknowledges everything does not
 /// read. The probes detect a dead caller that waits, and `listen` ends connections that take nothing
 /// for too long.
-pub(crate) fn configure_accepted_socket(stream: &TcpStream) {
-    set_common_options(stream);
-    let _ = SockRef::from(stream).set_tcp_notsent_lowat(UNSENT_LIMIT);
+pub(crate) fn configure_accepted_socket(socket: &impl AsFd) {
+    set_common_options(socket);
+    let _ = SockRef::from(socket).set_tcp_notsent_lowat(UNSENT_LIMIT);
 }
 
 /// Sets the options, ignoring errors: a connection without them works, but detects a dead peer
 /// later.
-fn set_common_options(stream: &TcpStream) {
-    let _ = stream.set_nodelay(true);
+fn set_common_options(socket: &impl AsFd) {
+    let socket = SockRef::from(socket);
+    let _ = socket.set_tcp_nodelay(true);
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_PROBES);
-    let _ = SockRef::from(stream).set_tcp_keepalive(&keepalive);
+    let _ = socket.set_tcp_keepalive(&keepalive);
 }
 
 /// A connection to an upstream.
--- a/tests/process/slow_peers.rs
+++ b/tests/process/slow_peers.rs
@@ -16,6 +16,7 @@
 
 use crate::framing::MEMORY_LIMIT_KB;
 use crate::gateway::announce;
+use crate::support::AUTH_HEADER;
 use crate::support::Cluster;
 use crate::support::INVENTORY;
 use crate::support::Program;
@@ -314,14 +315,14 @@
     drop(callers);
 }
 
-/// Returns the bytes that the sockets between the gateway and a caller take while the caller reads
+/// Returns the bytes that the sockets between a process and a caller take while the caller reads
 /// nothing.
-fn socket_capacity(gateway: SocketAddr) -> usize {
-    let mut caller = connect(gateway, Some(SMALL_BUFFER));
-    let path = format!("/tile/{LARGE}");
+fn socket_capacity(address: SocketAddr, prefix: &str) -> usize {
+    let mut caller = connect(address, Some(SMALL_BUFFER));
+    let path = format!("{prefix}{LARGE}");
     let head = request_head("GET", &path, "capacity", 0, false);
     caller.write_all(head.as_bytes()).unwrap();
-    let ports = [gateway.port(), caller.local_addr().unwrap().port()];
+    let ports = [address.port(), caller.local_addr().unwrap().port()];
     let mut last = 0;
     eventually("the sockets are full", || {
         thread::sleep(Duration::from_millis(300));
@@ -354,7 +355,7 @@
 fn last_bytes_arrive_before_a_connection_closes() {
     let upstream = Upstream::start(answer);
     let setup = Setup::new(upstream.address);
-    let capacity = socket_capacity(setup.address);
+    let capacity = socket_capacity(setup.address, "/tile/");
     let late = Pace {
         starts_after: Duration::from_secs(3),
         asks_to_close: true,
@@ -374,6 +375,38 @@
     assert_whole(setup.address, &calls);
 }
 
+/// Guards against dropping the last bytes of a response when an entry closes the connection after
+/// it, or because the caller sends nothing more.
+#[test]
+fn last_bytes_arrive_before_an_entry_closes_the_connection() {
+    const PREFIX: &str = "/app/previews/";
+    let upstream = Upstream::start(answer);
+    let cluster = Cluster::start_with_inventory(1, 1);
+    announce(&cluster, "u0", upstream.address);
+    let address = cluster.entry_addresses[0];
+    eventually("the entry has the upstream", || {
+        let reply = get(address, "/app/previews/1", &[AUTH_HEADER])?;
+        (reply.status == 200).then_some(())
+    });
+    let capacity = socket_capacity(address, PREFIX);
+    let late = Pace {
+        starts_after: Duration::from_secs(8),
+        buffer: Some(SMALL_BUFFER),
+        ..PROMPT
+    };
+    let asks_to_close = Pace {
+        starts_after: Duration::from_secs(3),
+        asks_to_close: true,
+        ..late
+    };
+    let calls: Vec<_> = (0..12)
+        .map(|i| capacity - 12_000 + i * 2_000)
+        .flat_map(|length| [(PREFIX, length, late), (PREFIX, length, asks_to_close)])
+        .chain([(PREFIX, LARGE, late), (PREFIX, LARGE, asks_to_close)])
+        .collect();
+    assert_whole(address, &calls);
+}
+
 /// Guards against giving up a request while its upstream pauses in reading the body.
 #[test]
 fn upstream_that_pauses_in_reading_a_large_body_answers_it() {
