--- a/tests/process/slow_peers.rs
+++ b/tests/process/slow_peers.rs
@@ -22,6 +22,7 @@
 use crate::support::Program;
 use crate::support::ReceivedRequest;
 use crate::support::Upstream;
+use crate::support::chat_body;
 use crate::support::chunk;
 use crate::support::eventually;
 use crate::support::get;
@@ -407,6 +408,41 @@
     assert_whole(address, &calls);
 }
 
+/// Guards against cutting a chat stream whose caller begins to read late.
+#[test]
+fn chat_stream_is_whole_for_a_caller_that_begins_to_read_late() {
+    let mut cluster = Cluster::start_with_inventory(1, 1);
+    let flags = ["--versions", "notes@small", "--token", "0", "--first", "0"];
+    let (_runner, _) = cluster.start_announced_standin("runner-1", &flags);
+    let address = cluster.entry_addresses[0];
+    let body = chat_body("notes@small", "late", 20_000, true);
+    let callers: Vec<_> = [false, true]
+        .into_iter()
+        .map(|asks_to_close| {
+            let body = body.clone();
+            let late = Pace {
+                starts_after: Duration::from_secs(8),
+                asks_to_close,
+                buffer: Some(SMALL_BUFFER),
+                ..PROMPT
+            };
+            thread::spawn(move || {
+                let mut stream = connect(address, late.buffer);
+                let path = "/v1/chat/completions";
+                let head = request_head("POST", path, path, body.len(), asks_to_close);
+                stream.write_all((head + &body).as_bytes()).unwrap();
+                read_response(stream, late)
+            })
+        })
+        .collect();
+    for caller in callers {
+        let (status, body) = caller.join().unwrap();
+        let body = String::from_utf8(body).unwrap();
+        let is_whole = body.ends_with("data: [DONE]\n\nthe end");
+        assert!(status == 200 && is_whole, "{status}, {}", body.len());
+    }
+}
+
 /// Guards against giving up a request while its upstream pauses in reading the body.
 #[test]
 fn upstream_that_pauses_in_reading_a_large_body_answers_it() {
@@ -430,6 +466,75 @@
     }
 }
 
+/// Guards against cutting off a caller that sends a request slowly or with pauses.
+#[test]
+fn caller_that_sends_slowly_is_answered() {
+    const LENGTH: usize = 1_000_000;
+    let upstream = Upstream::start(|seen, out| {
+        write(out, &ok_response(seen, &seen.body.len().to_string()));
+        true
+    });
+    let setup = Setup::new(upstream.address);
+    let entry = setup.cluster.entry_addresses[0];
+    let callers: Vec<_> = [
+        (setup.address, "/upload/a"),
+        (setup.address, "/tile/a"),
+        (entry, "/app/previews/a"),
+    ]
+    .into_iter()
+    .map(|(address, path)| {
+        thread::spawn(move || {
+            let mut stream = connect(address, None);
+            let head = request_head("POST", path, path, LENGTH, false);
+            let (first, rest) = head.split_at(40);
+            stream.write_all(first.as_bytes()).unwrap();
+            thread::sleep(Duration::from_secs(2));
+            stream.write_all(rest.as_bytes()).unwrap();
+            for (i, piece) in text(LENGTH).as_bytes().chunks(100_000).enumerate() {
+                let pause = if i == 5 { 4000 } else { 300 };
+                thread::sleep(Duration::from_millis(pause));
+                stream.write_all(piece).unwrap();
+            }
+            (path, read_response(stream, PROMPT))
+        })
+    })
+    .collect();
+    for caller in callers {
+        let (path, (status, body)) = caller.join().unwrap();
+        let body = String::from_utf8(body).unwrap();
+        assert_eq!((status, &*body), (200, &*LENGTH.to_string()), "{path}");
+    }
+}
+
+/// Guards against an entry that gives up an upstream which pauses in reading the body of a call.
+#[test]
+fn entry_waits_for_an_upstream_that_pauses_in_reading() {
+    /// Just below an entry's limit.
+    const LENGTH: usize = 4_000_000;
+    const PREFIX: &str = "/app/previews/";
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let upstream = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            thread::spawn(move || read_after_pause(stream));
+        }
+    });
+    let cluster = Cluster::start_with_inventory(1, 1);
+    announce(&cluster, "u0", upstream);
+    let entry = cluster.entry_addresses[0];
+    eventually("the entry has the upstream", || {
+        let reply = get(entry, PREFIX, &[AUTH_HEADER])?;
+        (reply.status == 200).then_some(())
+    });
+    let mut stream = connect(entry, None);
+    let head = request_head("POST", PREFIX, "a", LENGTH, false);
+    stream.write_all(head.as_bytes()).unwrap();
+    stream.write_all(text(LENGTH).as_bytes()).unwrap();
+    let (status, reply) = read_response(stream, PROMPT);
+    let reply = String::from_utf8(reply).unwrap();
+    assert_eq!((status, &*reply), (200, &*LENGTH.to_string()));
+}
+
 /// Serves one request: reads its head, pauses, reads its body and answers with the body's length.
 fn read_after_pause(stream: TcpStream) {
     let mut out = stream.try_clone().unwrap();
