End the connections of an entry's callers that take nothing

Cause: nothing ended the connection of a caller that acknowledges everything and reads nothing, nor, for a quarter of an hour, one that died while it was written to: an entry's connections have no time limit for that.

Change: an entry watches the connections of chat requests and calls of services like a gateway's listener, by the same 30 s, and logs caller_stalled. It has no limit on the unwritten bytes in all: a response may have 64 MB.

Result, of a trial that is too long for the tests: callers that read nothing of a response of 7.9 MB ended after 30132 ms (entry) and 30139 ms (gateway), one of a stream after 30140 ms (gateway); one that read 0.9 MB every 5 s got all 7.9 MB.

--- a/src/entry/handlers.rs
+++ b/src/entry/handlers.rs
@@ -99,6 +99,7 @@
     payload: Payload,
     worker: State<Worker>,
 ) -> HttpResponse {
+    worker.watch_caller(req.io());
     let request_id = new_request_id();
     let outcome = async {
         let organisation = authenticate(&worker, req.headers())?;
@@ -112,6 +113,7 @@
 }
 
 pub(super) async fn app(req: HttpRequest, payload: Payload, worker: State<Worker>) -> HttpResponse {
+    worker.watch_caller(req.io());
     let request_id = new_request_id();
     let outcome = async {
         let headers = req.headers();
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -42,6 +42,7 @@
 use crate::collections::Name;
 use crate::engine::HttpEngine;
 use crate::http_client;
+use crate::listen;
 use crate::log::event;
 
 /// Most headers of a request.
@@ -162,9 +163,17 @@
         .set_client_timeout(HEAD_TIMEOUT);
     let io = IoConfig::new().set_disconnect_timeout(CLOSE_TIMEOUT);
     http_client::configure_accepted_socket(&listener);
+    let address = listener.local_addr()?;
     let server = HttpServer::new(async move || {
         let engine = HttpEngine::new(shared.cfg.rater).await;
         let worker = Worker::new(shared.clone(), engine);
+        let clock = shared.clone();
+        tokio::task::spawn_local(listen::end_stalled(
+            worker.callers.clone(),
+            address,
+            move || clock.now(),
+            usize::MAX,
+        ));
         App::new()
             .state(worker)
             .route("/v1/chat/completions", web::post().to(handlers::chat))
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -12,6 +12,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use ntex::io::IoRef;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 
@@ -29,6 +30,7 @@
 use crate::engine::HttpEngine;
 use crate::engine::Rater;
 use crate::lease::Holder;
+use crate::listen::Connections;
 use crate::lock_rank::RankedMutex;
 use crate::metrics::Metrics;
 use crate::peer::EntryInfo;
@@ -231,6 +233,8 @@
     pub(crate) engine: Rc<dyn Engine>,
     pub(crate) rater: Rc<dyn Rater>,
     pub(crate) rng: Rc<RefCell<fastrand::Rng>>,
+    /// Connections of the worker's callers.
+    pub(crate) callers: Connections,
 }
 
 impl Worker {
@@ -241,6 +245,14 @@
             rater: engine.clone(),
             engine,
             rng: Rc::new(RefCell::new(fastrand::Rng::new())),
+            callers: Connections::default(),
+        }
+    }
+
+    /// Starts to watch the connection of a request for a caller that takes nothing.
+    pub(crate) fn watch_caller(&self, io: Option<&IoRef>) {
+        if let Some(io) = io {
+            self.callers.track(io, self.shared.now());
         }
     }
 
--- a/src/listen/connections.rs
+++ b/src/listen/connections.rs
@@ -6,14 +6,19 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use ntex::io::Id;
 use ntex::io::IoRef;
 
 use crate::collections::HashMap;
+use crate::collections::HashSet;
 use crate::log::event;
 use crate::policy::stalled_callers;
 use crate::policy::stalled_callers::Progress;
 use crate::policy::stalled_callers::Unwritten;
 
+/// Interval between checks for callers that take nothing.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
 /// The open connections of a listener; clones share them.
 #[derive(Clone, Default)]
 pub struct Connections {
@@ -24,6 +29,8 @@
 struct Shared {
     next_key: Cell<u64>,
     rows: RefCell<HashMap<u64, Row>>,
+    /// Connections that were registered by one of their requests.
+    tracked: RefCell<HashSet<Id>>,
 }
 
 struct Row {
@@ -59,6 +66,20 @@
         }
     }
 
+    /// Counts the connection of a request as open until it ends.
+    pub(crate) fn track(&self, io: &IoRef, now: Duration) {
+        let id = io.id();
+        if !self.shared.tracked.borrow_mut().insert(id) {
+            return;
+        }
+        let open = self.register(io.clone(), now);
+        let end = io.on_disconnect();
+        tokio::task::spawn_local(async move {
+            end.await;
+            open.connections.shared.tracked.borrow_mut().remove(&id);
+        });
+    }
+
     pub(super) fn count(&self) -> usize {
         self.shared.rows.borrow().len()
     }
@@ -81,8 +102,8 @@
         backlog
     }
 
-    /// Ends connections whose callers take nothing. To be called regularly.
-    pub(super) fn end_stalled(&self, listener: SocketAddr, now: Duration) {
+    /// Ends connections whose callers take nothing.
+    fn end_stalled(&self, listener: SocketAddr, now: Duration, limit_bytes: usize) {
         let mut unwritten = Vec::new();
         for (&key, row) in self.shared.rows.borrow_mut().iter_mut() {
             let left = left_to_write(&row.io);
@@ -95,7 +116,7 @@
                 });
             }
         }
-        for connection in stalled_callers::to_end(unwritten) {
+        for connection in stalled_callers::to_end(unwritten, limit_bytes) {
             let rows = self.shared.rows.borrow();
             let io = rows.get(&connection.key).map(|row| row.io.clone());
             drop(rows);
@@ -114,6 +135,19 @@
     }
 }
 
+/// Ends the connections of callers that take nothing. Together they may have `limit_bytes` unwritten.
+pub(crate) async fn end_stalled(
+    connections: Connections,
+    listener: SocketAddr,
+    clock: impl Fn() -> Duration,
+    limit_bytes: usize,
+) {
+    loop {
+        tokio::time::sleep(CHECK_INTERVAL).await;
+        connections.end_stalled(listener, clock(), limit_bytes);
+    }
+}
+
 /// A registered connection.
 pub(super) struct OpenConnection {
     connections: Connections,
--- a/src/listen/mod.rs
+++ b/src/listen/mod.rs
@@ -27,9 +27,11 @@
 use tokio::time::Instant;
 
 pub use self::connections::Connections;
+pub(crate) use self::connections::end_stalled;
 
 use crate::http_client;
 use crate::log::event;
+use crate::policy::stalled_callers::UNWRITTEN_LIMIT_BYTES;
 
 /// Most headers of a request.
 const MAX_HEADERS: usize = 96;
@@ -48,9 +50,6 @@
 /// caller that takes nothing is given up earlier.
 const CLOSE_TIMEOUT: Seconds = Seconds(600);
 
-/// Interval between checks for callers that take nothing.
-const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(250);
-
 /// Most connections of a listener for callers: three quarters of the descriptors of a small VM's
 /// process.
 pub const MAX_CONNECTIONS: usize = 3072;
@@ -154,7 +153,12 @@
     let connections = Connections::default();
     let open_connections = connections.clone();
     let started_at = Instant::now();
-    tokio::task::spawn_local(watch_callers(connections.clone(), local, started_at));
+    tokio::task::spawn_local(connections::end_stalled(
+        connections.clone(),
+        local,
+        move || started_at.elapsed(),
+        UNWRITTEN_LIMIT_BYTES,
+    ));
     let mut is_full = false;
     tokio::task::spawn_local(async move {
         loop {
@@ -193,11 +197,3 @@
     });
     Ok(connections)
 }
-
-/// Ends the connections of callers that take nothing.
-async fn watch_callers(connections: Connections, listener: SocketAddr, started_at: Instant) {
-    loop {
-        tokio::time::sleep(STALL_CHECK_INTERVAL).await;
-        connections.end_stalled(listener, started_at.elapsed());
-    }
-}
--- a/src/policy/stalled_callers.rs
+++ b/src/policy/stalled_callers.rs
@@ -8,8 +8,8 @@
 /// Longest time for which a caller may take nothing.
 pub const STALL_LIMIT: Duration = Duration::from_secs(30);
 
-/// Most unwritten bytes of all connections together. Above it, the connections that have stalled for
-/// the longest time end before the limit.
+/// Most unwritten bytes of all connections of a process on a small VM. Above it, the connections that
+/// have stalled for the longest time end before the limit.
 pub const UNWRITTEN_LIMIT_BYTES: usize = 32 * 1024 * 1024;
 
 /// Least time after which a connection counts as stalled. One that is written to at this moment
@@ -63,15 +63,15 @@
     pub stalled_for: Duration,
 }
 
-/// Returns the connections to end, the one that has stalled for the longest time first.
-pub fn to_end(mut connections: Vec<Connection>) -> Vec<Connection> {
+/// Returns the connections to end, the one that has stalled for the longest time first. Together they
+/// may have `limit_bytes` unwritten.
+pub fn to_end(mut connections: Vec<Connection>, limit_bytes: usize) -> Vec<Connection> {
     let mut unwritten: usize = connections.iter().map(|connection| connection.bytes).sum();
     connections.sort_by_key(|connection| std::cmp::Reverse(connection.stalled_for));
     connections
         .into_iter()
         .take_while(|connection| {
-            let is_over_limit =
-                unwritten > UNWRITTEN_LIMIT_BYTES && connection.stalled_for >= MIN_STALL;
+            let is_over_limit = unwritten > limit_bytes && connection.stalled_for >= MIN_STALL;
             unwritten -= connection.bytes;
             is_over_limit || connection.stalled_for >= STALL_LIMIT
         })
--- a/tests/load/stalled_callers.rs
+++ b/tests/load/stalled_callers.rs
@@ -18,7 +18,7 @@
 }
 
 fn ended(connections: &[Connection]) -> Vec<u64> {
-    let ended = stalled_callers::to_end(connections.to_vec());
+    let ended = stalled_callers::to_end(connections.to_vec(), UNWRITTEN_LIMIT_BYTES);
     ended.iter().map(|connection| connection.key).collect()
 }
 
