Add failing tests of a gateway's stop, listed as known red

Change: a test caller that keeps its connection and reads at its own pace; three tests of planned stops with real sockets. Two fail on this code and are listed; requests on kept connections until the process is gone pass.

--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -11,6 +11,7 @@
 mod failures;
 mod framing;
 mod gateway;
+mod gateway_stops;
 mod golden;
 mod models;
 mod path;
--- a/tests/process/support/mod.rs
+++ b/tests/process/support/mod.rs
@@ -1,5 +1,6 @@
 //! Helpers that start the programs on loopback and send requests to them.
 
+mod caller;
 mod cluster;
 mod http;
 mod program;
@@ -7,6 +8,7 @@
 mod stub_replica;
 mod upstream;
 
+pub(crate) use self::caller::Caller;
 pub(crate) use self::cluster::AUTH_HEADER;
 pub(crate) use self::cluster::Cluster;
 pub(crate) use self::cluster::INVENTORY;
