Exit only once the callers' responses have left the process

What callers saw: a caller that began to read 3.3 s after sending got 3.9 of 7.9 MB and a closed connection; the gateway had been stopped by SIGTERM.

Cause: a request counted as open until its last byte was in the server's write buffer.

Change: the exit also waits, up to the stop limit, until no connection has unwritten bytes. What the operating system holds goes on after the exit.

--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -7,6 +7,7 @@
 use super::Gateway;
 use crate::config::RetryPolicy;
 use crate::config::Route;
+use crate::listen::Backlog;
 use crate::listen::Connections;
 use crate::log::event;
 
@@ -27,7 +28,7 @@
 /// Most unfinished requests that are logged at the exit, one line each.
 const MAX_LOGGED_REQUESTS: usize = 64;
 
-/// Waits for SIGTERM or SIGINT, then until the open requests have ended or the stop limit has
+/// Waits for SIGTERM or SIGINT, then until the callers have their responses or the stop limit has
 /// passed.
 pub(super) async fn wait(gateway: &Rc<Gateway>) {
     crate::signal::stop_requested().await;
@@ -38,9 +39,8 @@
     loop {
         tokio::time::sleep(POLL_INTERVAL).await;
         let elapsed = gateway.now().saturating_sub(since);
-        let idle =
-            gateway.open_requests.count() == 0 && elapsed >= limit.mul_f64(MIN_DRAIN_FRACTION);
-        if idle || elapsed >= limit {
+        let has_drained = elapsed >= limit.mul_f64(MIN_DRAIN_FRACTION) && !gateway.has_work();
+        if has_drained || elapsed >= limit {
             break;
         }
     }
@@ -48,6 +48,16 @@
 }
 
 impl Gateway {
+    /// Returns whether a caller waits for a response or for a part of it.
+    fn has_work(&self) -> bool {
+        self.open_requests.count() > 0 || self.caller_backlog().unwritten_bytes > 0
+    }
+
+    fn caller_backlog(&self) -> Backlog {
+        let callers = self.callers.get();
+        callers.map(Connections::backlog).unwrap_or_default()
+    }
+
     /// Logs what is left at the exit: requests without a complete response, and what their callers
     /// have not got.
     fn log_unfinished(&self) {
@@ -65,8 +75,7 @@
                 open_ms = now.saturating_sub(request.opened_at).as_millis()
             );
         }
-        let backlog = self.callers.get().map(Connections::backlog);
-        let backlog = backlog.unwrap_or_default();
+        let backlog = self.caller_backlog();
         event!(
             Info,
             "gateway_stop",
--- a/src/listen/mod.rs
+++ b/src/listen/mod.rs
@@ -24,6 +24,7 @@
 use ntex::time::Seconds;
 use tokio::net::TcpListener;
 
+pub(crate) use self::connections::Backlog;
 pub use self::connections::Connections;
 
 use crate::http_client;
