Answer requests without a response before a gateway's stop limit passes

Cause: at the stop limit the process exits whatever is open, also requests that wait for an upstream, for its response head, for a second attempt or for their own body. A route may wait 15 to 30 s, the limit is 8 s. Escalations that began during the stop made streams longer still.

Change: a request is open from its head on. At 0.95 of the stop limit each one without a response head is answered: 503 with Retry-After 0 where nothing was sent, 502 where it may have run; its upstream is cancelled. An answer that is at hand is not given up for a larger model during a stop, and a plain request is accepted only while its route's target fits into the time that is left. A stream that has begun goes on to the limit and is not ended as if it were complete.

--- a/src/gateway/exchange/admit.rs
+++ b/src/gateway/exchange/admit.rs
@@ -68,9 +68,13 @@
         // model must not be given up for nothing.
         let good_answer = good_probability(100.0);
         let gain = good_answer - good_probability(confidence.unwrap_or_default().max(0.0));
-        self.wait_until(Some(model), deadline, Some(gain))
-            .await
-            .is_ok()
+        let is_admitted = tokio::select! {
+            biased;
+            admitted = self.wait_until(Some(model), deadline, Some(gain)) => admitted.is_ok(),
+            // Another run might not end before the process does.
+            () = gateway.wait_for_drain() => false,
+        };
+        is_admitted
             && self.has_attempts_left()
             && gateway.quarantined_for(service, &self.call).is_none()
             && self.choose_upstream(service, Some(model), &[]).is_some()
--- a/src/gateway/exchange/mod.rs
+++ b/src/gateway/exchange/mod.rs
@@ -53,32 +53,38 @@
 
 /// Handles one request and returns its final response.
 pub(super) async fn handle(gateway: Rc<Gateway>, mut req: Request) -> Response {
+    let names = &gateway.cfg.header_names;
+    let id: Name = header_text(&req, &names.attempt_id)
+        .unwrap_or(NOT_KNOWN)
+        .into();
+    let open = Rc::new(OpenRequest::new(&gateway, &id));
     gateway.wait_for_config().await;
     let call = match Call::read(&gateway, &req) {
         Ok(call) => call,
-        Err(refusal) => {
-            let names = &gateway.cfg.header_names;
-            let id = header_text(&req, &names.attempt_id).unwrap_or(NOT_KNOWN);
-            return refuse(&gateway, id, NOT_KNOWN, &refusal);
-        }
+        Err(refusal) => return refuse(&gateway, &id, NOT_KNOWN, &refusal),
     };
+    open.set_route(&call.route.name);
     if gateway.refuses_new_requests(&call.route) {
-        let refusal = Refusal::unavailable(
-            "stopping",
-            "this gateway is shutting down; retry at another gateway",
-        )
-        .with_retry_after(Duration::ZERO);
-        return refuse(&gateway, &call.id, &call.route.name, &refusal);
+        return refuse(&gateway, &id, &call.route.name, &Refusal::stopping());
     }
-    let body = match read_body(&gateway, &mut req).await {
+    let body = tokio::select! {
+        biased;
+        body = read_body(&gateway, &mut req) => body,
+        () = gateway.wait_for_final_answers() => Err(Refusal::stopping()),
+    };
+    let body = match body {
         Ok(body) => body,
-        Err(refusal) => return refuse(&gateway, &call.id, &call.route.name, &refusal),
+        Err(refusal) => return refuse(&gateway, &id, &call.route.name, &refusal),
     };
     let call = Rc::new(call.with_body(body));
-    let mut exchange = Exchange::new(&gateway, &call);
+    let mut exchange = Exchange::new(&gateway, &call, open);
     let limit = call.time_left(gateway.now());
-    let outcome = tokio::time::timeout(limit, exchange.run()).await;
-    let outcome = outcome.unwrap_or_else(|_| Err(exchange.deadline_refusal()));
+    let outcome = tokio::select! {
+        biased;
+        outcome = tokio::time::timeout(limit, exchange.run()) => outcome.ok(),
+        () = gateway.wait_for_final_answers() => None,
+    };
+    let outcome = outcome.unwrap_or_else(|| Err(exchange.interrupted_refusal()));
     let time_to_head = limit.saturating_sub(call.time_left(gateway.now()));
     gateway.meter(&call, &outcome, time_to_head);
     if outcome.is_ok() {
@@ -166,12 +172,13 @@
 }
 
 impl Exchange {
-    fn new(gateway: &Rc<Gateway>, call: &Rc<Call>) -> Self {
+    fn new(gateway: &Rc<Gateway>, call: &Rc<Call>, open: Rc<OpenRequest>) -> Self {
+        open.set_stage(Stage::Queued, None);
         let draw = gateway.rng.borrow_mut().f64();
         let ladder = call.route.ladder.len();
         Self {
             gateway: gateway.clone(),
-            open: Rc::new(OpenRequest::new(gateway, &call.id, &call.route.name)),
+            open,
             call: call.clone(),
             service: call.route.pick_service(draw).cloned(),
             model: if call.gateway_chooses_model {
@@ -189,15 +196,19 @@
         }
     }
 
-    /// Returns the refusal for a request whose deadline has passed.
-    fn deadline_refusal(&self) -> Refusal {
-        if self.runs > 0 {
-            return Refusal::gateway_timeout();
+    /// Returns the refusal for a request that was interrupted by its deadline or by the end of this
+    /// process.
+    fn interrupted_refusal(&self) -> Refusal {
+        let is_late = self.call.time_left(self.gateway.now()).is_zero();
+        match (self.runs > 0, is_late) {
+            (true, true) => Refusal::gateway_timeout(),
+            (true, false) => Refusal::bad_gateway("stopped"),
+            (false, true) => Refusal::unavailable(
+                "no_time",
+                "no upstream accepted the request before the deadline; retry later",
+            ),
+            (false, false) => Refusal::stopping(),
         }
-        Refusal::unavailable(
-            "no_time",
-            "no upstream accepted the request before the deadline; retry later",
-        )
     }
 
     /// Makes one attempt and counts it. It counts as a run until the outcome says otherwise, so
@@ -330,6 +341,10 @@
     /// Returns the model to escalate to, if the response is not kept; the escalation has then been
     /// charged to the retry budget.
     fn try_escalate(&mut self, headers: &http::HeaderMap) -> Option<usize> {
+        if self.gateway.is_draining() {
+            // Another run might not end before the process does.
+            return None;
+        }
         let service = self.service.as_ref()?;
         if self.gateway.manages_load(service) {
             return self.escalate_by_value(headers);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -195,6 +195,10 @@
     recovery: Recovery,
     /// When the shutdown began; `None` before it.
     draining_since: Cell<Option<Duration>>,
+    /// Whether requests without a response head are answered because the exit is near.
+    gives_final_answers: Cell<bool>,
+    /// Notified when the shutdown begins and when the final answers do.
+    stop_advanced: Notify,
     open_requests: OpenRequests,
     /// Number of the next open request.
     next_open_request: Cell<u64>,
@@ -271,6 +275,8 @@
         rng: RefCell::new(fastrand::Rng::new()),
         metrics: Metrics::new(),
         draining_since: Cell::new(None),
+        gives_final_answers: Cell::new(false),
+        stop_advanced: Notify::new(),
         open_requests: OpenRequests::default(),
         next_open_request: Cell::new(0),
         callers: OnceCell::new(),
--- a/src/gateway/open_requests.rs
+++ b/src/gateway/open_requests.rs
@@ -12,6 +12,8 @@
 /// What an open request waits for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Stage {
+    /// For the configuration or the rest of the request body.
+    Receiving,
     /// For an upstream: capacity, a retry or the end of a pause.
     Queued,
     /// For the head of an upstream's response.
@@ -23,6 +25,7 @@
 impl fmt::Display for Stage {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
+            Self::Receiving => "receiving",
             Self::Queued => "queued",
             Self::Sent => "sent",
             Self::Streaming => "streaming",
@@ -34,7 +37,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Snapshot {
     pub(super) id: Name,
-    pub(super) route: Name,
+    /// `None` until the request head has been parsed.
+    pub(super) route: Option<Name>,
     pub(super) stage: Stage,
     /// Upstream that has the request; `None` while it is queued.
     pub(super) upstream: Option<Name>,
@@ -68,12 +72,12 @@
 }
 
 impl OpenRequest {
-    pub(super) fn new(gateway: &Rc<Gateway>, id: &Name, route: &Name) -> Self {
+    pub(super) fn new(gateway: &Rc<Gateway>, id: &str) -> Self {
         let now = gateway.now();
         let snapshot = Snapshot {
-            id: id.clone(),
-            route: route.clone(),
-            stage: Stage::Queued,
+            id: id.into(),
+            route: None,
+            stage: Stage::Receiving,
             upstream: None,
             opened_at: now,
             stage_since: now,
@@ -92,19 +96,24 @@
         }
     }
 
+    pub(super) fn set_route(&self, route: &Name) {
+        self.update(|row| row.route = Some(route.clone()));
+    }
+
     /// Records what the request waits for from now on.
     pub(super) fn set_stage(&self, stage: Stage, upstream: Option<&Name>) {
         let now = self.gateway.now();
-        if let Some(row) = self
-            .gateway
-            .open_requests
-            .rows
-            .borrow_mut()
-            .get_mut(&self.key)
-        {
+        self.update(|row| {
             row.stage = stage;
             row.upstream = upstream.cloned();
             row.stage_since = now;
+        });
+    }
+
+    fn update(&self, change: impl FnOnce(&mut Snapshot)) {
+        let mut rows = self.gateway.open_requests.rows.borrow_mut();
+        if let Some(row) = rows.get_mut(&self.key) {
+            change(row);
         }
     }
 }
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -37,6 +37,16 @@
         }
     }
 
+    /// 503 of a gateway that shuts down: the request has not run, and another gateway can serve it at
+    /// once.
+    pub(super) fn stopping() -> Self {
+        Self::unavailable(
+            "stopping",
+            "this gateway is shutting down; retry at another gateway",
+        )
+        .with_retry_after(Duration::ZERO)
+    }
+
     /// 502: the request may have run, but its response was lost.
     pub(super) fn bad_gateway(code: &'static str) -> Self {
         let message = "the response of the upstream was lost; the request may have run";
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -28,17 +28,25 @@
 /// Most unfinished requests that are logged at the exit, one line each.
 const MAX_LOGGED_REQUESTS: usize = 64;
 
+/// Fraction of the stop limit after which requests without a response head are answered, and no
+/// longer served. What is left of the limit serves to deliver the answers.
+const SERVE_FRACTION: f64 = 0.95;
+
 /// Waits for SIGTERM or SIGINT, then until the callers have their responses or the stop limit has
 /// passed.
 pub(super) async fn wait(gateway: &Rc<Gateway>) {
     crate::signal::stop_requested().await;
     let since = gateway.now();
     gateway.draining_since.set(Some(since));
+    gateway.stop_advanced.notify_waiters();
     event!(Info, "gateway_leaving", vm = gateway.cfg.vm);
     let limit = gateway.cfg.stop_limit;
     loop {
         tokio::time::sleep(POLL_INTERVAL).await;
         let elapsed = gateway.now().saturating_sub(since);
+        if elapsed >= limit.mul_f64(SERVE_FRACTION) {
+            gateway.begin_final_answers();
+        }
         let has_drained = elapsed >= limit.mul_f64(MIN_DRAIN_FRACTION) && !gateway.has_work();
         if has_drained || elapsed >= limit {
             break;
@@ -58,6 +66,25 @@
         callers.map(Connections::backlog).unwrap_or_default()
     }
 
+    fn begin_final_answers(&self) {
+        self.gives_final_answers.set(true);
+        self.stop_advanced.notify_waiters();
+    }
+
+    /// Waits until the shutdown has begun.
+    pub(super) async fn wait_for_drain(&self) {
+        while !self.is_draining() {
+            self.stop_advanced.notified().await;
+        }
+    }
+
+    /// Waits until the exit is so near that requests without a response head must be answered.
+    pub(super) async fn wait_for_final_answers(&self) {
+        while !self.gives_final_answers.get() {
+            self.stop_advanced.notified().await;
+        }
+    }
+
     /// Logs what is left at the exit: requests without a complete response, and what their callers
     /// have not got.
     fn log_unfinished(&self) {
@@ -68,7 +95,7 @@
                 Warn,
                 "request_unfinished",
                 request = request.id,
-                route = request.route,
+                route = request.route.as_deref().unwrap_or("-"),
                 stage = request.stage,
                 upstream = request.upstream.as_deref().unwrap_or("-"),
                 stage_ms = now.saturating_sub(request.stage_since).as_millis(),
@@ -90,14 +117,15 @@
     /// Returns whether the exit is so near that a new request of the route might not finish before
     /// it.
     pub(super) fn refuses_new_requests(&self, route: &Route) -> bool {
-        let limit = match route.repeat {
+        let limit = self.cfg.stop_limit;
+        let accept_window = match route.repeat {
             RetryPolicy::Stream => STREAM_ACCEPT_WINDOW,
-            RetryPolicy::Idempotent | RetryPolicy::Once => {
-                self.cfg.stop_limit.mul_f64(REQUEST_ACCEPT_FRACTION)
-            }
+            RetryPolicy::Idempotent | RetryPolicy::Once => limit
+                .mul_f64(REQUEST_ACCEPT_FRACTION)
+                .min(limit.mul_f64(SERVE_FRACTION).saturating_sub(route.target())),
         };
         self.draining_since
             .get()
-            .is_some_and(|since| self.now() >= since + limit)
+            .is_some_and(|since| self.now() >= since + accept_window)
     }
 }
