Read the body of a refused request before closing its connection

What callers saw: a caller that still sent its body got a reset in place of the refusal (404, 401, or 503 of a stopping gateway); one that reads after sending may lose it.

Cause: these refusals were made without reading the body. The server then closes the connection, and a close with unread bytes is a reset. Only 413 read on.

Change: every refusal before the body reads it, within the bounds that 413 has (16 MB, 2 s), at the gateway and at the entry.

Result: process gateway_stops::refusals_reach_* and path::entry_refusals_reach_* failed before (the write of a body of 6 and 4 MB broke off) and pass.

--- a/src/entry/handlers.rs
+++ b/src/entry/handlers.rs
@@ -94,6 +94,21 @@
     })
 }
 
+/// Authenticates the caller and reads the body.
+async fn read_authenticated(
+    req: &HttpRequest,
+    payload: Payload,
+    worker: &Worker,
+) -> Result<(Organisation, Bytes), Refusal> {
+    match authenticate(worker, req.headers()) {
+        Ok(organisation) => Ok((organisation, read_body(worker, payload).await?)),
+        Err(refusal) => {
+            listen::discard_body(payload.into_inner()).await;
+            Err(refusal)
+        }
+    }
+}
+
 pub(super) async fn chat(
     req: HttpRequest,
     payload: Payload,
@@ -101,8 +116,7 @@
 ) -> HttpResponse {
     let request_id = new_request_id();
     let outcome = async {
-        let organisation = authenticate(&worker, req.headers())?;
-        let body = read_body(&worker, payload).await?;
+        let (organisation, body) = read_authenticated(&req, payload, &worker).await?;
         let now = worker.shared.now();
         let call = relay::ChatCall::parse(request_id, organisation, req.headers(), &body, now)?;
         relay::serve_chat(&worker, &call).await
@@ -115,8 +129,7 @@
     let request_id = new_request_id();
     let outcome = async {
         let headers = req.headers();
-        let organisation = authenticate(&worker, headers)?;
-        let body = read_body(&worker, payload).await?;
+        let (organisation, body) = read_authenticated(&req, payload, &worker).await?;
         let service: Name = req.match_info().get("service").unwrap_or_default().into();
         let prefix = format!("/app/{service}");
         let path = req.uri().path_and_query().map_or("/", |path| path.as_str());
@@ -226,6 +239,7 @@
     let known =
         bearer_token(req.headers()).is_some_and(|key| view.config.inventory.is_upstream_key(key));
     if !known {
+        listen::discard_body(payload.into_inner()).await;
         return Err(Refusal::unknown_key());
     }
     let body = read_body(worker, payload).await?;
@@ -341,7 +355,8 @@
     into_response(&worker, new_request_id(), outcome)
 }
 
-pub(super) async fn not_found(worker: State<Worker>) -> HttpResponse {
+pub(super) async fn not_found(payload: Payload, worker: State<Worker>) -> HttpResponse {
+    listen::discard_body(payload.into_inner()).await;
     let message = "this path does not exist; see the README for the API";
     let refusal = Refusal::new(StatusCode::NOT_FOUND, "unknown_path", message);
     into_response(&worker, new_request_id(), Err(refusal))
--- a/src/gateway/exchange/mod.rs
+++ b/src/gateway/exchange/mod.rs
@@ -34,6 +34,7 @@
 use crate::gateway::upstreams::InFlightRequest;
 use crate::http_client::ResponseHead;
 use crate::http_client::UpstreamResponse;
+use crate::listen;
 use crate::log::event;
 use crate::policy::escalation;
 use crate::recovery::Phase;
@@ -61,10 +62,14 @@
     gateway.wait_for_config().await;
     let call = match Call::read(&gateway, &req) {
         Ok(call) => call,
-        Err(refusal) => return refuse(&gateway, &id, NOT_KNOWN, &refusal),
+        Err(refusal) => {
+            listen::discard_body(req.take_payload()).await;
+            return refuse(&gateway, &id, NOT_KNOWN, &refusal);
+        }
     };
     open.set_route(&call.route.name);
     if gateway.refuses_new_requests(&call.route) {
+        listen::discard_body(req.take_payload()).await;
         return refuse(&gateway, &id, &call.route.name, &Refusal::stopping());
     }
     let body = tokio::select! {
--- a/src/listen/mod.rs
+++ b/src/listen/mod.rs
@@ -51,11 +51,10 @@
 /// close some first.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Most bytes that are read and dropped after a body has exceeded its limit. Closing the connection
-/// while the caller still sends would reset it, and the caller might lose the response.
+/// Most bytes that are read and dropped of the body of a request that is refused.
 const MAX_DISCARDED_BYTES: usize = 16 * 1024 * 1024;
 
-/// Longest time for which the rest of such a body is read.
+/// Longest time for which such a body is read.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Why a request body could not be read.
@@ -79,7 +78,7 @@
         let chunk = chunk.map_err(|_| BodyError::Incomplete)?;
         if buf.len() + chunk.len() > limit {
             drop(buf);
-            let _ = tokio::time::timeout(DISCARD_TIMEOUT, discard(payload)).await;
+            discard_body(payload).await;
             return Err(BodyError::TooLarge);
         }
         buf.extend_from_slice(&chunk);
@@ -87,6 +86,12 @@
     Ok(buf)
 }
 
+/// Reads a body and drops it, within bounds: closing the connection while the caller still sends
+/// would reset it, and the caller might lose the response.
+pub async fn discard_body(payload: Payload) {
+    let _ = tokio::time::timeout(DISCARD_TIMEOUT, discard(payload)).await;
+}
+
 /// Reads the rest of a body, up to [`MAX_DISCARDED_BYTES`].
 async fn discard(mut payload: Payload) {
     let mut discarded = 0;
--- a/tests/process/gateway_stops.rs
+++ b/tests/process/gateway_stops.rs
@@ -322,3 +322,30 @@
     }
     assert_eq!(violations, Vec::<String>::new());
 }
+
+/// Guards against refusals that are lost in a reset because their caller was still sending its body.
+#[test]
+fn refusals_reach_callers_that_still_send_their_body() {
+    let mut setup = Setup::new();
+    let body = "x".repeat(6_000_000);
+    let unknown_key = [
+        ("authorization", "Bearer nobody"),
+        ("host", "previews.example"),
+        ("daisyquay-attempt", "unknown-key"),
+    ];
+    let refused = |path: &str, headers: &[(&str, &str)]| {
+        let mut caller = Caller::connect(setup.address).unwrap();
+        let is_sent = caller.send_slowly("POST", path, headers, &body);
+        let reply = whole_status(caller.receive());
+        (is_sent, reply)
+    };
+    assert_eq!(
+        refused("/nowhere/a", &headers("no-route")),
+        (true, Some(404))
+    );
+    assert_eq!(refused("/tile/a", &unknown_key), (true, Some(401)));
+    setup.gateway.terminate();
+    thread::sleep(Duration::from_millis(500));
+    assert_eq!(refused("/notes/a", &headers("stopping")), (true, Some(503)));
+    eventually("the gateway exits", || setup.gateway.try_exit_code());
+}
--- a/tests/process/path.rs
+++ b/tests/process/path.rs
@@ -8,6 +8,7 @@
 use serde_json::Value;
 
 use crate::support::AUTH_HEADER;
+use crate::support::Caller;
 use crate::support::Cluster;
 use crate::support::chat_body;
 use crate::support::get;
@@ -104,6 +105,28 @@
     assert_eq!(std::str::from_utf8(&response).unwrap(), "HTTP/1.1 413");
 }
 
+/// Guards against refusals that are lost in a reset because their caller was still sending its body.
+#[test]
+fn entry_refusals_reach_callers_that_still_send_their_body() {
+    let cluster = Cluster::start_with_inventory(1, 1);
+    let body = "x".repeat(4_000_000);
+    let headers = [("host", "a"), ("authorization", "Bearer nobody")];
+    let refused = |path: &str| {
+        let mut caller = Caller::connect(cluster.entry_addresses[0]).unwrap();
+        let is_sent = caller.send_slowly("POST", path, &headers, &body);
+        (is_sent, caller.receive().map(|reply| reply.status))
+    };
+    let chat = "/v1/chat/completions";
+    for (path, status) in [
+        (chat, 401),
+        ("/app/previews/a", 401),
+        ("/upstream/announce", 401),
+        ("/nowhere", 404),
+    ] {
+        assert_eq!(refused(path), (true, Some(status)), "{path}");
+    }
+}
+
 #[test]
 fn refuses_invalid_requests_without_running_them() {
     let mut cluster = Cluster::start_with_inventory(1, 1);
--- a/tests/process/support/caller.rs
+++ b/tests/process/support/caller.rs
@@ -47,6 +47,24 @@
         self.send_head(method, path, &headers) && self.stream.write_all(body.as_bytes()).is_ok()
     }
 
+    /// Sends a request whose body takes about half a second; `false` if the connection has ended.
+    pub(crate) fn send_slowly(
+        &mut self,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> bool {
+        let length = body.len().to_string();
+        let mut headers = headers.to_vec();
+        headers.push(("content-length", &length));
+        self.send_head(method, path, &headers)
+            && body.as_bytes().chunks(body.len() / 10 + 1).all(|piece| {
+                std::thread::sleep(Duration::from_millis(50));
+                self.stream.write_all(piece).is_ok()
+            })
+    }
+
     /// Sends a request head with these headers only; `false` if the connection has ended.
     pub(crate) fn send_head(&mut self, method: &str, path: &str, headers: &[(&str, &str)]) -> bool {
         let mut head = format!("{method} {path} HTTP/1.1\r\n");
