Let the soak's callers keep connections, read late and wait beyond a stop

Cause: the soak opened a connection for each request, read at once, waited for each stop to end before the next fault, and had no request that outlasts one.

Change: callers keep a connection to each gateway until it is closed; some read late, slowly or with a pause; responses of 5 MB; two callers wait for up to 10 s; SIGTERM no longer waits, so other faults and further signals follow during a stop. New check: a request that a gateway has read, by an upstream or for half a second, ends with its whole response unless that gateway was killed.

--- a/tests/process/soak.rs
+++ b/tests/process/soak.rs
@@ -1,5 +1,6 @@
 //! A soak test: injects random faults into the running programs and compares what callers got with
-//! what upstreams received.
+//! what upstreams received. Callers keep their connections until these are closed, and some read
+//! late, slowly or with a pause.
 //!
 //! `cargo test --release --test process -- --ignored soak_by_hand` runs consecutive seeds; the
 //! environment variables `SOAK_FIRST` and `SOAK_SEEDS` set the first seed and their number. A seed
@@ -24,17 +25,18 @@
 use crate::gateway::ROUTES;
 use crate::gateway::announce_in;
 use crate::support::AUTH_HEADER;
+use crate::support::Caller;
 use crate::support::Cluster;
 use crate::support::INVENTORY;
 use crate::support::PartitionProxy;
 use crate::support::Program;
 use crate::support::ReceivedRequest;
+use crate::support::Response;
 use crate::support::Upstream;
 use crate::support::chunk;
 use crate::support::eventually;
 use crate::support::ok_response;
 use crate::support::post;
-use crate::support::send;
 use crate::support::sse_event;
 use crate::support::stream_response_head;
 use crate::support::write;
@@ -76,6 +78,31 @@
 /// Events of a complete stream.
 const EVENTS: u64 = 12;
 
+/// How often a large response repeats the id of its request.
+const LARGE_REPEATS: usize = 1_000_000;
+
+/// A route whose requests may last longer than a gateway's stop.
+const WAIT_ROUTE: &str = r#"
+[[routes]]
+name = "wait"
+host = "previews.example"
+prefix = "/wait/"
+repeat = "once"
+timeout_ms = 30000
+target_ms = 500
+attempts = 3
+split = [{ service = "previews", weight = 1 }]
+"#;
+
+/// Callers of that route.
+const PATIENT_CALLERS: usize = 2;
+
+/// Longest time that an upstream takes for such a request.
+const WAIT_LIMIT: Duration = Duration::from_secs(10);
+
+/// Time after which a connection that ends without a response has not merely crossed its close.
+const CROSSING_LIMIT: Duration = Duration::from_millis(500);
+
 /// State that all upstreams share.
 struct Shared {
     rng: Mutex<fastrand::Rng>,
@@ -121,6 +148,21 @@
         let head = with_cold_time(stream_response_head(request));
         return stream(request, out, &head, draw);
     }
+    if request.request_line.contains("/wait/") {
+        let wait = shared
+            .rng
+            .lock()
+            .unwrap()
+            .u64(..WAIT_LIMIT.as_millis() as u64);
+        let until = Instant::now() + Duration::from_millis(wait);
+        while Instant::now() < until && !shared.is_healthy.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(50));
+        }
+        return write(
+            out,
+            &ok_response(&request.attempt_id().repeat(LARGE_REPEATS)),
+        );
+    }
     match draw {
         // Closes the connection without a response.
         0..4 => false,
@@ -158,6 +200,11 @@
             );
             write(out, &response)
         }
+        // A response that does not fit into the buffers of the callers that read late.
+        18..23 => write(
+            out,
+            &ok_response(&request.attempt_id().repeat(LARGE_REPEATS)),
+        ),
         _ => write(out, &ok_response(request.attempt_id())),
     }
 }
@@ -190,6 +237,7 @@
     served: AtomicU64,
     /// Ids of requests that must run at most once, with the status code that the caller got.
     at_most_once: Mutex<BTreeMap<String, Option<u16>>>,
+    unanswered: Mutex<Vec<Unanswered>>,
     violations: Mutex<Vec<String>>,
 }
 
@@ -199,44 +247,135 @@
     }
 }
 
-/// Sends request number `n` and checks its response.
-fn call(address: SocketAddr, n: u64, results: &Results) {
-    let id = format!("r{n}");
-    let headers = [
-        AUTH_HEADER,
-        ("host", "previews.example"),
-        ("daisyquay-attempt", &*id),
-        ("daisyquay-deadline-ms", "4000"),
-    ];
-    let path = ["/lookup/a", "/hold/a", "/notes/a"][n as usize % 3];
-    let response = send("POST", address, path, &headers, "");
-    if path == "/hold/a" {
-        let status = response.as_ref().map(|response| response.status);
-        results
-            .at_most_once
-            .lock()
-            .unwrap()
-            .insert(id.clone(), status);
+/// A request whose connection ended before its whole response, though its gateway answers every
+/// request unless it is killed.
+struct Unanswered {
+    id: String,
+    gateway: usize,
+    sent_at: Instant,
+    ended_at: Instant,
+    /// Part of that time for which the caller did not read.
+    paused: Duration,
+}
+
+/// A caller with a connection to each gateway, which it keeps until the gateway closes it.
+struct KeepingCaller {
+    kept: [Option<Caller>; GATEWAYS],
+    rng: fastrand::Rng,
+    /// For how long it has not read while the last response was due.
+    paused: Duration,
+}
+
+impl KeepingCaller {
+    fn new(seed: u64) -> Self {
+        Self {
+            kept: [const { None }; GATEWAYS],
+            rng: fastrand::Rng::with_seed(seed),
+            paused: Duration::ZERO,
+        }
     }
-    let Some(response) = response.filter(|response| response.status == 200) else {
-        return;
-    };
-    results.served.fetch_add(1, Ordering::SeqCst);
-    if path == "/notes/a" {
-        let expected: String = (1..=EVENTS).map(sse_event).collect();
-        let is_correct = if response.is_truncated {
-            expected.starts_with(&response.body)
-        } else {
-            expected == response.body
+
+    /// Sends a request and receives its response: at once, late, with a pause or slowly.
+    fn exchange(
+        &mut self,
+        gateway: usize,
+        address: SocketAddr,
+        path: &str,
+        id: &str,
+    ) -> Option<Response> {
+        let deadline_ms = if path == "/wait/a" { "30000" } else { "4000" };
+        let headers = [
+            AUTH_HEADER,
+            ("host", "previews.example"),
+            ("daisyquay-attempt", id),
+            ("daisyquay-deadline-ms", deadline_ms),
+        ];
+        self.paused = Duration::ZERO;
+        let mut caller = match self.kept[gateway].take() {
+            Some(caller) => caller,
+            None => Caller::connect(address)?,
         };
-        if !is_correct {
-            results.add_violation(format!(
-                "{id}: unexpected stream {:?}, truncated: {}",
-                response.body, response.is_truncated
-            ));
+        if !caller.send("POST", path, &headers, "") {
+            return None;
+        }
+        let wait = Duration::from_millis(self.rng.u64(200..1500));
+        let response = match self.rng.u8(..10) {
+            0 => {
+                self.paused = wait;
+                thread::sleep(wait);
+                caller.receive()
+            }
+            1 => {
+                self.paused = wait;
+                let mut pause = Some(wait);
+                caller.receive_at(|received| {
+                    if received > 0 {
+                        thread::sleep(pause.take().unwrap_or_default());
+                    }
+                })
+            }
+            2 => caller.receive_at(|_| thread::sleep(Duration::from_millis(10))),
+            _ => caller.receive(),
+        };
+        let is_kept = response.as_ref().is_some_and(|response| {
+            !response.is_truncated && response.header("connection") != "close"
+        });
+        if is_kept {
+            self.kept[gateway] = Some(caller);
+        }
+        response
+    }
+
+    /// Sends request number `n` on `path` and checks its response.
+    fn call(&mut self, addresses: &[SocketAddr], path: &str, n: u64, results: &Results) {
+        let id = format!("r{n}-");
+        let gateway = n as usize % GATEWAYS;
+        let sent_at = Instant::now();
+        let response = self.exchange(gateway, addresses[gateway], path, &id);
+        if matches!(path, "/hold/a" | "/wait/a") {
+            let status = response.as_ref().map(|response| response.status);
+            results
+                .at_most_once
+                .lock()
+                .unwrap()
+                .insert(id.clone(), status);
+        }
+        let is_stream = path == "/notes/a";
+        let is_whole = |response: &Response| is_stream || !response.is_truncated;
+        let Some(response) = response.filter(is_whole) else {
+            results.unanswered.lock().unwrap().push(Unanswered {
+                id,
+                gateway,
+                sent_at,
+                ended_at: Instant::now(),
+                paused: self.paused,
+            });
+            return;
+        };
+        if response.status != 200 {
+            return;
+        }
+        results.served.fetch_add(1, Ordering::SeqCst);
+        if is_stream {
+            let expected: String = (1..=EVENTS).map(sse_event).collect();
+            let is_correct = if response.is_truncated {
+                expected.starts_with(&response.body)
+            } else {
+                expected == response.body
+            };
+            if !is_correct {
+                results.add_violation(format!(
+                    "{id}: unexpected stream {:?}, truncated: {}",
+                    response.body, response.is_truncated
+                ));
+            }
+        } else if response.body != id && response.body != id.repeat(LARGE_REPEATS) {
+            let (length, start) = (
+                response.body.len(),
+                &response.body[..response.body.len().min(40)],
+            );
+            results.add_violation(format!("{id}: unexpected body {start:?} of {length} bytes"));
         }
-    } else if !response.is_truncated && response.body != id {
-        results.add_violation(format!("{id}: unexpected body {:?}", response.body));
     }
 }
 
@@ -247,6 +386,10 @@
     /// Proxies between the gateways and the upstreams.
     upstream_proxies: Vec<PartitionProxy>,
     gateways: Vec<(Program, SocketAddr)>,
+    /// Which gateways are stopping after SIGTERM.
+    stopping: [bool; GATEWAYS],
+    /// When which gateway was killed.
+    kills: Vec<(usize, Instant)>,
     /// Decides on evacuations, apart from the faults, so that these stay the same for a seed.
     evacuation_rng: fastrand::Rng,
     /// Evacuations: when the begin was acknowledged, and when the finish was sent.
@@ -278,11 +421,17 @@
                 thread::sleep(pause);
                 self.cluster.replicas[replica].resume();
             }
-            2 => self.restart_gateway(gateway, pause, Program::kill),
-            3 => self.restart_gateway(gateway, Duration::ZERO, |program| {
-                program.terminate();
-                eventually("a gateway stops", || program.try_exit_code());
-            }),
+            2 => {
+                self.kills.push((gateway, Instant::now()));
+                self.gateways[gateway].0.kill();
+                thread::sleep(pause);
+                self.start_gateway(gateway);
+            }
+            // Other faults follow while it stops. A stopping gateway gets a second signal.
+            3 => {
+                self.gateways[gateway].0.terminate();
+                self.stopping[gateway] = true;
+            }
             4 => {
                 self.gateways[gateway].0.suspend();
                 thread::sleep(pause);
@@ -416,12 +565,40 @@
         }
     }
 
-    /// Ends gateway `i` by `end` and starts it again at the same address after `pause`.
-    fn restart_gateway(&mut self, i: usize, pause: Duration, end: impl FnOnce(&mut Program)) {
+    fn start_gateway(&mut self, i: usize) {
         let address = self.gateways[i].1;
-        end(&mut self.gateways[i].0);
-        thread::sleep(pause);
         self.gateways[i].0 = self.cluster.start_gateway_at(address);
+        self.stopping[i] = false;
+    }
+
+    /// Starts the gateways again that have stopped.
+    fn restart_stopped(&mut self) {
+        for i in 0..GATEWAYS {
+            if self.stopping[i] && self.gateways[i].0.try_exit_code().is_some() {
+                self.start_gateway(i);
+            }
+        }
+    }
+
+    /// Adds requests as violations that ended without their whole response, although their gateway
+    /// was not killed and had read them: they reached an upstream, or waited for a while.
+    fn check_unanswered(&self, arrivals: &[(Instant, usize, String)], results: &Results) -> usize {
+        let unanswered = results.unanswered.lock().unwrap();
+        for request in unanswered.iter() {
+            let was_killed = self.kills.iter().any(|(gateway, at)| {
+                *gateway == request.gateway && (request.sent_at..=request.ended_at).contains(at)
+            });
+            let has_arrived = arrivals.iter().any(|(.., id)| *id == request.id);
+            let open = request.ended_at.duration_since(request.sent_at);
+            let waited = open.saturating_sub(request.paused);
+            if !was_killed && (has_arrived || waited > CROSSING_LIMIT) {
+                results.add_violation(format!(
+                    "{}: no whole response of gateway {} after {waited:?}, arrived: {has_arrived}",
+                    request.id, request.gateway
+                ));
+            }
+        }
+        unanswered.len()
     }
 }
 
@@ -461,7 +638,10 @@
     let limit = format!("{service}cold_per_s = {COLD_PER_S:?}\n");
     let limit = if has_cold_periods { &limit } else { service };
     let inventory = INVENTORY.replacen(service, limit, 1);
-    cluster.apply(&format!("{inventory}{ROUTES}"), &["--change-id", "first"]);
+    cluster.apply(
+        &format!("{inventory}{ROUTES}{WAIT_ROUTE}"),
+        &["--change-id", "first"],
+    );
     let upstream_proxies: Vec<PartitionProxy> = upstreams
         .iter()
         .map(|u| PartitionProxy::start(u.address))
@@ -476,6 +656,8 @@
         cluster,
         upstream_proxies,
         gateways,
+        stopping: [false; GATEWAYS],
+        kills: Vec::new(),
         evacuation_rng: fastrand::Rng::with_seed(!seed),
         evacuations: Vec::new(),
         orders: 0,
@@ -486,11 +668,18 @@
     let results = Results::default();
     let (next_number, stop) = (AtomicU64::new(0), AtomicBool::new(false));
     thread::scope(|scope| {
-        for _ in 0..CALLERS {
-            scope.spawn(|| {
+        for i in 0..CALLERS + PATIENT_CALLERS {
+            let (next_number, stop) = (&next_number, &stop);
+            let (addresses, results) = (&addresses, &results);
+            scope.spawn(move || {
+                let mut caller = KeepingCaller::new(seed.wrapping_mul(64) + i as u64);
                 while !stop.load(Ordering::SeqCst) {
                     let n = next_number.fetch_add(1, Ordering::SeqCst);
-                    call(addresses[n as usize % GATEWAYS], n, &results);
+                    let path = match i {
+                        0..CALLERS => ["/lookup/a", "/hold/a", "/notes/a"][n as usize % 3],
+                        _ => "/wait/a",
+                    };
+                    caller.call(addresses, path, n, results);
                     thread::sleep(Duration::from_millis(10));
                 }
             });
@@ -502,12 +691,17 @@
         }
         while Instant::now() < faults_end {
             soak.inject_fault();
+            soak.restart_stopped();
             if soak.evacuation_rng.u8(..10) == 0 {
                 soak.toggle_evacuation();
             }
             soak.update_cold_upstreams(&shared);
             thread::sleep(Duration::from_millis(soak.rng.u64(..400)));
         }
+        eventually("the stopping gateways have been started again", || {
+            soak.restart_stopped();
+            (!soak.stopping.contains(&true)).then_some(())
+        });
         shared.is_healthy.store(true, Ordering::SeqCst);
         let served_before = results.served.load(Ordering::SeqCst);
         eventually("requests are served after the faults", || {
@@ -518,6 +712,8 @@
     check_runs(&upstreams, &shared, &results);
     let arrivals = shared.arrivals.lock().unwrap();
     soak.check_evacuations(&arrivals, &results);
+    let unanswered = soak.check_unanswered(&arrivals, &results);
+    println!("{unanswered} requests without a whole response");
     let cold_counts = soak.check_cold_periods(&arrivals, &results);
     drop(arrivals);
     let status = soak.cluster.show("status");
