--- a/src/listen/mod.rs
+++ b/src/listen/mod.rs
@@ -18,11 +18,13 @@
 use ntex::http::Payload;
 use ntex::http::Request;
 use ntex::http::Response;
+use ntex::io::IoConfig;
 use ntex::service::Pipeline;
 use ntex::service::ServiceFactory;
 use ntex::service::fn_service;
 use ntex::time::Seconds;
 use tokio::net::TcpListener;
+use tokio::time::Instant;
 
 pub(crate) use self::connections::Backlog;
 pub use self::connections::Connections;
@@ -43,6 +45,13 @@
 /// were told; closing one while a request is arriving costs them a retry.
 const KEEP_ALIVE_TIMEOUT: Seconds = Seconds(75);
 
+/// Longest time in which the rest of a response is written to a connection that is being closed. A
+/// caller that takes nothing is given up earlier.
+const CLOSE_TIMEOUT: Seconds = Seconds(600);
+
+/// Interval between checks for callers that take nothing.
+const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Most connections of a listener for callers: three quarters of the descriptors of a small VM's
 /// process.
 pub const MAX_CONNECTIONS: usize = 3072;
@@ -137,7 +146,8 @@
         .set_max_buf_size(MAX_HEAD_BYTES)
         .set_client_timeout(HEAD_TIMEOUT)
         .set_keepalive(KEEP_ALIVE_TIMEOUT);
-    let cfg: SharedCfg = SharedCfg::new("listen").add(http).into();
+    let io = IoConfig::new().set_disconnect_timeout(CLOSE_TIMEOUT);
+    let cfg: SharedCfg = SharedCfg::new("listen").add(http).add(io).into();
     let service = HttpService::h1(fn_service(move |req: Request| {
         let response = handler.handle(req);
         async move { Ok::<_, io::Error>(response.await) }
@@ -149,6 +159,8 @@
     let service = Pipeline::new(service);
     let connections = Connections::default();
     let open_connections = connections.clone();
+    let started_at = Instant::now();
+    tokio::task::spawn_local(watch_callers(connections.clone(), local, started_at));
     let mut is_full = false;
     tokio::task::spawn_local(async move {
         loop {
@@ -170,7 +182,7 @@
                     let Ok(io) = io else {
                         continue;
                     };
-                    let open = open_connections.register(io.get_ref());
+                    let open = open_connections.register(io.get_ref(), started_at.elapsed());
                     let call = service.call_static(io);
                     tokio::task::spawn_local(async move {
                         // The outcome of the request itself is logged elsewhere.
@@ -187,3 +199,11 @@
     });
     Ok(connections)
 }
+
+/// Ends the connections of callers that take nothing.
+async fn watch_callers(connections: Connections, listener: SocketAddr, started_at: Instant) {
+    loop {
+        tokio::time::sleep(STALL_CHECK_INTERVAL).await;
+        connections.end_stalled(listener, started_at.elapsed());
+    }
+}
