Exit an entry only once its callers have their responses

Cause: the entry left the end of its requests to the server's graceful stop. That waits for connections only if a worker has had one at all times since its first: its signal is sent, and used up, when their number first falls to none. So the stop closed all connections at once, with streams, requests at an upstream and unread responses, as soon as the cached addresses had expired. Where it did wait, it dropped what a caller had not read a second after the response.

Change: a request is open until the last byte of its response has left the write buffer. The stop refuses further requests (503, not run) once no caller holds the address, waits until none is open, for up to 600 s as was intended, and only then stops the server. A closing connection has 60 s to be read to its end.

Result: the test has a stream and a plain chat response of 3 s, and callers who read up to 5 MB 3 s after the signal. With it all are whole, and billed once each.

--- a/src/entry/handlers.rs
+++ b/src/entry/handlers.rs
@@ -94,6 +94,13 @@
     })
 }
 
+/// Returns the refusal of a request that came after the last cached address response had expired.
+pub(super) fn refuse_leaving(worker: &Worker) -> HttpResponse {
+    let message = "this entry is shutting down; retry the request at another address";
+    let refusal = Refusal::unavailable("leaving", message);
+    into_response(worker, new_request_id(), Err(refusal))
+}
+
 pub(super) async fn chat(
     req: HttpRequest,
     payload: Payload,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -8,6 +8,7 @@
 mod handlers;
 mod ledger;
 mod link;
+mod open_requests;
 mod refusal;
 mod shared;
 mod stop;
@@ -20,6 +21,7 @@
 use std::time::Duration;
 
 use ntex::http::HttpServiceConfig;
+use ntex::io::IoConfig;
 use ntex::time::Seconds;
 use ntex::web;
 use ntex::web::App;
@@ -29,6 +31,7 @@
 use tokio::sync::mpsc;
 
 pub(crate) use self::admission::Slot;
+pub(crate) use self::open_requests::Unwritten;
 pub(crate) use self::refusal::Ran;
 pub(crate) use self::refusal::Refusal;
 pub(crate) use self::shared::Shared;
@@ -36,6 +39,8 @@
 pub(crate) use self::upstreams::InFlight;
 pub(crate) use self::view::View;
 
+use self::open_requests::Tracking;
+
 use crate::clock::Clock;
 use crate::collections::HashMap;
 use crate::collections::Name;
@@ -51,8 +56,8 @@
 /// Longest wait for a complete request head.
 const HEAD_TIMEOUT: Seconds = Seconds(10);
 
-/// Time for open requests to end once all cached address responses have expired.
-const SHUTDOWN_TIMEOUT: Seconds = Seconds(600);
+/// Time in which a caller must read the rest of a response after which its connection closes.
+const DISCONNECT_TIMEOUT: Seconds = Seconds(60);
 
 /// Settings of an entry.
 #[derive(Clone, Debug)]
@@ -138,6 +143,7 @@
     let link = tokio::task::spawn_local(link::run(shared.clone(), link_rx, releasing.clone()));
     tokio::task::spawn_local(admission::run_expiry(shared.clone()));
     stop::drain(&shared).await;
+    stop::finish_requests(&shared).await;
     server.stop(true).await;
     stop::release(&shared, &releasing, link).await;
     admin.stop(true).await;
@@ -154,10 +160,13 @@
         .set_max_headers(MAX_HEADERS)
         .set_max_buf_size(MAX_HEAD_BYTES)
         .set_client_timeout(HEAD_TIMEOUT);
+    let io = IoConfig::new().set_disconnect_timeout(DISCONNECT_TIMEOUT);
     let server = HttpServer::new(async move || {
         let engine = HttpEngine::new(shared.cfg.rater).await;
         let worker = Worker::new(shared.clone(), engine);
+        tokio::task::spawn_local(worker.unwritten.clone().watch());
         App::new()
+            .middleware(Tracking::new(worker.clone()))
             .state(worker)
             .route("/v1/chat/completions", web::post().to(handlers::chat))
             .route("/v1/models", web::get().to(handlers::models))
@@ -171,9 +180,8 @@
     })
     .workers(cfg.workers)
     .maxconn(cfg.connections)
-    .shutdown_timeout(SHUTDOWN_TIMEOUT)
     .disable_signals()
-    .config(ntex::SharedCfg::new("entry").add(http))
+    .config(ntex::SharedCfg::new("entry").add(http).add(io))
     .listen(listener)?
     .run();
     Ok(server)
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -16,6 +17,7 @@
 use tokio::sync::oneshot;
 
 use super::Config;
+use super::Unwritten;
 use super::admission::Pools;
 use super::link::Command;
 use super::upstreams::UpstreamTable;
@@ -62,6 +64,10 @@
     pub(crate) ready: Arc<AtomicBool>,
     /// Whether this entry is shutting down and omits itself from the address responses.
     pub(crate) leaving: AtomicBool,
+    /// Whether no caller holds this entry's address any more, so that it refuses further requests.
+    pub(super) closing: AtomicBool,
+    /// Number of requests whose callers do not have their whole response yet.
+    pub(super) open_requests: AtomicUsize,
     /// Whether no other entry lists this one in its address responses any more.
     pub(crate) is_unlisted: AtomicBool,
     pub(crate) lease: RankedMutex<Holder>,
@@ -99,6 +105,8 @@
             metrics: Metrics::new(),
             ready: Arc::default(),
             leaving: AtomicBool::new(false),
+            closing: AtomicBool::new(false),
+            open_requests: AtomicUsize::new(0),
             is_unlisted: AtomicBool::new(false),
             lease: RankedMutex::new(1, Holder::default()),
             view: RankedMutex::new(2, Arc::default()),
@@ -132,6 +140,10 @@
         self.leaving.load(Ordering::Relaxed)
     }
 
+    pub(super) fn is_closing(&self) -> bool {
+        self.closing.load(Ordering::SeqCst)
+    }
+
     /// Whether a request on `version` may start now.
     pub(crate) fn may_start(&self, version: &VersionName) -> bool {
         self.lease_is_live() && self.view().config.is_available(version)
@@ -231,6 +243,7 @@
     pub(crate) engine: Rc<dyn Engine>,
     pub(crate) rater: Rc<dyn Rater>,
     pub(crate) rng: Rc<RefCell<fastrand::Rng>>,
+    pub(super) unwritten: Unwritten,
 }
 
 impl Worker {
@@ -241,6 +254,7 @@
             rater: engine.clone(),
             engine,
             rng: Rc::new(RefCell::new(fastrand::Rng::new())),
+            unwritten: Unwritten::default(),
         }
     }
 
--- a/src/entry/stop.rs
+++ b/src/entry/stop.rs
@@ -18,6 +18,12 @@
 /// Interval between checks whether another entry still lists this one.
 const UNLISTED_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time for open requests to end once all cached address responses have expired.
+const FINISH_TIMEOUT: Duration = Duration::from_secs(600);
+
+/// Interval between checks whether all requests have ended.
+const FINISH_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Longest wait for the last settlements to become durable.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -45,6 +51,17 @@
     }
 }
 
+/// Refuses further requests and waits until the callers have the responses of all others.
+pub(super) async fn finish_requests(shared: &Arc<Shared>) {
+    shared.closing.store(true, Ordering::SeqCst);
+    let finished = async {
+        while shared.open_requests.load(Ordering::SeqCst) > 0 {
+            tokio::time::sleep(FINISH_POLL_INTERVAL).await;
+        }
+    };
+    let _ = tokio::time::timeout(FINISH_TIMEOUT, finished).await;
+}
+
 /// Tells the link to finish, and waits until it has settled everything and released the lease.
 pub(super) async fn release(shared: &Arc<Shared>, releasing: &AtomicBool, link: JoinHandle<()>) {
     releasing.store(true, Ordering::Relaxed);
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -6,6 +6,7 @@
 mod backpressure;
 mod cold_upstreams;
 mod directory;
+mod entry_stops;
 mod evacuation;
 mod evacuation_in_transit;
 mod failures;
