Tell callers of a stopping entry to close their connections

Cause: while it stopped, an entry answered on kept connections as ever, and then closed them. A request that was on its way at that moment had no response, though its caller had no reason to expect the close.

Change: all responses of an entry that is leaving say `connection: close`, so that a caller in use of its connection moves at a response, and not at a close.

Result: 8 callers send one request after the other until the entry no longer listens.

--- a/src/entry/open_requests.rs
+++ b/src/entry/open_requests.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 
 use ntex::SharedCfg;
+use ntex::http::ConnectionType;
 use ntex::http::body::Body;
 use ntex::http::body::BodySize;
 use ntex::http::body::MessageBody;
@@ -70,8 +71,8 @@
     !io.is_closed() && io.with_write_dst_buf(|buf| !buf.is_empty())
 }
 
-/// Tracks the open requests of a worker. Once no caller holds the entry's address any more, refuses
-/// further ones.
+/// Tracks the open requests of a worker. While the entry is leaving, tells callers to close their
+/// connections; once no caller holds its address any more, refuses further requests.
 pub(super) struct Tracking(Worker);
 
 impl Tracking {
@@ -117,10 +118,13 @@
         let open = OpenRequest::new(shared);
         if shared.is_closing() {
             let refusal = handlers::refuse_leaving(&self.worker);
-            return Ok(req.into_response(refusal));
+            return Ok(close_after(req.into_response(refusal)));
         }
         let io = req.io().cloned();
-        let response = cx.call(&self.service, req).await?;
+        let mut response = cx.call(&self.service, req).await?;
+        if shared.is_leaving() {
+            response = close_after(response);
+        }
         let unwritten = self.worker.unwritten.clone();
         Ok(response.map_body(|_, body| {
             ResponseBody::Other(Body::from_message(TrackedBody {
@@ -133,6 +137,12 @@
     }
 }
 
+fn close_after(mut response: WebResponse) -> WebResponse {
+    let head = response.response_mut().head_mut();
+    head.set_connection_type(ConnectionType::Close);
+    response
+}
+
 /// A response body that keeps its request open until the response has been written.
 struct TrackedBody {
     body: ResponseBody<Body>,
--- a/tests/process/entry_stops.rs
+++ b/tests/process/entry_stops.rs
@@ -1,4 +1,5 @@
-//! Planned stops of an entry: every caller gets its whole response, however late it reads.
+//! Planned stops of an entry: every caller gets its whole response, however late it reads, and
+//! learns that its connection closes before it does.
 
 use std::io::BufRead;
 use std::io::BufReader;
@@ -195,3 +196,56 @@
     let sent = u64::try_from(sizes.len()).unwrap() + 2;
     assert_eq!(cluster.billed_requests("maple") - billed, sent);
 }
+
+// A caller that sent its next request on a kept connection lost it when the process closed it.
+#[test]
+fn kept_connections_are_told_to_close_before_the_entry_closes_them() {
+    let mut cluster = Cluster::start_with_inventory(1, 1);
+    let _upstream = start_sized_upstream(&cluster);
+    let entry = cluster.entry_addresses[0];
+    let callers: Vec<_> = (0..8)
+        .map(|i| {
+            thread::spawn(move || {
+                let (mut whole, mut cut) = (0, Vec::new());
+                // Until the entry no longer accepts connections.
+                while let Ok(mut stream) = TcpStream::connect(entry) {
+                    let mut reader = BufReader::new(stream.try_clone().unwrap());
+                    for served in 0.. {
+                        let (name, value) = AUTH_HEADER;
+                        let request = format!(
+                            "GET /app/previews/2000 HTTP/1.1\r\nhost: a\r\n{name}: {value}\r\n\r\n"
+                        );
+                        let sent = stream.write_all(request.as_bytes());
+                        match sent.ok().and_then(|()| read_response(&mut reader)) {
+                            Some((head, _)) => {
+                                whole += 1;
+                                if head.contains("connection: close") {
+                                    break;
+                                }
+                            }
+                            // The first request on a connection may cross the end of the listener.
+                            None if served == 0 => break,
+                            None => {
+                                cut.push(served);
+                                break;
+                            }
+                        }
+                        thread::sleep(Duration::from_millis(i));
+                    }
+                }
+                (whole, cut)
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_secs(1));
+    cluster.entries[0].terminate();
+    for caller in callers {
+        let (whole, cut) = caller.join().unwrap();
+        assert!(whole > 0);
+        assert_eq!(cut, Vec::<u64>::new(), "requests served before the cut one");
+    }
+    let code = eventually("the entry has stopped", || {
+        cluster.entries[0].try_exit_code()
+    });
+    assert_eq!(code, Some(0));
+}
