Attribute a response without an id only on a new connection

Cause: a response without an attempt id passed as the answer to whichever request its connection carried. A faulty upstream that wrote an old refusal once more on a kept connection so had the next request, which ran, reported as not run (503 no_upstream), or run again at a second upstream. Load reports, pauses and limits were taken from a response before its id was looked at. A second attempt of one request at the same upstream (a larger model of the ladder) has the first one's id and could use the first one's connection, on which an old refusal can't be told from a new one.

Change: the connection pool compares the id of each response with its request's. A response without one counts only as the first on its connection, which is then not used again; on a reused connection, or with another id, the request is lost (may have run) and nothing else of the response is used. An upstream that may have received the request before gets it over a new connection.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -18,6 +18,7 @@
 use crate::http_client::OutgoingRequest;
 use crate::http_client::RequestError;
 use crate::http_client::ResponseHead;
+use crate::http_client::Reuse;
 use crate::http_client::UpstreamResponse;
 use crate::log::event;
 use crate::policy::timeouts;
@@ -53,6 +54,8 @@
     pub(super) last_event_id: Option<u64>,
     /// Whether this is the first attempt for the request.
     pub(super) is_first: bool,
+    /// Whether the upstream may have received an earlier attempt, which has the same id.
+    pub(super) is_repeated: bool,
 }
 
 /// Sends `call` to `upstream` and waits for the response. If the request `can_fail_over`, gives up
@@ -83,9 +86,14 @@
         return AttemptOutcome::NotSent("invalid request target or header");
     };
     let address = upstream.address();
+    let reuse = if overrides.is_repeated {
+        Reuse::Forbidden
+    } else {
+        Reuse::Allowed
+    };
     let sent = gateway
         .connections
-        .send(address, request, CONNECT_TIMEOUT.min(time_left));
+        .send(address, request, CONNECT_TIMEOUT.min(time_left), reuse);
     let sent = if can_fail_over {
         await_response_head(sent, &in_flight, call.route.target()).await
     } else {
@@ -94,10 +102,9 @@
     match sent {
         Ok(response) => classify_response(gateway, call, response, in_flight).await,
         Err(e) => {
-            gateway.connections.close_idle(address);
             in_flight.record_failure();
-            if matches!(e, RequestError::Interrupted(_)) {
-                gateway.record_interruption(call, &in_flight).await;
+            if !matches!(e, RequestError::Unattributed(_)) {
+                gateway.connections.close_idle(address);
             }
             match e {
                 RequestError::Refused => {
@@ -106,9 +113,11 @@
                 }
                 RequestError::NotSent(reason) => AttemptOutcome::NotSent(reason),
                 RequestError::Interrupted(reason) => {
+                    gateway.record_interruption(call, &in_flight).await;
                     gateway.count_failure(call, upstream);
                     AttemptOutcome::Lost(reason)
                 }
+                RequestError::Unattributed(reason) => AttemptOutcome::Lost(reason),
             }
         }
     }
@@ -172,12 +181,6 @@
         gateway.record_backpressure(&in_flight.upstream, response.status, &response.headers);
         in_flight.record_momentary_slowness(&response.headers);
     }
-    if !matches_attempt(names, call, &response) {
-        // The response belongs to another request. Dropping it closes the connection; the request
-        // itself may still be running.
-        in_flight.record_failure();
-        return AttemptOutcome::Lost("response to another request");
-    }
     let is_refused = response.headers.contains_key(&names.not_run)
         || response.status == StatusCode::MISDIRECTED_REQUEST;
     if is_refused {
@@ -231,13 +234,6 @@
     }
 }
 
-fn matches_attempt(names: &HeaderNames, call: &Call, response: &UpstreamResponse) -> bool {
-    response
-        .headers
-        .get(&names.attempt_id)
-        .is_none_or(|echoed| echoed.as_bytes() == call.id.as_bytes())
-}
-
 fn is_event_stream(response: &UpstreamResponse) -> bool {
     response
         .headers
--- a/src/gateway/exchange/mod.rs
+++ b/src/gateway/exchange/mod.rs
@@ -6,6 +6,7 @@
 mod models;
 mod placement_refusal;
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -149,6 +150,8 @@
     model: Option<usize>,
     /// Ids of the upstreams that got the request, for the current model.
     tried: Vec<Name>,
+    /// Addresses of the upstreams that may have received the request, for any model.
+    sent_to: Vec<SocketAddr>,
     /// Attempts in which the request may have run.
     runs: u32,
     /// Attempts in which an upstream received the request and did not run it.
@@ -179,6 +182,7 @@
                 None
             },
             tried: Vec::new(),
+            sent_to: Vec::new(),
             runs: 0,
             refusals: 0,
             unreachable: 0,
@@ -210,7 +214,9 @@
             model: self.model_name(self.model),
             last_event_id,
             is_first: self.is_first_attempt(),
+            is_repeated: self.sent_to.contains(&upstream.address()),
         };
+        self.sent_to.push(upstream.address());
         self.runs += 1;
         let service = self.service.as_ref();
         let outcome = tokio::select! {
@@ -309,6 +315,7 @@
             service: self.service.clone(),
             model: self.model,
             tried: self.tried.clone(),
+            sent_to: self.sent_to.clone(),
             runs: self.runs,
             refusals: self.refusals,
             unreachable: self.unreachable,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -230,6 +230,7 @@
         .await
         .context(ListenSnafu { address })?;
     let address = cfg.listen;
+    let id_header = cfg.header_names.attempt_id.clone();
     let gateway = Rc::new(Gateway {
         recovery: Recovery::new(clock.now()),
         cfg,
@@ -252,7 +253,7 @@
         sessions: RefCell::default(),
         load_changed: Notify::new(),
         admission: Admission::default(),
-        connections: ConnectionPool::default(),
+        connections: ConnectionPool::new(id_header),
         retry_budgets: RefCell::default(),
         prefill_rates: RefCell::default(),
         model_choices: RefCell::default(),
--- a/src/http_client/mod.rs
+++ b/src/http_client/mod.rs
@@ -3,6 +3,11 @@
 //! A connection returns to the pool only after the whole response was read, if no bytes followed it
 //! and the upstream did not ask to close. Dropping a request or response before its end closes the
 //! connection, which cancels the work at the upstream.
+//!
+//! An upstream may write an old response once more, where the next one is expected. A response
+//! therefore belongs to a request if it has the request's id, or if it has none and is the first one
+//! on its connection; such a connection is not used again. A request whose id an upstream may have
+//! received before goes over a new connection.
 
 mod pool;
 mod socket;
@@ -18,6 +23,7 @@
 use hyper::body::Incoming;
 
 pub(crate) use self::pool::ConnectionPool;
+pub(crate) use self::pool::Reuse;
 pub(crate) use self::pool::refuses_connections;
 pub(crate) use self::socket::configure_accepted_socket;
 
@@ -33,6 +39,9 @@
     NotSent(&'static str),
     /// The request was sent at least in part, so the upstream may have run it.
     Interrupted(&'static str),
+    /// The request was sent, and a response arrived that may belong to another one. The upstream may
+    /// have run the request.
+    Unattributed(&'static str),
 }
 
 impl RequestError {
@@ -40,7 +49,9 @@
     pub(crate) fn reason(self) -> &'static str {
         match self {
             Self::Refused => "connection refused",
-            Self::NotSent(reason) | Self::Interrupted(reason) => reason,
+            Self::NotSent(reason) | Self::Interrupted(reason) | Self::Unattributed(reason) => {
+                reason
+            }
         }
     }
 }
@@ -110,21 +121,35 @@
 pub(crate) type OutgoingRequest = http::Request<Full<Bytes>>;
 
 impl ConnectionPool {
-    /// Sends a request and waits for the response head. If an idle connection turns out to be
-    /// closed before anything was written on it, tries the next one, and a new one last.
+    /// Sends a request and waits for the head of its response. If an idle connection turns out to
+    /// be closed before anything was written on it, tries the next one, and a new one last.
     pub(crate) async fn send(
         &self,
         address: SocketAddr,
         request: OutgoingRequest,
         connect_limit: Duration,
+        reuse: Reuse,
     ) -> Result<UpstreamResponse, RequestError> {
+        let id = request.headers().get(&self.id_header).cloned();
         let mut request = request;
         loop {
-            let mut connection = self.checkout(address, connect_limit).await?;
+            let mut connection = self.checkout(address, connect_limit, reuse).await?;
             let is_new = connection.is_new();
             match connection.sender().try_send_request(request).await {
                 Ok(response) => {
                     let (head, body) = response.into_parts();
+                    let echoed = head.headers.get(&self.id_header);
+                    if echoed.is_some() && echoed != id.as_ref() {
+                        return Err(RequestError::Unattributed("response to another request"));
+                    }
+                    if echoed.is_none() {
+                        if !is_new {
+                            return Err(RequestError::Unattributed(
+                                "response without an id on a reused connection",
+                            ));
+                        }
+                        connection.close_after_response();
+                    }
                     return Ok(UpstreamResponse {
                         status: head.status,
                         headers: head.headers,
--- a/src/http_client/pool.rs
+++ b/src/http_client/pool.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use http::HeaderMap;
+use http::HeaderName;
 use http::header::CONNECTION;
 use http_body_util::Full;
 use hyper::client::conn::http1;
@@ -43,9 +44,20 @@
 
 type IdleConnections = Rc<RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>>;
 
+/// Which connections a request may use.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Reuse {
+    /// Any idle connection, or a new one.
+    Allowed,
+    /// A new one only.
+    Forbidden,
+}
+
 /// Connection pool of one process; clones share the same connections.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub(crate) struct ConnectionPool {
+    /// Header with the id of a request, which upstreams echo in its response.
+    pub(super) id_header: HeaderName,
     idle: IdleConnections,
 }
 
@@ -55,6 +67,7 @@
     address: SocketAddr,
     idle: IdleConnections,
     is_new: bool,
+    is_reusable: bool,
 }
 
 impl PooledConnection {
@@ -67,13 +80,18 @@
         self.is_new
     }
 
+    /// Keeps the connection out of the pool.
+    pub(super) fn close_after_response(&mut self) {
+        self.is_reusable = false;
+    }
+
     /// Returns the connection to the pool, unless the response headers or the idle limit rule it
     /// out.
     pub(super) fn release(self, headers: &HeaderMap) {
         let Some(keep_alive) = keep_alive(headers) else {
             return;
         };
-        if self.sender.is_closed() {
+        if !self.is_reusable || self.sender.is_closed() {
             return;
         }
         let mut idle = self.idle.borrow_mut();
@@ -113,13 +131,26 @@
 }
 
 impl ConnectionPool {
-    /// Returns an idle connection to `address`, or a new one opened within `limit`.
+    /// Creates a pool for requests whose id is in the header `id_header`.
+    pub(crate) fn new(id_header: HeaderName) -> Self {
+        Self {
+            id_header,
+            idle: IdleConnections::default(),
+        }
+    }
+
+    /// Returns a connection to `address`: an idle one if `reuse` permits, or a new one opened within
+    /// `limit`.
     pub(super) async fn checkout(
         &self,
         address: SocketAddr,
         limit: Duration,
+        reuse: Reuse,
     ) -> Result<PooledConnection, RequestError> {
-        let idle = self.pop_idle(address);
+        let idle = match reuse {
+            Reuse::Allowed => self.pop_idle(address),
+            Reuse::Forbidden => None,
+        };
         let is_new = idle.is_none();
         let sender = match idle {
             Some(sender) => sender,
@@ -132,6 +163,7 @@
             address,
             idle: self.idle.clone(),
             is_new,
+            is_reusable: true,
         })
     }
 
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -18,6 +18,7 @@
 mod recovery;
 mod regions;
 mod replacement;
+mod response_identity;
 mod sessions;
 mod soak;
 mod stops;
--- /dev/null
+++ b/tests/process/response_identity.rs
@@ -0,0 +1,246 @@
+//! Upstreams that write an old response once more.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use serde_json::json;
+
+use crate::gateway::ROUTES;
+use crate::models::ROUTE as LADDER_ROUTE;
+use crate::support::AUTH_HEADER;
+use crate::support::Cluster;
+use crate::support::INVENTORY;
+use crate::support::Program;
+use crate::support::ReceivedRequest;
+use crate::support::Response;
+use crate::support::Upstream;
+use crate::support::eventually;
+use crate::support::ok_response;
+use crate::support::post;
+use crate::support::sse_event;
+use crate::support::write;
+
+/// A cluster with a gateway and an entry in front of scripted upstreams.
+struct Setup {
+    _cluster: Cluster,
+    _gateway: Program,
+    gateway: SocketAddr,
+}
+
+impl Setup {
+    /// Announces `upstreams`, each with what it serves.
+    fn new(inventory: &str, upstreams: &[(&Upstream, serde_json::Value)]) -> Self {
+        let cluster = Cluster::start(1, 1);
+        cluster.apply(inventory, &["--change-id", "first"]);
+        for (i, (upstream, serves)) in upstreams.iter().enumerate() {
+            let body = json!({
+                "id": format!("u{i}"),
+                "incarnation": 1,
+                "address": upstream.address.to_string(),
+                "data_centre": "dc1",
+                "serves": serves,
+                "slots": 8,
+            });
+            let key = [("authorization", "Bearer dev-upstream-key")];
+            eventually("the upstream is announced", || {
+                let entry = cluster.entry_addresses[0];
+                let reply = post(entry, "/upstream/announce", &key, &body.to_string())?;
+                (reply.status == 204).then_some(())
+            });
+        }
+        eventually("the upstreams are announced", || {
+            let rows = cluster.show("upstreams");
+            (rows.as_array()?.len() == upstreams.len()).then_some(())
+        });
+        let (program, gateway) = cluster.start_gateway();
+        let setup = Self {
+            _cluster: cluster,
+            _gateway: program,
+            gateway,
+        };
+        eventually("the gateway has its routes", || {
+            let reply = setup.call("/nowhere/", "probe")?;
+            (reply.status == 404).then_some(())
+        });
+        // Entries learn of the upstreams with their next renewal.
+        thread::sleep(Duration::from_secs(1));
+        setup
+    }
+
+    /// Sends a request through the gateway.
+    fn call(&self, path: &str, id: &str) -> Option<Response> {
+        let headers = [
+            AUTH_HEADER,
+            ("host", "previews.example"),
+            ("daisyquay-attempt", id),
+            ("daisyquay-deadline-ms", "6000"),
+            ("daisyquay-model", "*"),
+        ];
+        post(self.gateway, path, &headers, "")
+    }
+}
+
+fn previews() -> serde_json::Value {
+    json!({ "service": "previews" })
+}
+
+/// The connections that an upstream has answered on.
+#[derive(Default)]
+struct Connections(Mutex<BTreeSet<u16>>);
+
+impl Connections {
+    /// Returns whether an earlier request came on the connection.
+    fn is_kept(&self, out: &TcpStream) -> bool {
+        let port = out.peer_addr().unwrap().port();
+        !self.0.lock().unwrap().insert(port)
+    }
+}
+
+/// Returns the number of upstreams that received a request to `path`.
+fn received_at(upstreams: &[&Upstream], path: &str) -> usize {
+    let received = upstreams.iter().flat_map(|upstream| upstream.received());
+    let mine = received.filter(|seen| seen.request_line.contains(path));
+    mine.count()
+}
+
+/// Returns the variant of a test's request, the second part of its path.
+fn variant(seen: &ReceivedRequest) -> String {
+    let path = seen.request_line.split(' ').nth(1).unwrap();
+    path.split('/').nth(2).unwrap().to_owned()
+}
+
+/// Guards against a request that is reported as not run, is run twice or gets a stranger's answer
+/// because an old response without an id came on a kept connection.
+#[test]
+fn old_response_on_a_kept_connection_does_not_pass_as_the_next_requests() {
+    const REQUESTS: u32 = 8;
+    let old_count: Arc<AtomicU32> = Arc::default();
+    let script = || {
+        let (kept, count) = (Connections::default(), old_count.clone());
+        move |seen: &ReceivedRequest, out: &mut TcpStream| {
+            if kept.is_kept(out) {
+                let (status, not_run) = match &*variant(seen) {
+                    "200" => ("200 OK", ""),
+                    "503" => ("503 Full", "daisyquay-not-run: 1\r\n"),
+                    "429" => ("429 Later", "daisyquay-not-run: 1\r\n"),
+                    "421" => ("421 Other", "daisyquay-not-run: 1\r\n"),
+                    // Tells of the load of another request's time, besides.
+                    "other-id" => (
+                        "503 Full",
+                        "daisyquay-not-run: 1\r\ndaisyquay-attempt: stranger\r\nretry-after: 30\r\n",
+                    ),
+                    variant => panic!("unknown variant {variant}"),
+                };
+                count.fetch_add(1, Ordering::SeqCst);
+                write(
+                    out,
+                    &format!("HTTP/1.1 {status}\r\n{not_run}content-length: 3\r\n\r\nold"),
+                );
+                thread::sleep(Duration::from_millis(50));
+            }
+            write(out, &ok_response(seen, "own"))
+        }
+    };
+    let (a, b) = (Upstream::start(script()), Upstream::start(script()));
+    let inventory = format!("{INVENTORY}{ROUTES}");
+    let setup = Setup::new(&inventory, &[(&a, previews()), (&b, previews())]);
+    let mut faults = Vec::new();
+    for case in ["503", "429", "421", "200", "other-id"] {
+        let before = old_count.load(Ordering::SeqCst);
+        for i in 0..REQUESTS {
+            let path = format!("/hold/{case}/gateway-{i}");
+            let reply = setup.call(&path, &format!("{case}-{i}")).unwrap();
+            let is_own = reply.status == 200 && reply.body == "own";
+            let runs = received_at(&[&a, &b], &path);
+            if runs != 1 || !is_own && reply.status != 502 {
+                faults.push(format!(
+                    "{path}: {} {}, {runs} runs",
+                    reply.status, reply.body
+                ));
+            }
+        }
+        let after = old_count.load(Ordering::SeqCst);
+        assert!(after > before, "{case}: the gateway kept no connection");
+    }
+    assert!(faults.is_empty(), "{}", faults.join("\n"));
+}
+
+/// Returns the ids that came more than once on one connection.
+fn repeated(received: &Mutex<BTreeMap<(u16, String), u32>>) -> Vec<String> {
+    let received = received.lock().unwrap();
+    let repeated = received.iter().filter(|(_, count)| **count > 1);
+    repeated.map(|((_, id), _)| id.clone()).collect()
+}
+
+/// Guards against an old response to the first attempt of a request that passes as the response to
+/// a later one: both have the same id, so only their connections tell them apart.
+#[test]
+fn second_attempt_at_an_upstream_does_not_use_the_connection_of_the_first() {
+    let received: Arc<Mutex<BTreeMap<(u16, String), u32>>> = Arc::default();
+    let visits: Arc<AtomicU32> = Arc::default();
+    let record = {
+        let received = received.clone();
+        move |seen: &ReceivedRequest, out: &TcpStream| {
+            let key = (
+                out.peer_addr().unwrap().port(),
+                seen.attempt_id().to_owned(),
+            );
+            *received.lock().unwrap().entry(key).or_default() += 1;
+        }
+    };
+    let log = record.clone();
+    let count = visits.clone();
+    let refusing = Upstream::start(move |seen, out| {
+        log(seen, out);
+        if seen.header("daisyquay-model") == Some("large") {
+            count.fetch_add(1, Ordering::SeqCst);
+            let body = sse_event(1);
+            return write(out, &event_stream(seen, 90, &body));
+        }
+        let id = seen.attempt_id();
+        write(
+            out,
+            &format!(
+                "HTTP/1.1 503 Full\r\ndaisyquay-attempt: {id}\r\ndaisyquay-not-run: 1\r\n\
+                 content-length: 0\r\n\r\n"
+            ),
+        )
+    });
+    let doubtful = Upstream::start(move |seen, out| {
+        record(seen, out);
+        let body = sse_event(1);
+        write(out, &event_stream(seen, 0, &body))
+    });
+    let (before_keys, _) = INVENTORY.split_once("[[upstream_keys]]").unwrap();
+    let inventory = format!("{before_keys}{LADDER_ROUTE}");
+    let setup = Setup::new(
+        &inventory,
+        &[(&refusing, previews()), (&doubtful, previews())],
+    );
+    let mut sent = 0;
+    while visits.load(Ordering::SeqCst) < 12 {
+        assert!(sent < 300, "the refusing upstream was not visited again");
+        sent += 1;
+        setup.call("/chat/a", &format!("id-{sent}"));
+    }
+    assert_eq!(repeated(&received), Vec::<String>::new());
+}
+
+/// Returns a stream of one event that states the model's confidence.
+fn event_stream(seen: &ReceivedRequest, confidence: u32, event: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\ndaisyquay-attempt: {}\r\ndaisyquay-signature: s\r\n\
+         daisyquay-confidence: {confidence}\r\ncontent-type: text/event-stream\r\n\
+         content-length: {}\r\n\r\n{event}",
+        seen.attempt_id(),
+        event.len()
+    )
+}
