Send an entry's requests over the gateway's HTTP client

Cause: an entry used another HTTP client than the gateway. That client reports a connection that its peer closed before the end of the response's head with the same error as one that could not be opened, so an upstream that had received and may have run the request counted as not connected: a call that may run once was sent to further upstreams, and its caller was told that it had not run. A response without an id passed as the answer of a plain service to whichever call its kept connection carried, and ratings and usage records had no id at all.

Change: attempts, ratings and usage records go through `http_client`, which tells what was not sent from what may have run and attributes each response. Calls of the rater and for records carry an id of their own; a peer that does not echo it gets a new connection for each call. A body without a length that ends with its connection is incomplete, as before.

Result, on the code without the change: after a head cut at any of five places "POST /holds ... 503 ran=no, 3 runs" (1 run once the circuit breakers were open), "GET ... 503 ran=no", "chat ... 503 ran=no"; a call on a kept connection got "503 old", "429 old", "421 old" or "200 old" from an earlier one; a rater that echoes no id was asked again on one connection. With the change: one run and ran=unknown, own answers only, one connection per rating without an id and kept ones with it.

--- a/src/engine/http.rs
+++ b/src/engine/http.rs
@@ -3,35 +3,28 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ntex::client::Client;
-use ntex::client::ClientResponse;
-use ntex::client::Connector;
-use ntex::client::error::ClientError;
-use ntex::time::Millis;
+use http::Method;
+use http::Version;
+use http::header;
 use ntex::util::Bytes;
-use ntex::util::stream_recv;
 use serde::Deserialize;
 
 use super::ATTEMPT_HEADER;
 use super::Attempt;
 use super::AttemptError;
 use super::Chunks;
+use super::Client;
 use super::Engine;
 use super::LocalFuture;
 use super::RESUME_HEADER;
 use super::Rater;
 use super::RatingRequest;
 use super::Response;
+use crate::http_client::RequestError;
+use crate::http_client::Reuse;
+use crate::http_client::UpstreamResponse;
 use crate::lease::DISPATCH_TIMEOUT;
 
-/// Most connections of one worker to one upstream.
-const MAX_CONNECTIONS: usize = 512;
-
-/// Idle time in seconds after which a pooled connection is closed. It is shorter than the
-/// keep-alive timeout of servers, so that a request is rarely sent on a connection that the server
-/// is closing.
-const KEEP_ALIVE_S: u16 = 4;
-
 /// Longest wait for the rater's response.
 const RATING_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -43,68 +36,77 @@
 
 impl HttpEngine {
     /// Creates a client with its own connection pool; `rater` is the rater's address.
-    pub(crate) async fn new(rater: Option<SocketAddr>) -> Self {
-        let connector = Connector::new()
-            .limit(MAX_CONNECTIONS)
-            .keep_alive(ntex::time::Seconds(KEEP_ALIVE_S));
-        let mut cfg = ntex::SharedCfg::new("upstream");
-        let connect_timeout_ms = u32::try_from(DISPATCH_TIMEOUT.as_millis()).unwrap_or(u32::MAX);
-        cfg = cfg.add(ntex::io::IoConfig::new().set_connect_timeout(Millis(connect_timeout_ms)));
-        let client = Client::builder()
-            .connector::<()>(connector)
-            .disable_redirects()
-            .no_default_headers()
-            .build(cfg)
-            .await
-            .expect("the connector's settings are valid");
-        Self { client, rater }
+    pub(crate) fn new(rater: Option<SocketAddr>) -> Self {
+        Self {
+            client: Client::new(),
+            rater,
+        }
     }
 
     async fn send_attempt(&self, attempt: Attempt) -> Result<Response, AttemptError> {
-        let url = format!("http://{}{}", attempt.address, attempt.path);
-        let timeout_ms = u32::try_from(attempt.head_timeout.as_millis()).unwrap_or(u32::MAX);
-        let request = self
-            .client
-            .request(attempt.method, url)
-            .timeout(Millis(timeout_ms))
-            .header(ATTEMPT_HEADER, attempt.id)
-            .if_some(attempt.content_type, |value, request| {
-                request.set_header("content-type", value)
-            })
-            .if_some(attempt.resume_at, |at, request| {
-                request.header(RESUME_HEADER, at.to_string())
-            });
-        let response = request.send_body(attempt.body).await.map_err(classify)?;
+        let mut request = http::Request::builder()
+            .method(attempt.method)
+            .uri(attempt.path)
+            .header(header::HOST, attempt.address.to_string())
+            .header(ATTEMPT_HEADER, attempt.id);
+        if let Some(content_type) = attempt.content_type {
+            request = request.header(header::CONTENT_TYPE, content_type);
+        }
+        if let Some(at) = attempt.resume_at {
+            request = request.header(RESUME_HEADER, at);
+        }
+        let body = bytes::Bytes::from_owner(attempt.body);
+        let request = request
+            .body(body.into())
+            .map_err(|_| AttemptError::NotSent)?;
+        let connections = &self.client.connections;
+        let sent = connections.send(attempt.address, request, DISPATCH_TIMEOUT, Reuse::Allowed);
+        let response = tokio::time::timeout(attempt.head_timeout, sent)
+            .await
+            .map_err(|_| AttemptError::Failed("no response head in time"))?
+            .map_err(classify)?;
         let header = |name: &str| {
-            let value = response.header(name)?.to_str().ok()?;
+            let value = response.headers.get(name)?.to_str().ok()?;
             Some(value.to_owned())
         };
         Ok(Response {
-            status: response.status().as_u16(),
+            status: response.status.as_u16(),
             attempt_id: header(ATTEMPT_HEADER),
-            content_type: header("content-type"),
-            chunks: Box::new(ResponseBody(response)),
+            content_type: header(header::CONTENT_TYPE.as_str()),
+            chunks: Box::new(ResponseBody(Some(response))),
         })
     }
 }
 
-/// Classifies an error by whether the request may have been sent. Only a failure to connect proves
-/// that it was not.
-fn classify(e: ClientError) -> AttemptError {
+/// Classifies an error by whether the upstream may have run the request.
+fn classify(e: RequestError) -> AttemptError {
     match e {
-        ClientError::Connect(_) | ClientError::Url(_) => AttemptError::NotSent,
-        ClientError::Timeout => AttemptError::Failed("no response head in time"),
-        _ => AttemptError::Failed("the connection failed"),
+        RequestError::Refused | RequestError::NotSent(_) => AttemptError::NotSent,
+        RequestError::Interrupted(reason) | RequestError::Unattributed(reason) => {
+            AttemptError::Failed(reason)
+        }
     }
 }
 
-struct ResponseBody(ClientResponse);
+/// The body of a response; `None` once it has been read.
+struct ResponseBody(Option<UpstreamResponse>);
 
 impl Chunks for ResponseBody {
     fn next(&mut self) -> LocalFuture<'_, Option<Result<Bytes, AttemptError>>> {
         Box::pin(async move {
-            let item = stream_recv(&mut self.0).await?;
-            Some(item.map_err(|_| AttemptError::Failed("the connection closed early")))
+            match self.0.as_mut()?.next_chunk().await {
+                Some(Ok(chunk)) => Some(Ok(Bytes::copy_from_slice(&chunk))),
+                Some(Err(_)) => Some(Err(AttemptError::Failed("the connection closed early"))),
+                None => {
+                    let response = self.0.take()?;
+                    if response.version == Version::HTTP_11 && !response.is_framed() {
+                        // The end of the connection doesn't tell whether the body is complete.
+                        return Some(Err(AttemptError::Failed("the connection closed early")));
+                    }
+                    response.release_connection();
+                    None
+                }
+            }
         })
     }
 }
@@ -123,15 +125,11 @@
 impl Rater for HttpEngine {
     fn rate(&self, request: RatingRequest) -> LocalFuture<'_, Option<f32>> {
         Box::pin(async move {
-            let url = format!("http://{}/rate", self.rater?);
-            let timeout_ms = u32::try_from(RATING_TIMEOUT.as_millis()).unwrap_or(u32::MAX);
-            let request = self
+            let body = serde_json::to_vec(&request).ok()?;
+            let call = self
                 .client
-                .post(url)
-                .timeout(Millis(timeout_ms))
-                .send_json(&request);
-            let response = request.await.ok()?;
-            let reply: RatingReply = response.json().await.ok()?;
+                .call_json(Method::POST, self.rater?, "/rate", body);
+            let reply: RatingReply = tokio::time::timeout(RATING_TIMEOUT, call).await.ok()??;
             (0.0..=1.0).contains(&reply.score).then_some(reply.score)
         })
     }
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -1,6 +1,7 @@
 //! Clients of model engines, plain services and the rater. The traits hide the protocol from the
 //! modules that make decisions; [`HttpEngine`] implements them over HTTP.
 
+mod client;
 mod http;
 mod records;
 
@@ -15,6 +16,8 @@
 pub(crate) use self::records::RecordClient;
 pub(crate) use self::records::UsageRecord;
 
+use self::client::Client;
+
 /// Header with the attempt's id, which an engine echoes in its response.
 pub(crate) const ATTEMPT_HEADER: &str = "daisyquay-attempt";
 
--- a/src/engine/records.rs
+++ b/src/engine/records.rs
@@ -3,11 +3,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ntex::client::Client;
-use ntex::time::Millis;
+use http::Method;
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::Client;
 use crate::state::RequestId;
 
 /// Longest wait for an engine's response.
@@ -31,9 +31,9 @@
 
 impl RecordClient {
     /// Creates a client with its own connection pool.
-    pub(crate) async fn new() -> Self {
+    pub(crate) fn new() -> Self {
         Self {
-            client: Client::new().await,
+            client: Client::new(),
         }
     }
 
@@ -44,18 +44,10 @@
         address: SocketAddr,
         request: RequestId,
     ) -> Option<UsageRecord> {
-        let url = format!("http://{address}/v1/records/{request}");
-        let timeout_ms = u32::try_from(FETCH_TIMEOUT.as_millis()).unwrap_or(u32::MAX);
-        let response = self
+        let path = format!("/v1/records/{request}");
+        let call = self
             .client
-            .get(url)
-            .timeout(Millis(timeout_ms))
-            .send()
-            .await
-            .ok()?;
-        if !response.status().is_success() {
-            return None;
-        }
-        response.json().await.ok()
+            .call_json(Method::GET, address, &path, Vec::new());
+        tokio::time::timeout(FETCH_TIMEOUT, call).await.ok()?
     }
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -155,7 +155,7 @@
         .set_max_buf_size(MAX_HEAD_BYTES)
         .set_client_timeout(HEAD_TIMEOUT);
     let server = HttpServer::new(async move || {
-        let engine = HttpEngine::new(shared.cfg.rater).await;
+        let engine = HttpEngine::new(shared.cfg.rater);
         let worker = Worker::new(shared.clone(), engine);
         App::new()
             .state(worker)
--- a/src/http_client/mod.rs
+++ b/src/http_client/mod.rs
@@ -18,8 +18,11 @@
 use bytes::Bytes;
 use http::HeaderMap;
 use http::StatusCode;
+use http::Version;
+use http::header::TRANSFER_ENCODING;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use hyper::body::Body;
 use hyper::body::Incoming;
 
 pub(crate) use self::pool::ConnectionPool;
@@ -58,13 +61,20 @@
 
 /// A response whose body has not been read to its end.
 pub(crate) struct UpstreamResponse {
+    pub(crate) version: Version,
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
+    is_framed: bool,
     body: Incoming,
     connection: PooledConnection,
 }
 
 impl UpstreamResponse {
+    /// Returns whether the response has a length or chunks, rather than to end with its connection.
+    pub(crate) fn is_framed(&self) -> bool {
+        self.is_framed
+    }
+
     /// Returns the next chunk of the body; `None` at its end. If the body has no length and ends
     /// with the connection, an unclean close is an error.
     pub(crate) async fn next_chunk(&mut self) -> Option<Result<Bytes, RequestError>> {
@@ -110,6 +120,12 @@
     }
 }
 
+fn is_chunked(headers: &HeaderMap) -> bool {
+    headers
+        .get(TRANSFER_ENCODING)
+        .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"chunked"))
+}
+
 /// Status and headers of a response.
 #[derive(Clone, Debug)]
 pub(crate) struct ResponseHead {
@@ -151,6 +167,8 @@
                         connection.close_after_response();
                     }
                     return Ok(UpstreamResponse {
+                        version: head.version,
+                        is_framed: body.size_hint().exact().is_some() || is_chunked(&head.headers),
                         status: head.status,
                         headers: head.headers,
                         body,
--- a/src/replica/reaper.rs
+++ b/src/replica/reaper.rs
@@ -31,7 +31,7 @@
 
 /// Settles orphaned claims in rounds; never returns.
 pub(super) async fn settle_orphans(core: Rc<RefCell<Core>>) {
-    let records = RecordClient::new().await;
+    let records = RecordClient::new();
     let mut first_seen: HashMap<RequestId, Duration> = HashMap::default();
     loop {
         tokio::time::sleep(ROUND_INTERVAL).await;
--- a/tests/process/response_identity.rs
+++ b/tests/process/response_identity.rs
@@ -1,4 +1,4 @@
-//! Upstreams that write an old response once more.
+//! Upstreams that write an old response once more or cut off a response's head. Each case goes through the gateway and through an entry.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -22,17 +22,20 @@
 use crate::support::ReceivedRequest;
 use crate::support::Response;
 use crate::support::Upstream;
+use crate::support::chat_body;
 use crate::support::eventually;
 use crate::support::ok_response;
 use crate::support::post;
+use crate::support::send;
 use crate::support::sse_event;
 use crate::support::write;
 
 /// A cluster with a gateway and an entry in front of scripted upstreams.
 struct Setup {
-    _cluster: Cluster,
+    cluster: Cluster,
     _gateway: Program,
     gateway: SocketAddr,
+    entry: SocketAddr,
 }
 
 impl Setup {
@@ -61,10 +64,12 @@
             (rows.as_array()?.len() == upstreams.len()).then_some(())
         });
         let (program, gateway) = cluster.start_gateway();
+        let entry = cluster.entry_addresses[0];
         let setup = Self {
-            _cluster: cluster,
+            cluster,
             _gateway: program,
             gateway,
+            entry,
         };
         eventually("the gateway has its routes", || {
             let reply = setup.call("/nowhere/", "probe")?;
@@ -86,12 +91,22 @@
         ];
         post(self.gateway, path, &headers, "")
     }
+
+    /// Calls the plain service through the entry.
+    fn call_service(&self, method: &str, path: &str) -> Response {
+        let path = format!("/app/previews{path}");
+        send(method, self.entry, &path, &[AUTH_HEADER], "").unwrap()
+    }
 }
 
 fn previews() -> serde_json::Value {
     json!({ "service": "previews" })
 }
 
+fn notes() -> serde_json::Value {
+    json!({ "versions": ["notes@small"] })
+}
+
 /// The connections that an upstream has answered on.
 #[derive(Default)]
 struct Connections(Mutex<BTreeSet<u16>>);
@@ -111,9 +126,14 @@
     mine.count()
 }
 
-/// Returns the variant of a test's request, the second part of its path.
+/// Returns the variant of a test's request: the end of its path, or its chat message.
 fn variant(seen: &ReceivedRequest) -> String {
     let path = seen.request_line.split(' ').nth(1).unwrap();
+    if path.ends_with("/completions") {
+        let body: serde_json::Value = serde_json::from_str(&seen.body).unwrap();
+        let prompt = &body["messages"][0]["content"];
+        return prompt.as_str().unwrap().to_owned();
+    }
     path.split('/').nth(2).unwrap().to_owned()
 }
 
@@ -169,6 +189,82 @@
         }
         let after = old_count.load(Ordering::SeqCst);
         assert!(after > before, "{case}: the gateway kept no connection");
+        for i in 0..REQUESTS {
+            let path = format!("/holds/{case}/entry-{i}");
+            let reply = setup.call_service("POST", &path);
+            let is_own = reply.status == 200 && reply.body == "own";
+            let runs = received_at(&[&a, &b], &path);
+            let may_have_run = reply.header("daisyquay-ran") == "unknown";
+            if runs != 1 || !is_own && !may_have_run {
+                faults.push(format!(
+                    "{path}: {} {}, {runs} runs",
+                    reply.status, reply.body
+                ));
+            }
+        }
+        let last = old_count.load(Ordering::SeqCst);
+        assert!(last > after, "{case}: the entry kept no connection");
+    }
+    assert!(faults.is_empty(), "{}", faults.join("\n"));
+}
+
+/// Guards against a request that is reported as not run, or is run twice, after its upstream closed
+/// the connection before the end of the response's head, and against a 2xx of part of a head.
+#[test]
+fn response_that_ends_within_its_head_is_no_answer_and_may_have_run() {
+    const HEADS: [&str; 5] = [
+        "",
+        "HTTP/1.1 200",
+        "HTTP/1.1 200 OK\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-le",
+        "HTTP/1.1 200 OK\r\ndaisyquay-signature: s\r\ncontent-length: 0\r\n",
+    ];
+    let script = |seen: &ReceivedRequest, out: &mut TcpStream| {
+        write(out, HEADS[variant(seen).parse::<usize>().unwrap()]);
+        false
+    };
+    // Enough of them that circuit breakers leave some.
+    let services: Vec<Upstream> = (0..8).map(|_| Upstream::start(script)).collect();
+    let engines: Vec<Upstream> = (0..8).map(|_| Upstream::start(script)).collect();
+    let services_row = services.iter().map(|upstream| (upstream, previews()));
+    let engines_row = engines.iter().map(|upstream| (upstream, notes()));
+    let announced: Vec<_> = services_row.chain(engines_row).collect();
+    let setup = Setup::new(&format!("{INVENTORY}{ROUTES}"), &announced);
+    let services: Vec<&Upstream> = services.iter().collect();
+    let mut faults = Vec::new();
+    for (i, head) in HEADS.iter().enumerate() {
+        for route in ["lookup", "hold", "notes"] {
+            let path = format!("/{route}/{i}/gateway");
+            let reply = setup.call(&path, &format!("{route}-{i}")).unwrap();
+            let runs = received_at(&services, &path);
+            let most = if route == "hold" { 1 } else { 3 };
+            if reply.status != 502 || !(1..=most).contains(&runs) {
+                faults.push(format!(
+                    "{path} {head:?}: {} {}, {runs} runs",
+                    reply.status, reply.body
+                ));
+            }
+        }
+        for (method, most) in [("POST", 1), ("GET", 3)] {
+            let path = format!("/holds/{i}/entry-{method}");
+            let reply = setup.call_service(method, &path);
+            let runs = received_at(&services, &path);
+            let ran = reply.header("daisyquay-ran");
+            if reply.status < 500 || ran != "unknown" || !(1..=most).contains(&runs) {
+                faults.push(format!(
+                    "{method} {path} {head:?}: {} ran={ran}, {runs} runs",
+                    reply.status
+                ));
+            }
+        }
+        for is_streaming in [false, true] {
+            let body = chat_body("notes@small", &i.to_string(), 4, is_streaming);
+            let reply = setup.cluster.chat(0, &[], &body).unwrap();
+            let ran = reply.header("daisyquay-ran");
+            if reply.status < 500 || ran != "unknown" {
+                faults.push(format!("chat {head:?}: {} ran={ran}", reply.status));
+            }
+        }
     }
     assert!(faults.is_empty(), "{}", faults.join("\n"));
 }
@@ -244,3 +340,52 @@
         event.len()
     )
 }
+
+/// Guards against the rating of one response that passes as the rating of another.
+#[test]
+fn rating_without_an_id_never_comes_on_a_reused_connection() {
+    const RATINGS: usize = 5;
+    let kept_count: Arc<AtomicU32> = Arc::default();
+    let rater = |echoes: bool| {
+        let (kept, count) = (Connections::default(), kept_count.clone());
+        Upstream::start(move |seen, out| {
+            if kept.is_kept(out) {
+                count.fetch_add(1, Ordering::SeqCst);
+            }
+            let echo = if echoes {
+                format!("daisyquay-attempt: {}\r\n", seen.attempt_id())
+            } else {
+                String::new()
+            };
+            let body = "{\"score\":0.5}";
+            let head = format!(
+                "HTTP/1.1 200 OK\r\n{echo}content-type: application/json\r\n\
+                 content-length: {}\r\n\r\n",
+                body.len()
+            );
+            write(out, &format!("{head}{body}"))
+        })
+    };
+    let raters = [rater(false), rater(true)];
+    let mut cluster = Cluster::start(1, 0);
+    for rater in &raters {
+        cluster.entry_flags = vec!["--rater".to_owned(), rater.address.to_string()];
+        cluster.add_entry("dc1");
+    }
+    let inventory = INVENTORY.replace("rating_share = 0.1", "rating_share = 1.0");
+    cluster.apply(&inventory, &["--change-id", "first"]);
+    let (_runner, _) = cluster.start_announced_standin("runner-1", &["--versions", "notes@small"]);
+    let mut kept = Vec::new();
+    for (i, rater) in raters.iter().enumerate() {
+        for rated in 1..=RATINGS {
+            let body = chat_body("notes@small", "hello", 2, false);
+            let reply = cluster.chat(i, &[], &body).unwrap();
+            assert_eq!(reply.status, 200, "{}", reply.body);
+            eventually("the response is rated", || {
+                (rater.received().len() == rated).then_some(())
+            });
+        }
+        kept.push(kept_count.swap(0, Ordering::SeqCst) > 0);
+    }
+    assert_eq!(kept, [false, true], "reuse without and with an id");
+}
