Recognise an engine's error event whose error is a text

Cause: an event counted as an error only if its error was an object. An engine that was to resume a stream and sent {"id":ID,"error":"TEXT"} and [DONE] had the event passed on in the middle of the caller's stream, as a chunk without text.

Change: an error in either form is looked for first, and data without choices or usage is no chunk of the response; both break the stream.

Result, on the code without the change: the caller found {"id":"...-0","error":"no tokens left"} after its first event (the stream did end with the error event stream_broken, not as complete).

--- a/src/relay/sse.rs
+++ b/src/relay/sse.rs
@@ -21,9 +21,9 @@
     Usage,
     /// `[DONE]`, the end of the stream.
     Done,
-    /// An error from the engine.
+    /// An error from the engine, or anything else with data that is no chunk of the response.
     Error,
-    /// Anything else, such as a keep-alive comment.
+    /// A chunk without text, or an event without data, such as a keep-alive comment.
     Other,
 }
 
@@ -35,16 +35,18 @@
     }
     if contains(b"data: [DONE]") || contains(b"data:[DONE]") {
         EventKind::Done
+    } else if contains(b"\"error\":{") || contains(b"\"error\":\"") {
+        EventKind::Error
     } else if contains(b"\"finish_reason\":\"") {
         EventKind::Finish
     } else if contains(b"\"content\":\"") {
         EventKind::Token
     } else if contains(b"\"usage\":{") {
         EventKind::Usage
-    } else if contains(b"\"error\":{") {
-        EventKind::Error
-    } else {
+    } else if contains(b"\"choices\":[") {
         EventKind::Other
+    } else {
+        EventKind::Error
     }
 }
 
--- a/tests/process/response_identity.rs
+++ b/tests/process/response_identity.rs
@@ -1,7 +1,10 @@
-//! Upstreams that write an old response once more or cut off a response's head. Each case goes through the gateway and through an entry.
+//! Upstreams that write an old response once more, cut off a response's head, or answer with an
+//! error where a stream is to be resumed. Each case goes through the gateway and through an entry.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::io::Read;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::sync::Arc;
@@ -23,13 +26,18 @@
 use crate::support::Response;
 use crate::support::Upstream;
 use crate::support::chat_body;
+use crate::support::chunk;
 use crate::support::eventually;
 use crate::support::ok_response;
 use crate::support::post;
 use crate::support::send;
 use crate::support::sse_event;
+use crate::support::stream_response_head;
 use crate::support::write;
 
+/// Part of the text of an error that no caller may find in its stream.
+const ERROR_TEXT: &str = "no tokens left";
+
 /// A cluster with a gateway and an entry in front of scripted upstreams.
 struct Setup {
     cluster: Cluster,
@@ -41,7 +49,15 @@
 impl Setup {
     /// Announces `upstreams`, each with what it serves.
     fn new(inventory: &str, upstreams: &[(&Upstream, serde_json::Value)]) -> Self {
-        let cluster = Cluster::start(1, 1);
+        Self::with_entries(1, inventory, upstreams)
+    }
+
+    fn with_entries(
+        entries: usize,
+        inventory: &str,
+        upstreams: &[(&Upstream, serde_json::Value)],
+    ) -> Self {
+        let cluster = Cluster::start(1, entries);
         cluster.apply(inventory, &["--change-id", "first"]);
         for (i, (upstream, serves)) in upstreams.iter().enumerate() {
             let body = json!({
@@ -269,6 +285,138 @@
     assert!(faults.is_empty(), "{}", faults.join("\n"));
 }
 
+/// Sends a request and returns all bytes that come back until the connection ends.
+fn exchange(address: SocketAddr, head: &str, body: &str) -> String {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream
+        .set_read_timeout(Some(Duration::from_secs(20)))
+        .unwrap();
+    let (name, value) = AUTH_HEADER;
+    let request = format!(
+        "POST {head}\r\n{name}: {value}\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(request.as_bytes()).unwrap();
+    let mut received = Vec::new();
+    let _ = stream.read_to_end(&mut received);
+    String::from_utf8(received).unwrap()
+}
+
+/// Answers a request to resume a stream with an error in the form that the request asks for.
+fn write_error(seen: &ReceivedRequest, out: &mut TcpStream) -> bool {
+    let id = seen.attempt_id();
+    let error = json!({ "error": { "message": ERROR_TEXT } });
+    let (status, content_type, body) = match &*variant(seen) {
+        "500" => ("500 Failed", "text/event-stream", ERROR_TEXT.to_owned()),
+        "200-text" => ("200 OK", "text/plain", ERROR_TEXT.to_owned()),
+        "200-json" => ("200 OK", "application/json", error.to_string()),
+        "206" => (
+            "206 Part",
+            "text/event-stream",
+            format!("id: 2\ndata: {ERROR_TEXT}\n\n"),
+        ),
+        "error-event" => (
+            "200 OK",
+            "text/event-stream",
+            format!("data: {error}\n\ndata: [DONE]\n\n"),
+        ),
+        "error-event-with-id" => (
+            "200 OK",
+            "text/event-stream",
+            format!("data: {{\"id\":\"{id}\",\"error\":\"{ERROR_TEXT}\"}}\n\ndata: [DONE]\n\n"),
+        ),
+        "refused" => (
+            "503 Full\r\ndaisyquay-not-run: 1",
+            "text/event-stream",
+            ERROR_TEXT.to_owned(),
+        ),
+        variant => panic!("unknown variant {variant}"),
+    };
+    write(
+        out,
+        &format!(
+            "HTTP/1.1 {status}\r\ndaisyquay-attempt: {id}\r\ndaisyquay-signature: s\r\n\
+             content-type: {content_type}\r\ncontent-length: {}\r\n\r\n{body}",
+            body.len()
+        ),
+    )
+}
+
+/// Guards against an error of the upstream that is to resume a stream in the middle of the stream,
+/// and against a stream that ends there as if it were complete.
+#[test]
+fn error_where_a_stream_is_resumed_never_reaches_the_stream_or_ends_it_as_complete() {
+    let script = |seen: &ReceivedRequest, out: &mut TcpStream| {
+        let is_chat = seen.request_line.contains("/completions");
+        if seen.header("last-event-id").is_some() || seen.header("daisyquay-resume-at").is_some() {
+            return write_error(seen, out);
+        }
+        if seen.request_line.contains("/lookup/") {
+            return write(out, &ok_response(seen, "tile"));
+        }
+        write(out, &stream_response_head(seen));
+        let first = if is_chat {
+            token_event(seen.attempt_id(), "first ")
+        } else {
+            sse_event(1)
+        };
+        write(out, &chunk(&first));
+        false
+    };
+    let services: Vec<Upstream> = (0..8).map(|_| Upstream::start(script)).collect();
+    let engines: Vec<Upstream> = (0..8).map(|_| Upstream::start(script)).collect();
+    let services_row = services.iter().map(|upstream| (upstream, previews()));
+    let engines_row = engines.iter().map(|upstream| (upstream, notes()));
+    let announced: Vec<_> = services_row.chain(engines_row).collect();
+    // Each entry has a budget for retries, which one entry would spend on a few cases.
+    let setup = Setup::with_entries(3, &format!("{INVENTORY}{ROUTES}"), &announced);
+    let resumed = |upstreams: &[Upstream], case: &str| {
+        let received = upstreams.iter().flat_map(|upstream| upstream.received());
+        let resumed = received.filter(|seen| {
+            let is_resume = seen.header("last-event-id").is_some()
+                || seen.header("daisyquay-resume-at").is_some();
+            is_resume && variant(seen) == case
+        });
+        resumed.count()
+    };
+    // Requests that succeed earn the budget of the retries.
+    for i in 0..20 {
+        setup.call("/lookup/a", &format!("lookup-{i}"));
+    }
+    let cases = ["500", "200-text", "200-json", "206", "refused"];
+    let mut faults = Vec::new();
+    for case in cases {
+        let head = format!(
+            "/notes/{case} HTTP/1.1\r\nhost: previews.example\r\ndaisyquay-attempt: {case}"
+        );
+        let received = exchange(setup.gateway, &head, "");
+        let body = received.split_once("\r\n\r\n").map(|(_, body)| body);
+        if !received.starts_with("HTTP/1.1 200") || body != Some(&*chunk(&sse_event(1))) {
+            faults.push(format!("gateway, {case}: {received}"));
+        }
+        assert!(
+            resumed(&services, case) > 0,
+            "{case}: nothing was resumed: {received}"
+        );
+    }
+    let event_cases = ["error-event", "error-event-with-id"];
+    for (i, case) in cases.iter().chain(&event_cases).enumerate() {
+        let entry = setup.cluster.entry_addresses[i % 3];
+        let head = "/v1/chat/completions HTTP/1.1\r\nhost: a\r\ncontent-type: application/json";
+        let body = chat_body("notes@small", case, 4, true);
+        let received = exchange(entry, head, &body);
+        let is_marked = received.contains("\"code\":\"stream_broken\"");
+        let has_stranger = received.contains(ERROR_TEXT)
+            || received.contains("[DONE]")
+            || received.matches("HTTP/1.1").count() != 1;
+        if !received.contains("\"first \"") || !is_marked || has_stranger {
+            faults.push(format!("entry, {case}: {received}"));
+        }
+        assert!(resumed(&engines, case) > 0, "{case}: nothing was resumed");
+    }
+    assert!(faults.is_empty(), "{}", faults.join("\n"));
+}
+
 /// Returns the ids that came more than once on one connection.
 fn repeated(received: &Mutex<BTreeMap<(u16, String), u32>>) -> Vec<String> {
     let received = received.lock().unwrap();
@@ -389,3 +537,10 @@
     }
     assert_eq!(kept, [false, true], "reuse without and with an id");
 }
+
+/// Returns the event of a chat stream with one token.
+fn token_event(id: &str, text: &str) -> String {
+    let choice = json!({ "index": 0, "delta": { "content": text }, "finish_reason": null });
+    let event = json!({ "id": id, "choices": [choice] });
+    format!("data: {event}\n\n")
+}
