Number the attempts of a chat request over all its steps

Cause: attempts were numbered anew when a broken stream was resumed and when a cascade went on to its fallback, so two attempts of one request could have the same id at one upstream. The first response of a cascade is read whole and its connection kept: an old response written once more there would have passed as the fallback's.

Change: the claim of a request numbers its attempts. The digit of the number goes up to `z`, more than a request's attempts.

With the change all ids differ.

--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -25,9 +25,9 @@
 use crate::state::Target;
 use crate::upstream::Announcement;
 
-/// Largest attempt number in an attempt's id, which has a single digit for it. Further attempts
-/// would share this number, and responses to them could not be told apart.
-const MAX_ATTEMPT_NUMBER: u32 = 9;
+/// Base of the attempt number in an attempt's id, which has a single digit for it. Attempts from the
+/// base on would share the last digit, and responses to them could not be told apart.
+const ATTEMPT_NUMBER_BASE: u32 = 36;
 
 /// A request as it is sent, independent of the upstream.
 #[derive(Clone, Debug)]
@@ -81,7 +81,12 @@
 
     /// Returns the id of the first attempt. The caller sees this id whichever attempt succeeds.
     pub(crate) fn first_attempt_id(request_id: RequestId) -> String {
-        format!("{request_id}-0")
+        Self::attempt_id(request_id, 0)
+    }
+
+    fn attempt_id(request_id: RequestId, number: u32) -> String {
+        let digit = char::from_digit(number.min(ATTEMPT_NUMBER_BASE - 1), ATTEMPT_NUMBER_BASE);
+        format!("{request_id}-{}", digit.unwrap_or_default())
     }
 
     /// Chooses an upstream on which none of these attempts has failed.
@@ -197,11 +202,7 @@
     ) -> Result<Result<ActiveAttempt, (&'static str, Execution)>, Refusal> {
         let shared = &self.worker.shared;
         let upstream_request = self.upstream_request;
-        let id = format!(
-            "{}-{}",
-            upstream_request.request_id,
-            self.attempts_made.min(MAX_ATTEMPT_NUMBER)
-        );
+        let id = Self::attempt_id(upstream_request.request_id, claim.next_attempt_number());
         let left = upstream_request.deadline.saturating_sub(shared.now());
         let attempt = Attempt {
             address: upstream.address,
--- a/src/relay/claim.rs
+++ b/src/relay/claim.rs
@@ -45,6 +45,8 @@
     upstream: Name,
     /// Whether the request may have reached an upstream.
     pub(crate) maybe_sent: bool,
+    /// Attempts so far, over all steps and resumed streams.
+    attempts: u32,
     /// Prompt tokens on the current step.
     pub(crate) tokens_in: u64,
     /// Completion tokens on the current step.
@@ -72,6 +74,7 @@
             request_id,
             upstream,
             maybe_sent: false,
+            attempts: 0,
             tokens_in: 0,
             tokens_out: 0,
             time_to_first_token: Duration::ZERO,
@@ -160,6 +163,13 @@
         }
     }
 
+    /// Returns the number of the next attempt, from 0, which no other attempt of the request has.
+    pub(crate) fn next_attempt_number(&mut self) -> u32 {
+        let number = self.attempts;
+        self.attempts += 1;
+        number
+    }
+
     /// Updates the ledger if the request goes to another upstream than the one on record.
     pub(crate) fn set_upstream(&mut self, upstream: &Name) {
         if self.upstream != *upstream {
--- a/tests/process/response_identity.rs
+++ b/tests/process/response_identity.rs
@@ -538,6 +538,58 @@
     assert_eq!(kept, [false, true], "reuse without and with an id");
 }
 
+/// Guards against an old response to the first attempt of a chat request that passes as the response
+/// to a later one at the same upstream.
+#[test]
+fn attempts_of_a_chat_request_at_one_upstream_have_different_ids() {
+    let failing_first = Upstream::start(move |seen, out| {
+        let id = seen.attempt_id();
+        if seen.header("daisyquay-resume-at").is_none() {
+            return write(
+                out,
+                &format!(
+                    "HTTP/1.1 500 Failed\r\ndaisyquay-attempt: {id}\r\ncontent-length: 0\r\n\r\n"
+                ),
+            );
+        }
+        let choice = json!({ "index": 0, "delta": {}, "finish_reason": "stop" });
+        let finish = json!({ "id": id, "choices": [choice] });
+        write(out, &stream_response_head(seen));
+        write(out, &chunk(&format!("data: {finish}\n\ndata: [DONE]\n\n")));
+        write(out, "0\r\n\r\n")
+    });
+    let breaking = Upstream::start(|seen, out| {
+        write(out, &stream_response_head(seen));
+        write(out, &chunk(&token_event(seen.attempt_id(), "first ")));
+        false
+    });
+    let upstreams = [(&failing_first, notes()), (&breaking, notes())];
+    let setup = Setup::with_entries(3, &format!("{INVENTORY}{ROUTES}"), &upstreams);
+    let is_resumed = || {
+        let received = failing_first.received();
+        let mut resumed = received
+            .iter()
+            .filter(|seen| seen.header("daisyquay-resume-at").is_some());
+        resumed.any(|seen| {
+            let (request, _) = seen.attempt_id().rsplit_once('-').unwrap();
+            let mine = received
+                .iter()
+                .filter(|seen| seen.attempt_id().starts_with(request));
+            mine.count() > 1
+        })
+    };
+    let mut sent = 0;
+    while !is_resumed() {
+        assert!(sent < 30, "no stream was resumed where it had failed");
+        let body = chat_body("notes@small", "hello", 4, true);
+        let _ = setup.cluster.chat(sent % 3, &[], &body);
+        sent += 1;
+    }
+    let received = failing_first.received();
+    let ids: BTreeSet<&str> = received.iter().map(|seen| seen.attempt_id()).collect();
+    assert_eq!(ids.len(), received.len(), "{ids:?}");
+}
+
 /// Returns the event of a chat stream with one token.
 fn token_event(id: &str, text: &str) -> String {
     let choice = json!({ "index": 0, "delta": { "content": text }, "finish_reason": null });
