--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -164,7 +164,7 @@
     let io = IoConfig::new().set_disconnect_timeout(CLOSE_TIMEOUT);
     http_client::configure_accepted_socket(&listener);
     let server = HttpServer::new(async move || {
-        let engine = HttpEngine::new(shared.cfg.rater).await;
+        let engine = HttpEngine::new(shared.cfg.rater);
         let worker = Worker::new(shared.clone(), engine);
         tokio::task::spawn_local(worker.unwritten.clone().watch());
         App::new()
--- a/src/http_client/mod.rs
+++ b/src/http_client/mod.rs
@@ -3,6 +3,11 @@
 //! A connection returns to the pool only after the whole response was read, if no bytes followed it
 //! and the upstream did not ask to close. Dropping a request or response before its end closes the
 //! connection, which cancels the work at the upstream.
+//!
+//! An upstream may write an old response once more, where the next one is expected. A response
+//! therefore belongs to a request if it has the request's id, or if it has none and is the first one
+//! on its connection; such a connection is not used again. A request whose id an upstream may have
+//! received before goes over a new connection.
 
 mod pool;
 mod socket;
@@ -13,11 +18,15 @@
 use bytes::Bytes;
 use http::HeaderMap;
 use http::StatusCode;
+use http::Version;
+use http::header::TRANSFER_ENCODING;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use hyper::body::Body;
 use hyper::body::Incoming;
 
 pub(crate) use self::pool::ConnectionPool;
+pub(crate) use self::pool::Reuse;
 pub(crate) use self::pool::refuses_connections;
 pub(crate) use self::socket::configure_accepted_socket;
 
@@ -33,6 +42,9 @@
     NotSent(&'static str),
     /// The request was sent at least in part, so the upstream may have run it.
     Interrupted(&'static str),
+    /// The request was sent, and a response arrived that may belong to another one. The upstream may
+    /// have run the request.
+    Unattributed(&'static str),
 }
 
 impl RequestError {
@@ -40,20 +52,29 @@
     pub(crate) fn reason(self) -> &'static str {
         match self {
             Self::Refused => "connection refused",
-            Self::NotSent(reason) | Self::Interrupted(reason) => reason,
+            Self::NotSent(reason) | Self::Interrupted(reason) | Self::Unattributed(reason) => {
+                reason
+            }
         }
     }
 }
 
 /// A response whose body has not been read to its end.
 pub(crate) struct UpstreamResponse {
+    pub(crate) version: Version,
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
+    is_framed: bool,
     body: Incoming,
     connection: PooledConnection,
 }
 
 impl UpstreamResponse {
+    /// Returns whether the response has a length or chunks, rather than to end with its connection.
+    pub(crate) fn is_framed(&self) -> bool {
+        self.is_framed
+    }
+
     /// Returns the next chunk of the body; `None` at its end. If the body has no length and ends
     /// with the connection, an unclean close is an error.
     pub(crate) async fn next_chunk(&mut self) -> Option<Result<Bytes, RequestError>> {
@@ -99,6 +120,12 @@
     }
 }
 
+fn is_chunked(headers: &HeaderMap) -> bool {
+    headers
+        .get(TRANSFER_ENCODING)
+        .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"chunked"))
+}
+
 /// Status and headers of a response.
 #[derive(Clone, Debug)]
 pub(crate) struct ResponseHead {
@@ -110,22 +137,38 @@
 pub(crate) type OutgoingRequest = http::Request<Full<Bytes>>;
 
 impl ConnectionPool {
-    /// Sends a request and waits for the response head. If an idle connection turns out to be
-    /// closed before anything was written on it, tries the next one, and a new one last.
+    /// Sends a request and waits for the head of its response. If an idle connection turns out to
+    /// be closed before anything was written on it, tries the next one, and a new one last.
     pub(crate) async fn send(
         &self,
         address: SocketAddr,
         request: OutgoingRequest,
         connect_limit: Duration,
+        reuse: Reuse,
     ) -> Result<UpstreamResponse, RequestError> {
+        let id = request.headers().get(&self.id_header).cloned();
         let mut request = request;
         loop {
-            let mut connection = self.checkout(address, connect_limit).await?;
+            let mut connection = self.checkout(address, connect_limit, reuse).await?;
             let is_new = connection.is_new();
             match connection.sender().try_send_request(request).await {
                 Ok(response) => {
                     let (head, body) = response.into_parts();
+                    let echoed = head.headers.get(&self.id_header);
+                    if echoed.is_some() && echoed != id.as_ref() {
+                        return Err(RequestError::Unattributed("response to another request"));
+                    }
+                    if echoed.is_none() {
+                        if !is_new {
+                            return Err(RequestError::Unattributed(
+                                "response without an id on a reused connection",
+                            ));
+                        }
+                        connection.close_after_response();
+                    }
                     return Ok(UpstreamResponse {
+                        version: head.version,
+                        is_framed: body.size_hint().exact().is_some() || is_chunked(&head.headers),
                         status: head.status,
                         headers: head.headers,
                         body,
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -20,6 +20,7 @@
 mod recovery;
 mod regions;
 mod replacement;
+mod response_identity;
 mod sessions;
 mod slow_peers;
 mod soak;
