Offer an interrupted stream again to upstreams that were full

Cause: after 1.5 times the longest gap the gateway cancels the silent upstream and offers the stream to another one. If that one was full or unreachable and no third was left, the stream was given up, at once. The same held for a stream whose upstream had broken off.

Change: while attempts, retry budget and deadline allow it, such a stream is offered to all upstreams again, with a delay of 0.2 to 1 s between the rounds. A quarantined request is not. Near the exit no further attempt begins.

Result: process gateway::stream_goes_on_after_a_silence_* failed before (cut off after 7 of 20 events) and passes; the other stream tests pass.

--- a/src/gateway/exchange/mod.rs
+++ b/src/gateway/exchange/mod.rs
@@ -50,6 +50,10 @@
 /// Number of upstreams that may be unreachable for a request before the gateway gives up.
 const MAX_UNREACHABLE: u32 = 8;
 
+/// Delays between two rounds in which a stream is offered to all upstreams.
+const MIN_RESUME_DELAY: Duration = Duration::from_millis(200);
+const MAX_RESUME_DELAY: Duration = Duration::from_secs(1);
+
 /// Stands for an id or a route that is not known, in the log.
 const NOT_KNOWN: &str = "-";
 
@@ -422,6 +426,7 @@
         self.runs < self.call.route.attempts
             && self.refusals < MAX_REFUSALS
             && self.unreachable < MAX_UNREACHABLE
+            && !self.gateway.gives_final_answers.get()
             && (self.is_first_attempt() || self.call.time_left(self.gateway.now()) >= MIN_TIME_LEFT)
     }
 
@@ -538,14 +543,25 @@
         }
     }
 
-    /// Resumes an interrupted stream after the event with id `after`, first at `upstream`, then at
-    /// others.
+    /// Resumes an interrupted stream after the event with id `after`, first at `first`, then at
+    /// others. Upstreams that are full or unreachable now are tried again until the deadline.
     pub(super) async fn resume(
         &mut self,
-        mut upstream: Upstream,
+        first: Option<Upstream>,
         after: Option<u64>,
     ) -> Option<(UpstreamResponse, InFlightRequest)> {
+        let mut next = first;
+        let mut retry_delay = MIN_RESUME_DELAY;
         loop {
+            let Some(upstream) = next.take().or_else(|| self.next_upstream()) else {
+                if !self.can_resume() || self.is_barred() {
+                    return None;
+                }
+                tokio::time::sleep(retry_delay).await;
+                retry_delay = (2 * retry_delay).min(MAX_RESUME_DELAY);
+                self.forget_refusals();
+                continue;
+            };
             match self.run_attempt(&upstream, after).await {
                 AttemptOutcome::NotSent(_)
                 | AttemptOutcome::NotRun(_)
@@ -564,7 +580,23 @@
                 }
                 AttemptOutcome::Complete(..) | AttemptOutcome::Stream(..) => return None,
             }
-            upstream = self.next_upstream()?;
         }
     }
+
+    /// Returns whether the request or its prompt must not be sent again, as it may crash upstreams.
+    fn is_barred(&self) -> bool {
+        let gateway = &self.gateway;
+        self.service.as_ref().is_none_or(|service| {
+            gateway.quarantined_for(service, &self.call).is_some()
+                || !gateway.quarantine_allows_retry(service, &self.call)
+                || self.must_spare_last_upstream(service).is_some()
+        })
+    }
+
+    /// Makes all upstreams eligible again.
+    fn forget_refusals(&mut self) {
+        self.tried.clear();
+        self.refusals = 0;
+        self.unreachable = 0;
+    }
 }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -156,13 +156,13 @@
             };
             // An idle timeout alone does not end the stream: it goes on if there is no other
             // upstream.
-            let Some(upstream) = self.exchange.next_resume_upstream() else {
-                if self.upstream_response.is_some() {
-                    continue;
-                }
-                return Step::Broken(reason);
-            };
-            if !self.resume(reason, upstream).await {
+            let upstream = self.exchange.next_resume_upstream();
+            if upstream.is_none() && self.upstream_response.is_some() {
+                continue;
+            }
+            if !self.exchange.can_resume() && upstream.is_none()
+                || !self.resume(reason, upstream).await
+            {
                 return Step::Broken(reason);
             }
         }
@@ -206,8 +206,8 @@
         }
     }
 
-    /// Resumes the stream at `upstream` or another one; returns whether that succeeded.
-    async fn resume(&mut self, reason: &'static str, upstream: Upstream) -> bool {
+    /// Resumes the stream at `first` or another upstream; returns whether that succeeded.
+    async fn resume(&mut self, reason: &'static str, first: Option<Upstream>) -> bool {
         // Dropping the response cancels the request at the old upstream before another one resumes.
         self.upstream_response = None;
         self.in_flight.record_failure();
@@ -225,7 +225,7 @@
         );
         let after = self.events.last_id();
         let time_left = self.time_left();
-        let resumed = tokio::time::timeout(time_left, self.exchange.resume(upstream, after)).await;
+        let resumed = tokio::time::timeout(time_left, self.exchange.resume(first, after)).await;
         let Ok(Some((upstream_response, in_flight))) = resumed else {
             return false;
         };
--- a/tests/process/gateway.rs
+++ b/tests/process/gateway.rs
@@ -296,6 +296,51 @@
     );
 }
 
+/// Guards against ending a stream whose upstream is only silent, because the others are full.
+#[test]
+fn stream_goes_on_after_a_silence_though_other_upstreams_refuse_it() {
+    const EVENTS: u64 = 20;
+    const SILENT_FROM: u64 = 8;
+    let silent = Upstream::start(|seen, out| {
+        let after: u64 = seen
+            .header("last-event-id")
+            .map_or(0, |id| id.parse().unwrap());
+        write(out, &stream_response_head(seen));
+        for id in after + 1..=EVENTS {
+            // Twice the longest gap of the route, in the first run only.
+            let gap = if id == SILENT_FROM && after == 0 {
+                800
+            } else {
+                50
+            };
+            thread::sleep(Duration::from_millis(gap));
+            if !write(out, &chunk(&sse_event(id))) {
+                return false;
+            }
+        }
+        write(out, "0\r\n\r\n")
+    });
+    let full = Upstream::start(|seen, out| {
+        let response = format!(
+            "HTTP/1.1 503 Full\r\ndaisyquay-attempt: {}\r\ndaisyquay-not-run: 1\r\n\
+             content-length: 0\r\n\r\n",
+            seen.attempt_id()
+        );
+        write(out, &response)
+    });
+    let setup = Setup::new(&[&silent, &full]);
+    let expected: String = (1..=EVENTS).map(sse_event).collect();
+    let refusals = || full.received().len();
+    for i in 0..4 {
+        let reply = setup
+            .call("POST", "/notes/a", &format!("id-{i}"), "")
+            .unwrap();
+        assert!(!reply.is_truncated, "cut off after {:?}", reply.body);
+        assert_eq!(reply.body, expected);
+    }
+    assert!(refusals() > 0, "no upstream refused the stream");
+}
+
 #[test]
 fn leaves_response_incomplete_when_stream_cannot_resume() {
     let interrupted = Upstream::start(|seen, out| {
