--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -8,6 +8,7 @@
 mod handlers;
 mod ledger;
 mod link;
+mod open_requests;
 mod refusal;
 mod shared;
 mod stop;
@@ -30,6 +31,7 @@
 use tokio::sync::mpsc;
 
 pub(crate) use self::admission::Slot;
+pub(crate) use self::open_requests::Unwritten;
 pub(crate) use self::refusal::Ran;
 pub(crate) use self::refusal::Refusal;
 pub(crate) use self::shared::Shared;
@@ -37,6 +39,8 @@
 pub(crate) use self::upstreams::InFlight;
 pub(crate) use self::view::View;
 
+use self::open_requests::Tracking;
+
 use crate::clock::Clock;
 use crate::collections::HashMap;
 use crate::collections::Name;
@@ -54,12 +58,8 @@
 /// Longest wait for a complete request head.
 const HEAD_TIMEOUT: Seconds = Seconds(10);
 
-/// Longest time in which the rest of a response, a few kB, is written to a connection that is being
-/// closed.
-const CLOSE_TIMEOUT: Seconds = Seconds(30);
-
-/// Time for open requests to end once all cached address responses have expired.
-const SHUTDOWN_TIMEOUT: Seconds = Seconds(600);
+/// Longest time in which the rest of a response is written to a connection that is being closed.
+const CLOSE_TIMEOUT: Seconds = Seconds(60);
 
 /// Settings of an entry.
 #[derive(Clone, Debug)]
@@ -145,6 +145,7 @@
     let link = tokio::task::spawn_local(link::run(shared.clone(), link_rx, releasing.clone()));
     tokio::task::spawn_local(admission::run_expiry(shared.clone()));
     stop::drain(&shared).await;
+    stop::finish_requests(&shared).await;
     server.stop(true).await;
     stop::release(&shared, &releasing, link).await;
     admin.stop(true).await;
@@ -165,7 +166,7 @@
     http_client::configure_accepted_socket(&listener);
     let address = listener.local_addr()?;
     let server = HttpServer::new(async move || {
-        let engine = HttpEngine::new(shared.cfg.rater).await;
+        let engine = HttpEngine::new(shared.cfg.rater);
         let worker = Worker::new(shared.clone(), engine);
         let clock = shared.clone();
         tokio::task::spawn_local(listen::end_stalled(
@@ -174,7 +175,9 @@
             move || clock.now(),
             usize::MAX,
         ));
+        tokio::task::spawn_local(worker.unwritten.clone().watch());
         App::new()
+            .middleware(Tracking::new(worker.clone()))
             .state(worker)
             .route("/v1/chat/completions", web::post().to(handlers::chat))
             .route("/v1/models", web::get().to(handlers::models))
@@ -188,7 +191,6 @@
     })
     .workers(cfg.workers)
     .maxconn(cfg.connections)
-    .shutdown_timeout(SHUTDOWN_TIMEOUT)
     .disable_signals()
     .config(ntex::SharedCfg::new("entry").add(http).add(io))
     .listen(listener)?
--- a/src/gateway/exchange/mod.rs
+++ b/src/gateway/exchange/mod.rs
@@ -6,6 +6,7 @@
 mod models;
 mod placement_refusal;
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -34,6 +35,7 @@
 use crate::gateway::upstreams::InFlightRequest;
 use crate::http_client::ResponseHead;
 use crate::http_client::UpstreamResponse;
+use crate::listen;
 use crate::log::event;
 use crate::policy::escalation;
 use crate::recovery::Phase;
@@ -48,37 +50,51 @@
 /// Number of upstreams that may be unreachable for a request before the gateway gives up.
 const MAX_UNREACHABLE: u32 = 8;
 
+/// Delays between two rounds in which a stream is offered to all upstreams.
+const MIN_RESUME_DELAY: Duration = Duration::from_millis(200);
+const MAX_RESUME_DELAY: Duration = Duration::from_secs(1);
+
 /// Stands for an id or a route that is not known, in the log.
 const NOT_KNOWN: &str = "-";
 
 /// Handles one request and returns its final response.
 pub(super) async fn handle(gateway: Rc<Gateway>, mut req: Request) -> Response {
+    let names = &gateway.cfg.header_names;
+    let id: Name = header_text(&req, &names.attempt_id)
+        .unwrap_or(NOT_KNOWN)
+        .into();
+    let open = Rc::new(OpenRequest::new(&gateway, &id));
     gateway.wait_for_config().await;
     let call = match Call::read(&gateway, &req) {
         Ok(call) => call,
         Err(refusal) => {
-            let names = &gateway.cfg.header_names;
-            let id = header_text(&req, &names.attempt_id).unwrap_or(NOT_KNOWN);
-            return refuse(&gateway, id, NOT_KNOWN, &refusal);
+            listen::discard_body(req.take_payload()).await;
+            return refuse(&gateway, &id, NOT_KNOWN, &refusal);
         }
     };
+    open.set_route(&call.route.name);
     if gateway.refuses_new_requests(&call.route) {
-        let refusal = Refusal::unavailable(
-            "stopping",
-            "this gateway is shutting down; retry at another gateway",
-        )
-        .with_retry_after(Duration::ZERO);
-        return refuse(&gateway, &call.id, &call.route.name, &refusal);
+        listen::discard_body(req.take_payload()).await;
+        return refuse(&gateway, &id, &call.route.name, &Refusal::stopping());
     }
-    let body = match read_body(&gateway, &mut req).await {
+    let body = tokio::select! {
+        biased;
+        body = read_body(&gateway, &mut req) => body,
+        () = gateway.wait_for_final_answers() => Err(Refusal::stopping()),
+    };
+    let body = match body {
         Ok(body) => body,
-        Err(refusal) => return refuse(&gateway, &call.id, &call.route.name, &refusal),
+        Err(refusal) => return refuse(&gateway, &id, &call.route.name, &refusal),
     };
     let call = Rc::new(call.with_body(body));
-    let mut exchange = Exchange::new(&gateway, &call);
+    let mut exchange = Exchange::new(&gateway, &call, open);
     let limit = call.time_left(gateway.now());
-    let outcome = tokio::time::timeout(limit, exchange.run()).await;
-    let outcome = outcome.unwrap_or_else(|_| Err(exchange.deadline_refusal()));
+    let outcome = tokio::select! {
+        biased;
+        outcome = tokio::time::timeout(limit, exchange.run()) => outcome.ok(),
+        () = gateway.wait_for_final_answers() => None,
+    };
+    let outcome = outcome.unwrap_or_else(|| Err(exchange.interrupted_refusal()));
     let time_to_head = limit.saturating_sub(call.time_left(gateway.now()));
     gateway.meter(&call, &outcome, time_to_head);
     if outcome.is_ok() {
@@ -150,6 +166,8 @@
     model: Option<usize>,
     /// Ids of the upstreams that got the request, for the current model.
     tried: Vec<Name>,
+    /// Addresses of the upstreams that may have received the request, for any model.
+    sent_to: Vec<SocketAddr>,
     /// Attempts in which the request may have run.
     runs: u32,
     /// Attempts in which an upstream received the request and did not run it.
@@ -166,12 +184,13 @@
 }
 
 impl Exchange {
-    fn new(gateway: &Rc<Gateway>, call: &Rc<Call>) -> Self {
+    fn new(gateway: &Rc<Gateway>, call: &Rc<Call>, open: Rc<OpenRequest>) -> Self {
+        open.set_stage(Stage::Queued, None);
         let draw = gateway.rng.borrow_mut().f64();
         let ladder = call.route.ladder.len();
         Self {
             gateway: gateway.clone(),
-            open: Rc::new(OpenRequest::new(gateway, &call.id, &call.route.name)),
+            open,
             call: call.clone(),
             service: call.route.pick_service(draw).cloned(),
             model: if call.gateway_chooses_model {
@@ -180,6 +199,7 @@
                 None
             },
             tried: Vec::new(),
+            sent_to: Vec::new(),
             runs: 0,
             refusals: 0,
             unreachable: 0,
@@ -189,15 +209,19 @@
         }
     }
 
-    /// Returns the refusal for a request whose deadline has passed.
-    fn deadline_refusal(&self) -> Refusal {
-        if self.runs > 0 {
-            return Refusal::gateway_timeout();
+    /// Returns the refusal for a request that was interrupted by its deadline or by the end of this
+    /// process.
+    fn interrupted_refusal(&self) -> Refusal {
+        let is_late = self.call.time_left(self.gateway.now()).is_zero();
+        match (self.runs > 0, is_late) {
+            (true, true) => Refusal::gateway_timeout(),
+            (true, false) => Refusal::bad_gateway("stopped"),
+            (false, true) => Refusal::unavailable(
+                "no_time",
+                "no upstream accepted the request before the deadline; retry later",
+            ),
+            (false, false) => Refusal::stopping(),
         }
-        Refusal::unavailable(
-            "no_time",
-            "no upstream accepted the request before the deadline; retry later",
-        )
     }
 
     /// Makes one attempt and counts it. It counts as a run until the outcome says otherwise, so
@@ -211,7 +235,9 @@
             model: self.model_name(self.model),
             last_event_id,
             is_first: self.is_first_attempt(),
+            is_repeated: self.sent_to.contains(&upstream.address()),
         };
+        self.sent_to.push(upstream.address());
         self.runs += 1;
         self.open.set_stage(Stage::Sent, Some(upstream.id()));
         let service = self.service.as_ref();
@@ -318,6 +344,7 @@
             service: self.service.clone(),
             model: self.model,
             tried: self.tried.clone(),
+            sent_to: self.sent_to.clone(),
             runs: self.runs,
             refusals: self.refusals,
             unreachable: self.unreachable,
@@ -330,6 +357,10 @@
     /// Returns the model to escalate to, if the response is not kept; the escalation has then been
     /// charged to the retry budget.
     fn try_escalate(&mut self, headers: &http::HeaderMap) -> Option<usize> {
+        if self.gateway.is_draining() {
+            // Another run might not end before the process does.
+            return None;
+        }
         let service = self.service.as_ref()?;
         if self.gateway.manages_load(service) {
             return self.escalate_by_value(headers);
@@ -395,6 +426,7 @@
         self.runs < self.call.route.attempts
             && self.refusals < MAX_REFUSALS
             && self.unreachable < MAX_UNREACHABLE
+            && !self.gateway.gives_final_answers.get()
             && (self.is_first_attempt() || self.call.time_left(self.gateway.now()) >= MIN_TIME_LEFT)
     }
 
@@ -511,14 +543,25 @@
         }
     }
 
-    /// Resumes an interrupted stream after the event with id `after`, first at `upstream`, then at
-    /// others.
+    /// Resumes an interrupted stream after the event with id `after`, first at `first`, then at
+    /// others. Upstreams that are full or unreachable now are tried again until the deadline.
     pub(super) async fn resume(
         &mut self,
-        mut upstream: Upstream,
+        first: Option<Upstream>,
         after: Option<u64>,
     ) -> Option<(UpstreamResponse, InFlightRequest)> {
+        let mut next = first;
+        let mut retry_delay = MIN_RESUME_DELAY;
         loop {
+            let Some(upstream) = next.take().or_else(|| self.next_upstream()) else {
+                if !self.can_resume() || self.is_barred() {
+                    return None;
+                }
+                tokio::time::sleep(retry_delay).await;
+                retry_delay = (2 * retry_delay).min(MAX_RESUME_DELAY);
+                self.forget_refusals();
+                continue;
+            };
             match self.run_attempt(&upstream, after).await {
                 AttemptOutcome::NotSent(_)
                 | AttemptOutcome::NotRun(_)
@@ -537,7 +580,23 @@
                 }
                 AttemptOutcome::Complete(..) | AttemptOutcome::Stream(..) => return None,
             }
-            upstream = self.next_upstream()?;
         }
     }
+
+    /// Returns whether the request or its prompt must not be sent again, as it may crash upstreams.
+    fn is_barred(&self) -> bool {
+        let gateway = &self.gateway;
+        self.service.as_ref().is_none_or(|service| {
+            gateway.quarantined_for(service, &self.call).is_some()
+                || !gateway.quarantine_allows_retry(service, &self.call)
+                || self.must_spare_last_upstream(service).is_some()
+        })
+    }
+
+    /// Makes all upstreams eligible again.
+    fn forget_refusals(&mut self) {
+        self.tried.clear();
+        self.refusals = 0;
+        self.unreachable = 0;
+    }
 }
