Count the connections that end because their callers take nothing

daisyquay_stalled_callers, of gateways and entries. The test of callers that read nothing compares it with the caller_stalled lines of the gateway's log; it passes.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -168,6 +168,7 @@
     let server = HttpServer::new(async move || {
         let engine = HttpEngine::new(shared.cfg.rater);
         let worker = Worker::new(shared.clone(), engine);
+        worker.callers.set_metrics(shared.metrics.clone());
         let clock = shared.clone();
         tokio::task::spawn_local(listen::end_stalled(
             worker.callers.clone(),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -289,6 +289,7 @@
     let connections = listen::serve(address, listen::MAX_CONNECTIONS, handler)
         .await
         .context(ListenSnafu { address })?;
+    connections.set_metrics(gateway.metrics.clone());
     let _ = gateway.callers.set(connections);
     if let Some(address) = gateway.cfg.admin_listen {
         let shared = gateway.clone();
--- a/src/listen/connections.rs
+++ b/src/listen/connections.rs
@@ -1,6 +1,7 @@
 //! The open connections of a listener, and what has not been written to them.
 
 use std::cell::Cell;
+use std::cell::OnceCell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -12,6 +13,7 @@
 use crate::collections::HashMap;
 use crate::collections::HashSet;
 use crate::log::event;
+use crate::metrics::Metrics;
 use crate::policy::stalled_callers;
 use crate::policy::stalled_callers::Progress;
 use crate::policy::stalled_callers::Unwritten;
@@ -31,6 +33,7 @@
     rows: RefCell<HashMap<u64, Row>>,
     /// Connections that were registered by one of their requests.
     tracked: RefCell<HashSet<Id>>,
+    metrics: OnceCell<Metrics>,
 }
 
 struct Row {
@@ -66,6 +69,11 @@
         }
     }
 
+    /// Counts ended connections in `metrics`.
+    pub(crate) fn set_metrics(&self, metrics: Metrics) {
+        let _ = self.shared.metrics.set(metrics);
+    }
+
     /// Counts the connection of a request as open until it ends.
     pub(crate) fn track(&self, io: &IoRef, now: Duration) {
         let id = io.id();
@@ -130,6 +138,9 @@
                 unwritten = connection.bytes,
                 stalled_ms = connection.stalled_for.as_millis()
             );
+            if let Some(metrics) = self.shared.metrics.get() {
+                metrics.add_to_counter("daisyquay_stalled_callers", 1, &[]);
+            }
             io.terminate();
         }
     }
--- a/tests/process/slow_peers.rs
+++ b/tests/process/slow_peers.rs
@@ -25,6 +25,7 @@
 use crate::support::chat_body;
 use crate::support::chunk;
 use crate::support::eventually;
+use crate::support::free_address;
 use crate::support::get;
 use crate::support::ok_response;
 use crate::support::stream_response_head;
@@ -223,6 +224,7 @@
     cluster: Cluster,
     gateway: Program,
     address: SocketAddr,
+    admin: SocketAddr,
 }
 
 impl Setup {
@@ -230,7 +232,8 @@
         let cluster = Cluster::start(1, 1);
         cluster.apply(&format!("{INVENTORY}{ROUTES}"), &["--change-id", "first"]);
         announce(&cluster, "u0", upstream);
-        let (gateway, address) = cluster.start_gateway();
+        let (address, admin) = (free_address(), free_address());
+        let gateway = cluster.start_gateway_with(address, &["--admin-listen", &admin.to_string()]);
         eventually("the gateway has its routes", || {
             let reply = get(address, "/nowhere/", &[])?;
             (reply.status == 404).then_some(())
@@ -239,6 +242,7 @@
             cluster,
             gateway,
             address,
+            admin,
         }
     }
 }
@@ -313,7 +317,14 @@
     let port = setup.address.port();
     let log = setup.cluster.folder.join(format!("gateway-{port}.log"));
     let log = std::fs::read_to_string(log).unwrap();
-    assert!(log.contains("event=caller_stalled"), "{log}");
+    let ended = log.matches("event=caller_stalled").count();
+    let metrics = get(setup.admin, "/metrics", &[]).unwrap().body;
+    let counter = metrics
+        .lines()
+        .find(|line| line.starts_with("daisyquay_stalled_callers"));
+    let counted = counter.and_then(|line| line.rsplit(' ').next());
+    assert!(ended > 0, "{log}");
+    assert_eq!(counted, Some(&*ended.to_string()));
     drop(callers);
 }
 
