Refuse requests at a stopping gateway without a configuration, and log more

What callers saw: a request to a stopping gateway that had no configuration ended with a closed connection (6.8 s after SIGTERM, 1.2 s after it was sent).

Cause: it waited for the first configuration, and the exit came meanwhile.

--- a/src/gateway/exchange/mod.rs
+++ b/src/gateway/exchange/mod.rs
@@ -64,7 +64,12 @@
         .unwrap_or(NOT_KNOWN)
         .into();
     let open = Rc::new(OpenRequest::new(&gateway, &id));
-    gateway.wait_for_config().await;
+    tokio::select! {
+        biased;
+        () = gateway.wait_for_config() => {}
+        // Another gateway serves it sooner.
+        () = gateway.wait_for_drain() => {}
+    }
     let call = match Call::read(&gateway, &req) {
         Ok(call) => call,
         Err(refusal) => {
@@ -327,6 +332,7 @@
                         self.tried.clear();
                         continue;
                     }
+                    self.open.set_stage(Stage::Streaming, Some(upstream.id()));
                     let exchange = self.detach();
                     let relay = stream::Relay::new(exchange, *response, in_flight);
                     return Ok(FinalResponse::Stream(Box::new(relay)));
@@ -576,6 +582,7 @@
                         upstream = upstream.id(),
                         after = after.map_or(-1, |after| i64::try_from(after).unwrap_or(-1))
                     );
+                    self.open.set_stage(Stage::Streaming, Some(upstream.id()));
                     return Some((*response, in_flight));
                 }
                 AttemptOutcome::Complete(..) | AttemptOutcome::Stream(..) => return None,
--- a/src/gateway/open_requests.rs
+++ b/src/gateway/open_requests.rs
@@ -42,6 +42,8 @@
     pub(super) stage: Stage,
     /// Upstream that has the request; `None` while it is queued.
     pub(super) upstream: Option<Name>,
+    /// Whether the caller has the head of the response.
+    pub(super) has_head: bool,
     pub(super) opened_at: Duration,
     pub(super) stage_since: Duration,
 }
@@ -79,6 +81,7 @@
             route: None,
             stage: Stage::Receiving,
             upstream: None,
+            has_head: false,
             opened_at: now,
             stage_since: now,
         };
@@ -105,6 +108,7 @@
         let now = self.gateway.now();
         self.update(|row| {
             row.stage = stage;
+            row.has_head |= stage == Stage::Streaming;
             row.upstream = upstream.cloned();
             row.stage_since = now;
         });
--- a/src/listen/connections.rs
+++ b/src/listen/connections.rs
@@ -40,6 +40,8 @@
     pub(crate) unwritten_connections: usize,
     /// Those bytes.
     pub(crate) unwritten_bytes: usize,
+    /// Bytes of requests that have been received and not parsed.
+    pub(crate) unread_bytes: usize,
 }
 
 impl Connections {
@@ -63,20 +65,18 @@
         self.shared.rows.borrow().len()
     }
 
-    /// Returns what has not been written yet.
+    /// Returns what has not been parsed and what has not been written yet.
     pub(crate) fn backlog(&self) -> Backlog {
         let rows = self.shared.rows.borrow();
         let mut backlog = Backlog {
             connections: rows.len(),
             ..Backlog::default()
         };
-        for bytes in rows
-            .values()
-            .map(|row| unwritten_bytes(&row.io))
-            .filter(|&bytes| bytes > 0)
-        {
-            backlog.unwritten_connections += 1;
-            backlog.unwritten_bytes += bytes;
+        for row in rows.values() {
+            let unwritten = unwritten_bytes(&row.io);
+            backlog.unwritten_connections += usize::from(unwritten > 0);
+            backlog.unwritten_bytes += unwritten;
+            backlog.unread_bytes += row.io.with_read_src_buf(|buf| buf.len());
         }
         backlog
     }
--- a/tests/process/gateway_stops.rs
+++ b/tests/process/gateway_stops.rs
@@ -1,5 +1,6 @@
 //! Planned stops of a gateway: what its callers get between SIGTERM and the exit.
 
+use std::io::Read;
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::sync::Arc;
@@ -86,15 +87,17 @@
     upstream: Upstream,
     /// The upstream with a single slot.
     archive: Upstream,
-    /// When each request arrived at the upstream, by its id.
-    arrivals: Arc<Mutex<Vec<(String, Instant)>>>,
+    /// Ids of the requests that have ended at the upstream.
+    ended: Arc<Mutex<Vec<String>>>,
 }
 
 /// Serves a request as its path says.
 fn serve(seen: &ReceivedRequest, out: &mut TcpStream) -> bool {
     let path = seen.request_line.split(' ').nth(1).unwrap_or_default();
     if path.ends_with("/hang") {
-        thread::sleep(Duration::from_secs(20));
+        // Until the gateway closes the connection.
+        out.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+        let _ = out.read(&mut [0]);
         return false;
     }
     if path.ends_with("/endless") {
@@ -116,12 +119,12 @@
         cluster.gateway_flags = vec!["--admission".to_owned(), "on".to_owned()];
         let inventory = format!("{INVENTORY}{ROUTES}");
         cluster.apply(&inventory, &["--change-id", "first"]);
-        let arrivals: Arc<Mutex<Vec<(String, Instant)>>> = Arc::default();
-        let log = arrivals.clone();
+        let ended: Arc<Mutex<Vec<String>>> = Arc::default();
+        let log = ended.clone();
         let upstream = Upstream::start(move |seen, out| {
-            let arrival = (seen.attempt_id().to_owned(), Instant::now());
-            log.lock().unwrap().push(arrival);
-            serve(seen, out)
+            let keeps_connection = serve(seen, out);
+            log.lock().unwrap().push(seen.attempt_id().to_owned());
+            keeps_connection
         });
         let archive = Upstream::start(serve);
         announce(&cluster, "u0", "previews", 64, upstream.address);
@@ -137,7 +140,7 @@
             address,
             upstream,
             archive,
-            arrivals,
+            ended,
         }
     }
 
@@ -224,6 +227,14 @@
     assert_eq!(whole_status(stream.receive()), Some(502), "stream");
     assert_eq!(whole_status(hold.receive()), Some(502), "hold");
     assert_eq!(whole_status(tile.receive()), Some(502), "tile");
+    eventually("the upstream has stopped the work", || {
+        let ended = setup.ended.lock().unwrap();
+        let has_ended = |id: &&str| ended.iter().any(|known| known == id);
+        ["stream", "hold", "tile"]
+            .iter()
+            .all(has_ended)
+            .then_some(())
+    });
     // These have not run.
     let refusal = queued.receive();
     assert_eq!(
@@ -266,6 +277,72 @@
     assert!(stopping_since.elapsed() < STOP_LIMIT + Duration::from_secs(1));
 }
 
+/// Guards against losing what an even reader has not taken at the exit, but the system would deliver.
+#[test]
+fn even_readers_get_whole_responses_that_take_longer_than_the_stop() {
+    let mut setup = Setup::new();
+    let started_at = Instant::now();
+    let readers: Vec<_> = [7.5, 9.0, 10.5]
+        .into_iter()
+        .map(|seconds| {
+            let mut caller = setup.start("GET", "/tile/large", &format!("even-{seconds}"));
+            thread::spawn(move || {
+                let per_byte = Duration::from_secs_f64(seconds) / LARGE_BODY_BYTES as u32;
+                let reply = caller.receive_at(|received| {
+                    let due = per_byte * received as u32;
+                    thread::sleep(due.saturating_sub(started_at.elapsed()));
+                });
+                let reply = reply.unwrap();
+                (seconds, reply.is_truncated, reply.body.len())
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(500));
+    setup.gateway.terminate();
+    for reader in readers {
+        let (seconds, is_truncated, length) = reader.join().unwrap();
+        assert!(!is_truncated, "{seconds} s: cut off after {length} bytes");
+    }
+    eventually("the gateway exits", || setup.gateway.try_exit_code());
+}
+
+/// Guards against closed connections in place of a refusal at a stopping gateway that has no routes.
+#[test]
+fn stopping_gateway_without_a_configuration_refuses_requests() {
+    let cluster = Cluster::start(1, 1);
+    let (mut gateway, address) = cluster.start_gateway();
+    eventually("the gateway listens", || Caller::connect(address));
+    thread::sleep(Duration::from_millis(300));
+    gateway.terminate();
+    let stopping_since = Instant::now();
+    // Two requests at a time, about a second before the exit and until it.
+    let callers: Vec<_> = (0..18)
+        .map(|i: u64| {
+            thread::spawn(move || {
+                let at = Duration::from_millis(5_000 + 150 * i);
+                thread::sleep(at.saturating_sub(stopping_since.elapsed()));
+                let mut caller = Caller::connect(address)?;
+                let sent_at = Instant::now();
+                caller.send("POST", "/tile/a", &headers("early"), "");
+                let status = whole_status(caller.receive());
+                Some((at, status, sent_at.elapsed()))
+            })
+        })
+        .collect();
+    for caller in callers {
+        let Some((at, status, waited)) = caller.join().unwrap() else {
+            continue;
+        };
+        // One that crosses the close is not read.
+        let has_crossed = status.is_none() && waited < Duration::from_millis(200);
+        assert!(
+            has_crossed || status == Some(503),
+            "{at:?}: {status:?} after {waited:?}"
+        );
+    }
+    eventually("the gateway exits", || gateway.try_exit_code());
+}
+
 /// Guards against requests on kept connections that are read and end without an answer.
 #[test]
 fn kept_connections_get_whole_responses_until_the_process_is_gone() {
@@ -313,10 +390,10 @@
         eventually("the gateway exits", || setup.gateway.try_exit_code());
     });
     let mut violations = violations.into_inner().unwrap();
-    let arrivals = setup.arrivals.lock().unwrap();
+    let arrivals = setup.upstream.received();
     // A request that crosses the close may have no response, but then it has not run.
     for (id, _) in unanswered.into_inner().unwrap() {
-        if arrivals.iter().any(|(arrived, _)| *arrived == id) {
+        if arrivals.iter().any(|seen| seen.attempt_id() == id) {
             violations.push(format!("{id}: reached the upstream and has no response"));
         }
     }
