--- a/src/entry/open_requests.rs
+++ b/src/entry/open_requests.rs
@@ -123,6 +123,9 @@
             return Ok(close_after(req.into_response(refusal)));
         }
         let io = req.io().cloned();
+        if let Some(io) = &io {
+            self.worker.callers.track(io, shared.now());
+        }
         let mut response = cx.call(&self.service, req).await?;
         if shared.is_leaving() {
             response = close_after(response);
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -31,6 +31,7 @@
 use crate::engine::HttpEngine;
 use crate::engine::Rater;
 use crate::lease::Holder;
+use crate::listen::Connections;
 use crate::lock_rank::RankedMutex;
 use crate::metrics::Metrics;
 use crate::peer::EntryInfo;
@@ -244,6 +245,8 @@
     pub(crate) rater: Rc<dyn Rater>,
     pub(crate) rng: Rc<RefCell<fastrand::Rng>>,
     pub(super) unwritten: Unwritten,
+    /// Connections of the worker's callers.
+    pub(super) callers: Connections,
 }
 
 impl Worker {
@@ -255,6 +258,7 @@
             engine,
             rng: Rc::new(RefCell::new(fastrand::Rng::new())),
             unwritten: Unwritten::default(),
+            callers: Connections::default(),
         }
     }
 
