Test bytes that follow a response on a kept connection

Guards what both request paths rely on: bytes or a further response after a complete one, in the same segment or 50 ms later, close the connection, and the next request goes over another; without such bytes connections are kept.

--- a/tests/process/response_identity.rs
+++ b/tests/process/response_identity.rs
@@ -224,6 +224,72 @@
     assert!(faults.is_empty(), "{}", faults.join("\n"));
 }
 
+/// Guards against bytes that follow a response as part of the response to the next request.
+#[test]
+fn bytes_after_a_response_close_its_connection() {
+    const REQUESTS: u32 = 5;
+    let kept_count: Arc<AtomicU32> = Arc::default();
+    let (kept, count) = (Connections::default(), kept_count.clone());
+    let upstream = Upstream::start(move |seen, out| {
+        if kept.is_kept(out) {
+            count.fetch_add(1, Ordering::SeqCst);
+        }
+        let own = ok_response(seen, "own");
+        let more = match &*variant(seen) {
+            "none" => "",
+            "same-segment-bytes" | "later-bytes" => "\0\0\0",
+            "same-segment-response" | "later-response" => {
+                "HTTP/1.1 503 Full\r\ndaisyquay-not-run: 1\r\ncontent-length: 0\r\n\r\n"
+            }
+            variant => panic!("unknown variant {variant}"),
+        };
+        if variant(seen).starts_with("later") {
+            write(out, &own);
+            thread::sleep(Duration::from_millis(50));
+            return write(out, more);
+        }
+        write(out, &format!("{own}{more}"))
+    });
+    let inventory = format!("{INVENTORY}{ROUTES}");
+    let setup = Setup::new(&inventory, &[(&upstream, previews())]);
+    for case in [
+        "none",
+        "same-segment-bytes",
+        "later-bytes",
+        "same-segment-response",
+        "later-response",
+    ] {
+        for is_gateway in [true, false] {
+            let before = kept_count.load(Ordering::SeqCst);
+            for i in 0..REQUESTS {
+                let reply = if is_gateway {
+                    let id = format!("{case}-{i}");
+                    setup.call(&format!("/hold/{case}"), &id).unwrap()
+                } else {
+                    setup.call_service("POST", &format!("/holds/{case}"))
+                };
+                assert_eq!((reply.status, &*reply.body), (200, "own"), "{case}");
+                if case.starts_with("later") {
+                    thread::sleep(Duration::from_millis(200));
+                }
+            }
+            let kept = kept_count.load(Ordering::SeqCst) - before;
+            // Each worker of the entry has connections of its own, and its first request may come on
+            // one of the case before.
+            let workers = if is_gateway { 1 } else { 2 };
+            let expected = if case == "none" {
+                REQUESTS - workers..=REQUESTS
+            } else {
+                0..=workers
+            };
+            assert!(
+                expected.contains(&kept),
+                "{case}: {kept} reused connections"
+            );
+        }
+    }
+}
+
 /// Guards against a request that is reported as not run, or is run twice, after its upstream closed
 /// the connection before the end of the response's head, and against a 2xx of part of a head.
 #[test]
