Check that a resumed stream goes on after the last event

Cause: the gateway passed on whatever events an upstream sent with status 200 where it was to resume a stream. An error as an event without an id, or with the id of an earlier event, reached the middle of the caller's stream, which then ended as if it were complete.

Change: the first event of an upstream that resumes a stream must have an id above the last one's; otherwise the stream counts as broken once more and is resumed elsewhere or left unfinished.

Result, on the code without the change: after `id: 1` the caller read "data: no tokens left" or "id: 1 / data: no tokens left" and the last chunk. With the change: one event and no end. The process tests of resumed streams of the modules gateway, framing, streams and response_identity passed.

--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -12,6 +12,8 @@
     buf: Vec<u8>,
     last_id: Option<u64>,
     sent: u64,
+    /// Whether the next event is the first one of an upstream that resumes the stream.
+    is_resuming: bool,
 }
 
 impl Events {
@@ -23,15 +25,35 @@
         }
     }
 
-    /// Appends a chunk of the stream; returns the reason if the buffer would exceed its limit.
+    /// Appends a chunk of the stream; returns the reason if the buffer would exceed its limit or the
+    /// stream does not go on after the last event.
     pub(super) fn push(&mut self, chunk: &[u8]) -> Result<(), &'static str> {
         if self.buf.len() + chunk.len() > EVENT_LIMIT_BYTES {
             return Err("event exceeds the size limit");
         }
         self.buf.extend_from_slice(chunk);
+        if self.is_resuming
+            && let Some(end) = memmem::find(&self.buf, b"\n\n")
+        {
+            if !self.goes_on_with(&self.buf[..end]) {
+                return Err("resumed stream does not go on after the last event");
+            }
+            self.is_resuming = false;
+        }
         Ok(())
     }
 
+    /// Returns whether `event` may be the next one: it has an id, which is above the last one's.
+    fn goes_on_with(&self, event: &[u8]) -> bool {
+        let Some(id) = event.split(|&b| b == b'\n').find_map(id_field) else {
+            return false;
+        };
+        match (parse_id(id), self.last_id) {
+            (Some(id), Some(last_id)) => id > last_id,
+            _ => true,
+        }
+    }
+
     /// Removes and returns all complete events, with the blank lines after them; `None` if there
     /// are none.
     pub(super) fn take_complete(&mut self) -> Option<Bytes> {
@@ -39,9 +61,8 @@
         let complete = Bytes::copy_from_slice(&self.buf[..end]);
         self.buf.drain(..end);
         for line in complete.split(|&b| b == b'\n') {
-            if let Some(id) = line.strip_prefix(b"id:") {
-                let text = std::str::from_utf8(id).unwrap_or_default();
-                self.last_id = text.trim().parse().ok().or(self.last_id);
+            if let Some(id) = id_field(line) {
+                self.last_id = parse_id(id).or(self.last_id);
                 self.sent += 1;
             }
         }
@@ -54,8 +75,9 @@
     }
 
     /// Discards an incomplete event; the next upstream sends it again from its start.
-    pub(super) fn discard_partial(&mut self) {
+    pub(super) fn resume(&mut self) {
         self.buf.clear();
+        self.is_resuming = true;
     }
 
     /// Returns the id of the last complete event.
@@ -68,3 +90,11 @@
         self.sent
     }
 }
+
+fn id_field(line: &[u8]) -> Option<&[u8]> {
+    line.strip_prefix(b"id:")
+}
+
+fn parse_id(id: &[u8]) -> Option<u64> {
+    std::str::from_utf8(id).ok()?.trim().parse().ok()
+}
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -237,7 +237,7 @@
             events_before: self.events.sent(),
             is_recorded: false,
         };
-        self.events.discard_partial();
+        self.events.resume();
         true
     }
 }
--- a/tests/process/response_identity.rs
+++ b/tests/process/response_identity.rs
@@ -391,6 +391,16 @@
             "text/event-stream",
             format!("data: {{\"id\":\"{id}\",\"error\":\"{ERROR_TEXT}\"}}\n\ndata: [DONE]\n\n"),
         ),
+        "event-without-id" => (
+            "200 OK",
+            "text/event-stream",
+            format!("data: {ERROR_TEXT}\n\n"),
+        ),
+        "earlier-event" => (
+            "200 OK",
+            "text/event-stream",
+            format!("id: 1\ndata: {ERROR_TEXT}\n\n"),
+        ),
         "refused" => (
             "503 Full\r\ndaisyquay-not-run: 1",
             "text/event-stream",
@@ -446,12 +456,12 @@
         resumed.count()
     };
     // Requests that succeed earn the budget of the retries.
-    for i in 0..20 {
+    for i in 0..40 {
         setup.call("/lookup/a", &format!("lookup-{i}"));
     }
     let cases = ["500", "200-text", "200-json", "206", "refused"];
     let mut faults = Vec::new();
-    for case in cases {
+    for case in cases.iter().chain(&["event-without-id", "earlier-event"]) {
         let head = format!(
             "/notes/{case} HTTP/1.1\r\nhost: previews.example\r\ndaisyquay-attempt: {case}"
         );
