--- a/src/http_client/socket.rs
+++ b/src/http_client/socket.rs
@@ -30,10 +30,6 @@
 /// Bytes of a request that the receive buffer of an upstream takes even if it reads none of them.
 const RECEIVE_WINDOW: usize = 48 * 1024;
 
-/// Most bytes that the operating system takes from this process before it can send them. The rest
-/// stays where it is counted, and the progress of a slow caller is seen in steps of half of this.
-const UNSENT_LIMIT: u32 = 128 * 1024;
-
 /// Sets the options of a connection accepted from a caller, or of a listener, whose connections
 /// inherit them.
 ///
@@ -42,7 +38,6 @@
 /// for too long.
 pub(crate) fn configure_accepted_socket(socket: &impl AsFd) {
     set_common_options(socket);
-    let _ = SockRef::from(socket).set_tcp_notsent_lowat(UNSENT_LIMIT);
 }
 
 /// Sets the options, ignoring errors: a connection without them works, but detects a dead peer
--- a/src/policy/stalled_callers.rs
+++ b/src/policy/stalled_callers.rs
@@ -5,8 +5,9 @@
 
 use std::time::Duration;
 
-/// Longest time for which a caller may take nothing.
-pub const STALL_LIMIT: Duration = Duration::from_secs(30);
+/// Longest time for which a caller may take nothing. The operating system buffers some MB, and takes
+/// more from this process only when a good part of them has been sent.
+pub const STALL_LIMIT: Duration = Duration::from_secs(60);
 
 /// Most unwritten bytes of all connections of a process on a small VM. Above it, the connections that
 /// have stalled for the longest time end before the limit.
