Let a stopping leader exit without waiting for its admin listener

Cause: after its drain, a replica waited for the graceful stop of its admin server, up to 30 s, and sometimes all of them although no connection was open. Until its exit a leader refuses all commands, and no other replica takes over.

Change: replicas and entries no longer stop the admin listener; the exit ends it. The entry ends its main server at once as well, because nothing is open then.

Result: the guard is stops::breaks_no_stream_while_two_entries_and_the_leader_stop.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -124,7 +124,7 @@
         metrics: shared.metrics.clone(),
         ready: shared.ready.clone(),
     };
-    let admin = crate::admin::serve(cfg.admin_listen, status).context(ListenSnafu {
+    let _admin = crate::admin::serve(cfg.admin_listen, status).context(ListenSnafu {
         address: cfg.admin_listen,
         flag: "--admin-listen",
     })?;
@@ -144,9 +144,9 @@
     tokio::task::spawn_local(admission::run_expiry(shared.clone()));
     stop::drain(&shared).await;
     stop::finish_requests(&shared).await;
-    server.stop(true).await;
+    // Nothing is open, and a graceful stop may wait for a worker that has nothing to do.
+    server.stop(false).await;
     stop::release(&shared, &releasing, link).await;
-    admin.stop(true).await;
     event!(Info, "entry_stop", vm = cfg.vm);
     Ok(())
 }
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -97,7 +97,9 @@
 /// A replica running on the current thread.
 pub struct Server {
     core: Rc<RefCell<Core>>,
-    admin: ntex::server::Server,
+    /// Runs until the process ends: a leader must not wait for it, because it accepts no commands
+    /// while it stops, and no other replica takes over.
+    _admin: ntex::server::Server,
     handle: Handle,
 }
 
@@ -112,7 +114,6 @@
         crate::signal::stop_requested().await;
         event!(Info, "replica_stop", id = self.core.borrow().node.id());
         housekeeping::drain(&self.core).await;
-        self.admin.stop(true).await;
     }
 }
 
@@ -178,7 +179,7 @@
     let handle = Handle::new(core.clone(), client);
     Ok(Server {
         core,
-        admin,
+        _admin: admin,
         handle,
     })
 }
