--- a/src/listen/connections.rs
+++ b/src/listen/connections.rs
@@ -9,23 +9,18 @@
 
 use ntex::io::Id;
 use ntex::io::IoRef;
-use ntex::util::Bytes;
 
 use crate::collections::HashMap;
 use crate::collections::HashSet;
 use crate::log::event;
 use crate::metrics::Metrics;
 use crate::policy::stalled_callers;
-use crate::policy::stalled_callers::MIN_STALL;
 use crate::policy::stalled_callers::Progress;
 use crate::policy::stalled_callers::Unwritten;
 
 /// Interval between checks for callers that take nothing.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Largest page of unwritten bytes of a caller that takes nothing.
-const PAGE_BYTES: usize = 64 * 1024;
-
 /// The open connections of a listener; clones share them.
 #[derive(Clone, Default)]
 pub struct Connections {
@@ -121,9 +116,6 @@
         for (&key, row) in self.shared.rows.borrow_mut().iter_mut() {
             let left = left_to_write(&row.io);
             let stalled_for = row.progress.observe(left, now);
-            if stalled_for >= MIN_STALL && split_large_pages(&row.io) {
-                row.progress.record_move(left_to_write(&row.io));
-            }
             if left.bytes > 0 {
                 unwritten.push(stalled_callers::Connection {
                     key,
@@ -202,23 +194,6 @@
     }
 }
 
-/// Copies what is left of large pages into small ones, so that what is written is freed: a page is
-/// freed as a whole, and a large response is one page. Returns whether there was a large page.
-fn split_large_pages(io: &IoRef) -> bool {
-    io.with_write_dst_buf(|buf| {
-        if buf.iter().all(|page| page.len() <= PAGE_BYTES) {
-            return false;
-        }
-        let pages: Vec<_> = std::iter::from_fn(|| buf.take()).collect();
-        for page in pages {
-            for piece in page.as_ref().chunks(PAGE_BYTES) {
-                buf.append(Bytes::copy_from_slice(piece));
-            }
-        }
-        true
-    })
-}
-
 fn left_to_write(io: &IoRef) -> Unwritten {
     io.with_write_dst_buf(|buf| Unwritten {
         bytes: buf.len(),
