Account for the whole memory of a response that is being written

Cause: to see the progress of slow callers, accepted sockets took at most 128 kB unsent, so what the system would have delivered after the exit stayed in the process. Without that, unwritten bytes say too little of the memory: a response is freed only when its last byte has been written.

--- a/src/gateway/exchange/mod.rs
+++ b/src/gateway/exchange/mod.rs
@@ -109,7 +109,12 @@
         exchange.log_late_response(time_to_head);
     }
     match outcome {
-        Ok(FinalResponse::Complete(head, body)) => response::complete(&gateway, &head, body),
+        Ok(FinalResponse::Complete(head, body)) => {
+            if let (Some(callers), Some(io)) = (gateway.callers.get(), req.io()) {
+                callers.record_response(io, body.len());
+            }
+            response::complete(&gateway, &head, body)
+        }
         Ok(FinalResponse::Stream(relay)) => stream::response(&gateway, *relay, &req),
         Err(refusal) => refuse(&gateway, &call.id, &call.route.name, &refusal),
     }
--- a/src/listen/connections.rs
+++ b/src/listen/connections.rs
@@ -19,6 +19,9 @@
 /// Interval between checks for callers that take nothing.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Size from which the memory of a response is accounted for as a whole.
+const LARGE_RESPONSE_BYTES: usize = 64 * 1024;
+
 /// The open connections of a listener; clones share them.
 #[derive(Clone, Default)]
 pub struct Connections {
@@ -31,6 +34,9 @@
     rows: RefCell<HashMap<u64, Row>>,
     /// Connections that were registered by one of their requests.
     tracked: RefCell<HashSet<Id>>,
+    /// Sizes of the large responses that are being written. A response keeps all its memory until
+    /// its last byte has been written.
+    responses: RefCell<HashMap<Id, usize>>,
 }
 
 struct Row {
@@ -82,6 +88,24 @@
         });
     }
 
+    /// Records the size of a response that is about to be written as a whole.
+    pub(crate) fn record_response(&self, io: &IoRef, bytes: usize) {
+        if bytes >= LARGE_RESPONSE_BYTES {
+            self.shared.responses.borrow_mut().insert(io.id(), bytes);
+        }
+    }
+
+    /// Returns the memory of what is left to write.
+    fn held_bytes(&self, io: &IoRef, unwritten: usize) -> usize {
+        let mut responses = self.shared.responses.borrow_mut();
+        if unwritten == 0 {
+            responses.remove(&io.id());
+            return 0;
+        }
+        let response = responses.get(&io.id()).copied().unwrap_or_default();
+        response.max(unwritten)
+    }
+
     pub(super) fn count(&self) -> usize {
         self.shared.rows.borrow().len()
     }
@@ -108,10 +132,11 @@
         for (&key, row) in self.shared.rows.borrow_mut().iter_mut() {
             let left = left_to_write(&row.io);
             let stalled_for = row.progress.observe(left, now);
-            if left.bytes > 0 {
+            let bytes = self.held_bytes(&row.io, left.bytes);
+            if bytes > 0 {
                 unwritten.push(stalled_callers::Connection {
                     key,
-                    bytes: left.bytes,
+                    bytes,
                     stalled_for,
                 });
             }
@@ -127,7 +152,7 @@
                 Warn,
                 "caller_stalled",
                 address = listener,
-                unwritten = connection.bytes,
+                held = connection.bytes,
                 stalled_ms = connection.stalled_for.as_millis()
             );
             io.terminate();
@@ -179,7 +204,9 @@
 
 impl Drop for OpenConnection {
     fn drop(&mut self) {
-        self.connections.shared.rows.borrow_mut().remove(&self.key);
+        let shared = &self.connections.shared;
+        shared.rows.borrow_mut().remove(&self.key);
+        shared.responses.borrow_mut().remove(&self.io.id());
     }
 }
 
--- a/src/policy/stalled_callers.rs
+++ b/src/policy/stalled_callers.rs
@@ -9,9 +9,9 @@
 /// more from this process only when a good part of them has been sent.
 pub const STALL_LIMIT: Duration = Duration::from_secs(60);
 
-/// Most unwritten bytes of all connections of a process on a small VM. Above it, the connections that
-/// have stalled for the longest time end before the limit.
-pub const UNWRITTEN_LIMIT_BYTES: usize = 32 * 1024 * 1024;
+/// Most memory of unwritten responses of all connections together, in bytes. Above it, the
+/// connections that have stalled for the longest time end before the limit.
+pub const UNWRITTEN_LIMIT_BYTES: usize = 24 * 1024 * 1024;
 
 /// Least time after which a connection counts as stalled. One that is written to at this moment
 /// does not.
@@ -58,7 +58,7 @@
 pub struct Connection {
     /// Identifies the connection.
     pub key: u64,
-    /// Unwritten bytes.
+    /// Memory of the responses that are not written yet.
     pub bytes: usize,
     /// For how long the caller has taken nothing.
     pub stalled_for: Duration,
