--- a/src/listen/connections.rs
+++ b/src/listen/connections.rs
@@ -1,6 +1,7 @@
 //! The open connections of a listener, and what has not been written to them.
 
 use std::cell::Cell;
+use std::cell::OnceCell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -12,6 +13,7 @@
 use crate::collections::HashMap;
 use crate::collections::HashSet;
 use crate::log::event;
+use crate::metrics::Metrics;
 use crate::policy::stalled_callers;
 use crate::policy::stalled_callers::Progress;
 use crate::policy::stalled_callers::Unwritten;
@@ -37,6 +39,7 @@
     /// Sizes of the large responses that are being written. A response keeps all its memory until
     /// its last byte has been written.
     responses: RefCell<HashMap<Id, usize>>,
+    metrics: OnceCell<Metrics>,
 }
 
 struct Row {
@@ -74,6 +77,11 @@
         }
     }
 
+    /// Counts ended connections in `metrics`.
+    pub(crate) fn set_metrics(&self, metrics: Metrics) {
+        let _ = self.shared.metrics.set(metrics);
+    }
+
     /// Counts the connection of a request as open until it ends.
     pub(crate) fn track(&self, io: &IoRef, now: Duration) {
         let id = io.id();
@@ -155,6 +163,9 @@
                 held = connection.bytes,
                 stalled_ms = connection.stalled_for.as_millis()
             );
+            if let Some(metrics) = self.shared.metrics.get() {
+                metrics.add_to_counter("daisyquay_stalled_callers", 1, &[]);
+            }
             io.terminate();
         }
     }
