Answer the calls that are open when a replica's process stops

Cause: the control listener's process exits 0.3 s after SIGTERM, one without a replica at once. Calls of operators and upstreams that waited for a leader, or came to a leader that was stopping, were repeated for up to 0.9 s, so they ended with a closed connection: neither acknowledged nor refused.

Change: a stopping process refuses further calls at once with 503, no longer repeats the attempts of open ones, and exits once these have ended and their responses have been written. `replica_leaving` and `replica_stop` have the open calls and the commands without an outcome.

--- a/src/listen/connections.rs
+++ b/src/listen/connections.rs
@@ -4,12 +4,16 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use ntex::io::IoRef;
 
 use crate::collections::HashMap;
 use crate::log::event;
 
+/// Interval between checks whether all responses have been written.
+const WRITTEN_POLL_INTERVAL: Duration = Duration::from_millis(10);
+
 /// The open connections of a listener; clones share them.
 #[derive(Clone, Default)]
 pub struct Connections {
@@ -50,6 +54,16 @@
         self.shared.rows.borrow().len()
     }
 
+    /// Waits until all responses have been handed to the operating system, for up to `limit`.
+    pub async fn wait_until_written(&self, limit: Duration) {
+        let written = async {
+            while self.backlog().unwritten_bytes > 0 {
+                tokio::time::sleep(WRITTEN_POLL_INTERVAL).await;
+            }
+        };
+        let _ = tokio::time::timeout(limit, written).await;
+    }
+
     /// Returns what has not been written yet.
     pub(crate) fn backlog(&self) -> Backlog {
         let rows = self.shared.rows.borrow();
--- a/src/replica/core.rs
+++ b/src/replica/core.rs
@@ -205,7 +205,7 @@
     /// Returns `None` where this replica is not the leader, is stopping, or has too many pending
     /// commands.
     pub(super) fn propose(&mut self, op: Op) -> Option<oneshot::Receiver<Outcome>> {
-        let full = self.waiters.len() + self.queue.len() >= MAX_PENDING_PROPOSALS;
+        let full = self.pending_commands() >= MAX_PENDING_PROPOSALS;
         if self.node.role() != Role::Leader || full || self.is_stopping {
             return None;
         }
@@ -225,6 +225,11 @@
             || self.waiters.values().any(|waiter| waiter.is_change)
     }
 
+    /// Returns the number of commands whose outcome a caller waits for.
+    pub(super) fn pending_commands(&self) -> usize {
+        self.queue.len() + self.waiters.len()
+    }
+
     /// Proposes all queued commands: those that arrived during one sync share the next.
     fn flush(&mut self) {
         if self.queue.is_empty() {
--- a/src/replica/handle.rs
+++ b/src/replica/handle.rs
@@ -25,6 +25,12 @@
 /// Time between two attempts to reach the leader.
 const RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time for which a stopping process still answers new calls, though it refuses them.
+const REFUSE_TIME: Duration = Duration::from_millis(300);
+
+/// Interval between checks whether all calls of a stopping process have ended.
+const FINISH_POLL_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Most upstreams' reports that wait for the leader at a time. Each holds the buffers of its
 /// connection, and without a leader thousands of upstreams report again and again.
 const MAX_WAITING_REPORTS: usize = 256;
@@ -34,6 +40,24 @@
 pub struct Handle {
     link: Link,
     waiting_reports: Rc<Cell<usize>>,
+    open_calls: Rc<Cell<usize>>,
+    is_stopping: Rc<Cell<bool>>,
+}
+
+/// Counts a call as open until it is dropped.
+struct OpenCall(Rc<Cell<usize>>);
+
+impl OpenCall {
+    fn new(open: &Rc<Cell<usize>>) -> Self {
+        open.set(open.get() + 1);
+        Self(open.clone())
+    }
+}
+
+impl Drop for OpenCall {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
 }
 
 /// Counts a report as waiting until it is dropped.
@@ -78,21 +102,45 @@
 
 impl Handle {
     pub(super) fn new(core: Rc<RefCell<Core>>, client: Client) -> Self {
+        Self::with_link(Link::Local { core, client })
+    }
+
+    fn with_link(link: Link) -> Self {
         Self {
-            link: Link::Local { core, client },
+            link,
             waiting_reports: Rc::default(),
+            open_calls: Rc::default(),
+            is_stopping: Rc::default(),
         }
     }
 
     /// Creates a handle for a process without a replica, such as one on a VM without a disk.
     /// `replicas` are the peer addresses of at least one replica.
     pub fn remote(peer_key: &str, replicas: Vec<SocketAddr>) -> Self {
-        Self {
-            link: Link::Remote(LeaderClient::new(Client::new(peer_key), replicas)),
-            waiting_reports: Rc::default(),
+        let leader = LeaderClient::new(Client::new(peer_key), replicas);
+        Self::with_link(Link::Remote(leader))
+    }
+
+    /// Refuses further calls, and waits until the open ones have ended. They are no longer repeated,
+    /// so each ends once its last attempt does.
+    pub async fn finish_calls(&self) {
+        self.is_stopping.set(true);
+        tokio::time::sleep(REFUSE_TIME).await;
+        while self.open_calls.get() > 0 {
+            tokio::time::sleep(FINISH_POLL_INTERVAL).await;
         }
     }
 
+    /// Returns the number of calls that have not ended.
+    pub fn open_calls(&self) -> usize {
+        self.open_calls.get()
+    }
+
+    /// Returns whether the process is stopping, and refuses further calls.
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping.get()
+    }
+
     /// Returns the peer address of the replica to which an upstream should send its next reports:
     /// the one in this process, so that the upstreams stay spread over the replicas, or else the
     /// leader. Returns `None` where no leader is known.
@@ -113,12 +161,19 @@
         self.call(request, limit).await
     }
 
-    /// Calls the leader until it has replied, or returns `None` after `limit`. A request whose
-    /// outcome is unknown is sent again, so `request` must be idempotent.
+    /// Calls the leader until it has replied. Returns `None` after `limit`, or earlier if the process
+    /// is stopping. A request whose outcome is unknown is sent again, so `request` must be
+    /// idempotent.
     pub async fn call(&self, request: Request, limit: Duration) -> Option<Reply> {
+        let _open = self.open_call()?;
         tokio::time::timeout(limit, self.call_until_reply(request))
             .await
-            .ok()
+            .ok()?
+    }
+
+    /// Returns `None` where the process is stopping.
+    fn open_call(&self) -> Option<OpenCall> {
+        (!self.is_stopping()).then(|| OpenCall::new(&self.open_calls))
     }
 
     /// Like [`Handle::call`], with the rights of the operator `who`.
@@ -147,6 +202,7 @@
         order: &Evacuation,
         limit: Duration,
     ) -> Option<ChangeOutcome> {
+        let _open = self.open_call()?;
         tokio::time::timeout(limit, self.evacuate_after_current_orders(who, order))
             .await
             .ok()?
@@ -162,7 +218,7 @@
             request: Box::new(request),
         };
         let status = on_behalf(Request::Query(Query::Status));
-        let Reply::Report(report) = self.call_until_reply(status).await else {
+        let Reply::Report(report) = self.call_until_reply(status).await? else {
             return None;
         };
         let Report::Status(status) = *report else {
@@ -180,7 +236,7 @@
                 },
                 wait_ms: 0,
             }));
-            let Reply::Change(reply) = self.call_until_reply(change).await else {
+            let Reply::Change(reply) = self.call_until_reply(change).await? else {
                 return None;
             };
             match reply.outcome {
@@ -190,12 +246,14 @@
         }
     }
 
-    async fn call_until_reply(&self, request: Request) -> Reply {
+    /// Returns `None` if an attempt fails while the process is stopping.
+    async fn call_until_reply(&self, request: Request) -> Option<Reply> {
         loop {
-            match self.try_call(&request).await {
-                Some(reply) => return reply,
-                None => tokio::time::sleep(RETRY_INTERVAL).await,
+            let reply = self.try_call(&request).await;
+            if reply.is_some() || self.is_stopping() {
+                return reply;
             }
+            tokio::time::sleep(RETRY_INTERVAL).await;
         }
     }
 
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -109,11 +109,24 @@
         self.handle.clone()
     }
 
-    /// Waits for SIGTERM or SIGINT, then gives pending requests a short time to end.
+    /// Waits for SIGTERM or SIGINT, then until the open calls have ended.
     pub async fn wait_for_shutdown(self) {
         crate::signal::stop_requested().await;
-        event!(Info, "replica_stop", id = self.core.borrow().node.id());
-        housekeeping::drain(&self.core).await;
+        event!(
+            Info,
+            "replica_leaving",
+            id = self.core.borrow().node.id(),
+            open = self.handle.open_calls(),
+            pending = self.core.borrow().pending_commands()
+        );
+        tokio::join!(housekeeping::drain(&self.core), self.handle.finish_calls());
+        event!(
+            Info,
+            "replica_stop",
+            id = self.core.borrow().node.id(),
+            open = self.handle.open_calls(),
+            pending = self.core.borrow().pending_commands()
+        );
     }
 }
 
