Log the open requests of a stopping entry

Cause: the log of an entry's stop did not tell how many requests were open when it left, when it began to refuse, and when it exited.

Change: `entry_leaving`, the new `entry_closing` and `entry_stop` have their number, and `requests_left` says that the wait for them was given up. A process test holds that an operator's wait for a change survives the stop of the leader.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -147,7 +147,12 @@
     // Nothing is open, and a graceful stop may wait for a worker that has nothing to do.
     server.stop(false).await;
     stop::release(&shared, &releasing, link).await;
-    event!(Info, "entry_stop", vm = cfg.vm);
+    event!(
+        Info,
+        "entry_stop",
+        vm = cfg.vm,
+        open = shared.open_requests()
+    );
     Ok(())
 }
 
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -144,6 +144,11 @@
         self.closing.load(Ordering::SeqCst)
     }
 
+    /// Returns the number of requests whose callers do not have their whole response yet.
+    pub(super) fn open_requests(&self) -> usize {
+        self.open_requests.load(Ordering::SeqCst)
+    }
+
     /// Whether a request on `version` may start now.
     pub(crate) fn may_start(&self, version: &VersionName) -> bool {
         self.lease_is_live() && self.view().config.is_available(version)
--- a/src/entry/stop.rs
+++ b/src/entry/stop.rs
@@ -30,7 +30,12 @@
 /// Waits for a stop signal, then until no caller holds this entry's address any more.
 pub(super) async fn drain(shared: &Arc<Shared>) {
     crate::signal::stop_requested().await;
-    event!(Info, "entry_leaving", vm = shared.cfg.vm);
+    event!(
+        Info,
+        "entry_leaving",
+        vm = shared.cfg.vm,
+        open = shared.open_requests()
+    );
     shared.leaving.store(true, Ordering::Relaxed);
     shared.ready.store(false, Ordering::Relaxed);
     if tokio::time::timeout(UNLISTED_TIMEOUT, wait_until_unlisted(shared))
@@ -54,12 +59,28 @@
 /// Refuses further requests and waits until the callers have the responses of all others.
 pub(super) async fn finish_requests(shared: &Arc<Shared>) {
     shared.closing.store(true, Ordering::SeqCst);
+    event!(
+        Info,
+        "entry_closing",
+        vm = shared.cfg.vm,
+        open = shared.open_requests()
+    );
     let finished = async {
-        while shared.open_requests.load(Ordering::SeqCst) > 0 {
+        while shared.open_requests() > 0 {
             tokio::time::sleep(FINISH_POLL_INTERVAL).await;
         }
     };
-    let _ = tokio::time::timeout(FINISH_TIMEOUT, finished).await;
+    if tokio::time::timeout(FINISH_TIMEOUT, finished)
+        .await
+        .is_err()
+    {
+        event!(
+            Warn,
+            "requests_left",
+            vm = shared.cfg.vm,
+            open = shared.open_requests()
+        );
+    }
 }
 
 /// Tells the link to finish, and waits until it has settled everything and released the lease.
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -19,6 +19,7 @@
 mod recovery;
 mod regions;
 mod replacement;
+mod replica_stops;
 mod sessions;
 mod soak;
 mod stops;
