--- a/src/listen/connections.rs
+++ b/src/listen/connections.rs
@@ -24,6 +24,9 @@
 /// Size from which the memory of a response is accounted for as a whole.
 const LARGE_RESPONSE_BYTES: usize = 64 * 1024;
 
+/// Interval between checks whether all responses have been written.
+const WRITTEN_POLL_INTERVAL: Duration = Duration::from_millis(10);
+
 /// The open connections of a listener; clones share them.
 #[derive(Clone, Default)]
 pub struct Connections {
@@ -118,6 +121,16 @@
         self.shared.rows.borrow().len()
     }
 
+    /// Waits until all responses have been handed to the operating system, for up to `limit`.
+    pub async fn wait_until_written(&self, limit: Duration) {
+        let written = async {
+            while self.backlog().unwritten_bytes > 0 {
+                tokio::time::sleep(WRITTEN_POLL_INTERVAL).await;
+            }
+        };
+        let _ = tokio::time::timeout(limit, written).await;
+    }
+
     /// Returns what has not been parsed and what has not been written yet.
     pub(crate) fn backlog(&self) -> Backlog {
         let rows = self.shared.rows.borrow();
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -20,6 +20,7 @@
 mod recovery;
 mod regions;
 mod replacement;
+mod replica_stops;
 mod response_identity;
 mod sessions;
 mod slow_peers;
