Free what has been written of a response whose caller pauses

Cause: since the whole memory of a response counts until its last byte is written, callers that have nearly all of it count as much as those that have none.

Change: when a caller has taken nothing for 500 ms, what is left of a large response is copied in pieces of 64 kB, and only that counts from then on. The entry of a closed connection is removed by the id that it had while it was open.

--- a/src/listen/connections.rs
+++ b/src/listen/connections.rs
@@ -9,12 +9,14 @@
 
 use ntex::io::Id;
 use ntex::io::IoRef;
+use ntex::util::Bytes;
 
 use crate::collections::HashMap;
 use crate::collections::HashSet;
 use crate::log::event;
 use crate::metrics::Metrics;
 use crate::policy::stalled_callers;
+use crate::policy::stalled_callers::MIN_STALL;
 use crate::policy::stalled_callers::Progress;
 use crate::policy::stalled_callers::Unwritten;
 
@@ -76,6 +78,7 @@
         OpenConnection {
             connections: self.clone(),
             key,
+            id: io.id(),
             io,
         }
     }
@@ -106,6 +109,10 @@
         }
     }
 
+    fn forget_response(&self, id: Id) -> bool {
+        self.shared.responses.borrow_mut().remove(&id).is_some()
+    }
+
     /// Returns the memory of what is left to write.
     fn held_bytes(&self, io: &IoRef, unwritten: usize) -> usize {
         let mut responses = self.shared.responses.borrow_mut();
@@ -153,6 +160,10 @@
         for (&key, row) in self.shared.rows.borrow_mut().iter_mut() {
             let left = left_to_write(&row.io);
             let stalled_for = row.progress.observe(left, now);
+            if stalled_for >= MIN_STALL && self.forget_response(row.io.id()) {
+                copy_unwritten(&row.io);
+                row.progress.record_move(left_to_write(&row.io));
+            }
             let bytes = self.held_bytes(&row.io, left.bytes);
             if bytes > 0 {
                 unwritten.push(stalled_callers::Connection {
@@ -201,6 +212,8 @@
 pub(super) struct OpenConnection {
     connections: Connections,
     key: u64,
+    /// Unlike the connection's own, it stays after the end of the connection.
+    id: Id,
     io: IoRef,
 }
 
@@ -230,10 +243,23 @@
     fn drop(&mut self) {
         let shared = &self.connections.shared;
         shared.rows.borrow_mut().remove(&self.key);
-        shared.responses.borrow_mut().remove(&self.io.id());
+        shared.responses.borrow_mut().remove(&self.id);
     }
 }
 
+/// Copies what is left to write, in pieces, so that the rest of a large response is freed now and
+/// each piece once it has been written.
+fn copy_unwritten(io: &IoRef) {
+    io.with_write_dst_buf(|buf| {
+        let pages: Vec<_> = std::iter::from_fn(|| buf.take()).collect();
+        for page in pages {
+            for piece in page.as_ref().chunks(LARGE_RESPONSE_BYTES) {
+                buf.append(Bytes::copy_from_slice(piece));
+            }
+        }
+    });
+}
+
 fn left_to_write(io: &IoRef) -> Unwritten {
     io.with_write_dst_buf(|buf| Unwritten {
         bytes: buf.len(),
--- a/src/policy/stalled_callers.rs
+++ b/src/policy/stalled_callers.rs
@@ -15,7 +15,7 @@
 
 /// Least time after which a connection counts as stalled. One that is written to at this moment
 /// does not.
-const MIN_STALL: Duration = Duration::from_millis(500);
+pub const MIN_STALL: Duration = Duration::from_millis(500);
 
 /// What is left to write to a connection.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -51,6 +51,11 @@
         }
         now.saturating_sub(self.since)
     }
+
+    /// Records that this process has moved the bytes that are left.
+    pub fn record_move(&mut self, unwritten: Unwritten) {
+        self.unwritten = unwritten;
+    }
 }
 
 /// A connection with unwritten bytes.
