Check what a stopping entry answers to a late request

Cause: the test of an entry's stop did not say what a request gets that comes once no caller may hold the address any more, while others are still served.

Change: it is refused as 503 `leaving`, not run, with `retry-after` and `connection: close`, and what was served before is billed.

--- a/tests/process/entry_stops.rs
+++ b/tests/process/entry_stops.rs
@@ -177,6 +177,21 @@
         (engine.received().len() == 2).then_some(())
     });
     cluster.entries[0].terminate();
+    let mut served = 0;
+    let refused = eventually("further requests are refused", || {
+        let reply = get(entry, "/app/previews/1", &[AUTH_HEADER])?;
+        served += u64::from(reply.status == 200);
+        (reply.status != 200).then_some(reply)
+    });
+    assert_eq!(refused.status, 503, "{refused:?}");
+    assert_eq!(refused.json()["error"]["code"], "leaving", "{refused:?}");
+    for (header, value) in [
+        ("daisyquay-ran", "no"),
+        ("retry-after", "1"),
+        ("connection", "close"),
+    ] {
+        assert_eq!(refused.header(header), value, "{refused:?}");
+    }
     let mut chats = chats.into_iter().map(|chat| chat.join().unwrap());
     let stream = chats.next().unwrap().unwrap();
     assert!(stream_text(&stream).is_some(), "{stream:?}");
@@ -193,8 +208,9 @@
     });
     assert_eq!(code, Some(0));
     cluster.wait_until_settled();
+    // The requests that were sent until one was refused are billed as well.
     let sent = u64::try_from(sizes.len()).unwrap() + 2;
-    assert_eq!(cluster.billed_requests("maple") - billed, sent);
+    assert_eq!(cluster.billed_requests("maple") - billed, sent + served);
 }
 
 // A caller that sent its next request on a kept connection lost it when the process closed it.
