Log a caller as having the head only once it has

Cause: the stage of a request was set to streaming on the response of a smaller model, too, whose place a larger one may take; has_head then stayed true.

Change: the stage follows only when the response is passed on. Log lines alone change.

--- a/src/gateway/exchange/mod.rs
+++ b/src/gateway/exchange/mod.rs
@@ -267,12 +267,12 @@
         };
         self.log_attempt(upstream, &outcome);
         self.is_charged = matches!(outcome, AttemptOutcome::NotSent(_));
-        match outcome {
-            AttemptOutcome::Stream(..) => {
-                self.open.set_stage(Stage::Streaming, Some(upstream.id()));
-            }
-            AttemptOutcome::Complete(..) => {}
-            _ => self.open.set_stage(Stage::Queued, None),
+        let has_response = matches!(
+            outcome,
+            AttemptOutcome::Complete(..) | AttemptOutcome::Stream(..)
+        );
+        if !has_response {
+            self.open.set_stage(Stage::Queued, None);
         }
         match outcome {
             AttemptOutcome::NotSent(reason) => {
