--- a/src/gateway/open_requests.rs
+++ b/src/gateway/open_requests.rs
@@ -9,7 +9,7 @@
 use crate::collections::HashMap;
 use crate::collections::Name;
 
-/// What an open request waits for.
+/// Stage of an open request, named after the thing it waits for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Stage {
     /// For the configuration or the rest of the request body.
--- a/src/listen/connections.rs
+++ b/src/listen/connections.rs
@@ -52,14 +52,14 @@
     progress: Progress,
 }
 
-/// What the open connections of a listener still have to do.
+/// Work that is left on the open connections of a listener.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(crate) struct Backlog {
     /// Open connections.
     pub(crate) connections: usize,
-    /// Connections with bytes that have not been handed to the operating system.
+    /// Connections with unwritten bytes.
     pub(crate) unwritten_connections: usize,
-    /// Those bytes.
+    /// Bytes of responses that have not been handed to the operating system.
     pub(crate) unwritten_bytes: usize,
     /// Bytes of requests that have been received and not parsed.
     pub(crate) unread_bytes: usize,
--- a/src/policy/stalled_callers.rs
+++ b/src/policy/stalled_callers.rs
@@ -17,7 +17,7 @@
 /// does not.
 pub const MIN_STALL: Duration = Duration::from_millis(500);
 
-/// What is left to write to a connection.
+/// Unwritten bytes of a connection.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Unwritten {
     /// Number of bytes.
--- a/tests/process/gateway_stops.rs
+++ b/tests/process/gateway_stops.rs
@@ -315,7 +315,7 @@
     thread::sleep(Duration::from_millis(300));
     gateway.terminate();
     let stopping_since = Instant::now();
-    // Two requests at a time, about a second before the exit and until it.
+    // A request every 150 ms, until the exit.
     let callers: Vec<_> = (0..18)
         .map(|i: u64| {
             thread::spawn(move || {
