Do not end a caller that lacks a few kB for the memory of others

Cause: more than 24 MB were held for responses that had just begun to be received, and the caller that had stalled for the longest time was ended, though all but 2 kB of its response had been written and freed.

Change: before the limit on the time, only callers for whom at least 64 kB are held are ended, and only those that are ended count as freed.

--- a/src/policy/stalled_callers.rs
+++ b/src/policy/stalled_callers.rs
@@ -17,6 +17,9 @@
 /// does not.
 pub const MIN_STALL: Duration = Duration::from_millis(500);
 
+/// Least memory for which a connection is ended before the limit on the time.
+const MIN_FREED_BYTES: usize = 64 * 1024;
+
 /// Unwritten bytes of a connection.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Unwritten {
@@ -70,16 +73,21 @@
 }
 
 /// Returns the connections to end, the one that has stalled for the longest time first. Together they
-/// may have `limit_bytes` unwritten.
+/// may have `limit_bytes` unwritten; ending one that holds little does not help with that.
 pub fn to_end(mut connections: Vec<Connection>, limit_bytes: usize) -> Vec<Connection> {
     let mut unwritten: usize = connections.iter().map(|connection| connection.bytes).sum();
     connections.sort_by_key(|connection| std::cmp::Reverse(connection.stalled_for));
     connections
         .into_iter()
-        .take_while(|connection| {
-            let is_over_limit = unwritten > limit_bytes && connection.stalled_for >= MIN_STALL;
-            unwritten -= connection.bytes;
-            is_over_limit || connection.stalled_for >= STALL_LIMIT
+        .filter(|connection| {
+            let frees_memory = unwritten > limit_bytes
+                && connection.stalled_for >= MIN_STALL
+                && connection.bytes >= MIN_FREED_BYTES;
+            let is_ended = frees_memory || connection.stalled_for >= STALL_LIMIT;
+            if is_ended {
+                unwritten -= connection.bytes;
+            }
+            is_ended
         })
         .collect()
 }
--- a/tests/load/stalled_callers.rs
+++ b/tests/load/stalled_callers.rs
@@ -90,3 +90,13 @@
         .collect();
     assert!(ended(&moving).is_empty());
 }
+
+/// Guards against cutting a caller that lacks a few kB because others have just begun to receive.
+#[test]
+fn a_stalled_caller_that_holds_little_is_not_ended_for_the_memory_of_others() {
+    let mut connections: Vec<_> = (1..=6)
+        .map(|key| connection(key, UNWRITTEN_LIMIT_BYTES / 4, Duration::ZERO))
+        .collect();
+    connections.push(connection(7, 2_182, Duration::from_millis(502)));
+    assert!(ended(&connections).is_empty());
+}
