Log what an exhausted retry budget is computed from

Change: the event retry_budget_exhausted with first attempts, retries, escalations, what is allowed and the gateways known; a gauge of the budget that is left, and a counter of attempts beyond the first by their cause. No decision changes.

--- a/src/gateway/exchange/mod.rs
+++ b/src/gateway/exchange/mod.rs
@@ -30,6 +30,7 @@
 use crate::gateway::quarantine;
 use crate::gateway::refusal::Refusal;
 use crate::gateway::response;
+use crate::gateway::retries::RepeatCause;
 use crate::gateway::routing::Upstream;
 use crate::gateway::stream;
 use crate::gateway::upstreams::InFlightRequest;
@@ -191,6 +192,8 @@
     is_probe: bool,
     /// Reason why the last failed attempt failed, for the log.
     last_failure: &'static str,
+    /// What the next attempt follows; `None` for the first one.
+    repeat_cause: Option<RepeatCause>,
 }
 
 impl Exchange {
@@ -216,6 +219,7 @@
             is_charged: false,
             is_probe: false,
             last_failure: "no upstream available",
+            repeat_cause: None,
         }
     }
 
@@ -251,6 +255,9 @@
         self.runs += 1;
         self.open.set_stage(Stage::Sent, Some(upstream.id()));
         let service = self.service.as_ref();
+        if let (Some(service), Some(cause)) = (service, self.repeat_cause) {
+            self.gateway.count_repeat(service, cause);
+        }
         let outcome = tokio::select! {
             biased;
             outcome = attempt(
@@ -279,14 +286,20 @@
                 self.runs -= 1;
                 self.unreachable += 1;
                 self.last_failure = reason;
+                self.repeat_cause = Some(RepeatCause::NotSent);
             }
             AttemptOutcome::NotRun(reason) => {
                 self.runs -= 1;
                 self.refusals += 1;
                 self.last_failure = reason;
+                self.repeat_cause = Some(RepeatCause::Rejection);
+            }
+            AttemptOutcome::Lost(reason) => {
+                self.last_failure = reason;
+                self.repeat_cause = Some(RepeatCause::Failure);
             }
-            AttemptOutcome::Lost(reason) => self.last_failure = reason,
-            AttemptOutcome::Complete(..) | AttemptOutcome::Stream(..) => {}
+            AttemptOutcome::Complete(..) => self.repeat_cause = Some(RepeatCause::Failure),
+            AttemptOutcome::Stream(..) => self.repeat_cause = Some(RepeatCause::Escalation),
         }
         outcome
     }
@@ -362,6 +375,7 @@
             is_charged: false,
             is_probe: false,
             last_failure: self.last_failure,
+            repeat_cause: Some(RepeatCause::Resume),
         }
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -179,6 +179,8 @@
     admission: Admission,
     connections: ConnectionPool,
     retry_budgets: RefCell<HashMap<Name, SlidingWindow>>,
+    /// When the exhausted retry budget of a service was last logged.
+    exhausted_budgets: RefCell<HashMap<Name, Duration>>,
     /// Prefill rates by service and model; the model is `None` unless the gateway chose it.
     prefill_rates: RefCell<HashMap<(Name, Option<Name>), RateEstimator>>,
     /// Usual request sizes and capacity prices, for the choice among models.
@@ -267,6 +269,7 @@
         admission: Admission::default(),
         connections: ConnectionPool::new(id_header),
         retry_budgets: RefCell::default(),
+        exhausted_budgets: RefCell::default(),
         prefill_rates: RefCell::default(),
         model_choices: RefCell::default(),
         speeds: RefCell::default(),
--- a/src/gateway/retries.rs
+++ b/src/gateway/retries.rs
@@ -4,6 +4,7 @@
 
 use super::Gateway;
 use crate::collections::Name;
+use crate::log::event;
 use crate::policy::retry_budget;
 use crate::policy::retry_budget::SlidingWindow;
 
@@ -11,6 +12,36 @@
 /// the same moment, so the rest is kept as a margin.
 const BUDGET_FRACTION: f64 = 0.92;
 
+/// Minimum time between two log lines on the exhausted budget of one service.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What an attempt beyond the first of its request follows.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum RepeatCause {
+    /// An attempt of which nothing reached the upstream.
+    NotSent,
+    /// A rejection by an upstream.
+    Rejection,
+    /// A failure, or a response that was lost.
+    Failure,
+    /// A response that was not kept, in favour of a larger model.
+    Escalation,
+    /// A stream that was interrupted.
+    Resume,
+}
+
+impl RepeatCause {
+    fn name(self) -> &'static str {
+        match self {
+            Self::NotSent => "not_sent",
+            Self::Rejection => "rejection",
+            Self::Failure => "failure",
+            Self::Escalation => "escalation",
+            Self::Resume => "resume",
+        }
+    }
+}
+
 impl Gateway {
     /// Records the first attempt of a request to the service.
     pub(super) fn record_first_attempt(&self, service: &Name) {
@@ -21,14 +52,24 @@
 
     /// Takes a retry after a failure from the budget; returns whether there was one left.
     pub(super) fn try_retry(&self, service: &Name) -> bool {
-        self.with_budget(service, SlidingWindow::try_retry)
+        let is_spent = self.with_budget(service, SlidingWindow::try_retry);
+        self.report_budget(service, is_spent);
+        is_spent
     }
 
     /// Takes an escalation to a larger model from the budget; returns whether there was one left.
     /// Part of the budget is reserved for retries after failures, because a request can do without
     /// an escalation.
     pub(super) fn try_escalation(&self, service: &Name) -> bool {
-        self.with_budget(service, SlidingWindow::try_escalation)
+        let is_spent = self.with_budget(service, SlidingWindow::try_escalation);
+        self.report_budget(service, true);
+        is_spent
+    }
+
+    /// Counts an attempt beyond the first of its request, by what it follows.
+    pub(super) fn count_repeat(&self, service: &Name, cause: RepeatCause) {
+        let labels = [("service", &**service), ("cause", cause.name())];
+        self.metrics.add_to_counter("daisyquay_repeats", 1, &labels);
     }
 
     /// Returns the share of the escalations' part of the budget that is left, 0 to 1.
@@ -36,6 +77,41 @@
         self.with_budget(service, SlidingWindow::escalations_left)
     }
 
+    /// Sets the gauge of the budget that is left, and logs its inputs when it has none left for a
+    /// retry, at most once in [`LOG_INTERVAL`] for a service.
+    fn report_budget(&self, service: &Name, has_budget: bool) {
+        let usage = self.with_budget(service, SlidingWindow::usage);
+        let left = (usage.allowed - f64::from(usage.retries)).max(0.0);
+        self.metrics.set_labelled_gauge(
+            "daisyquay_retry_budget_left",
+            left,
+            &[("service", service)],
+        );
+        if has_budget {
+            return;
+        }
+        let now = self.now();
+        let mut logged = self.exhausted_budgets.borrow_mut();
+        if logged
+            .get(service)
+            .is_some_and(|&at| now < at + LOG_INTERVAL)
+        {
+            return;
+        }
+        logged.insert(service.clone(), now);
+        event!(
+            Info,
+            "retry_budget_exhausted",
+            service = service,
+            first_attempts = usage.first_attempts,
+            retries = usage.retries,
+            escalations = usage.escalations,
+            allowed = format!("{:.1}", usage.allowed),
+            gateways = self.routing.borrow().entries.len(),
+            complete = self.has_all_gateways.get()
+        );
+    }
+
     /// Calls `apply` with the budget of the service and this gateway's share of the limits.
     fn with_budget<T>(
         &self,
--- a/src/policy/retry_budget.rs
+++ b/src/policy/retry_budget.rs
@@ -39,6 +39,19 @@
     escalations: u32,
 }
 
+/// What counts against a budget at one moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Usage {
+    /// First attempts in the window.
+    pub first_attempts: u32,
+    /// Retries after failures, and escalations.
+    pub retries: u32,
+    /// Escalations among them.
+    pub escalations: u32,
+    /// Retries that the limits allow in the window.
+    pub allowed: f64,
+}
+
 /// First attempts and retries of the last window.
 #[derive(Clone, Debug, Default)]
 pub struct SlidingWindow {
@@ -59,9 +72,8 @@
     /// Counts an escalation, which a request can do without, and returns `true`, or `false` if the
     /// escalations' share of the budget is used up.
     pub fn try_escalation(&mut self, limits: &Limits, now: Duration) -> bool {
-        let allowed = self.allowed(limits, now);
-        let escalations: u32 = self.slices.iter().map(|slice| slice.escalations).sum();
-        if f64::from(escalations) + 1.0 > allowed * ESCALATION_SHARE {
+        let usage = self.usage(limits, now);
+        if f64::from(usage.escalations) + 1.0 > usage.allowed * ESCALATION_SHARE {
             return false;
         }
         let is_spent = self.try_spend(limits, now);
@@ -73,39 +85,39 @@
 
     /// Returns the share of the escalations' part of the budget that is left, 0 to 1.
     pub fn escalations_left(&mut self, limits: &Limits, now: Duration) -> f64 {
-        let allowed = self.allowed(limits, now);
-        if allowed <= 0.0 {
+        let usage = self.usage(limits, now);
+        if usage.allowed <= 0.0 {
             return 0.0;
         }
-        let retries: u32 = self.slices.iter().map(|slice| slice.retries).sum();
-        let escalations: u32 = self.slices.iter().map(|slice| slice.escalations).sum();
-        let left = 1.0 - f64::from(escalations) / (allowed * ESCALATION_SHARE);
-        left.min(1.0 - f64::from(retries) / allowed).max(0.0)
+        let left = 1.0 - f64::from(usage.escalations) / (usage.allowed * ESCALATION_SHARE);
+        left.min(1.0 - f64::from(usage.retries) / usage.allowed)
+            .max(0.0)
+    }
+
+    /// Returns what counts against the budget now.
+    pub fn usage(&mut self, limits: &Limits, now: Duration) -> Usage {
+        let newest = self.slice(limits, now).number;
+        let mut usage = Usage::default();
+        for slice in &self.slices {
+            if slice.number + u128::from(SLICES) > newest {
+                usage.first_attempts += slice.first_attempts;
+            }
+            usage.retries += slice.retries;
+            usage.escalations += slice.escalations;
+        }
+        usage.allowed = f64::from(usage.first_attempts) * limits.ratio + limits.slack;
+        usage
     }
 
     fn try_spend(&mut self, limits: &Limits, now: Duration) -> bool {
-        let allowed = self.allowed(limits, now);
-        let retries: u32 = self.slices.iter().map(|slice| slice.retries).sum();
-        if f64::from(retries) + 1.0 > allowed {
+        let usage = self.usage(limits, now);
+        if f64::from(usage.retries) + 1.0 > usage.allowed {
             return false;
         }
         self.slice(limits, now).retries += 1;
         true
     }
 
-    /// Returns the retries that the first attempts of the window allow.
-    fn allowed(&mut self, limits: &Limits, now: Duration) -> f64 {
-        let newest = self.slice(limits, now).number;
-        let is_whole = |slice: &&Slice| slice.number + u128::from(SLICES) > newest;
-        let first_attempts: u32 = self
-            .slices
-            .iter()
-            .filter(is_whole)
-            .map(|slice| slice.first_attempts)
-            .sum();
-        f64::from(first_attempts) * limits.ratio + limits.slack
-    }
-
     /// Returns the slice of `now`, after dropping the slices that have left the window.
     fn slice(&mut self, limits: &Limits, now: Duration) -> &mut Slice {
         let length = (limits.window / SLICES).as_nanos().max(1);
