--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -22,6 +22,7 @@
 mod replacement;
 mod replica_stops;
 mod response_identity;
+mod retry_budget;
 mod sessions;
 mod slow_peers;
 mod soak;
