Use no slack of the retry budget before the other gateways are known

What callers saw: upstreams that fail got more arrivals beyond the first of their request than the deployment's budget allows.

Cause: a gateway divided the slack by the length of its list of gateways, or took all of it before the first list. The first grants of a new leader have a configuration and no list, so after a loss of power each gateway served with the whole slack. A list that shrank enlarged the shares at once, though what a gateway that has left spent still counts in the window.

Change: policy::retry_budget::Share divides the budget; the gateway only tells it what it knows. No slack without a list, a quarter of the share by an incomplete one, and the largest number of gateways within the window counts. Entries of the chat path, which have budgets of their own, no longer count as gateways.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -69,6 +69,7 @@
 use crate::policy::reachability::Reachability;
 use crate::policy::release_rollout::RouteStats;
 use crate::policy::retry_budget;
+use crate::policy::retry_budget::Share;
 use crate::policy::retry_budget::SlidingWindow;
 use crate::policy::sessions::Sessions;
 use crate::policy::speed::Baselines;
@@ -179,6 +180,8 @@
     admission: Admission,
     connections: ConnectionPool,
     retry_budgets: RefCell<HashMap<Name, SlidingWindow>>,
+    /// This gateway's share of the retry budgets.
+    retry_budget_share: RefCell<Share>,
     /// When the exhausted retry budget of a service was last logged.
     exhausted_budgets: RefCell<HashMap<Name, Duration>>,
     /// Prefill rates by service and model; the model is `None` unless the gateway chose it.
@@ -247,6 +250,7 @@
     let id_header = cfg.header_names.attempt_id.clone();
     let gateway = Rc::new(Gateway {
         recovery: Recovery::new(clock.now()),
+        retry_budget_share: RefCell::new(Share::new(cfg.retry_budget)),
         cfg,
         clock,
         run_id: fastrand::u64(1..),
--- a/src/gateway/renewal.rs
+++ b/src/gateway/renewal.rs
@@ -88,6 +88,7 @@
             complete = is_complete
         );
         self.has_all_gateways.set(is_complete);
+        self.share_retry_budgets(&entries, is_complete);
         let mut routing = (*self.routing()).clone();
         routing.entries = Arc::new(entries);
         self.set_routing(routing);
--- a/src/gateway/retries.rs
+++ b/src/gateway/retries.rs
@@ -5,13 +5,10 @@
 use super::Gateway;
 use crate::collections::Name;
 use crate::log::event;
+use crate::peer::EntryInfo;
 use crate::policy::retry_budget;
 use crate::policy::retry_budget::SlidingWindow;
 
-/// Fraction of the deployment's retry budget that the gateways use. Their windows do not start at
-/// the same moment, so the rest is kept as a margin.
-const BUDGET_FRACTION: f64 = 0.92;
-
 /// Minimum time between two log lines on the exhausted budget of one service.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -112,24 +109,29 @@
         );
     }
 
+    /// Sets the gateways that share the budgets. `is_complete` is whether the list has all of them.
+    pub(super) fn share_retry_budgets(&self, entries: &[EntryInfo], is_complete: bool) {
+        // Entries of the chat path are in the list too and have budgets of their own.
+        let gateways = entries.iter().filter(|info| info.loads_address.is_some());
+        // A gateway that shuts down is not listed.
+        let others = gateways.filter(|info| info.address != self.info.address);
+        self.retry_budget_share.borrow_mut().set_gateways(
+            others.count() + 1,
+            is_complete,
+            self.now(),
+        );
+    }
+
     /// Calls `apply` with the budget of the service and this gateway's share of the limits.
     fn with_budget<T>(
         &self,
         service: &Name,
         apply: impl FnOnce(&mut SlidingWindow, &retry_budget::Limits, Duration) -> T,
     ) -> T {
-        let total = &self.cfg.retry_budget;
-        let gateways = self.routing.borrow().entries.len().max(1) as f64;
-        let limits = retry_budget::Limits {
-            ratio: total.ratio * BUDGET_FRACTION,
-            slack: total.slack * BUDGET_FRACTION / gateways,
-            window: total.window,
-        };
+        let now = self.now();
+        let mut share = self.retry_budget_share.borrow_mut();
+        let limits = share.limits(now);
         let mut budgets = self.retry_budgets.borrow_mut();
-        apply(
-            budgets.entry(service.clone()).or_default(),
-            &limits,
-            self.now(),
-        )
+        apply(budgets.entry(service.clone()).or_default(), &limits, now)
     }
 }
--- a/src/policy/retry_budget.rs
+++ b/src/policy/retry_budget.rs
@@ -19,7 +19,14 @@
 /// Share of the budget that escalations to a larger model may use; the rest is left for failures.
 const ESCALATION_SHARE: f64 = 0.75;
 
-/// Limits on the retries of one service at one gateway.
+/// Fraction of a deployment's budget that its gateways use. Their windows do not start at the same
+/// moment, and retries arrive after they are counted, so the rest is kept as a margin.
+const BUDGET_FRACTION: f64 = 0.92;
+
+/// Part of its share of the slack that a gateway uses while its list of gateways may lack some.
+const PARTIAL_LIST_SLACK: f64 = 0.25;
+
+/// Limits on the retries of one service.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Limits {
     /// Retries per first attempt.
@@ -30,6 +37,73 @@
     pub window: Duration,
 }
 
+/// The share of a deployment's budget that one gateway may use. The shares of all gateways add up to
+/// less than the budget, also while they learn of each other.
+#[derive(Clone, Debug)]
+pub struct Share {
+    /// Limits of the deployment.
+    total: Limits,
+    /// Numbers of gateways and when they were learned; the last one is current.
+    gateways: VecDeque<(Duration, usize)>,
+    /// Whether the last list of gateways had all of them.
+    knows_all: bool,
+}
+
+impl Share {
+    /// Creates the share of a gateway that does not know the others yet, given the limits of the
+    /// deployment.
+    pub fn new(total: Limits) -> Self {
+        Self {
+            total,
+            gateways: VecDeque::new(),
+            knows_all: false,
+        }
+    }
+
+    /// Sets the number of gateways, this one included. `is_complete` is whether the list from which
+    /// it was counted has all of them.
+    pub fn set_gateways(&mut self, gateways: usize, is_complete: bool, now: Duration) {
+        self.knows_all = is_complete;
+        self.forget_former(now);
+        if self
+            .gateways
+            .back()
+            .is_none_or(|&(_, number)| number != gateways)
+        {
+            self.gateways.push_back((now, gateways.max(1)));
+        }
+    }
+
+    /// Returns the limits on this gateway's retries.
+    pub fn limits(&mut self, now: Duration) -> Limits {
+        self.forget_former(now);
+        // What a gateway that has left spent still counts in the window.
+        let largest = self.gateways.iter().map(|&(_, number)| number).max();
+        let share = match largest {
+            Some(gateways) if self.knows_all => 1.0 / gateways as f64,
+            Some(gateways) => PARTIAL_LIST_SLACK / gateways as f64,
+            None => 0.0,
+        };
+        Limits {
+            ratio: self.total.ratio * BUDGET_FRACTION,
+            slack: self.total.slack * BUDGET_FRACTION * share,
+            window: self.total.window,
+        }
+    }
+
+    /// Drops the numbers that were current only before the window.
+    fn forget_former(&mut self, now: Duration) {
+        let window = self.total.window;
+        while self
+            .gateways
+            .get(1)
+            .is_some_and(|&(next_at, _)| next_at + window <= now)
+        {
+            self.gateways.pop_front();
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Slice {
     number: u128,
--- a/tests/load/retry_budget.rs
+++ b/tests/load/retry_budget.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use daisyquay::policy::retry_budget::Limits;
+use daisyquay::policy::retry_budget::Share;
 use daisyquay::policy::retry_budget::SlidingWindow;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
@@ -129,3 +130,54 @@
     }
     assert_eq!(escalated, doubtful);
 }
+
+const DEPLOYMENT: Limits = Limits {
+    ratio: 0.9,
+    slack: 200.0,
+    window: Duration::from_secs(10),
+};
+
+fn slack_of(share: &mut Share, now: Duration) -> f64 {
+    share.limits(now).slack
+}
+
+/// Guards against gateways that each take the whole slack before they know of each other, or a large
+/// part of it while most of them are not in the list yet.
+#[test]
+fn gateways_that_learn_of_each_other_share_no_more_than_the_slack() {
+    let now = Duration::from_secs(100);
+    let mut shares: Vec<Share> = (0..100).map(|_| Share::new(DEPLOYMENT)).collect();
+    assert!(shares.iter_mut().all(|share| slack_of(share, now) == 0.0));
+    // The first lists of a new leader have a quarter of the gateways and more.
+    for (known, share) in shares.iter_mut().enumerate() {
+        share.set_gateways(known.max(25), false, now);
+    }
+    let sum = |shares: &mut [Share], now| -> f64 {
+        shares.iter_mut().map(|share| slack_of(share, now)).sum()
+    };
+    assert!(sum(&mut shares, now) < DEPLOYMENT.slack);
+    for share in &mut shares {
+        share.set_gateways(100, true, now);
+    }
+    let total = sum(&mut shares, now);
+    assert!(total > 0.9 * DEPLOYMENT.slack && total < DEPLOYMENT.slack);
+}
+
+/// Guards against gateways that divide the slack anew as soon as others have left the list: what
+/// these have spent still counts in the window.
+#[test]
+fn slack_of_gateways_that_have_left_is_not_used_within_the_window() {
+    let start = Duration::from_secs(100);
+    let mut share = Share::new(DEPLOYMENT);
+    share.set_gateways(10, true, start);
+    let of_ten = slack_of(&mut share, start);
+    let left_at = start + Duration::from_secs(30);
+    share.set_gateways(5, true, left_at);
+    assert_eq!(slack_of(&mut share, left_at), of_ten);
+    let last = left_at + DEPLOYMENT.window - Duration::from_millis(1);
+    assert_eq!(slack_of(&mut share, last), of_ten);
+    assert_eq!(
+        slack_of(&mut share, left_at + DEPLOYMENT.window),
+        2.0 * of_ten
+    );
+}
