Let a gateway that starts earn its retry budget

What callers saw: upstreams that fail got more arrivals beyond the first of their request than the deployment's budget allows.

Cause: each process begins with an empty window and the whole budget. What its predecessor spent still counts in the window of the deployment: with all gateways restarted within one, the slack was spent once more, and the ratio on top of a burst of retries before the restart.

Change: in its first window a gateway uses a quarter of its share of the slack, half of the ratio, growing to the whole, and escalations by a ratio that grows from none. A gateway that has run for longer leaves that quarter to its successor.

Result: restarted_gateway_does_not_spend_the_slack_of_the_window_again failed before (72 and, with the list fixed, 119 arrivals beyond the first, 56 allowed) and passes.

--- a/src/cli/gateway.rs
+++ b/src/cli/gateway.rs
@@ -131,11 +131,7 @@
         admin_listen: optional(matches, "admin-listen"),
         body_limit: usize::try_from(body_limit).unwrap_or(usize::MAX),
         stop_limit: required(matches, "stop-limit"),
-        retry_budget: Limits {
-            ratio: required(matches, "repeat-ratio"),
-            slack: RETRY_SLACK,
-            window: RETRY_WINDOW,
-        },
+        retry_budget: Limits::new(required(matches, "repeat-ratio"), RETRY_SLACK, RETRY_WINDOW),
         admission: required::<String>(matches, "admission") == "on",
         regions: required(matches, "regions"),
         header_names: HeaderNames::default(),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -250,7 +250,7 @@
     let id_header = cfg.header_names.attempt_id.clone();
     let gateway = Rc::new(Gateway {
         recovery: Recovery::new(clock.now()),
-        retry_budget_share: RefCell::new(Share::new(cfg.retry_budget)),
+        retry_budget_share: RefCell::new(Share::new(cfg.retry_budget, clock.now())),
         cfg,
         clock,
         run_id: fastrand::u64(1..),
--- a/src/policy/retry_budget.rs
+++ b/src/policy/retry_budget.rs
@@ -16,15 +16,20 @@
 /// retries count.
 const SLICES: u32 = 20;
 
-/// Share of the budget that escalations to a larger model may use; the rest is left for failures.
+/// Part of the budget that escalations to a larger model may use; the rest is left for failures.
 const ESCALATION_SHARE: f64 = 0.75;
 
 /// Fraction of a deployment's budget that its gateways use. Their windows do not start at the same
 /// moment, and retries arrive after they are counted, so the rest is kept as a margin.
 const BUDGET_FRACTION: f64 = 0.92;
 
-/// Part of its share of the slack that a gateway uses while its list of gateways may lack some.
-const PARTIAL_LIST_SLACK: f64 = 0.25;
+/// Part of the ratio at the start of a process; it grows to the whole over the first window.
+const START_RATIO: f64 = 0.5;
+
+/// Part of its share of the slack that a gateway uses in its first window, or while its list of
+/// gateways may lack some. The rest is for gateways that have run for longer, so that the two add up
+/// to the share when one replaces the other within a window.
+const START_SLACK: f64 = 0.25;
 
 /// Limits on the retries of one service.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -35,14 +40,34 @@
     pub slack: f64,
     /// Length of the window.
     pub window: Duration,
+    /// Escalations to a larger model per first attempt; they count as retries as well.
+    escalation_ratio: f64,
+}
+
+impl Limits {
+    /// Creates limits of `ratio` retries per first attempt and `slack` retries on top of that within
+    /// each `window`.
+    pub const fn new(ratio: f64, slack: f64, window: Duration) -> Self {
+        Self {
+            ratio,
+            slack,
+            window,
+            escalation_ratio: ratio * ESCALATION_SHARE,
+        }
+    }
 }
 
 /// The share of a deployment's budget that one gateway may use. The shares of all gateways add up to
 /// less than the budget, also while they learn of each other.
+///
+/// What a former process of the gateway has spent still counts in the window, and a new process does
+/// not know of it. So it earns fewer retries during its first window, and few escalations, which a
+/// request can do without.
 #[derive(Clone, Debug)]
 pub struct Share {
     /// Limits of the deployment.
     total: Limits,
+    started_at: Duration,
     /// Numbers of gateways and when they were learned; the last one is current.
     gateways: VecDeque<(Duration, usize)>,
     /// Whether the last list of gateways had all of them.
@@ -50,11 +75,12 @@
 }
 
 impl Share {
-    /// Creates the share of a gateway that does not know the others yet, given the limits of the
-    /// deployment.
-    pub fn new(total: Limits) -> Self {
+    /// Creates the share of a gateway whose process starts at `started_at`, given the limits of the
+    /// deployment. It does not know the others yet.
+    pub fn new(total: Limits, started_at: Duration) -> Self {
         Self {
             total,
+            started_at,
             gateways: VecDeque::new(),
             knows_all: false,
         }
@@ -79,15 +105,22 @@
         self.forget_former(now);
         // What a gateway that has left spent still counts in the window.
         let largest = self.gateways.iter().map(|&(_, number)| number).max();
-        let share = match largest {
-            Some(gateways) if self.knows_all => 1.0 / gateways as f64,
-            Some(gateways) => PARTIAL_LIST_SLACK / gateways as f64,
-            None => 0.0,
+        let share = largest.map_or(0.0, |gateways| 1.0 / gateways as f64);
+        let window = self.total.window;
+        let uptime = now.saturating_sub(self.started_at);
+        let earned = (uptime.as_secs_f64() / window.as_secs_f64()).min(1.0);
+        let slack_part = if uptime < window || !self.knows_all {
+            START_SLACK
+        } else {
+            1.0 - START_SLACK
         };
+        let ratio = self.total.ratio * BUDGET_FRACTION;
+        let slack = self.total.slack * BUDGET_FRACTION * share * slack_part;
+        let limits = Limits::new(ratio, slack, window);
         Limits {
-            ratio: self.total.ratio * BUDGET_FRACTION,
-            slack: self.total.slack * BUDGET_FRACTION * share,
-            window: self.total.window,
+            ratio: ratio * (START_RATIO + (1.0 - START_RATIO) * earned),
+            escalation_ratio: limits.escalation_ratio * earned,
+            ..limits
         }
     }
 
@@ -124,6 +157,8 @@
     pub escalations: u32,
     /// Retries that the limits allow in the window.
     pub allowed: f64,
+    /// Escalations that they allow.
+    pub allowed_escalations: f64,
 }
 
 /// First attempts and retries of the last window.
@@ -147,7 +182,7 @@
     /// escalations' share of the budget is used up.
     pub fn try_escalation(&mut self, limits: &Limits, now: Duration) -> bool {
         let usage = self.usage(limits, now);
-        if f64::from(usage.escalations) + 1.0 > usage.allowed * ESCALATION_SHARE {
+        if f64::from(usage.escalations) + 1.0 > usage.allowed_escalations {
             return false;
         }
         let is_spent = self.try_spend(limits, now);
@@ -160,10 +195,10 @@
     /// Returns the share of the escalations' part of the budget that is left, 0 to 1.
     pub fn escalations_left(&mut self, limits: &Limits, now: Duration) -> f64 {
         let usage = self.usage(limits, now);
-        if usage.allowed <= 0.0 {
+        if usage.allowed_escalations <= 0.0 {
             return 0.0;
         }
-        let left = 1.0 - f64::from(usage.escalations) / (usage.allowed * ESCALATION_SHARE);
+        let left = 1.0 - f64::from(usage.escalations) / usage.allowed_escalations;
         left.min(1.0 - f64::from(usage.retries) / usage.allowed)
             .max(0.0)
     }
@@ -179,7 +214,10 @@
             usage.retries += slice.retries;
             usage.escalations += slice.escalations;
         }
-        usage.allowed = f64::from(usage.first_attempts) * limits.ratio + limits.slack;
+        let first_attempts = f64::from(usage.first_attempts);
+        usage.allowed = first_attempts * limits.ratio + limits.slack;
+        usage.allowed_escalations =
+            first_attempts * limits.escalation_ratio + limits.slack * ESCALATION_SHARE;
         usage
     }
 
--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -21,6 +21,7 @@
 mod release_rollout;
 mod renewals;
 mod retry_budget;
+mod retry_budget_restarts;
 mod sessions;
 mod stalled_callers;
 mod timeouts;
