--- a/tests/state/main.rs
+++ b/tests/state/main.rs
@@ -5,6 +5,7 @@
 mod announcements;
 mod documents;
 mod evacuations;
+mod full_disk;
 mod releases;
 
 use daisyquay::config::Inventory;
