--- a/src/gateway/exchange/mod.rs
+++ b/src/gateway/exchange/mod.rs
@@ -192,7 +192,7 @@
     is_probe: bool,
     /// Reason why the last failed attempt failed, for the log.
     last_failure: &'static str,
-    /// What the next attempt follows; `None` for the first one.
+    /// Reason for the next attempt; `None` for the first one.
     repeat_cause: Option<RepeatCause>,
 }
 
--- a/src/gateway/retries.rs
+++ b/src/gateway/retries.rs
@@ -12,7 +12,7 @@
 /// Minimum time between two log lines on the exhausted budget of one service.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
-/// What an attempt beyond the first of its request follows.
+/// Reason for an attempt beyond the first of its request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum RepeatCause {
     /// An attempt of which nothing reached the upstream.
@@ -63,7 +63,7 @@
         is_spent
     }
 
-    /// Counts an attempt beyond the first of its request, by what it follows.
+    /// Counts an attempt beyond the first of its request, by its cause.
     pub(super) fn count_repeat(&self, service: &Name, cause: RepeatCause) {
         let labels = [("service", &**service), ("cause", cause.name())];
         self.metrics.add_to_counter("daisyquay_repeats", 1, &labels);
--- a/src/policy/retry_budget.rs
+++ b/src/policy/retry_budget.rs
@@ -60,8 +60,8 @@
 /// The share of a deployment's budget that one gateway may use. The shares of all gateways add up to
 /// less than the budget, also while they learn of each other.
 ///
-/// What a former process of the gateway has spent still counts in the window, and a new process does
-/// not know of it. So it earns fewer retries during its first window, and few escalations, which a
+/// Retries of a gateway's former process still count in the window, and the new process does not know
+/// their number. So it earns fewer retries during its first window, and few escalations, which a
 /// request can do without.
 #[derive(Clone, Debug)]
 pub struct Share {
@@ -103,7 +103,7 @@
     /// Returns the limits on this gateway's retries.
     pub fn limits(&mut self, now: Duration) -> Limits {
         self.forget_former(now);
-        // What a gateway that has left spent still counts in the window.
+        // Retries of gateways that have left still count in the window.
         let largest = self.gateways.iter().map(|&(_, number)| number).max();
         let share = largest.map_or(0.0, |gateways| 1.0 / gateways as f64);
         let window = self.total.window;
@@ -146,7 +146,7 @@
     escalations: u32,
 }
 
-/// What counts against a budget at one moment.
+/// State of a budget at one moment.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Usage {
     /// First attempts in the window.
