Search for the leader beyond the last list of replicas

Cause: `peer::LeaderClient` kept only the leader's last list of replicas. A gateway that was suspended or cut off while all replicas were replaced called addresses at which nothing runs any more, for good, and went on routing by its old configuration. Neither the addresses of its settings nor the other gateways, which know the replicas, were asked; the log did not tell which replicas were called. A replica that is not a voter may also name a dead leader for good, and the search went back and forth between the two.

Change: `policy::replica_search` decides which address is called next, from the leader's list, the settings and what others report, and skips silent ones when updates are fetched. `state_lost` is repeated each second with the replicas called and the age of the configuration, which is also a gauge. Entries take the replicas from their grants.

--- a/src/cli/gateway.rs
+++ b/src/cli/gateway.rs
@@ -47,7 +47,7 @@
         address_arg(
             "loads-listen",
             "DAISYQUAY_GATEWAY_LOADS",
-            "Address for load updates from the other gateways (UDP)",
+            "Address for load updates (UDP) and questions (TCP) of the other gateways",
         )
         .default_value("127.0.0.1:7601"),
     )
--- a/src/entry/link.rs
+++ b/src/entry/link.rs
@@ -49,7 +49,8 @@
     releasing: Arc<AtomicBool>,
 ) {
     let client = Client::new(&shared.cfg.peer_key);
-    let leader = LeaderClient::new(client, shared.cfg.state.clone());
+    let (replicas, clock) = (shared.cfg.state.clone(), shared.clock.clone());
+    let leader = LeaderClient::new(client, replicas, clock);
     let batcher = Batcher::default();
     let renewing = tokio::task::spawn_local(renew_lease(shared.clone(), leader.clone()));
     let mut flush = tokio::time::interval(FLUSH_INTERVAL);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 mod quarantine;
 mod refusal;
 mod renewal;
+mod replica_list;
 mod response;
 mod retries;
 mod routing;
@@ -41,6 +42,7 @@
 
 use snafu::ResultExt;
 use snafu::Snafu;
+use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
@@ -108,7 +110,8 @@
     pub state: Vec<SocketAddr>,
     /// Key by which the processes of a deployment authenticate each other.
     pub peer_key: String,
-    /// UDP address on which it receives the other gateways' load updates.
+    /// Address on which it receives the other gateways' load updates, by UDP, and tells them which
+    /// replicas there are, by TCP.
     pub loads_listen: SocketAddr,
     /// Address of the admin listener; `None` disables it.
     pub admin_listen: Option<SocketAddr>,
@@ -155,6 +158,8 @@
     /// The leader's revision of the configuration and when it was received; `None` before the first
     /// grant.
     leader_revision: Cell<Option<(u64, Duration)>>,
+    /// Replicas of the leader's last list.
+    replicas: RefCell<Vec<SocketAddr>>,
     upstreams: RefCell<UpstreamTable>,
     peer_loads: RefCell<PeerLoads>,
     /// Upstreams that refuse connections, as seen by this gateway and the others.
@@ -246,6 +251,9 @@
     let socket = UdpSocket::bind(address)
         .await
         .context(ListenSnafu { address })?;
+    let peers = TcpListener::bind(address)
+        .await
+        .context(ListenSnafu { address })?;
     let address = cfg.listen;
     let id_header = cfg.header_names.attempt_id.clone();
     let gateway = Rc::new(Gateway {
@@ -259,6 +267,7 @@
         has_all_gateways: Cell::new(false),
         directory_deadline: Cell::new(None),
         leader_revision: Cell::new(None),
+        replicas: RefCell::default(),
         upstreams: RefCell::default(),
         peer_loads: RefCell::default(),
         reachability: RefCell::default(),
@@ -316,6 +325,7 @@
         run = gateway.run_id
     );
     tokio::task::spawn_local(renewal::run(gateway.clone()));
+    tokio::task::spawn_local(replica_list::serve(gateway.clone(), peers));
     tokio::task::spawn_local(sweep(gateway.clone()));
     tokio::task::spawn_local(loads::run(gateway.clone(), socket));
     if gateway.cfg.admission {
@@ -356,6 +366,12 @@
         self.leader_revision.set(Some((revision, self.now())));
     }
 
+    /// Returns the time since the leader was last heard of; `None` before the first grant.
+    fn config_age(&self) -> Option<Duration> {
+        let (_, received_at) = self.leader_revision.get()?;
+        Some(self.now().saturating_sub(received_at))
+    }
+
     /// Returns whether the configuration may be older than one that the leader has acknowledged: a
     /// newer one is known and not received yet, or the leader was not heard of for a while.
     fn may_lag_behind(&self) -> bool {
--- a/src/gateway/renewal.rs
+++ b/src/gateway/renewal.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use super::Gateway;
 use crate::collections::Name;
@@ -35,10 +36,18 @@
 /// this gateway in time.
 const DIRECTORY_UPDATES: usize = 8;
 
+/// Interval between two log lines on the search for a leader.
+const SEARCH_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Interval between two questions to the other gateways which replicas there are.
+const QUESTION_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Sends renewals for as long as the process runs.
 pub(super) async fn run(gateway: Rc<Gateway>) {
     let client = Client::new(&gateway.cfg.peer_key);
-    let leader = LeaderClient::new(client, gateway.cfg.state.clone());
+    let (replicas, clock) = (gateway.cfg.state.clone(), gateway.clock.clone());
+    let leader = LeaderClient::new(client, replicas, clock);
+    let mut next_question_at = Duration::ZERO;
     let mut state = RenewalState {
         update_source: gateway.run_id as usize,
         partial_entries_version: Some(0),
@@ -52,14 +61,21 @@
         let reply = leader.try_call(&Request::Renew(Box::new(renewal))).await;
         let Some(Reply::Grant(grant)) = reply else {
             gateway.restore_release_stats(release_stats);
-            state.mark_disconnected();
+            state.mark_disconnected(&gateway, &leader);
             timing.record_failure();
+            if leader.needs_replicas() && gateway.now() >= next_question_at {
+                next_question_at = gateway.now() + QUESTION_INTERVAL;
+                let (gateway, leader) = (gateway.clone(), leader.clone());
+                tokio::task::spawn_local(async move {
+                    leader.add_reported(gateway.ask_for_replicas().await);
+                });
+            }
             leader.wait_before_retry().await;
             continue;
         };
         timing.record_grant(gateway.now());
         gateway.record_cold_start_grant(sent_at, grant.entries.as_deref());
-        state.apply_grant(&gateway, &leader, *grant);
+        state.apply_grant(&gateway, *grant);
         state.fetch_directory(&gateway, &leader).await;
         state.record_recovery(&gateway);
         state.fetch_config(&gateway, &leader).await;
@@ -146,6 +162,8 @@
     replicas_digest: u32,
     /// Whether the last renewal was granted.
     is_connected: bool,
+    /// When the search for a leader was last logged.
+    search_logged_at: Duration,
 }
 
 impl RenewalState {
@@ -190,17 +208,34 @@
         }
     }
 
-    fn mark_disconnected(&mut self) {
-        if self.is_connected {
-            self.is_connected = false;
-            event!(Warn, "state_lost", revision = self.revision);
+    /// Logs that the leader was lost, and at intervals which replicas have been called.
+    fn mark_disconnected(&mut self, gateway: &Gateway, leader: &LeaderClient) {
+        let now = gateway.now();
+        if !self.is_connected && now < self.search_logged_at + SEARCH_LOG_INTERVAL {
+            return;
         }
+        self.is_connected = false;
+        self.search_logged_at = now;
+        let age = gateway.config_age().unwrap_or_default();
+        gateway
+            .metrics
+            .set_gauge("daisyquay_config_age_seconds", age.as_secs_f64());
+        event!(
+            Warn,
+            "state_lost",
+            revision = self.revision,
+            age_ms = age.as_millis(),
+            called = leader.log_text()
+        );
     }
 
-    fn apply_grant(&mut self, gateway: &Gateway, leader: &LeaderClient, grant: Grant) {
+    fn apply_grant(&mut self, gateway: &Gateway, grant: Grant) {
         if !self.is_connected {
             self.is_connected = true;
             event!(Info, "state_found", term = grant.term);
+            gateway
+                .metrics
+                .set_gauge("daisyquay_config_age_seconds", 0.0);
         }
         gateway.record_phase(Phase::Leader);
         self.has_rejected_update = false;
@@ -210,8 +245,7 @@
         self.replicas_digest = grant.replicas_digest;
         gateway.upstreams.borrow_mut().set_suspects(&grant.suspects);
         if let Some(replicas) = grant.replicas {
-            event!(Info, "replicas_known", replicas = format!("{replicas:?}"));
-            leader.set_replicas(replicas);
+            *gateway.replicas.borrow_mut() = replicas;
         }
         if let Some(entries) = grant.entries {
             self.partial_entries_version = None;
--- a/src/peer/leader.rs
+++ b/src/peer/leader.rs
@@ -1,14 +1,19 @@
 //! Finds the leader among the state replicas and calls it.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
+use super::CallError;
 use super::Client;
 use super::Reply;
 use super::Request;
+use crate::clock::Clock;
 use crate::log::event;
+use crate::policy::replica_search::Search;
 
 /// Time within which a replica must reply to one call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
@@ -16,20 +21,14 @@
 /// Time between two attempts while no leader is found.
 const RETRY_INTERVAL: Duration = Duration::from_millis(40);
 
-/// The replicas, and the one to call next.
-#[derive(Debug)]
-struct Candidates {
-    replicas: Vec<SocketAddr>,
-    leader: SocketAddr,
-    /// Whether the last call got a reply of the leader.
-    is_confirmed: bool,
-}
-
 /// Calls the leader of the state replicas; clones share the replicas and the leader found.
 #[derive(Clone)]
 pub struct LeaderClient {
     client: Client,
-    candidates: Rc<RefCell<Candidates>>,
+    clock: Arc<dyn Clock>,
+    search: Rc<RefCell<Search>>,
+    /// Whether the last call got a reply of the leader.
+    is_confirmed: Rc<Cell<bool>>,
 }
 
 impl LeaderClient {
@@ -38,64 +37,81 @@
     /// # Panics
     ///
     /// `replicas` is empty.
-    pub fn new(client: Client, replicas: Vec<SocketAddr>) -> Self {
-        let leader = replicas[fastrand::usize(..replicas.len())];
+    pub fn new(client: Client, replicas: Vec<SocketAddr>, clock: Arc<dyn Clock>) -> Self {
+        let first = fastrand::usize(..replicas.len());
+        let search = Search::new(replicas, first).expect("the settings name a replica");
         Self {
             client,
-            candidates: Rc::new(RefCell::new(Candidates {
-                replicas,
-                leader,
-                is_confirmed: false,
-            })),
+            clock,
+            search: Rc::new(RefCell::new(search)),
+            is_confirmed: Rc::default(),
         }
     }
 
     /// Returns the leader's address, or `None` where the last call did not reach the leader.
     pub fn leader_address(&self) -> Option<SocketAddr> {
-        let candidates = self.candidates.borrow();
-        candidates.is_confirmed.then_some(candidates.leader)
+        self.is_confirmed.get().then(|| self.search.borrow().next())
     }
 
-    /// Replaces the replicas among which the leader is looked for; an empty list is ignored.
-    pub fn set_replicas(&self, replicas: Vec<SocketAddr>) {
-        if !replicas.is_empty() {
-            self.candidates.borrow_mut().replicas = replicas;
-        }
+    /// Returns whether the replicas known have led nowhere for a while, so that other processes
+    /// should be asked for them.
+    pub fn needs_replicas(&self) -> bool {
+        self.search.borrow().is_wide(self.clock.now())
+    }
+
+    /// Returns the replicas called and whether they replied, for the log.
+    pub fn log_text(&self) -> String {
+        self.search.borrow().log_text(self.clock.now())
+    }
+
+    /// Adds replicas that another process has named; ignored once a leader has replied.
+    pub fn add_reported(&self, replicas: Vec<SocketAddr>) {
+        self.search.borrow_mut().set_reported(replicas);
+    }
+
+    /// Replaces the replicas among which the leader is looked for first; an empty list is ignored.
+    pub fn set_listed(&self, replicas: Vec<SocketAddr>) {
+        self.search.borrow_mut().set_listed(replicas);
     }
 
     /// Calls the presumed leader once, and the one that it names instead. Returns `None` where the
     /// call must be retried: the replica does not reply or is not the leader, or the outcome is
-    /// unknown.
+    /// unknown. Takes the replicas that a grant lists.
     pub async fn try_call(&self, request: &Request) -> Option<Reply> {
-        let leader = self.candidates.borrow().leader;
+        let leader = self.search.borrow().next();
         let mut reply = self.call_replica(leader, request).await;
         if let Err(Some(named)) = reply {
             reply = self.call_replica(named, request).await;
         }
-        self.candidates.borrow_mut().is_confirmed = reply.is_ok();
+        self.is_confirmed.set(reply.is_ok());
+        if let Ok(Reply::Grant(grant)) = &reply
+            && let Some(replicas) = &grant.replicas
+        {
+            event!(Info, "replicas_known", replicas = format!("{replicas:?}"));
+            self.set_listed(replicas.clone());
+        }
         reply.ok()
     }
 
     /// Calls one replica. The error is the leader that it names, if it names another one.
     async fn call_replica(
         &self,
-        leader: SocketAddr,
+        address: SocketAddr,
         request: &Request,
     ) -> Result<Reply, Option<SocketAddr>> {
-        match self.client.call(leader, request, CALL_TIMEOUT).await {
-            Ok(Reply::NotLeader { leader: hint }) => {
-                let named = hint.filter(|&address| address != leader);
-                match named {
-                    Some(address) => self.candidates.borrow_mut().leader = address,
-                    None => self.try_next_replica(leader),
-                }
-                Err(named)
-            }
+        let result = self.client.call(address, request, CALL_TIMEOUT).await;
+        let now = self.clock.now();
+        let mut search = self.search.borrow_mut();
+        match result {
+            Ok(Reply::NotLeader { leader }) => Err(search.record_follower(address, leader, now)),
             Ok(Reply::OutcomeUnknown) => Err(None),
-            Ok(reply) => Ok(reply),
+            Ok(reply) => {
+                search.record_leader(address);
+                Ok(reply)
+            }
             Err(e) => {
-                event!(Debug, "call_failed", error = e);
-                self.try_next_replica(leader);
+                log_failure(&e);
+                search.record_silence(address, now);
                 Err(None)
             }
         }
@@ -104,34 +120,22 @@
     /// Calls one of the replicas once, leader or not: the one at position `index`, counted over the
     /// replicas again and again. Returns `None` where it does not reply.
     pub async fn call_replica_at(&self, index: usize, request: &Request) -> Option<Reply> {
-        let replica = {
-            let candidates = self.candidates.borrow();
-            candidates.replicas[index % candidates.replicas.len()]
-        };
-        match self.client.call(replica, request, CALL_TIMEOUT).await {
-            Ok(reply) => Some(reply),
+        let replica = self.search.borrow().responsive_at(index, self.clock.now());
+        let result = self.client.call(replica, request, CALL_TIMEOUT).await;
+        let mut search = self.search.borrow_mut();
+        match result {
+            Ok(reply) => {
+                search.record_reply(replica);
+                Some(reply)
+            }
             Err(e) => {
-                event!(Debug, "call_failed", error = e);
+                log_failure(&e);
+                search.record_unanswered(replica, self.clock.now());
                 None
             }
         }
     }
 
-    /// Presumes the next replica to be the leader, unless another call has changed the presumed
-    /// leader meanwhile.
-    fn try_next_replica(&self, tried: SocketAddr) {
-        let mut candidates = self.candidates.borrow_mut();
-        if candidates.leader != tried {
-            return;
-        }
-        let at = candidates
-            .replicas
-            .iter()
-            .position(|&address| address == tried);
-        let next = at.map_or(0, |at| (at + 1) % candidates.replicas.len());
-        candidates.leader = candidates.replicas[next];
-    }
-
     /// Waits between two attempts.
     pub async fn wait_before_retry(&self) {
         tokio::time::sleep(RETRY_INTERVAL).await;
@@ -150,3 +154,7 @@
         tokio::time::timeout(timeout, retries).await.ok()
     }
 }
+
+fn log_failure(e: &CallError) {
+    event!(Debug, "call_failed", error = e);
+}
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -94,6 +94,8 @@
         /// The operator's request.
         request: Box<Request>,
     },
+    /// Asks any process which replicas there are.
+    Replicas,
 }
 
 /// The reply to a request.
@@ -129,6 +131,9 @@
     OutcomeUnknown,
     /// The sender's key does not permit the request; the text says what to do.
     Refused(Name),
+    /// To `Replicas`: the peer addresses of the members of the log; none where the process does not
+    /// hear of a leader.
+    Replicas(Vec<SocketAddr>),
 }
 
 /// Whether a replica has a log.
--- /dev/null
+++ b/src/policy/replica_search.rs
@@ -0,0 +1,255 @@
+//! Decides which address to call next in the search for the leader of the state replicas.
+//!
+//! Handles replicas that are replaced at other addresses while a process is cut off or suspended.
+//! The leader's last list of replicas may then have no replica that still runs, or only ones that
+//! were removed from the log and still reply. So the process keeps the addresses of its settings
+//! and those that other processes report, and calls them too once the list has led nowhere.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::collections::HashMap;
+
+/// Duration of a search after which the addresses outside the list are called too. An election
+/// takes less.
+const WIDEN_AFTER: Duration = Duration::from_millis(1500);
+
+/// Time for which an address counts as silent after a call without a reply.
+const SILENCE_TTL: Duration = Duration::from_secs(5);
+
+/// Most addresses taken from the settings, the leader or another process.
+const MAX_ADDRESSES: usize = 64;
+
+/// Most addresses in one log line.
+const MAX_LOGGED: usize = 8;
+
+/// Outcome of the last call of an address.
+#[derive(Clone, Copy, Debug, Default)]
+struct Contact {
+    /// Number of the call, counted over all addresses; 0 before the first.
+    last_call: u64,
+    /// Until when the address counts as silent; `None` if the last call got a reply.
+    silent_until: Option<Duration>,
+}
+
+/// The addresses among which the leader is searched for.
+#[derive(Clone, Debug)]
+pub struct Search {
+    /// Addresses of the settings.
+    configured: Vec<SocketAddr>,
+    /// The leader's last list.
+    listed: Vec<SocketAddr>,
+    /// The list that another process has reported since the last reply of a leader.
+    reported: Vec<SocketAddr>,
+    /// Address that is called next.
+    next: SocketAddr,
+    contacts: HashMap<SocketAddr, Contact>,
+    calls: u64,
+    /// When the first call without a reply of the leader ended; `None` while the leader replies.
+    lost_at: Option<Duration>,
+}
+
+impl Search {
+    /// Creates a search among the addresses of the settings, that begins with the one at position
+    /// `first`, counted over them again and again; `None` if there are none.
+    pub fn new(configured: Vec<SocketAddr>, first: usize) -> Option<Self> {
+        let configured = bounded(configured);
+        let next = *configured.get(first % configured.len().max(1))?;
+        Some(Self {
+            listed: configured.clone(),
+            configured,
+            reported: Vec::new(),
+            next,
+            contacts: HashMap::default(),
+            calls: 0,
+            lost_at: None,
+        })
+    }
+
+    /// Returns the address to call next: the presumed leader.
+    pub fn next(&self) -> SocketAddr {
+        self.next
+    }
+
+    /// Returns the replicas of the leader's last list.
+    pub fn listed(&self) -> &[SocketAddr] {
+        &self.listed
+    }
+
+    /// Sets the leader's list; an empty one is ignored.
+    pub fn set_listed(&mut self, replicas: Vec<SocketAddr>) {
+        if replicas.is_empty() {
+            return;
+        }
+        self.listed = bounded(replicas);
+        self.forget_unknown();
+    }
+
+    /// Sets the list that another process has reported, and calls its addresses next; an empty one
+    /// is ignored, and so is any while the leader replies.
+    pub fn set_reported(&mut self, replicas: Vec<SocketAddr>) {
+        if replicas.is_empty() || self.lost_at.is_none() {
+            return;
+        }
+        self.reported = bounded(replicas);
+        self.forget_unknown();
+        if let Some(next) = self.least_recent(&self.reported.clone()) {
+            self.next = next;
+        }
+    }
+
+    /// Records a reply of the leader.
+    pub fn record_leader(&mut self, address: SocketAddr) {
+        self.record_reply(address);
+        self.next = address;
+        self.lost_at = None;
+        self.reported.clear();
+    }
+
+    /// Records a reply of a replica that is not the leader, and may name it. Returns the address to
+    /// call at once; `None` if the caller should wait first.
+    pub fn record_follower(
+        &mut self,
+        address: SocketAddr,
+        leader: Option<SocketAddr>,
+        now: Duration,
+    ) -> Option<SocketAddr> {
+        self.record_reply(address);
+        self.lost_at.get_or_insert(now);
+        let leader = leader.filter(|&leader| leader != address);
+        match leader {
+            // A follower may name a leader that has died until its election timeout, and a replica
+            // that was removed from the log for good.
+            Some(leader) if !self.is_silent(leader, now) => {
+                self.next = leader;
+                Some(leader)
+            }
+            _ => {
+                self.advance(address, now);
+                None
+            }
+        }
+    }
+
+    /// Records a call without a reply.
+    pub fn record_silence(&mut self, address: SocketAddr, now: Duration) {
+        self.record_unanswered(address, now);
+        self.lost_at.get_or_insert(now);
+        self.advance(address, now);
+    }
+
+    /// Returns whether the leader's list has led nowhere, so that other processes should be asked.
+    pub fn is_wide(&self, now: Duration) -> bool {
+        let Some(lost_at) = self.lost_at else {
+            return false;
+        };
+        let mut listed = self.listed.iter();
+        now >= lost_at + WIDEN_AFTER || listed.all(|&address| self.is_silent(address, now))
+    }
+
+    /// Returns the replica at position `index` of the list, counted over it again and again, without
+    /// those that are silent, unless all are.
+    pub fn responsive_at(&self, index: usize, now: Duration) -> SocketAddr {
+        let is_responsive = |address: &&SocketAddr| !self.is_silent(**address, now);
+        let responsive: Vec<&SocketAddr> = self.listed.iter().filter(is_responsive).collect();
+        match responsive.len() {
+            0 => self.listed[index % self.listed.len()],
+            n => *responsive[index % n],
+        }
+    }
+
+    /// Returns the addresses called and whether they replied, the latest call first, for the log.
+    pub fn log_text(&self, now: Duration) -> String {
+        let mut contacts: Vec<_> = self.contacts.iter().collect();
+        contacts.sort_by_key(|(_, contact)| std::cmp::Reverse(contact.last_call));
+        let text = |address: SocketAddr| {
+            let outcome = if self.is_silent(address, now) {
+                "silent"
+            } else {
+                "replied"
+            };
+            format!("{address}={outcome}")
+        };
+        let addresses = contacts.iter().take(MAX_LOGGED);
+        let texts: Vec<String> = addresses.map(|(address, _)| text(**address)).collect();
+        texts.join(",")
+    }
+
+    /// Records a reply that says nothing of the leader.
+    pub fn record_reply(&mut self, address: SocketAddr) {
+        self.record_call(address, None);
+    }
+
+    /// Records a call without a reply, to an address that was not presumed to be the leader.
+    pub fn record_unanswered(&mut self, address: SocketAddr, now: Duration) {
+        self.record_call(address, Some(now + SILENCE_TTL));
+    }
+
+    fn record_call(&mut self, address: SocketAddr, silent_until: Option<Duration>) {
+        self.calls += 1;
+        let contact = Contact {
+            last_call: self.calls,
+            silent_until,
+        };
+        self.contacts.insert(address, contact);
+        self.forget_unknown();
+    }
+
+    fn is_silent(&self, address: SocketAddr, now: Duration) -> bool {
+        let contact = self.contacts.get(&address);
+        let silent_until = contact.and_then(|contact| contact.silent_until);
+        silent_until.is_some_and(|until| now < until)
+    }
+
+    /// Presumes another address to be the leader, unless another call has changed the presumed
+    /// leader meanwhile.
+    fn advance(&mut self, tried: SocketAddr, now: Duration) {
+        if self.next != tried {
+            return;
+        }
+        let mut among = self.listed.clone();
+        if self.is_wide(now) {
+            among = self.reported.clone();
+            among.extend(&self.configured);
+            among.extend(&self.listed);
+        }
+        if let Some(next) = self.least_recent(&among) {
+            self.next = next;
+        }
+    }
+
+    /// Returns the first of the addresses whose last call is the longest ago.
+    fn least_recent(&self, among: &[SocketAddr]) -> Option<SocketAddr> {
+        let last_call = |address: &&SocketAddr| {
+            let contact = self.contacts.get(*address);
+            contact.map_or(0, |contact| contact.last_call)
+        };
+        among.iter().min_by_key(last_call).copied()
+    }
+
+    /// Forgets the calls of addresses that are in no list, but for the presumed leader.
+    fn forget_unknown(&mut self) {
+        if self.contacts.len() <= 4 * MAX_ADDRESSES {
+            return;
+        }
+        let Self {
+            configured,
+            listed,
+            reported,
+            next,
+            contacts,
+            ..
+        } = self;
+        contacts.retain(|address, _| {
+            address == next
+                || configured.contains(address)
+                || listed.contains(address)
+                || reported.contains(address)
+        });
+    }
+}
+
+fn bounded(mut addresses: Vec<SocketAddr>) -> Vec<SocketAddr> {
+    addresses.truncate(MAX_ADDRESSES);
+    addresses
+}
--- a/src/replica/core.rs
+++ b/src/replica/core.rs
@@ -201,6 +201,15 @@
             .filter(|&leader| leader != self.address)
     }
 
+    /// Returns the peer addresses of the members of the log; none where no leader is known.
+    pub(super) fn replicas_under_leader(&self) -> Vec<SocketAddr> {
+        if self.remote_leader().is_none() && !self.has_leader_lease() {
+            return Vec::new();
+        }
+        let members = self.node.membership().members.values();
+        members.map(|member| member.address).collect()
+    }
+
     /// Queues a command. The receiver gets its outcome, or an error where the outcome is unknown.
     /// Returns `None` where this replica is not the leader, is stopping, or has too many pending
     /// commands.
--- a/src/replica/handle.rs
+++ b/src/replica/handle.rs
@@ -4,10 +4,12 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use super::core::Core;
 use super::handler::handle_peer;
+use crate::clock::Clock;
 use crate::collections::Name;
 use crate::peer::Client;
 use crate::peer::LeaderClient;
@@ -116,8 +118,8 @@
 
     /// Creates a handle for a process without a replica, such as one on a VM without a disk.
     /// `replicas` are the peer addresses of at least one replica.
-    pub fn remote(peer_key: &str, replicas: Vec<SocketAddr>) -> Self {
-        let leader = LeaderClient::new(Client::new(peer_key), replicas);
+    pub fn remote(peer_key: &str, replicas: Vec<SocketAddr>, clock: Arc<dyn Clock>) -> Self {
+        let leader = LeaderClient::new(Client::new(peer_key), replicas, clock);
         Self::with_link(Link::Remote(leader))
     }
 
--- a/src/replica/handler.rs
+++ b/src/replica/handler.rs
@@ -116,6 +116,7 @@
         Request::Announce(announcement) => announce(core, announcement).await,
         Request::Leave { id, incarnation } => propose(&core, Op::Leave { id, incarnation }).await,
         Request::OnBehalf { who, request } => handle_operator(core, who, *request).await,
+        Request::Replicas => Reply::Replicas(core.borrow().replicas_under_leader()),
         Request::Change(_) | Request::Query(_) => {
             Reply::Refused("this request needs an operator key; pass --operator-key".into())
         }
--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -20,6 +20,7 @@
 mod regions;
 mod release_rollout;
 mod renewals;
+mod replica_search;
 mod retry_budget;
 mod retry_budget_restarts;
 mod sessions;
--- a/tests/process/directory.rs
+++ b/tests/process/directory.rs
@@ -224,7 +224,11 @@
     let replica = cluster.replica_addresses[0];
     run(async {
         // A replica whose disk is stuck for a while steps down.
-        let leader = LeaderClient::new(Client::new(PEER_KEY), vec![replica]);
+        let leader = LeaderClient::new(
+            Client::new(PEER_KEY),
+            vec![replica],
+            std::sync::Arc::new(daisyquay::clock::System::new()),
+        );
         for number in 0..400 {
             let request = Request::Announce(announcement(number));
             let reply = leader.call_with_timeout(request, CONDITION_TIMEOUT).await;
