Call the listed replicas most often in a wide search

Cause: found in the review of the search. Once it was wide, addresses of the settings at which nothing runs any more were called as often as the listed replicas, 0.5 s each, and a leader that was silent in the last 5 s was not believed to be one although a follower named it.

Change: one call in three goes beyond the list, and a name is followed again 1 s after the last call without a reply.

--- a/src/policy/replica_search.rs
+++ b/src/policy/replica_search.rs
@@ -17,6 +17,14 @@
 /// Time for which an address counts as silent after a call without a reply.
 const SILENCE_TTL: Duration = Duration::from_secs(5);
 
+/// Time after a call without a reply for which an address is not called again only because a replica
+/// names it as the leader.
+const HINT_DELAY: Duration = Duration::from_secs(1);
+
+/// In a search beyond the list, one call in this many goes to another address. Those of the settings
+/// may all be gone while the listed replicas are back.
+const CALLS_PER_OTHER: u64 = 3;
+
 /// Most addresses taken from the settings, the leader or another process.
 const MAX_ADDRESSES: usize = 64;
 
@@ -28,8 +36,8 @@
 struct Contact {
     /// Number of the call, counted over all addresses; 0 before the first.
     last_call: u64,
-    /// Until when the address counts as silent; `None` if the last call got a reply.
-    silent_until: Option<Duration>,
+    /// When the last call was given up; `None` if it got a reply.
+    silent_at: Option<Duration>,
 }
 
 /// The addresses among which the leader is searched for.
@@ -120,7 +128,7 @@
         match leader {
             // A follower may name a leader that has died until its election timeout, and a replica
             // that was removed from the log for good.
-            Some(leader) if !self.is_silent(leader, now) => {
+            Some(leader) if !self.is_silent_for(leader, HINT_DELAY, now) => {
                 self.next = leader;
                 Some(leader)
             }
@@ -182,23 +190,28 @@
 
     /// Records a call without a reply, to an address that was not presumed to be the leader.
     pub fn record_unanswered(&mut self, address: SocketAddr, now: Duration) {
-        self.record_call(address, Some(now + SILENCE_TTL));
+        self.record_call(address, Some(now));
     }
 
-    fn record_call(&mut self, address: SocketAddr, silent_until: Option<Duration>) {
+    fn record_call(&mut self, address: SocketAddr, silent_at: Option<Duration>) {
         self.calls += 1;
         let contact = Contact {
             last_call: self.calls,
-            silent_until,
+            silent_at,
         };
         self.contacts.insert(address, contact);
         self.forget_unknown();
     }
 
     fn is_silent(&self, address: SocketAddr, now: Duration) -> bool {
+        self.is_silent_for(address, SILENCE_TTL, now)
+    }
+
+    /// Returns whether the last call got no reply and was given up less than `ttl` ago.
+    fn is_silent_for(&self, address: SocketAddr, ttl: Duration, now: Duration) -> bool {
         let contact = self.contacts.get(&address);
-        let silent_until = contact.and_then(|contact| contact.silent_until);
-        silent_until.is_some_and(|until| now < until)
+        let silent_at = contact.and_then(|contact| contact.silent_at);
+        silent_at.is_some_and(|at| now < at + ttl)
     }
 
     /// Presumes another address to be the leader, unless another call has changed the presumed
@@ -207,13 +220,12 @@
         if self.next != tried {
             return;
         }
-        let mut among = self.listed.clone();
-        if self.is_wide(now) {
-            among = self.reported.clone();
-            among.extend(&self.configured);
-            among.extend(&self.listed);
-        }
-        if let Some(next) = self.least_recent(&among) {
+        let mut others = self.reported.clone();
+        others.extend(&self.configured);
+        others.retain(|address| !self.listed.contains(address));
+        let is_other = self.is_wide(now) && self.calls.is_multiple_of(CALLS_PER_OTHER);
+        let next = self.least_recent(&others).filter(|_| is_other);
+        if let Some(next) = next.or_else(|| self.least_recent(&self.listed)) {
             self.next = next;
         }
     }
--- a/tests/load/replica_search.rs
+++ b/tests/load/replica_search.rs
@@ -157,3 +157,38 @@
     let later = now + Duration::from_secs(5);
     assert_eq!(known.responsive_at(1, later), address(2));
 }
+
+/// Guards against a search that spends most of its time on addresses of the settings at which
+/// nothing runs any more, while the listed replicas are back after an outage.
+#[test]
+fn finds_listed_replicas_soon_after_an_outage_though_all_configured_are_gone() {
+    for outage_ms in (5000..10_000).step_by(100) {
+        let mut known = Search::new(addresses(1..=5), 0).unwrap();
+        known.set_listed(addresses(11..=15));
+        let start = Duration::from_secs(100);
+        let back_at = start + Duration::from_millis(outage_ms);
+        let mut now = start;
+        let mut named = None;
+        let found_at = loop {
+            let called = named.take().unwrap_or_else(|| known.next());
+            // The operating system repeats a connection's first packet, so a call reaches a replica
+            // that is back before the call is given up.
+            let is_back = now + SILENCE > back_at;
+            if is_back && called == address(13) {
+                break now.max(back_at) + ROUND_TRIP;
+            }
+            if is_back && (called == address(14) || called == address(15)) {
+                now = now.max(back_at) + ROUND_TRIP;
+                named = known.record_follower(called, Some(address(13)), now);
+            } else {
+                now += SILENCE;
+                known.record_silence(called, now);
+            }
+            if named.is_none() {
+                now += RETRY_INTERVAL;
+            }
+        };
+        let time = found_at - back_at;
+        assert!(time < SEARCH_LIMIT, "{time:?} after {outage_ms} ms");
+    }
+}
