Ask each gateway after each change which configuration it uses

No test with real processes asked each gateway, after each acknowledgement, whether the change is in force there in time and never older again. The new soak replaces replicas one after another, injects other faults beside and asks six gateways all the time; a proxy in front of each replica silences, resets or holds its connections or takes its power away.

--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -5,6 +5,7 @@
 mod admission;
 mod backpressure;
 mod cold_upstreams;
+mod config_changes;
 mod directory;
 mod entry_stops;
 mod evacuation;
--- a/tests/process/support/cluster.rs
+++ b/tests/process/support/cluster.rs
@@ -141,12 +141,26 @@
 
     /// Starts replica `i` with `replicas` in its flag `--replicas`.
     pub(crate) fn start_replica_among(&self, i: usize, replicas: &[SocketAddr]) -> Program {
+        let address = self.replica_addresses[i];
+        self.start_replica_behind(i, address, address, replicas)
+    }
+
+    /// Starts replica `i` on its data folder, which listens on `listen` and is reached at
+    /// `advertised`.
+    pub(crate) fn start_replica_behind(
+        &self,
+        i: usize,
+        listen: SocketAddr,
+        advertised: SocketAddr,
+        replicas: &[SocketAddr],
+    ) -> Program {
         let operators: Vec<String> = OPERATORS
             .iter()
             .map(|name| format!("{name}={:x}", Sha256::digest(format!("key-of-{name}"))))
             .collect();
         let args = flags(&[
-            ("listen", self.replica_addresses[i].to_string()),
+            ("listen", listen.to_string()),
+            ("advertise", advertised.to_string()),
             ("admin-listen", "127.0.0.1:0".to_owned()),
             ("replicas", comma_separated(replicas)),
             ("data", self.data_folder(i).display().to_string()),
