Show that large changes come late beside silent idle connections

A change over 16 KiB is fetched from one replica after another. A gateway calls only the leader all the time; its connections to the others may have fallen silent long before. Each costs 0.8 s, because a search ends at the first replica without a reply.

--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -6,6 +6,7 @@
 mod backpressure;
 mod cold_upstreams;
 mod config_changes;
+mod config_fetch;
 mod directory;
 mod entry_stops;
 mod evacuation;
