Have the leader send a large change where another replica is silent

A gateway that got no reply to a fetch waited 0.8 s for each silent replica in turn. Now the next grant carries the update, whatever its size: the leader has just replied.

--- a/src/gateway/renewal.rs
+++ b/src/gateway/renewal.rs
@@ -138,6 +138,8 @@
     /// Whether an update of the configuration or the directory has been rejected since the last
     /// renewal.
     has_rejected_update: bool,
+    /// Whether a replica asked for an update since the last renewal has not replied.
+    has_silent_source: bool,
     /// The leader's change counter for its list of gateways.
     entries_version: u64,
     /// Version of the incomplete list of the gateways; `None` once the complete one is held.
@@ -156,7 +158,7 @@
             info: (!self.is_introduced).then(|| gateway.info.clone()),
             acked_revision: self.revision,
             revision: self.revision,
-            max_config_bytes: MAX_GRANTED_CONFIG_BYTES,
+            max_config_bytes: self.max_config_bytes(),
             term: self.term,
             directory_index: self.directory_index,
             loads_version: 0,
@@ -172,6 +174,17 @@
         }
     }
 
+    /// The connections to other replicas than the leader may be idle for long and all have fallen
+    /// silent. To wait for one after another would take too long, so the leader, which has just
+    /// replied, sends the update instead.
+    fn max_config_bytes(&self) -> u32 {
+        if self.has_silent_source && self.revision > 0 {
+            u32::MAX
+        } else {
+            MAX_GRANTED_CONFIG_BYTES
+        }
+    }
+
     /// Returns whether a list of the gateways is held, complete or not.
     fn has_list(&self) -> bool {
         self.partial_entries_version != Some(0)
@@ -204,6 +217,7 @@
         }
         gateway.record_phase(Phase::Leader);
         self.has_rejected_update = false;
+        self.has_silent_source = false;
         self.term = grant.term;
         self.is_introduced = !grant.wants_info;
         self.entries_version = grant.entries_version;
@@ -266,6 +280,7 @@
             };
             let reply = leader.call_replica_at(self.update_source, &request).await;
             let Some(Reply::DirectoryUpdate(update)) = reply else {
+                self.has_silent_source = reply.is_none();
                 self.try_next_source();
                 break;
             };
@@ -309,12 +324,14 @@
     }
 
     /// Fetches the configuration from the replicas in turn, if the leader has a newer one. Gateways
-    /// start at different replicas, which share the load. One that does not reply ends the search
-    /// until after the next renewal, which brings the news of upstreams and must not wait for long,
-    /// unless no configuration is held yet. So does one whose update is rejected.
+    /// start at different replicas, which share the load. One that does not reply, here or when asked
+    /// for the directory, ends the search, unless no configuration is held yet: the next renewal
+    /// brings the update and the news of upstreams, and must not wait for long. One whose update is
+    /// rejected ends the search as well.
     async fn fetch_config(&mut self, gateway: &Gateway, leader: &LeaderClient) {
         for _ in 0..UPDATE_ATTEMPTS {
-            if self.revision >= self.leader_revision {
+            let waits_for_grant = self.has_silent_source && self.revision > 0;
+            if self.revision >= self.leader_revision || waits_for_grant {
                 return;
             }
             let request = Request::ConfigUpdate {
@@ -335,9 +352,7 @@
                 }
                 reply => {
                     self.update_source = self.update_source.wrapping_add(1);
-                    if reply.is_none() && self.revision > 0 {
-                        return;
-                    }
+                    self.has_silent_source = reply.is_none();
                 }
             }
         }
