--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -7,6 +7,7 @@
 mod cold_upstreams;
 mod config_changes;
 mod config_fetch;
+mod config_in_force;
 mod directory;
 mod entry_stops;
 mod evacuation;
