Change the configuration and replace a replica in the soak

The soak compared the revision at its end only. Now it also changes the configuration between its faults and replaces one replica at another address; each gateway is asked all the time and must never return to an older configuration, and must follow the last change, after the faults, in time.

--- a/tests/process/config_changes.rs
+++ b/tests/process/config_changes.rs
@@ -8,7 +8,6 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
-use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
@@ -29,15 +28,11 @@
 
 use nix::sys::signal::Signal;
 
-use crate::support::Answer;
-use crate::support::Caller;
 use crate::support::Cluster;
 use crate::support::ConfigRecord;
 use crate::support::Findings;
 use crate::support::Link;
-use crate::support::Observation;
 use crate::support::PEER_KEY;
-use crate::support::Probe;
 use crate::support::Program;
 use crate::support::SERVICES;
 use crate::support::Upstream;
@@ -60,9 +55,6 @@
 /// Time between two heartbeats of an upstream.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1200);
 
-/// Time between two rounds of questions to one gateway.
-const PROBE_INTERVAL: Duration = Duration::from_millis(50);
-
 /// Times for which a process stands still that is out of touch afterwards.
 const SUSPENSIONS_MS: std::ops::Range<u64> = 1000..5000;
 
@@ -86,8 +78,6 @@
     record: ConfigRecord,
     /// Addresses of the replicas that operators and upstreams know of.
     known: Mutex<Vec<SocketAddr>>,
-    /// By gateway, the number of starts and stops; odd while it does not run.
-    runs: [AtomicU64; GATEWAYS],
     stop: AtomicBool,
 }
 
@@ -277,62 +267,6 @@
     });
 }
 
-/// Asks one gateway all the time which configuration it uses.
-fn ask(shared: &Shared, gateway: usize, address: SocketAddr) {
-    let mut caller = None;
-    let (mut count, mut rounds) = (0_u64, 0_u64);
-    while !shared.stop.load(Ordering::SeqCst) {
-        let (sent, acked) = shared.record.newest();
-        let recent = shared.record.recent();
-        let older = |n: u64| recent[(rounds + n) as usize % recent.len()];
-        let probes = [
-            Probe::Added(acked),
-            Probe::Moved,
-            Probe::Keyed(acked),
-            Probe::Added(sent),
-            Probe::Added(older(0)),
-            Probe::Added(older(1)),
-            Probe::Keyed(older(2)),
-            Probe::Added(older(3)),
-        ];
-        rounds += 1;
-        for probe in probes {
-            count += 1;
-            let run = shared.runs[gateway].load(Ordering::SeqCst);
-            let (path, headers) = probe.request();
-            let attempt = format!("g{gateway}-{count}");
-            let mut headers: Vec<(&str, &str)> = headers
-                .iter()
-                .map(|(name, value)| (*name, value.as_str()))
-                .collect();
-            headers.push(("daisyquay-attempt", &attempt));
-            headers.push(("daisyquay-deadline-ms", "4000"));
-            let sent_at = Instant::now();
-            let mut open = caller.take().or_else(|| Caller::connect(address));
-            let response = open.as_mut().and_then(|open: &mut Caller| {
-                open.send("GET", &path, &headers, "")
-                    .then(|| open.receive())?
-            });
-            let ended_at = Instant::now();
-            let is_kept = response.as_ref().is_some_and(|response| {
-                !response.is_truncated && response.header("connection") != "close"
-            });
-            caller = open.filter(|_| is_kept);
-            if run.is_multiple_of(2) && shared.runs[gateway].load(Ordering::SeqCst) == run {
-                shared.record.observe(Observation {
-                    gateway,
-                    run,
-                    probe,
-                    answer: Answer::of(response.as_ref()),
-                    sent_at,
-                    ended_at,
-                });
-            }
-        }
-        thread::sleep(PROBE_INTERVAL);
-    }
-}
-
 /// The programs under test.
 struct World {
     cluster: Cluster,
@@ -442,15 +376,14 @@
     }
 
     fn restart_gateway(&mut self, i: usize, pause: Duration) {
-        let runs = &self.shared.runs[i];
-        runs.fetch_add(1, Ordering::SeqCst);
+        self.shared.record.stop_or_start(i);
         let from = Instant::now();
         self.gateways[i].0.kill();
         thread::sleep(pause);
         // The platform writes the settings anew at each start.
         self.cluster.configured_replicas = self.addresses();
         self.gateways[i].0 = self.cluster.start_gateway_at(self.gateways[i].1);
-        runs.fetch_add(1, Ordering::SeqCst);
+        self.shared.record.stop_or_start(i);
         self.shared.record.fault(Some(i), from);
     }
 
@@ -610,7 +543,6 @@
     let shared = Arc::new(Shared {
         record: ConfigRecord::default(),
         known: Mutex::new(addresses.clone()),
-        runs: Default::default(),
         stop: AtomicBool::new(false),
     });
     let mut world = World {
@@ -641,7 +573,7 @@
         shared.record.fault(None, world.began);
         for (i, &(_, address)) in world.gateways.iter().enumerate() {
             let shared = &shared;
-            scope.spawn(move || ask(shared, i, address));
+            scope.spawn(move || shared.record.ask(i, address, &shared.stop));
         }
         for _ in 0..plan.load {
             scope.spawn(|| use_processor(&shared));
--- a/tests/process/soak.rs
+++ b/tests/process/soak.rs
@@ -18,23 +18,32 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use daisyquay::config;
+use daisyquay::config::Inventory;
 use serde_json::json;
 
 use crate::cold_upstreams::announcement;
 use crate::cold_upstreams::most_in_a_second;
 use crate::gateway::ROUTES;
 use crate::gateway::announce_in;
+use crate::support::APPLY_LIMIT;
 use crate::support::AUTH_HEADER;
+use crate::support::CONTACT_TIME;
 use crate::support::Caller;
 use crate::support::Cluster;
+use crate::support::ConfigRecord;
+use crate::support::Findings;
 use crate::support::INVENTORY;
 use crate::support::PartitionProxy;
 use crate::support::Program;
 use crate::support::ReceivedRequest;
 use crate::support::Response;
+use crate::support::SERVICES;
 use crate::support::Upstream;
 use crate::support::chunk;
 use crate::support::eventually;
+use crate::support::free_address;
+use crate::support::inventory;
 use crate::support::ok_response;
 use crate::support::post;
 use crate::support::sse_event;
@@ -75,6 +84,12 @@
 /// the first response does, and those under way until then are at most [`CALLERS`].
 const COLD_NOTICE: Duration = Duration::from_secs(1);
 
+/// Data centre of the upstreams that tell which configuration a gateway uses.
+const PROBED_DATA_CENTRE: &str = "dc3";
+
+/// Time for which the gateways are asked once the last change must be in force.
+const CHECK_TIME: Duration = Duration::from_millis(500);
+
 /// Events of a complete stream.
 const EVENTS: u64 = 12;
 
@@ -402,9 +417,87 @@
     cold_periods: Vec<(usize, Instant, Instant)>,
     /// By upstream, its incarnation and whether it is cold, as announced last.
     announced: [(u64, bool); UPSTREAMS],
+    /// Decides on changes of the configuration and on the replacement of a replica; `None` if there
+    /// are none.
+    change_rng: Option<fastrand::Rng>,
+    /// The configurations, and what the gateways answered.
+    record: ConfigRecord,
+    /// Inventory to which each change adds its routes.
+    inventory: Inventory,
+    /// Number of acknowledged changes.
+    changes: u64,
+    is_replaced: bool,
 }
 
 impl Soak {
+    /// Changes the configuration, or replaces a replica by one at another address, at times.
+    fn change_at_times(&mut self) {
+        let Some(rng) = &mut self.change_rng else {
+            return;
+        };
+        let (draw, replica) = (rng.u8(..10), rng.usize(..REPLICAS));
+        match draw {
+            0..4 => self.change(),
+            // A second one might lose another disk before the first is made up for.
+            4 if !self.is_replaced => {
+                self.is_replaced = true;
+                self.replace(replica);
+            }
+            _ => {}
+        }
+    }
+
+    /// Sends a change until it is acknowledged.
+    fn change(&mut self) {
+        let number = self.changes + 1;
+        let path = self.cluster.folder.join("changed.toml");
+        let mut changed = self.inventory.clone();
+        let added = inventory(number, false);
+        changed.organisations.extend(added.organisations);
+        changed.services.extend(added.services);
+        changed.routes.extend(added.routes);
+        std::fs::write(&path, toml::to_string(&changed).unwrap()).unwrap();
+        let (path, id) = (path.display().to_string(), format!("change-{number}"));
+        self.record.sent(number);
+        eventually("a change of the configuration is acknowledged", || {
+            let args = ["apply", &path, "--change-id", &id];
+            let output = self.cluster.run_cli(&args);
+            output.status.success().then_some(())
+        });
+        self.record.acked(number);
+        self.changes = number;
+    }
+
+    /// Starts the upstreams that tell which configuration a gateway uses, and makes the first change,
+    /// which adds their services.
+    fn start_probed_upstreams(&mut self) -> [Upstream; 2] {
+        self.change();
+        let upstreams = SERVICES.map(|service| {
+            Upstream::start(move |request, out| write(out, &ok_response(request, service)))
+        });
+        for (service, upstream) in SERVICES.iter().zip(&upstreams) {
+            let mut heartbeat = announcement(upstream.address, service, 1, 0);
+            heartbeat["data_centre"] = json!(PROBED_DATA_CENTRE);
+            heartbeat["serves"] = json!({ "service": service });
+            let headers = [("authorization", "Bearer dev-upstream-key")];
+            let entry = self.cluster.entry_addresses[0];
+            eventually("the upstream is announced", || {
+                let body = heartbeat.to_string();
+                let reply = post(entry, "/upstream/announce", &headers, &body)?;
+                (reply.status == 204).then_some(())
+            });
+        }
+        upstreams
+    }
+
+    /// Replaces replica `i` by one with an empty disk at another address.
+    fn replace(&mut self, i: usize) {
+        self.cluster.replicas[i].kill();
+        std::fs::remove_dir_all(self.cluster.data_folder(i)).unwrap();
+        self.cluster.replica_addresses[i] = free_address();
+        self.cluster.replicas[i] = self.cluster.start_replica(i);
+    }
+
     /// Injects one random fault and ends it before it returns.
     fn inject_fault(&mut self) {
         let pause = Duration::from_millis(self.rng.u64(50..900));
@@ -424,12 +517,18 @@
             2 => {
                 self.kills.push((gateway, Instant::now()));
                 self.gateways[gateway].0.kill();
+                if !self.stopping[gateway] {
+                    self.record.stop_or_start(gateway);
+                }
                 thread::sleep(pause);
                 self.start_gateway(gateway);
             }
             // Other faults follow while it stops. A stopping gateway gets a second signal.
             3 => {
                 self.gateways[gateway].0.terminate();
+                if !self.stopping[gateway] {
+                    self.record.stop_or_start(gateway);
+                }
                 self.stopping[gateway] = true;
             }
             4 => {
@@ -568,6 +667,7 @@
     fn start_gateway(&mut self, i: usize) {
         let address = self.gateways[i].1;
         self.gateways[i].0 = self.cluster.start_gateway_at(address);
+        self.record.stop_or_start(i);
         self.stopping[i] = false;
     }
 
@@ -638,10 +738,8 @@
     let limit = format!("{service}cold_per_s = {COLD_PER_S:?}\n");
     let limit = if has_cold_periods { &limit } else { service };
     let inventory = INVENTORY.replacen(service, limit, 1);
-    cluster.apply(
-        &format!("{inventory}{ROUTES}{WAIT_ROUTE}"),
-        &["--change-id", "first"],
-    );
+    let inventory = format!("{inventory}{ROUTES}{WAIT_ROUTE}");
+    cluster.apply(&inventory, &["--change-id", "first"]);
     let upstream_proxies: Vec<PartitionProxy> = upstreams
         .iter()
         .map(|u| PartitionProxy::start(u.address))
@@ -664,9 +762,18 @@
         cold_rng: has_cold_periods.then(|| fastrand::Rng::with_seed(seed.rotate_left(32))),
         cold_periods: Vec::new(),
         announced: [(1, false); UPSTREAMS],
+        // Changes would hide the cause of the regression seeds.
+        change_rng: has_cold_periods.then(|| fastrand::Rng::with_seed(seed.rotate_left(16))),
+        record: ConfigRecord::default(),
+        inventory: config::parse(&inventory).unwrap(),
+        changes: 0,
+        is_replaced: false,
     };
+    let has_changes = soak.change_rng.is_some();
+    let _probed = has_changes.then(|| soak.start_probed_upstreams());
     let results = Results::default();
     let (next_number, stop) = (AtomicU64::new(0), AtomicBool::new(false));
+    let began = Instant::now();
     thread::scope(|scope| {
         for i in 0..CALLERS + PATIENT_CALLERS {
             let (next_number, stop) = (&next_number, &stop);
@@ -684,6 +791,12 @@
                 }
             });
         }
+        if has_changes {
+            for (i, &address) in addresses.iter().enumerate() {
+                let (record, stop) = (soak.record.clone(), &stop);
+                scope.spawn(move || record.ask(i, address, stop));
+            }
+        }
         let faults_end = Instant::now() + FAULT_PERIOD;
         // A long evacuation in half of the seeds, short ones in all.
         if soak.evacuation_rng.bool() {
@@ -696,6 +809,7 @@
                 soak.toggle_evacuation();
             }
             soak.update_cold_upstreams(&shared);
+            soak.change_at_times();
             thread::sleep(Duration::from_millis(soak.rng.u64(..400)));
         }
         eventually("the stopping gateways have been started again", || {
@@ -707,6 +821,12 @@
         eventually("requests are served after the faults", || {
             (results.served.load(Ordering::SeqCst) > served_before + 30).then_some(())
         });
+        if has_changes {
+            soak.record.fault(None, began);
+            thread::sleep(CONTACT_TIME);
+            soak.change();
+            thread::sleep(APPLY_LIMIT + CHECK_TIME);
+        }
         stop.store(true, Ordering::SeqCst);
     });
     check_runs(&upstreams, &shared, &results);
@@ -717,12 +837,28 @@
     let cold_counts = soak.check_cold_periods(&arrivals, &results);
     drop(arrivals);
     let status = soak.cluster.show("status");
-    let (revision, expected) = (status["revision"].as_u64(), 1 + soak.orders);
+    let expected = 1 + soak.orders + soak.changes;
+    let revision = status["revision"].as_u64();
     if revision != Some(expected) {
         results.add_violation(format!(
             "revision {expected} was accepted, but the status reports {revision:?}"
         ));
     }
+    if has_changes {
+        let Findings {
+            violations, judged, ..
+        } = soak.record.check(began);
+        println!(
+            "{} changes, {judged} responses had to show one",
+            soak.changes
+        );
+        for violation in violations {
+            results.add_violation(violation);
+        }
+        if judged == 0 {
+            results.add_violation("no response had to show a change".to_owned());
+        }
+    }
     let is_active = matches!(soak.evacuations.last(), Some((_, None)));
     if (status["evacuated"] == json!([EVACUATED_DATA_CENTRE])) != is_active {
         results.add_violation(format!(
--- a/tests/process/support/config_record.rs
+++ b/tests/process/support/config_record.rs
@@ -2,8 +2,12 @@
 //! follows a configuration in time once it is acknowledged, and never returns to an older one.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -16,6 +20,7 @@
 use daisyquay::config::Service;
 use daisyquay::config::WeightedService;
 
+use super::Caller;
 use super::Response;
 
 /// Longest time from the acknowledgement of a configuration until it is in force.
@@ -27,6 +32,9 @@
 /// Time after a response of a configuration for which an older one may still be used.
 const ROLLBACK_SLACK: Duration = Duration::from_millis(250);
 
+/// Time between two rounds of questions to one gateway.
+const PROBE_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Host name of all routes.
 const HOST: &str = "changes.example";
 
@@ -55,7 +63,7 @@
 
 /// The response to a probe.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Answer {
+enum Answer {
     /// Served by this service of [`SERVICES`].
     Served(usize),
     NoRoute,
@@ -79,6 +87,29 @@
         )
     }
 
+    /// Sends the request on the connection `caller`, which it opens where there is none.
+    fn send(self, caller: &mut Option<Caller>, address: SocketAddr, attempt: &str) -> Answer {
+        let (path, headers) = self.request();
+        let headers: Vec<(&str, &str)> = headers
+            .iter()
+            .map(|(name, value)| (*name, value.as_str()))
+            .chain([
+                ("daisyquay-attempt", attempt),
+                ("daisyquay-deadline-ms", "4000"),
+            ])
+            .collect();
+        let mut open = caller.take().or_else(|| Caller::connect(address));
+        let response = open.as_mut().and_then(|open| {
+            open.send("GET", &path, &headers, "")
+                .then(|| open.receive())?
+        });
+        let is_kept = response.as_ref().is_some_and(|response| {
+            !response.is_truncated && response.header("connection") != "close"
+        });
+        *caller = open.filter(|_| is_kept);
+        Answer::of(response.as_ref())
+    }
+
     /// Returns the response under the configuration `number`.
     fn answer_under(self, number: u64) -> Answer {
         match self {
@@ -92,7 +123,7 @@
 }
 
 impl Answer {
-    pub(crate) fn of(response: Option<&Response>) -> Self {
+    fn of(response: Option<&Response>) -> Self {
         let Some(response) = response else {
             return Self::Other(None);
         };
@@ -182,14 +213,14 @@
 
 /// A response of a gateway.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Observation {
-    pub(crate) gateway: usize,
+struct Observation {
+    gateway: usize,
     /// Number of the gateway's run.
-    pub(crate) run: u64,
-    pub(crate) probe: Probe,
-    pub(crate) answer: Answer,
-    pub(crate) sent_at: Instant,
-    pub(crate) ended_at: Instant,
+    run: u64,
+    probe: Probe,
+    answer: Answer,
+    sent_at: Instant,
+    ended_at: Instant,
 }
 
 /// When a configuration was first sent and acknowledged.
@@ -215,6 +246,8 @@
 #[derive(Default)]
 struct Content {
     times: BTreeMap<u64, Times>,
+    /// By gateway, the number of its stops and starts; odd while it does not run.
+    runs: BTreeMap<usize, u64>,
     observations: Vec<Observation>,
     faults: Vec<Fault>,
 }
@@ -259,7 +292,7 @@
     }
 
     /// Returns the last numbers that were sent, the highest first.
-    pub(crate) fn recent(&self) -> Vec<u64> {
+    fn recent(&self) -> Vec<u64> {
         let content = self.0.lock().unwrap();
         content.times.keys().rev().take(RECENT).copied().collect()
     }
@@ -273,8 +306,54 @@
         });
     }
 
-    pub(crate) fn observe(&self, observation: Observation) {
-        self.0.lock().unwrap().observations.push(observation);
+    /// Records that a gateway stops or starts.
+    pub(crate) fn stop_or_start(&self, gateway: usize) {
+        *self.0.lock().unwrap().runs.entry(gateway).or_default() += 1;
+    }
+
+    fn run(&self, gateway: usize) -> u64 {
+        let content = self.0.lock().unwrap();
+        content.runs.get(&gateway).copied().unwrap_or_default()
+    }
+
+    /// Asks a gateway until `stop` is set which configuration it uses.
+    pub(crate) fn ask(&self, gateway: usize, address: SocketAddr, stop: &AtomicBool) {
+        let mut caller = None;
+        let mut rounds = 0;
+        while !stop.load(Ordering::SeqCst) {
+            let (sent, acked) = self.newest();
+            let recent = self.recent();
+            let older = |n: usize| recent[(rounds + n) % recent.len()];
+            let probes = [
+                Probe::Added(acked),
+                Probe::Moved,
+                Probe::Keyed(acked),
+                Probe::Added(sent),
+                Probe::Added(older(0)),
+                Probe::Added(older(1)),
+                Probe::Keyed(older(2)),
+                Probe::Added(older(3)),
+            ];
+            for (i, probe) in probes.into_iter().enumerate() {
+                let run = self.run(gateway);
+                let sent_at = Instant::now();
+                let attempt = format!("g{gateway}-{rounds}-{i}");
+                let answer = probe.send(&mut caller, address, &attempt);
+                let ended_at = Instant::now();
+                if run.is_multiple_of(2) && self.run(gateway) == run {
+                    self.0.lock().unwrap().observations.push(Observation {
+                        gateway,
+                        run,
+                        probe,
+                        answer,
+                        sent_at,
+                        ended_at,
+                    });
+                }
+            }
+            rounds += 1;
+            thread::sleep(PROBE_INTERVAL);
+        }
     }
 
     /// Checks the record. `began` is the zero of the times in the texts.
