Judge reports of refused connections by later responses

A gateway that is cut off from upstreams reports each as refusing connections, and again after each second. All others avoided them for two seconds each time, so that one partitioned gateway kept the whole fleet from sound upstreams.

A process that has ended responds to nobody. A response between 0.1 s and 1 s after a report now refutes it; gateways tell each other of such responses and stop to believe a reporter of whose reports a quarter were refuted. One gateway in eight goes on using a reported upstream, since nothing could refute the reports otherwise. Updates carry the age of each refusal, so the format of an update changes.

--- a/src/gateway/loads/mod.rs
+++ b/src/gateway/loads/mod.rs
@@ -33,6 +33,7 @@
 use crate::policy::fanout::Fanout;
 use crate::policy::fanout::Forward;
 use crate::policy::fanout::Peer;
+use crate::policy::reachability;
 use crate::policy::sessions::Assignment;
 use crate::policy::speed;
 
@@ -113,8 +114,9 @@
     /// Sessions assigned to a release since the previous update; a full update repeats all since
     /// the last full one.
     sessions: Vec<Assignment>,
-    /// Upstreams that refused a connection since the previous update, by number.
-    refusing: Vec<Index>,
+    /// Upstreams that refused a connection since the previous update, and those that responded
+    /// though they were reported to be lost.
+    reachability: reachability::Notice,
     /// Limits that upstreams have named or lifted, if one has changed; a full update repeats all.
     limits: Vec<LimitNotice>,
     /// Crashes under suspect prompts and the verdicts on these, if there is news; a full update
@@ -358,11 +360,7 @@
     }
     let now = gateway.now();
     gateway.sessions.borrow_mut().merge(&update.sessions, now);
-    let mut reachability = gateway.reachability.borrow_mut();
-    for &upstream in update.refusing.iter().take(MAX_ROWS) {
-        reachability.record_reported_refusal(upstream, now);
-    }
-    drop(reachability);
+    gateway.apply_reachability_notice(update.run_id, &update.reachability);
     let limits = update.limits.len().min(MAX_ROWS);
     gateway.apply_limit_notices(&update.limits[..limits]);
     let quarantines = update.quarantines.len().min(MAX_ROWS);
--- a/src/gateway/loads/publisher.rs
+++ b/src/gateway/loads/publisher.rs
@@ -39,7 +39,7 @@
         let loads = gateway.upstreams.borrow().own_loads();
         let rows = self.rows_to_publish(&loads, is_full, &gateway.managed_upstreams.borrow());
         let new_sessions = gateway.sessions.borrow_mut().take_unpublished();
-        let refusing = gateway.reachability.borrow_mut().take_unpublished();
+        let reachability = gateway.reachability.borrow_mut().next_notice(is_full, now);
         let limits = gateway.limit_notices(is_full);
         let quarantines = gateway.quarantine_notices(is_full);
         let crashing_requests = gateway.crash_notice(is_full);
@@ -48,7 +48,7 @@
         let demand_is_due = demand.as_ref().is_some_and(|(_, is_due)| *is_due);
         let has_news = !(rows.is_empty()
             && new_sessions.is_empty()
-            && refusing.is_empty()
+            && reachability.is_empty()
             && limits.is_empty()
             && quarantines.is_empty()
             && crashing_requests.is_empty()
@@ -75,7 +75,7 @@
             is_full,
             rows,
             sessions,
-            refusing,
+            reachability,
             limits,
             quarantines,
             crashing_requests,
--- a/src/gateway/loads/transport.rs
+++ b/src/gateway/loads/transport.rs
@@ -157,7 +157,7 @@
         let more = UPDATE_BYTES_ESTIMATE
             + rows
             + SESSION_BYTES_ESTIMATE * update.sessions.len()
-            + NUMBER_BYTES_ESTIMATE * update.refusing.len()
+            + NUMBER_BYTES_ESTIMATE * update.reachability.number_count()
             + LIMIT_BYTES_ESTIMATE * update.limits.len()
             + SPEED_BYTES_ESTIMATE * update.speeds.row_count()
             + DEMAND_BYTES_ESTIMATE * update.demand.as_ref().map_or(0, demand::Notice::row_count)
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 mod observations;
 mod open_requests;
 mod quarantine;
+mod reachability;
 mod refusal;
 mod renewal;
 mod response;
@@ -248,12 +249,13 @@
         .context(ListenSnafu { address })?;
     let address = cfg.listen;
     let id_header = cfg.header_names.attempt_id.clone();
+    let run_id = fastrand::u64(1..);
     let gateway = Rc::new(Gateway {
         recovery: Recovery::new(clock.now()),
         retry_budget_share: RefCell::new(Share::new(cfg.retry_budget, clock.now())),
         cfg,
         clock,
-        run_id: fastrand::u64(1..),
+        run_id,
         info,
         routing: RefCell::default(),
         has_all_gateways: Cell::new(false),
@@ -261,7 +263,7 @@
         leader_revision: Cell::new(None),
         upstreams: RefCell::default(),
         peer_loads: RefCell::default(),
-        reachability: RefCell::default(),
+        reachability: RefCell::new(Reachability::new(run_id)),
         backpressure: RefCell::default(),
         limits_changed: Cell::new(false),
         turn_phase: fastrand::f64(),
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -490,9 +490,7 @@
     pub(super) fn record_response(&mut self) {
         let time_to_head = self.elapsed();
         self.finish_prefill();
-        let mut reachability = self.gateway.reachability.borrow_mut();
-        reachability.record_response(self.upstream.number);
-        drop(reachability);
+        self.gateway.record_reachable(self.upstream.number);
         if self.is_cold() {
             self.record_result(|health, _| health.record_cold_success());
         } else {
