Count lost responses against a release only if its upstream is at fault

A gateway that is partitioned from some upstreams loses the responses of requests that it sent there, and each counted as a failure of the upstream's release. With few requests in the trial and ramp stages, four of them rolled a good release back; lost responses of the stable release could hide a bad one.

After the loss, the gateway now opens a connection to the upstream. If it is accepted, the failure counts at once. If nothing answers, the link is at fault. This happens during rollouts only.

The test of the policy needs the new interface; it has not been run on the old code.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -26,7 +26,7 @@
 
 /// Time limit for opening a connection: three round trips between data centres and one
 /// retransmission.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Maximum size of a response body that is not a stream.
 const RESPONSE_BODY_LIMIT_BYTES: usize = 8 * 1024 * 1024;
@@ -113,8 +113,8 @@
                 }
                 RequestError::NotSent(reason) => AttemptOutcome::NotSent(reason),
                 RequestError::Interrupted(reason) => {
+                    gateway.count_lost_response(call, upstream);
                     gateway.record_interruption(call, &in_flight).await;
-                    gateway.count_failure(call, upstream);
                     AttemptOutcome::Lost(reason)
                 }
                 RequestError::Unattributed(reason) => AttemptOutcome::Lost(reason),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -65,6 +65,7 @@
 use crate::peer::EntryInfo;
 use crate::policy::backpressure::Backpressure;
 use crate::policy::crashing_requests::CrashingRequests;
+use crate::policy::lost_responses::LostResponses;
 use crate::policy::prefill::RateEstimator;
 use crate::policy::quarantine::Quarantine;
 use crate::policy::reachability::Reachability;
@@ -196,6 +197,8 @@
     managed_upstreams: RefCell<ManagedUpstreams>,
     /// Response statistics since the last renewal.
     release_stats: RefCell<HashMap<observations::ReleaseStatsKey, RouteStats>>,
+    /// Requests of which a response was lost that may not count in the statistics.
+    lost_responses: RefCell<LostResponses<observations::ReleaseStatsKey>>,
     rng: RefCell<fastrand::Rng>,
     metrics: Metrics,
     recovery: Recovery,
@@ -282,6 +285,7 @@
         response_times: RefCell::default(),
         managed_upstreams: RefCell::default(),
         release_stats: RefCell::default(),
+        lost_responses: RefCell::default(),
         rng: RefCell::new(fastrand::Rng::new()),
         metrics: Metrics::new(),
         draining_since: Cell::new(None),
--- a/src/gateway/observations.rs
+++ b/src/gateway/observations.rs
@@ -1,14 +1,18 @@
 //! What this gateway measures of its upstreams' responses: statistics by release, by which the
 //! leader judges rollouts, and the prefill rate of each service.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use super::Gateway;
+use super::attempt::CONNECT_TIMEOUT;
 use super::call::Call;
 use super::routing::Upstream;
 use crate::agreement::Index;
 use crate::collections::Name;
+use crate::http_client;
 use crate::peer::ReleaseStats;
+use crate::policy::lost_responses::Reached;
 use crate::policy::prefill::RateEstimator;
 use crate::policy::release_rollout::RouteStats;
 
@@ -101,50 +105,90 @@
         });
     }
 
-    /// Counts a failure of an upstream without a response.
+    /// Counts a failure of an upstream whose response is unusable.
     pub(super) fn count_failure(&self, call: &Call, upstream: &Upstream) {
-        self.update_release_stats(call, upstream, |stats| {
-            stats.requests += 1;
-            stats.failed += 1;
+        if let Some(key) = self.release_stats_key(call, upstream) {
+            self.add_failure(key);
+        }
+    }
+
+    /// Counts a request of which no response or only a part of one came, unless that is the fault of
+    /// the link to the upstream.
+    pub(super) fn count_lost_response(self: &Rc<Self>, call: &Call, upstream: &Upstream) {
+        let Some(key) = self.release_stats_key(call, upstream) else {
+            return;
+        };
+        let (gateway, address) = (self.clone(), upstream.address());
+        tokio::task::spawn_local(async move {
+            let reached = http_client::probe(address, CONNECT_TIMEOUT).await;
+            gateway.apply_lost_response(key, reached);
         });
     }
 
-    /// Updates the statistics of the upstream's release; does nothing outside a rollout, when they
-    /// are not used, and for an upstream in an evacuated data centre, whose running requests may
-    /// fail because of the maintenance.
+    fn apply_lost_response(&self, key: ReleaseStatsKey, reached: Reached) {
+        let (now, upstream) = (self.now(), key.upstream);
+        if reached == Reached::Refused {
+            let mut reachability = self.reachability.borrow_mut();
+            reachability.record_refusal(upstream, now);
+            self.load_changed.notify_one();
+        }
+        let mut lost = self.lost_responses.borrow_mut();
+        if let Some(key) = lost.record(key, upstream, reached, now) {
+            self.add_failure(key);
+        }
+    }
+
+    fn add_failure(&self, key: ReleaseStatsKey) {
+        let mut stats = self.release_stats.borrow_mut();
+        let stats = stats.entry(key).or_default();
+        stats.requests += 1;
+        stats.failed += 1;
+    }
+
+    /// Updates the statistics of the upstream's release.
     fn update_release_stats(
         &self,
         call: &Call,
         upstream: &Upstream,
         update: impl FnOnce(&mut RouteStats),
     ) {
-        let Some(release) = &upstream.announced.release else {
-            return;
-        };
+        if let Some(key) = self.release_stats_key(call, upstream) {
+            update(self.release_stats.borrow_mut().entry(key).or_default());
+        }
+    }
+
+    /// Returns the key of the statistics of the upstream's release; `None` outside a rollout, when
+    /// they are not used, and for an upstream in an evacuated data centre, whose running requests may
+    /// fail because of the maintenance.
+    fn release_stats_key(&self, call: &Call, upstream: &Upstream) -> Option<ReleaseStatsKey> {
+        let release = upstream.announced.release.as_ref()?;
         let routing = self.routing();
-        let Some(service) = upstream.service() else {
-            return;
-        };
+        let service = upstream.service()?;
         if routing.is_evacuated(&upstream.announced.data_centre) {
-            return;
+            return None;
         }
-        if routing
-            .pool(service)
-            .is_none_or(|pool| pool.new_share.is_none())
-        {
-            return;
-        }
-        let key = ReleaseStatsKey {
+        routing.pool(service)?.new_share?;
+        Some(ReleaseStatsKey {
             service: service.clone(),
             route: call.route.name.clone(),
             release: release.clone(),
             upstream: upstream.number,
-        };
-        update(self.release_stats.borrow_mut().entry(key).or_default());
+        })
     }
 
     /// Returns and clears the statistics since the last call.
     pub(super) fn drain_release_stats(&self) -> Vec<ReleaseStats> {
+        let due = {
+            let reachability = self.reachability.borrow();
+            let mut lost = self.lost_responses.borrow_mut();
+            lost.take_due(self.now(), |upstream, at| {
+                let alive = reachability.alive_during(upstream);
+                alive.is_some_and(|alive| alive.contains(&at))
+            })
+        };
+        for key in due {
+            self.add_failure(key);
+        }
         self.release_stats
             .borrow_mut()
             .drain()
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -15,6 +15,7 @@
 use crate::policy::crashing_requests;
 use crate::policy::crashing_requests::CrashingRequests;
 use crate::policy::fingerprint;
+use crate::policy::lost_responses::Reached;
 use crate::policy::prompt;
 use crate::policy::quarantine::Notice;
 use crate::policy::quarantine::Quarantine;
@@ -58,7 +59,8 @@
             reachability.is_avoided(upstream.number, self.now())
         };
         if !is_known {
-            if !http_client::refuses_connections(upstream.address(), PROBE_TIMEOUT).await {
+            let reached = http_client::probe(upstream.address(), PROBE_TIMEOUT).await;
+            if reached != Reached::Refused {
                 return;
             }
             in_flight.record_refused_connection();
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -212,7 +212,7 @@
         self.upstream_response = None;
         self.in_flight.record_failure();
         let gateway = self.exchange.gateway().clone();
-        gateway.count_failure(self.exchange.call(), &self.in_flight.upstream);
+        gateway.count_lost_response(self.exchange.call(), &self.in_flight.upstream);
         event!(
             Info,
             "stream_broke",
--- a/src/http_client/pool.rs
+++ b/src/http_client/pool.rs
@@ -20,6 +20,7 @@
 use super::RequestError;
 use super::socket::UpstreamStream;
 use crate::collections::HashMap;
+use crate::policy::lost_responses::Reached;
 
 /// Keep-alive time of a connection whose response has no `Keep-Alive: timeout=` parameter.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
@@ -206,11 +207,13 @@
     }
 }
 
-/// Returns whether a new connection to `address` is refused within `limit`: no process listens
-/// there.
-pub(crate) async fn refuses_connections(address: SocketAddr, limit: Duration) -> bool {
-    let connected = tokio::time::timeout(limit, TcpStream::connect(address)).await;
-    matches!(connected, Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused)
+/// Opens a connection to `address` and closes it again.
+pub(crate) async fn probe(address: SocketAddr, limit: Duration) -> Reached {
+    match tokio::time::timeout(limit, TcpStream::connect(address)).await {
+        Ok(Ok(_)) => Reached::Accepted,
+        Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => Reached::Refused,
+        Ok(Err(_)) | Err(_) => Reached::Silent,
+    }
 }
 
 async fn connect(address: SocketAddr) -> Result<Sender, RequestError> {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -14,6 +14,7 @@
 pub mod fingerprint;
 pub mod gateway_queue;
 pub mod load_balancing;
+pub mod lost_responses;
 pub mod model_choice;
 pub mod placement;
 pub mod plan;
--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -11,6 +11,7 @@
 mod fanout;
 mod gateway_queue;
 mod load_balancing;
+mod lost_responses;
 mod models_under_load;
 mod placement;
 mod prefill;
