Probe an upstream before an interruption there counts as a crash

An interrupted request counted as crash evidence without a probe if the upstream was avoided, also if only another gateway had reported it as refusing connections. A gateway that is cut off reports sound upstreams, so a response timeout at a sound gateway looked like a crash under its request. Only a refusal that this gateway has observed itself stands in for the probe now.

Found in the code. The new test pins the distinction in the policy; it needs is_refusing and has not been run on the old code.

--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -54,9 +54,10 @@
         if !segments.is_empty() {
             self.update_quarantine(service, Quarantine::record_interruption);
         }
+        // What others report may hold for them only.
         let is_known = {
             let reachability = self.reachability.borrow();
-            reachability.is_avoided(upstream.number, self.now())
+            reachability.is_refusing(upstream.number, self.now())
         };
         if !is_known {
             let reached = http_client::probe(upstream.address(), PROBE_TIMEOUT).await;
--- a/tests/load/reachability.rs
+++ b/tests/load/reachability.rs
@@ -260,3 +260,15 @@
         assert_eq!(reachability.has_news(), refutes, "{after_ms} ms");
     }
 }
+
+/// Guards against a response that is late being taken for a crash, because a gateway that is cut off
+/// has reported that the upstream refuses connections.
+#[test]
+fn refusal_that_others_report_is_not_taken_as_observed_here() {
+    let mut reachability = Reachability::default();
+    let now = Duration::from_secs(60);
+    reachability.apply(OTHER, &refusal_of(7), now);
+    assert!(reachability.is_avoided(7, now) && !reachability.is_refusing(7, now));
+    reachability.record_refusal(7, now);
+    assert!(reachability.is_refusing(7, now));
+}
