--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 mod observations;
 mod open_requests;
 mod quarantine;
+mod reachability;
 mod refusal;
 mod renewal;
 mod replica_list;
@@ -66,6 +67,7 @@
 use crate::peer::EntryInfo;
 use crate::policy::backpressure::Backpressure;
 use crate::policy::crashing_requests::CrashingRequests;
+use crate::policy::lost_responses::LostResponses;
 use crate::policy::prefill::RateEstimator;
 use crate::policy::quarantine::Quarantine;
 use crate::policy::reachability::Reachability;
@@ -200,6 +202,8 @@
     managed_upstreams: RefCell<ManagedUpstreams>,
     /// Response statistics since the last renewal.
     release_stats: RefCell<HashMap<observations::ReleaseStatsKey, RouteStats>>,
+    /// Requests of which a response was lost that may not count in the statistics.
+    lost_responses: RefCell<LostResponses<observations::ReleaseStatsKey>>,
     rng: RefCell<fastrand::Rng>,
     metrics: Metrics,
     recovery: Recovery,
@@ -256,12 +260,13 @@
         .context(ListenSnafu { address })?;
     let address = cfg.listen;
     let id_header = cfg.header_names.attempt_id.clone();
+    let run_id = fastrand::u64(1..);
     let gateway = Rc::new(Gateway {
         recovery: Recovery::new(clock.now()),
         retry_budget_share: RefCell::new(Share::new(cfg.retry_budget, clock.now())),
         cfg,
         clock,
-        run_id: fastrand::u64(1..),
+        run_id,
         info,
         routing: RefCell::default(),
         has_all_gateways: Cell::new(false),
@@ -270,7 +275,7 @@
         replicas: RefCell::default(),
         upstreams: RefCell::default(),
         peer_loads: RefCell::default(),
-        reachability: RefCell::default(),
+        reachability: RefCell::new(Reachability::new(run_id)),
         backpressure: RefCell::default(),
         limits_changed: Cell::new(false),
         turn_phase: fastrand::f64(),
@@ -289,6 +294,7 @@
         response_times: RefCell::default(),
         managed_upstreams: RefCell::default(),
         release_stats: RefCell::default(),
+        lost_responses: RefCell::default(),
         rng: RefCell::new(fastrand::Rng::new()),
         metrics: Metrics::new(),
         draining_since: Cell::new(None),
