Let keep-alive probes to upstreams be lost

A TCP user timeout also decides when keep-alive probes give up, whatever their count. The connections to upstreams set one of 1.2 s with probes each second, so one lost probe ended a sound connection on which a request waited for its response, and a run-once request was lost. Data in flight did not survive a second of silence either: the retransmission that would have arrived came after the user timeout.

The user timeout is now 2.2 s for 3.2 s after each write, which lets the retransmission at 1.4 s through, and 9 s otherwise, which is six probes. The first probe comes after 3 s, when the short one has ended.

Measured on loopback in a network namespace whose link was taken down (Linux, both ends real sockets): with 1.2 s, a silence of 1.0 s ended a connection that waited and one with data in flight; with 2.2 s data in flight survived 1.5 s; a dead peer was noticed 1.6 s after a write with 1.2 s and 2.6 s with 2.2 s.

No library of ours sets a user timeout: hyper-util can but only in its own connector, which is not used; hyper, h2, tokio and ntex do not.

The tests of tests/process/sockets.rs failed before, and pass.

--- a/src/http_client/mod.rs
+++ b/src/http_client/mod.rs
@@ -28,6 +28,7 @@
 pub(crate) use self::pool::ConnectionPool;
 pub(crate) use self::pool::Reuse;
 pub(crate) use self::pool::refuses_connections;
+pub use self::socket::UpstreamStream;
 pub(crate) use self::socket::configure_accepted_socket;
 
 use self::pool::PooledConnection;
--- a/src/http_client/socket.rs
+++ b/src/http_client/socket.rs
@@ -1,8 +1,10 @@
 //! TCP options of the connections to upstreams and callers.
 
+use std::future::Future;
 use std::io;
 use std::io::IoSlice;
 use std::os::fd::AsFd;
+use std::os::fd::BorrowedFd;
 use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
@@ -14,14 +16,33 @@
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
+use tokio::time::Instant;
+use tokio::time::Sleep;
+use tokio::time::sleep_until;
 
-/// TCP user timeout of a connection to an upstream: time within which sent data or a keep-alive
-/// probe must be acknowledged. A peer that lost power or is partitioned sends no reset; 1.2 s leaves
-/// room for three retransmissions on a lossy link.
-const USER_TIMEOUT: Duration = Duration::from_millis(1200);
+/// TCP user timeout of a connection to an upstream while sent data may be unacknowledged. A peer that
+/// lost power or is partitioned sends no reset. The retransmission at 1.4 s falls into this time, so
+/// the data survives a peer or a path that is silent for a second.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2200);
 
-/// Idle time before the first keep-alive probe, and the interval between probes. The operating
-/// system takes whole seconds only.
+/// Time after a write from which the data counts as acknowledged. The operating system ends a
+/// connection with a user timeout up to two retransmission timeouts later.
+const ACKNOWLEDGED_AFTER: Duration = Duration::from_millis(3200);
+
+/// TCP user timeout of a connection to an upstream on which nothing is under way: it is idle or waits
+/// for a response. The user timeout decides when keep-alive probes give up, whatever their count; six
+/// may be lost.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(9);
+
+/// Time without a packet before the first keep-alive probe to an upstream. While the user timeout is
+/// short, a single lost probe ends the connection one interval later, so that must be after
+/// [`ACKNOWLEDGED_AFTER`]. The operating system takes whole seconds only.
+const UPSTREAM_KEEPALIVE_TIME: Duration = Duration::from_secs(3);
+
+/// The same for a caller.
+const CALLER_KEEPALIVE_TIME: Duration = Duration::from_secs(1);
+
+/// Interval between keep-alive probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Unanswered probes after which a connection without a user timeout ends. A lossy link loses some.
@@ -37,64 +58,131 @@
 /// read. The probes detect a dead caller that waits, and `listen` ends connections that take nothing
 /// for too long.
 pub(crate) fn configure_accepted_socket(socket: &impl AsFd) {
-    set_common_options(socket);
+    set_common_options(socket, CALLER_KEEPALIVE_TIME);
 }
 
 /// Sets the options, ignoring errors: a connection without them works, but detects a dead peer
 /// later.
-fn set_common_options(socket: &impl AsFd) {
+fn set_common_options(socket: &impl AsFd, keepalive_time: Duration) {
     let socket = SockRef::from(socket);
     let _ = socket.set_tcp_nodelay(true);
     let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE_INTERVAL)
+        .with_time(keepalive_time)
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_PROBES);
     let _ = socket.set_tcp_keepalive(&keepalive);
 }
 
+/// What is under way on a connection to an upstream, which decides its user timeout.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Phase {
+    /// Nothing, as far as known.
+    Idle,
+    /// Sent data may be unacknowledged.
+    Sending,
+    /// Sent data may not fit into the receive buffer of an upstream that pauses in reading.
+    Paused,
+}
+
+impl Phase {
+    fn user_timeout(self) -> Option<Duration> {
+        match self {
+            Self::Idle => Some(IDLE_TIMEOUT),
+            Self::Sending => Some(UNACKNOWLEDGED_TIMEOUT),
+            Self::Paused => None,
+        }
+    }
+}
+
 /// A connection to an upstream.
 ///
-/// The user timeout would also end the connection of an upstream that pauses in reading a large
-/// request. It is therefore off from the byte that may no longer fit into the receive buffer until
-/// the upstream sends something; the time limits of the request apply meanwhile.
-pub(super) struct UpstreamStream {
+/// Its user timeout is short for some time after each write, so that a dead upstream is noticed soon,
+/// and long otherwise, so that keep-alive probes may be lost. It would also end the connection of an
+/// upstream that pauses in reading a large request. It is therefore off from the byte that may no
+/// longer fit into the receive buffer until the upstream sends something; the time limits of the
+/// request apply meanwhile.
+pub struct UpstreamStream {
     stream: TcpStream,
     /// Bytes written since the upstream last sent something.
     written: usize,
-    may_pause: bool,
+    phase: Phase,
+    /// When the phase [`Phase::Sending`] ends.
+    acknowledged_at: Instant,
+    /// Wakes at `acknowledged_at` or before; `None` until the first write.
+    timer: Option<Pin<Box<Sleep>>>,
 }
 
 impl UpstreamStream {
-    pub(super) fn new(stream: TcpStream) -> Self {
-        set_common_options(&stream);
-        set_user_timeout(&stream, Some(USER_TIMEOUT));
+    /// Sets the options of a new connection.
+    pub fn new(stream: TcpStream) -> Self {
+        set_common_options(&stream, UPSTREAM_KEEPALIVE_TIME);
+        set_user_timeout(&stream, Phase::Idle.user_timeout());
         Self {
             stream,
             written: 0,
-            may_pause: false,
+            phase: Phase::Idle,
+            acknowledged_at: Instant::now(),
+            timer: None,
         }
     }
 
-    fn set_may_pause(&mut self, may_pause: bool) {
-        if self.may_pause != may_pause {
-            self.may_pause = may_pause;
-            let timeout = (!may_pause).then_some(USER_TIMEOUT);
-            set_user_timeout(&self.stream, timeout);
+    fn set_phase(&mut self, phase: Phase) {
+        if self.phase != phase {
+            self.phase = phase;
+            set_user_timeout(&self.stream, phase.user_timeout());
+        }
+    }
+
+    fn start_sending(&mut self) {
+        self.acknowledged_at = Instant::now() + ACKNOWLEDGED_AFTER;
+        if self.phase != Phase::Sending {
+            let at = self.acknowledged_at;
+            match &mut self.timer {
+                Some(timer) => timer.as_mut().reset(at),
+                None => self.timer = Some(Box::pin(sleep_until(at))),
+            }
+            self.set_phase(Phase::Sending);
         }
     }
 
     fn record_write(&mut self, result: &Poll<io::Result<usize>>) {
         if let Poll::Ready(Ok(n)) = result {
             self.written += n;
-            self.set_may_pause(self.written > RECEIVE_WINDOW);
+            if self.written > RECEIVE_WINDOW {
+                self.set_phase(Phase::Paused);
+            } else {
+                self.start_sending();
+            }
+        }
+    }
+
+    /// Ends the phase [`Phase::Sending`] if its time has passed.
+    fn poll_timer(&mut self, cx: &mut Context<'_>) {
+        while self.phase == Phase::Sending
+            && let Some(timer) = &mut self.timer
+            && timer.as_mut().poll(cx).is_ready()
+        {
+            if Instant::now() < self.acknowledged_at {
+                timer.as_mut().reset(self.acknowledged_at);
+            } else {
+                self.set_phase(Phase::Idle);
+            }
         }
     }
 }
 
+impl AsFd for UpstreamStream {
+    fn as_fd(&self) -> BorrowedFd<'_> {
+        self.stream.as_fd()
+    }
+}
+
 impl Drop for UpstreamStream {
     fn drop(&mut self) {
-        // The operating system need not deliver the rest of an abandoned request.
-        self.set_may_pause(false);
+        if self.phase == Phase::Paused {
+            // The operating system need not deliver the rest of an abandoned request.
+            self.set_phase(Phase::Sending);
+        }
     }
 }
 
@@ -113,8 +201,11 @@
         let result = Pin::new(&mut this.stream).poll_read(cx, buf);
         if buf.filled().len() > before {
             this.written = 0;
-            this.set_may_pause(false);
+            if this.phase == Phase::Paused {
+                this.start_sending();
+            }
         }
+        this.poll_timer(cx);
         result
     }
 }
@@ -128,6 +219,7 @@
         let this = self.get_mut();
         let result = Pin::new(&mut this.stream).poll_write(cx, buf);
         this.record_write(&result);
+        this.poll_timer(cx);
         result
     }
 
@@ -139,6 +231,7 @@
         let this = self.get_mut();
         let result = Pin::new(&mut this.stream).poll_write_vectored(cx, bufs);
         this.record_write(&result);
+        this.poll_timer(cx);
         result
     }
 
@@ -147,7 +240,9 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_flush(cx)
+        let this = self.get_mut();
+        this.poll_timer(cx);
+        Pin::new(&mut this.stream).poll_flush(cx)
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -26,6 +26,7 @@
 mod sessions;
 mod slow_peers;
 mod soak;
+mod sockets;
 mod stops;
 mod streams;
 mod support;
