End connections between processes whose peer is gone

Cause: neither end of a connection between processes had keep-alive probes or a user timeout. A listener that has nothing to send never notices that a gateway's VM lost power, and its connections add up to the limit of 4,096, beyond which connections are closed at once.

Result: the test in tests/process/sockets.rs failed before (no timer at either end) and passes.

--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -17,6 +17,7 @@
 use super::Request;
 use super::server::WINDOW_BYTES;
 use super::server::read_body;
+use super::socket;
 use crate::codec;
 use crate::collections::HashMap;
 
@@ -173,7 +174,7 @@
 async fn connect(address: SocketAddr) -> Option<SendRequest<Bytes>> {
     let stream = repeat_until_reply(move || TcpStream::connect(address)).await?;
     let stream = stream.ok()?;
-    stream.set_nodelay(true).ok()?;
+    socket::configure(&stream);
     let mut builder = h2::client::Builder::new();
     builder
         .initial_window_size(WINDOW_BYTES)
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -7,6 +7,7 @@
 mod leader;
 mod message;
 mod server;
+mod socket;
 
 pub use self::client::CallError;
 pub use self::client::Client;
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -16,6 +16,7 @@
 
 use super::Reply;
 use super::Request;
+use super::socket;
 use crate::codec;
 use crate::collections::Name;
 use crate::config::KeyHash;
@@ -151,8 +152,7 @@
     handler: Rc<dyn Handler>,
     open: OpenConnection,
 ) {
-    // Nagle's algorithm would delay small messages.
-    let _ = stream.set_nodelay(true);
+    socket::configure(&stream);
     let mut builder = h2::server::Builder::new();
     builder
         .initial_window_size(WINDOW_BYTES)
--- a/tests/process/sockets.rs
+++ b/tests/process/sockets.rs
@@ -1,13 +1,24 @@
 //! TCP options by which connections survive a silence and end with their peer.
 
+use std::future::Future;
+use std::pin::Pin;
 use std::time::Duration;
 
 use daisyquay::http_client::UpstreamStream;
+use daisyquay::peer::Caller;
+use daisyquay::peer::Client;
+use daisyquay::peer::Handler;
+use daisyquay::peer::Reply;
+use daisyquay::peer::Request;
 use socket2::SockRef;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::task::LocalSet;
+
+use crate::support::PEER_KEY;
+use crate::support::start_stub_replica;
 
 /// Time for which a sound peer may be silent, a lossy link included.
 const SILENCE: Duration = Duration::from_millis(1500);
@@ -101,3 +112,58 @@
     assert_eq!(stream.read(&mut buf).await.unwrap(), 5);
     assert_notices_a_dead_peer(&stream);
 }
+
+struct Done;
+
+impl Handler for Done {
+    fn call(&self, _: Caller, _: Request) -> Pin<Box<dyn Future<Output = Reply>>> {
+        Box::pin(async { Reply::Done })
+    }
+}
+
+/// Returns the timers of the connections to a local port, by end: of the accepting one and of the
+/// connecting one. See `proc_net_tcp.txt` of the Linux kernel.
+fn timers(port: u16) -> (Vec<u8>, Vec<u8>) {
+    const ESTABLISHED: &str = "01";
+    let (mut accepted, mut connected) = (Vec::new(), Vec::new());
+    for line in std::fs::read_to_string("/proc/net/tcp")
+        .unwrap()
+        .lines()
+        .skip(1)
+    {
+        let fields: Vec<_> = line.split_whitespace().collect();
+        let port_of = |address: &str| u16::from_str_radix(address.rsplit(':').next().unwrap(), 16);
+        let timer = fields[5].split(':').next().unwrap();
+        let timer = u8::from_str_radix(timer, 16).unwrap();
+        if fields[3] != ESTABLISHED {
+            continue;
+        }
+        if port_of(fields[1]) == Ok(port) {
+            accepted.push(timer);
+        } else if port_of(fields[2]) == Ok(port) {
+            connected.push(timer);
+        }
+    }
+    (accepted, connected)
+}
+
+/// Guards against connections between processes that stay open for ever after the VM of their peer
+/// has lost power, and add up to the limit of the listener.
+#[tokio::test]
+async fn both_ends_of_a_connection_between_processes_probe_their_peer() {
+    /// The operating system's timer for keep-alive probes.
+    const KEEP_ALIVE_TIMER: u8 = 2;
+    let address = start_stub_replica(Done);
+    let client = Client::new(PEER_KEY);
+    let observed = async {
+        let limit = Duration::from_secs(5);
+        let reply = client.call(address, &Request::BootstrapStatus, limit).await;
+        assert!(matches!(reply, Ok(Reply::Done)), "{reply:?}");
+        // Data that is not acknowledged yet has a timer of its own.
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        timers(address.port())
+    };
+    let (accepted, connected) = LocalSet::new().run_until(observed).await;
+    assert_eq!(accepted, [KEEP_ALIVE_TIMER]);
+    assert_eq!(connected, [KEEP_ALIVE_TIMER]);
+}
