Wait out a silent upstream that nothing can replace

A sound upstream that is the only one and silent for a second lost all of them: 502 long before their time limit.

Change: a request gives its upstream up when another one takes it now: sound, with capacity, with a retry left in the budget and not barred. Otherwise it does so 1.5 s later.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -438,6 +438,19 @@
         Room::new(places)
     }
 
+    /// Returns whether an upstream of the service has capacity for a request and none waits for it.
+    pub(super) fn has_room_for(&self, service: &Name, needs: &Needs) -> bool {
+        let demand = {
+            let mut services = self.admission.services.borrow_mut();
+            let queue = services.entry(service.clone()).or_default();
+            if !queue.queue.is_empty() {
+                return false;
+            }
+            self.demand_at(queue, service)
+        };
+        self.has_room(service, needs, demand)
+    }
+
     /// Returns whether an upstream of the service has capacity for a request. Begins at a random
     /// one, so that few are examined unless most are full.
     fn has_room(&self, service: &Name, needs: &Needs, demand: Demand) -> bool {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -58,14 +58,25 @@
     pub(super) is_repeated: bool,
 }
 
-/// Sends `call` to `upstream` and waits for the response. If the request `can_fail_over`, gives up
-/// on an upstream that seems to hang.
+/// Whether a request may leave an upstream that does not respond.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum FailOver {
+    /// It waits until its deadline.
+    Never,
+    /// Nothing is there for it now.
+    NotNow,
+    /// Another upstream takes it.
+    Now,
+}
+
+/// Sends `call` to `upstream` and waits for the response. Gives up on an upstream that seems to hang,
+/// as `fail_over` permits.
 pub(super) async fn attempt(
     gateway: &Rc<Gateway>,
     call: &Call,
     upstream: &Upstream,
     overrides: &AttemptOverrides,
-    can_fail_over: bool,
+    fail_over: &dyn Fn() -> FailOver,
 ) -> AttemptOutcome {
     let mut in_flight = InFlightRequest::start(
         gateway,
@@ -94,11 +105,7 @@
     let sent = gateway
         .connections
         .send(address, request, CONNECT_TIMEOUT.min(time_left), reuse);
-    let sent = if can_fail_over {
-        await_response_head(sent, &in_flight, call.route.target()).await
-    } else {
-        sent.await
-    };
+    let sent = await_response_head(sent, &in_flight, call.route.target(), fail_over).await;
     match sent {
         Ok(response) => classify_response(gateway, call, response, in_flight).await,
         Err(e) => {
@@ -125,19 +132,25 @@
 
 /// Waits for the response head until the upstream seems to hang. The timeout depends on the
 /// upstream's predicted prefill time, which may change meanwhile, so it is computed again when it
-/// has passed.
+/// has passed. A sound upstream may be silent for a second, so a request that cannot go elsewhere
+/// waits for longer.
 async fn await_response_head(
     sent: impl Future<Output = Result<UpstreamResponse, RequestError>>,
     in_flight: &InFlightRequest,
     target: Duration,
+    fail_over: &dyn Fn() -> FailOver,
 ) -> Result<UpstreamResponse, RequestError> {
     let mut sent = std::pin::pin!(sent);
     loop {
-        let mut time_left = in_flight
-            .response_timeout(target)
-            .saturating_sub(in_flight.elapsed());
+        let timeout = in_flight.response_timeout(target);
+        let mut time_left = timeout.saturating_sub(in_flight.elapsed());
         if time_left.is_zero() {
-            if !in_flight.is_queued(target) {
+            let hangs = match fail_over() {
+                FailOver::Never => return sent.await,
+                FailOver::NotNow => in_flight.elapsed() >= timeout + timeouts::MAX_SILENCE,
+                FailOver::Now => true,
+            };
+            if hangs && !in_flight.is_queued(target) {
                 return Err(RequestError::Interrupted("response timeout"));
             }
             time_left = timeouts::recheck_interval(target);
--- a/src/gateway/exchange/admit.rs
+++ b/src/gateway/exchange/admit.rs
@@ -126,7 +126,7 @@
         })
     }
 
-    fn admission_request(
+    pub(super) fn admission_request(
         &self,
         model: Option<usize>,
         is_escalation: bool,
--- a/src/gateway/exchange/choose.rs
+++ b/src/gateway/exchange/choose.rs
@@ -4,6 +4,7 @@
 
 use super::Exchange;
 use crate::collections::Name;
+use crate::gateway::attempt::FailOver;
 use crate::gateway::attempt::estimate_load;
 use crate::gateway::loads::PeerLoads;
 use crate::gateway::routing::RoutingTable;
@@ -43,10 +44,44 @@
 }
 
 impl Exchange {
-    /// Returns whether the request may go to another upstream if its upstream does not respond.
-    pub(super) fn can_fail_over(&self) -> bool {
+    /// Returns whether the request may go to another upstream, as its upstream does not respond.
+    pub(super) fn fail_over(&self) -> FailOver {
         let route = &self.call.route;
-        route.is_safe_to_retry() && self.runs < route.attempts
+        let Some(service) = self
+            .service
+            .as_ref()
+            .filter(|_| route.is_safe_to_retry() && self.runs < route.attempts)
+        else {
+            return FailOver::Never;
+        };
+        let is_possible = self.has_attempts_left()
+            && !self.is_barred()
+            && self.gateway.has_retry_left(service)
+            && self.has_sound_upstream(service);
+        if is_possible {
+            FailOver::Now
+        } else {
+            FailOver::NotNow
+        }
+    }
+
+    /// Returns whether an upstream that has not had the request is sound and has capacity.
+    fn has_sound_upstream(&self, service: &Name) -> bool {
+        let gateway = &self.gateway;
+        if gateway.cfg.admission {
+            let request = self.admission_request(self.model, false, self.call.deadline);
+            return request.is_some_and(|request| gateway.has_room_for(service, &request.needs));
+        }
+        let Some(upstream) = self.choose_upstream(service, self.model, &self.tried) else {
+            return false;
+        };
+        let upstreams = gateway.upstreams.borrow();
+        let peer_loads = gateway.peer_loads.borrow();
+        let reachability = gateway.reachability.borrow();
+        let backpressure = gateway.backpressure.borrow();
+        let context = self.placement_context(&peer_loads, &reachability, &backpressure, None);
+        let candidate = upstreams.placement_candidate(&upstream, &context, false);
+        !candidate.is_suspect && candidate.circuit != Circuit::Open
     }
 
     /// Predicts when `model` would respond; `None` if there is no upstream for it or its prefill
--- a/src/gateway/exchange/mod.rs
+++ b/src/gateway/exchange/mod.rs
@@ -258,6 +258,7 @@
         if let (Some(service), Some(cause)) = (service, self.repeat_cause) {
             self.gateway.count_repeat(service, cause);
         }
+        let fail_over = || self.fail_over();
         let outcome = tokio::select! {
             biased;
             outcome = attempt(
@@ -265,7 +266,7 @@
                 &self.call,
                 upstream,
                 &overrides,
-                self.can_fail_over(),
+                &fail_over,
             ) => outcome,
             // Dropping the attempt cancels the request before the upstream begins a response.
             () = self.gateway.wait_for_quarantine(service, &self.call), if !self.is_probe => {
--- a/src/gateway/retries.rs
+++ b/src/gateway/retries.rs
@@ -54,6 +54,12 @@
         is_spent
     }
 
+    /// Returns whether the budget has a retry left.
+    pub(super) fn has_retry_left(&self, service: &Name) -> bool {
+        let usage = self.with_budget(service, SlidingWindow::usage);
+        f64::from(usage.retries) + 1.0 <= usage.allowed
+    }
+
     /// Takes an escalation to a larger model from the budget; returns whether there was one left.
     /// Part of the budget is reserved for retries after failures, because a request can do without
     /// an escalation.
--- a/src/policy/timeouts.rs
+++ b/src/policy/timeouts.rs
@@ -30,6 +30,10 @@
 /// and a request that leaves it costs another upstream the same work.
 const COLD_FACTOR: u32 = 2;
 
+/// Longest time for which a sound upstream may be silent. A request that has no other upstream waits
+/// for so much longer.
+pub const MAX_SILENCE: Duration = Duration::from_millis(1500);
+
 /// Number of scheduling ranks of requests at an upstream; rank 0 is the most urgent.
 pub const RANK_COUNT: usize = 10;
 
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -24,6 +24,7 @@
 mod response_identity;
 mod retry_budget;
 mod sessions;
+mod silence;
 mod slow_peers;
 mod soak;
 mod sockets;
