Keep brittle upstreams from falling over

Cause: an upstream may say (header `server-brittle` of the platform, `daisyquay-brittle` here) how many rejections a second it bears from all gateways. Nothing read it: under overload each gateway sends to the slot that has just become free, all but one of them are rejected, and the upstream falls over.

Change: `policy::brittle`: a gateway sends only to known free slots, all gateways together use a part of them until they know of each other's requests, in turns where a share is less than one, and keep away for a while after a rejection. The gateways' updates carry it. Without the header nothing changes.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -192,6 +192,7 @@
     if response.status != StatusCode::MISDIRECTED_REQUEST {
         // Such a response comes from another upstream at the same address.
         gateway.record_backpressure(&in_flight.upstream, response.status, &response.headers);
+        gateway.record_brittle(&in_flight.upstream, response.status, &response.headers);
         in_flight.record_momentary_slowness(&response.headers);
     }
     let is_refused = response.headers.contains_key(&names.not_run)
--- a/src/gateway/backpressure.rs
+++ b/src/gateway/backpressure.rs
@@ -15,6 +15,10 @@
 use crate::policy::backpressure::LimitNotice;
 use crate::policy::backpressure::Sharing;
 
+/// Least time after which a caller tries again whose request was not sent to a brittle upstream
+/// without room.
+const BRITTLE_RETRY_AFTER: Duration = Duration::from_millis(250);
+
 impl Gateway {
     /// Returns how this gateway shares the upstreams' limits with the others.
     pub(super) fn sharing(&self) -> Sharing {
@@ -93,6 +97,7 @@
     pub(super) fn record_sent(&self, upstream: Index, is_first: bool, now: Duration) {
         let sharing = self.sharing();
         let mut backpressure = self.backpressure.borrow_mut();
+        self.brittle.borrow_mut().record_sent(upstream, now);
         if backpressure.record_sent(upstream, &sharing, now) {
             let attempt = if is_first { "first" } else { "further" };
             let labels = [("attempt", attempt)];
@@ -110,10 +115,20 @@
     ) -> Option<Duration> {
         let (now, sharing) = (self.now(), self.sharing());
         let backpressure = self.backpressure.borrow();
+        let brittle = self.brittle.borrow();
+        let wait = |upstream: &Upstream| {
+            let number = upstream.number;
+            let wait = backpressure.wait(number, &sharing, now)?;
+            if !brittle.contains(number) {
+                return Some(wait);
+            }
+            let until_room = brittle.wait(number, sharing.gateways, now);
+            Some(wait.max(until_room).max(BRITTLE_RETRY_AFTER))
+        };
         pool.upstreams
             .iter()
             .filter(|upstream| permits(upstream))
-            .filter_map(|upstream| backpressure.wait(upstream.number, &sharing, now))
+            .filter_map(wait)
             .min()
             .filter(|wait| !wait.is_zero())
     }
@@ -128,7 +143,7 @@
 }
 
 /// Returns the value of a header that is a decimal number, not negative.
-fn decimal(headers: &HeaderMap, name: &http::HeaderName) -> Option<f64> {
+pub(super) fn decimal(headers: &HeaderMap, name: &http::HeaderName) -> Option<f64> {
     let text = headers.get(name)?.to_str().ok()?;
     text.trim().parse().ok().filter(|value: &f64| *value >= 0.0)
 }
--- a/src/gateway/exchange/choose.rs
+++ b/src/gateway/exchange/choose.rs
@@ -171,11 +171,18 @@
     ) -> PlacementContext<'a> {
         let gateway = &self.gateway;
         let service = self.service.as_ref();
+        let brittle = gateway.brittle.borrow();
         let is_managed = service.is_some_and(|service| gateway.manages_load(service));
         PlacementContext {
             peer_loads,
             reachability,
             backpressure,
+            share: match service {
+                Some(service) if !brittle.is_empty() => gateway.demand(service).share,
+                _ => 1.0,
+            },
+            brittle,
+            brittle_lag: gateway.brittle_lag(),
             sharing: self.gateway.sharing(),
             data_centre: &self.gateway.cfg.data_centre,
             kv_capacity_tokens,
--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -30,6 +30,9 @@
     pub rate_limit: HeaderName,
     /// Present if the upstream which responds is leaving.
     pub leaving: HeaderName,
+    /// Requests a second that the upstream which responds can reject for want of room, over all
+    /// gateways, before it falls over. In all its responses while it is so brittle.
+    pub brittle: HeaderName,
     /// How much longer the upstream which responds is cold, in milliseconds.
     pub cold_ms: HeaderName,
     /// Requested model, or `*` to let the gateway choose.
@@ -67,6 +70,7 @@
             load: name("daisyquay-load"),
             rate_limit: name("daisyquay-rate-limit"),
             leaving: name("daisyquay-leaving"),
+            brittle: name("daisyquay-brittle"),
             cold_ms: name("daisyquay-cold-ms"),
             model: name("daisyquay-model"),
             token_counts: name("daisyquay-tokens"),
--- a/src/gateway/loads/mod.rs
+++ b/src/gateway/loads/mod.rs
@@ -27,6 +27,7 @@
 use crate::log::event;
 use crate::peer::EntryInfo;
 use crate::policy::backpressure::LimitNotice;
+use crate::policy::brittle;
 use crate::policy::crashing_requests;
 use crate::policy::demand;
 use crate::policy::fanout;
@@ -117,6 +118,8 @@
     refusing: Vec<Index>,
     /// Limits that upstreams have named or lifted, if one has changed; a full update repeats all.
     limits: Vec<LimitNotice>,
+    /// Brittle upstreams, if there is news; a full update repeats all.
+    brittle: Vec<brittle::Notice>,
     /// Crashes under suspect prompts and the verdicts on these, if there is news; a full update
     /// repeats the verdicts and what is recent.
     quarantines: Vec<ServiceNotice>,
@@ -365,6 +368,8 @@
     drop(reachability);
     let limits = update.limits.len().min(MAX_ROWS);
     gateway.apply_limit_notices(&update.limits[..limits]);
+    let brittle = update.brittle.len().min(MAX_ROWS);
+    gateway.apply_brittle_notices(&update.brittle[..brittle]);
     let quarantines = update.quarantines.len().min(MAX_ROWS);
     gateway.apply_quarantine_notices(&update.quarantines[..quarantines]);
     gateway.apply_crash_notice(&update.crashing_requests);
--- a/src/gateway/loads/publisher.rs
+++ b/src/gateway/loads/publisher.rs
@@ -8,7 +8,6 @@
 use crate::agreement::Index;
 use crate::collections::HashMap;
 use crate::gateway::Gateway;
-use crate::gateway::speeds::ManagedUpstreams;
 use crate::policy::sessions::Assignment;
 
 /// Tracks what has been published, to send only what has changed.
@@ -37,10 +36,17 @@
             || self.last_full_at.is_none_or(|at| now >= at + FULL_INTERVAL);
         self.has_peers = peer_count > 0;
         let loads = gateway.upstreams.borrow().own_loads();
-        let rows = self.rows_to_publish(&loads, is_full, &gateway.managed_upstreams.borrow());
+        let rows = {
+            let managed = gateway.managed_upstreams.borrow();
+            let brittle = gateway.brittle.borrow();
+            let each_counts =
+                |number| managed.is_of_small_service(number) || brittle.contains(number);
+            self.rows_to_publish(&loads, is_full, each_counts)
+        };
         let new_sessions = gateway.sessions.borrow_mut().take_unpublished();
         let refusing = gateway.reachability.borrow_mut().take_unpublished();
         let limits = gateway.limit_notices(is_full);
+        let brittle = gateway.brittle_notices(is_full);
         let quarantines = gateway.quarantine_notices(is_full);
         let crashing_requests = gateway.crash_notice(is_full);
         let speeds = gateway.speed_notice(is_full, peer_count);
@@ -50,6 +56,7 @@
             && new_sessions.is_empty()
             && refusing.is_empty()
             && limits.is_empty()
+            && brittle.is_empty()
             && quarantines.is_empty()
             && crashing_requests.is_empty()
             && speeds.is_empty()
@@ -77,6 +84,7 @@
             sessions,
             refusing,
             limits,
+            brittle,
             quarantines,
             crashing_requests,
             speeds,
@@ -84,12 +92,13 @@
         })
     }
 
-    /// Returns the rows to publish and records them as published.
+    /// Returns the rows to publish and records them as published. `each_counts` is whether each
+    /// request at an upstream is published.
     fn rows_to_publish(
         &mut self,
         loads: &HashMap<Index, Load>,
         is_full: bool,
-        managed: &ManagedUpstreams,
+        each_counts: impl Fn(Index) -> bool,
     ) -> Vec<(Index, Load)> {
         if is_full {
             self.published.clone_from(loads);
@@ -101,7 +110,7 @@
         let mut rows = Vec::new();
         for (&number, load) in loads {
             let published = self.published.entry(number).or_default();
-            if load.differs_enough(published, managed.is_of_small_service(number)) {
+            if load.differs_enough(published, each_counts(number)) {
                 *published = *load;
                 rows.push((number, *load));
             }
--- a/src/gateway/loads/transport.rs
+++ b/src/gateway/loads/transport.rs
@@ -28,12 +28,13 @@
 const FORWARD_QUEUE_LIMIT: usize = 4_096;
 
 /// Approximate encoded size of an update, and of each load, session, upstream number, limit,
-/// slowness and demand in it.
+/// brittle upstream, slowness and demand in it.
 const UPDATE_BYTES_ESTIMATE: usize = 24;
 const ROW_BYTES_ESTIMATE: usize = 24;
 const SESSION_BYTES_ESTIMATE: usize = 10;
 const NUMBER_BYTES_ESTIMATE: usize = 9;
 const LIMIT_BYTES_ESTIMATE: usize = 24;
+const BRITTLE_BYTES_ESTIMATE: usize = 32;
 const SPEED_BYTES_ESTIMATE: usize = 5;
 const DEMAND_BYTES_ESTIMATE: usize = 8;
 
@@ -159,6 +160,7 @@
             + SESSION_BYTES_ESTIMATE * update.sessions.len()
             + NUMBER_BYTES_ESTIMATE * update.refusing.len()
             + LIMIT_BYTES_ESTIMATE * update.limits.len()
+            + BRITTLE_BYTES_ESTIMATE * update.brittle.len()
             + SPEED_BYTES_ESTIMATE * update.speeds.row_count()
             + DEMAND_BYTES_ESTIMATE * update.demand.as_ref().map_or(0, demand::Notice::row_count)
             + NUMBER_BYTES_ESTIMATE * quarantine_numbers(update);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod admission;
 mod attempt;
 mod backpressure;
+mod brittle;
 mod call;
 mod cold_start;
 mod events;
@@ -63,6 +64,7 @@
 use crate::metrics::Metrics;
 use crate::peer::EntryInfo;
 use crate::policy::backpressure::Backpressure;
+use crate::policy::brittle::BrittleUpstreams;
 use crate::policy::crashing_requests::CrashingRequests;
 use crate::policy::prefill::RateEstimator;
 use crate::policy::quarantine::Quarantine;
@@ -161,6 +163,10 @@
     reachability: RefCell<Reachability>,
     /// Limits, pauses and leaves that upstreams have named in their responses.
     backpressure: RefCell<Backpressure>,
+    /// Upstreams that fall over if they reject many requests.
+    brittle: RefCell<BrittleUpstreams>,
+    /// Whether the other gateways have not been told of a change or a rejection there.
+    brittle_changed: Cell<bool>,
     /// Whether a limit has changed that the other gateways have not been told of.
     limits_changed: Cell<bool>,
     /// When in an interval this gateway's turns at limited upstreams begin, from 0 to 1.
@@ -263,6 +269,8 @@
         peer_loads: RefCell::default(),
         reachability: RefCell::default(),
         backpressure: RefCell::default(),
+        brittle: RefCell::new(BrittleUpstreams::new(fastrand::f64())),
+        brittle_changed: Cell::new(false),
         limits_changed: Cell::new(false),
         turn_phase: fastrand::f64(),
         quarantines: RefCell::default(),
@@ -331,6 +339,7 @@
         let now = gateway.now();
         gateway.sessions.borrow_mut().remove_expired(now);
         gateway.forget_backpressure();
+        gateway.forget_brittle();
         gateway.refresh_cold_starts();
         gateway.refresh_speeds();
         gateway.forget_quarantine_evidence();
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -18,6 +18,8 @@
 use crate::log::event;
 use crate::policy::backpressure::Backpressure;
 use crate::policy::backpressure::Sharing;
+use crate::policy::brittle;
+use crate::policy::brittle::BrittleUpstreams;
 use crate::policy::cold_start::ColdStarts;
 use crate::policy::gateway_queue;
 use crate::policy::gateway_queue::Occupancy;
@@ -144,11 +146,8 @@
             },
             was_tried,
             is_suspect: upstream.is_suspect || self.suspects.contains(&upstream.number),
-            is_blocked: context
-                .backpressure
-                .wait(upstream.number, &context.sharing, now)
-                .is_none_or(|wait| !wait.is_zero())
-                || !self.cold_starts.wait(upstream.number, now).is_zero(),
+            is_blocked: self.asks_for_none(upstream, context)
+                || self.brittle_free(upstream, context) == Some(0),
             slowness: context
                 .speeds
                 .as_ref()
@@ -158,6 +157,43 @@
 }
 
 impl UpstreamTable {
+    /// Returns whether the upstream has asked for no request now.
+    fn asks_for_none(&self, upstream: &Upstream, context: &PlacementContext<'_>) -> bool {
+        let (number, now) = (upstream.number, context.now);
+        context
+            .backpressure
+            .wait(number, &context.sharing, now)
+            .is_none_or(|wait| !wait.is_zero())
+            || !self.cold_starts.wait(number, now).is_zero()
+    }
+
+    /// Returns how many requests may be sent to a brittle upstream now; `None` for another one.
+    fn brittle_free(&self, upstream: &Upstream, context: &PlacementContext<'_>) -> Option<u32> {
+        let (number, now) = (upstream.number, context.now);
+        if !context.brittle.contains(number) {
+            return None;
+        }
+        let row = self.rows.get(upstream.id());
+        let row = row.filter(|row| row.number == number);
+        let peer_requests = context.peer_loads.total_at(number).requests;
+        let own = row.map_or(0, |row| row.in_flight.count());
+        let own_before = row.map_or(0, |row| {
+            let before = now.saturating_sub(context.brittle_lag);
+            row.in_flight.count_at(before)
+        });
+        let occupancy = brittle::Occupancy {
+            slots: upstream.announced.slots,
+            requests: row.map_or(peer_requests, |row| row.most_requests(peer_requests, now)),
+            unseen: own.saturating_sub(own_before),
+            share: context.share,
+            lag: context.brittle_lag,
+        };
+        let gateways = context.sharing.gateways;
+        context
+            .brittle
+            .free_slots(number, &occupancy, gateways, now)
+    }
+
     /// Returns the further input of the placement by expected time for one upstream. `load` is its
     /// load as a share of its slots, and `update_lag` the age of the other gateways' updates.
     pub(super) fn time_hint(
@@ -207,7 +243,7 @@
     ) -> Option<Place> {
         let now = context.now;
         let mut opens_at = None;
-        if candidate.is_blocked {
+        if candidate.is_blocked && self.asks_for_none(upstream, context) {
             if !self.cold_starts.wait(upstream.number, now).is_zero() {
                 return None;
             }
@@ -239,7 +275,8 @@
             free: if opens_at.is_some() {
                 0
             } else {
-                gateway_queue::free_slots(&occupancy)
+                self.brittle_free(upstream, context)
+                    .unwrap_or_else(|| gateway_queue::free_slots(&occupancy))
             },
             kv_free,
             is_idle: occupancy.requests == 0,
@@ -267,6 +304,11 @@
     pub(super) peer_loads: &'a PeerLoads,
     pub(super) reachability: &'a Reachability,
     pub(super) backpressure: &'a Backpressure,
+    pub(super) brittle: Ref<'a, BrittleUpstreams>,
+    /// Part of the free slots of brittle upstreams that this gateway may use.
+    pub(super) share: f64,
+    /// Time until the other gateways know of a request at one.
+    pub(super) brittle_lag: Duration,
     pub(super) sharing: Sharing,
     pub(super) data_centre: &'a Name,
     /// Tokens that the KV cache of an upstream holds; `None` if not known.
@@ -302,6 +344,20 @@
         }
     }
 
+    /// Returns the most requests that may be at the upstream, as far as known.
+    fn most_requests(&self, peer_requests: u32, now: Duration) -> u32 {
+        let own = self.in_flight.count();
+        let counted = own.saturating_add(peer_requests);
+        let recent = self
+            .report
+            .filter(|report| now.saturating_sub(report.received_at) < SMALL_SERVICE_REPORT_TTL);
+        let reported = recent.map_or(0, |report| {
+            let added = own.saturating_sub(report.in_flight_at_report);
+            report.requests.saturating_add(added)
+        });
+        counted.max(reported)
+    }
+
     /// Estimates the number of requests at the upstream: the last recent load report plus the
     /// change in this gateway's requests since then, or else the requests that all gateways have
     /// there.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 pub mod backpressure;
+pub mod brittle;
 pub mod cold_start;
 pub mod crashing_requests;
 pub mod demand;
--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -3,6 +3,7 @@
 #![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 mod backpressure;
+mod brittle;
 mod cold_upstreams;
 mod config_distribution;
 mod crashing_requests;
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -4,6 +4,7 @@
 
 mod admission;
 mod backpressure;
+mod brittle;
 mod cold_upstreams;
 mod directory;
 mod entry_stops;
