--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -4,6 +4,7 @@
 
 mod admission;
 mod backpressure;
+mod brittle;
 mod cold_upstreams;
 mod config_changes;
 mod config_fetch;
@@ -27,8 +28,10 @@
 mod response_identity;
 mod retry_budget;
 mod sessions;
+mod silence;
 mod slow_peers;
 mod soak;
+mod sockets;
 mod stops;
 mod streams;
 mod support;
