Add a failing test of a gateway that is cut off from all upstreams

Three gateways, three upstreams behind proxies that cut off the connections of one gateway: they hang, are reset, or go on while new ones are reset. From 3 s after the cut on, the first attempts at that gateway must be served at least two thirds as often as those at the others.

--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -15,6 +15,7 @@
 mod gateway_stops;
 mod golden;
 mod models;
+mod partitioned_gateway;
 mod path;
 mod quarantine;
 mod recovery;
--- /dev/null
+++ b/tests/process/partitioned_gateway.rs
@@ -0,0 +1,262 @@
+//! A gateway whose VM has lost the path to the upstreams of a service still gets its callers served.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::gateway::ROUTES;
+use crate::gateway::announce;
+use crate::support::AUTH_HEADER;
+use crate::support::Cluster;
+use crate::support::Cut;
+use crate::support::INVENTORY;
+use crate::support::LinkCut;
+use crate::support::Program;
+use crate::support::ReceivedRequest;
+use crate::support::Response;
+use crate::support::Upstream;
+use crate::support::chunk;
+use crate::support::eventually;
+use crate::support::free_address;
+use crate::support::ok_response;
+use crate::support::send;
+use crate::support::sse_event;
+use crate::support::stream_response_head;
+use crate::support::write;
+
+/// Number of gateways and of upstreams.
+const COUNT: usize = 3;
+
+/// Events of a complete stream.
+const EVENTS: u64 = 5;
+
+/// Time after the cut from which first attempts are judged, and for which they are.
+const DETECTION_TIME: Duration = Duration::from_secs(3);
+const JUDGED_TIME: Duration = Duration::from_secs(6);
+
+/// Interval between two requests of one kind to one gateway.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Requests by their policy for repeats.
+const PATHS: [&str; 3] = ["/lookup/a", "/hold/a", "/notes/a"];
+
+/// Three gateways in front of three upstreams; the first gateway can be cut off.
+struct Setup {
+    upstreams: Vec<Upstream>,
+    gateways: Vec<(Program, SocketAddr)>,
+    cut: LinkCut,
+    _cluster: Cluster,
+}
+
+impl Setup {
+    fn new() -> Self {
+        let cluster = Cluster::start(1, 1);
+        let inventory = format!("{INVENTORY}{ROUTES}");
+        cluster.apply(&inventory, &["--change-id", "first"]);
+        let cut = LinkCut::new();
+        let upstreams: Vec<Upstream> = (0..COUNT).map(|_| Upstream::start(respond)).collect();
+        for (i, upstream) in upstreams.iter().enumerate() {
+            let proxy = cut.start_proxy(upstream.address);
+            announce(&cluster, &format!("u{i}"), proxy);
+        }
+        let gateways: Vec<(Program, SocketAddr)> = (0..COUNT)
+            .map(|_| {
+                let address = free_address();
+                (cluster.start_gateway_at(address), address)
+            })
+            .collect();
+        cut.set_others(
+            gateways[1..]
+                .iter()
+                .map(|(program, _)| program.pid())
+                .collect(),
+        );
+        let setup = Self {
+            upstreams,
+            gateways,
+            cut,
+            _cluster: cluster,
+        };
+        for gateway in 0..COUNT {
+            eventually("the gateway serves", || {
+                let id = format!("warm-{gateway}");
+                setup
+                    .call(gateway, "/lookup/a", &id)
+                    .filter(|reply| reply.status == 200)
+            });
+        }
+        // The gateways learn of each other with their next renewals.
+        thread::sleep(Duration::from_secs(2));
+        setup
+    }
+
+    fn call(&self, gateway: usize, path: &str, id: &str) -> Option<Response> {
+        let headers = [
+            AUTH_HEADER,
+            ("host", "previews.example"),
+            ("daisyquay-attempt", id),
+            ("daisyquay-deadline-ms", "6000"),
+        ];
+        send("POST", self.gateways[gateway].1, path, &headers, "body")
+    }
+
+    /// Sends requests of all kinds to all gateways for `time`; returns the outcome of each by the
+    /// gateway, with the time since `start` at which it was sent.
+    fn send_requests(&self, prefix: &str, start: Instant, time: Duration) -> Vec<Outcome> {
+        let outcomes = Mutex::new(Vec::new());
+        thread::scope(|scope| {
+            let mut number = 0;
+            while start.elapsed() < time {
+                for gateway in 0..COUNT {
+                    for path in PATHS {
+                        number += 1;
+                        let id = format!("{prefix}-{number}");
+                        let outcomes = &outcomes;
+                        scope.spawn(move || {
+                            let sent_at = start.elapsed();
+                            let reply = self.call(gateway, path, &id);
+                            outcomes.lock().unwrap().push(Outcome {
+                                gateway,
+                                path,
+                                id,
+                                sent_at,
+                                status: reply.as_ref().map_or(0, |reply| reply.status),
+                                is_served: reply.is_some_and(|reply| is_served(path, &reply)),
+                            });
+                        });
+                    }
+                }
+                thread::sleep(REQUEST_INTERVAL);
+            }
+        });
+        outcomes.into_inner().unwrap()
+    }
+
+    /// Returns how often the upstreams have received each request.
+    fn runs(&self) -> BTreeMap<String, u32> {
+        let mut runs = BTreeMap::new();
+        for upstream in &self.upstreams {
+            for seen in upstream.received() {
+                *runs.entry(seen.attempt_id().to_owned()).or_default() += 1;
+            }
+        }
+        runs
+    }
+
+    /// Cuts off the first gateway and checks that its callers are served, that nothing runs that
+    /// must not, and that it uses its own links again after the cut.
+    fn check(&self, cut: Cut) {
+        // Opens connections that the cut finds idle.
+        self.send_requests("before", Instant::now(), Duration::from_millis(500));
+        self.cut.set(cut);
+        let start = Instant::now();
+        let outcomes = self.send_requests("during", start, DETECTION_TIME + JUDGED_TIME);
+        self.cut.set(Cut::Healed);
+        let runs = self.runs();
+        for outcome in &outcomes {
+            let runs = runs.get(&outcome.id).copied().unwrap_or_default();
+            if outcome.path == "/hold/a" {
+                assert!(runs <= 1, "a run-once request ran {runs} times");
+            }
+            if matches!(outcome.status, 429 | 503) {
+                assert_eq!(runs, 0, "{} was reported as not run", outcome.id);
+            }
+        }
+        for path in PATHS {
+            let judged = |is_cut: bool| {
+                let judged = outcomes.iter().filter(|outcome| {
+                    outcome.sent_at >= DETECTION_TIME
+                        && outcome.path == path
+                        && (outcome.gateway == 0) == is_cut
+                });
+                let (mut sent, mut served) = (0, 0);
+                for outcome in judged {
+                    sent += 1;
+                    served += u32::from(outcome.is_served);
+                }
+                (sent, served)
+            };
+            let (sent, served) = judged(true);
+            let (others_sent, others_served) = judged(false);
+            println!(
+                "{cut:?} {path}: served {served} of {sent} there, {others_served} of {others_sent} at the others"
+            );
+            assert!(
+                others_sent - others_served <= 10 + others_sent / 50,
+                "{path}: the other gateways served {others_served} of {others_sent}"
+            );
+            assert!(
+                u64::from(served * others_sent) * 3 >= u64::from(others_served * sent) * 2,
+                "{path}: served {served} of {sent} at the gateway that is cut off, \
+                 {others_served} of {others_sent} at the others"
+            );
+        }
+        let before = self.cut.forwarded();
+        let mut number = 0;
+        eventually("the gateway uses its own links again", || {
+            number += 1;
+            let reply = self.call(0, "/lookup/a", &format!("after-{number}"))?;
+            (reply.status == 200 && self.cut.forwarded() > before).then_some(())
+        });
+    }
+}
+
+struct Outcome {
+    gateway: usize,
+    path: &'static str,
+    id: String,
+    sent_at: Duration,
+    /// 0 without a response.
+    status: u16,
+    is_served: bool,
+}
+
+/// Mean number of complete responses after which an upstream closes a connection.
+const RESPONSES_PER_CONNECTION: u32 = 4;
+static COMPLETE_RESPONSES: AtomicU32 = AtomicU32::new(0);
+
+fn respond(seen: &ReceivedRequest, out: &mut std::net::TcpStream) -> bool {
+    if !seen.request_line.contains("/notes/") {
+        // Connections do not last for ever.
+        let is_last =
+            COMPLETE_RESPONSES.fetch_add(1, Ordering::SeqCst) % RESPONSES_PER_CONNECTION == 0;
+        return write(out, &ok_response(seen, "tile")) && !is_last;
+    }
+    write(out, &stream_response_head(seen));
+    for id in 1..=EVENTS {
+        write(out, &chunk(&sse_event(id)));
+        thread::sleep(Duration::from_millis(20));
+    }
+    write(out, "0\r\n\r\n")
+}
+
+fn is_served(path: &str, reply: &Response) -> bool {
+    let expected = match path {
+        "/notes/a" => (1..=EVENTS).map(sse_event).collect(),
+        _ => "tile".to_owned(),
+    };
+    reply.status == 200 && !reply.is_truncated && reply.body == expected
+}
+
+/// Guards against 503s to all callers of a gateway whose connections to the upstreams hang.
+#[test]
+fn gateway_whose_upstream_links_hang_gets_its_callers_served() {
+    Setup::new().check(Cut::Hanging);
+}
+
+/// Guards against 503s to all callers of a gateway whose connections to the upstreams are reset.
+#[test]
+fn gateway_whose_upstream_links_are_reset_gets_its_callers_served() {
+    Setup::new().check(Cut::Reset);
+}
+
+/// Guards against 503s to callers of a gateway that can open no new connections to the upstreams.
+#[test]
+fn gateway_that_opens_no_new_upstream_links_gets_its_callers_served() {
+    Setup::new().check(Cut::NewRefused);
+}
--- a/tests/process/support/mod.rs
+++ b/tests/process/support/mod.rs
@@ -3,6 +3,7 @@
 mod caller;
 mod cluster;
 mod http;
+mod link_cut;
 mod program;
 mod proxy;
 mod stub_replica;
@@ -20,6 +21,8 @@
 pub(crate) use self::http::post;
 pub(crate) use self::http::send;
 pub(crate) use self::http::stream_text;
+pub(crate) use self::link_cut::Cut;
+pub(crate) use self::link_cut::LinkCut;
 pub(crate) use self::program::Program;
 pub(crate) use self::proxy::PartitionProxy;
 pub(crate) use self::stub_replica::start_stub_replica;
