Decide per service whether this gateway reaches its upstreams

A pure policy with the clock passed in: attempts at two upstreams in a row (all in a smaller service) without a byte of response make a service unreachable, a response ends that. It is probed by connections first, then by one request at a time, and requests return over a second.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -27,6 +27,7 @@
 pub mod renewal_timing;
 pub mod retry;
 pub mod retry_budget;
+pub mod service_reachability;
 pub mod sessions;
 pub mod slot_allocation;
 pub mod speed;
--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -22,6 +22,7 @@
 mod renewals;
 mod retry_budget;
 mod retry_budget_restarts;
+mod service_reachability;
 mod sessions;
 mod stalled_callers;
 mod timeouts;
