Pass requests on to another gateway while a service is unreachable

Callers of a gateway whose VM had lost the path to all upstreams got 503 until it healed, though the other gateways served. There was no way of a request from one gateway to another.

A request that this gateway cannot place goes to another gateway's address for callers, one hop, with the time left and a mark that is made from the peer key. The second gateway decides and counts everything. One that is cut off, stopping or without configuration says so, and a third is asked. The load updates name the services that their gateway does not reach. Streams are read only as the caller takes them, and a caller that leaves closes the connection to the second gateway.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -26,10 +26,10 @@
 
 /// Time limit for opening a connection: three round trips between data centres and one
 /// retransmission.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Maximum size of a response body that is not a stream.
-const RESPONSE_BODY_LIMIT_BYTES: usize = 8 * 1024 * 1024;
+pub(super) const RESPONSE_BODY_LIMIT_BYTES: usize = 8 * 1024 * 1024;
 
 /// Result of one attempt, with the reason for the log if it has no response.
 pub(super) enum AttemptOutcome {
@@ -74,6 +74,7 @@
         rank(call),
         estimate_load(gateway, call, upstream, overrides.model.clone()),
         overrides.is_first,
+        call.route.target(),
     );
     let time_left = call.time_left(gateway.now());
     let Some(request) = build_request(
@@ -104,6 +105,7 @@
         Err(e) => {
             in_flight.record_failure();
             if !matches!(e, RequestError::Unattributed(_)) {
+                in_flight.record_unanswered();
                 gateway.connections.close_idle(address);
             }
             match e {
@@ -117,7 +119,10 @@
                     gateway.count_failure(call, upstream);
                     AttemptOutcome::Lost(reason)
                 }
-                RequestError::Unattributed(reason) => AttemptOutcome::Lost(reason),
+                RequestError::Unattributed(reason) => {
+                    in_flight.record_answer();
+                    AttemptOutcome::Lost(reason)
+                }
             }
         }
     }
@@ -175,6 +180,7 @@
     mut in_flight: InFlightRequest,
 ) -> AttemptOutcome {
     let names = &gateway.cfg.header_names;
+    in_flight.record_answer();
     in_flight.record_load_report(&response.headers);
     if response.status != StatusCode::MISDIRECTED_REQUEST {
         // Such a response comes from another upstream at the same address.
@@ -234,7 +240,7 @@
     }
 }
 
-fn is_event_stream(response: &UpstreamResponse) -> bool {
+pub(super) fn is_event_stream(response: &UpstreamResponse) -> bool {
     response
         .headers
         .get(http::header::CONTENT_TYPE)
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -15,8 +15,10 @@
 use ntex::http::Request;
 
 use super::Gateway;
+use super::exchange::PassedOn;
 use super::headers::HOP_BY_HOP;
 use super::headers::HeaderNames;
+use super::headers::PASSED_ON;
 use super::refusal::Refusal;
 use super::routing::RoutingTable;
 use crate::collections::Name;
@@ -48,6 +50,10 @@
     pub(super) path_and_query: Name,
     /// Headers that are forwarded to any upstream.
     pub(super) headers: HeaderMap,
+    /// The caller's key, for another gateway.
+    pub(super) authorization: Option<HeaderValue>,
+    /// What another gateway tells of the request; `None` if it comes from a caller.
+    pub(super) passed_on: Option<PassedOn>,
     pub(super) body: Bytes,
     /// When the request head was received.
     pub(super) received_at: Duration,
@@ -118,6 +124,11 @@
                 header_text(req, &names.token_counts).unwrap_or_default(),
             ),
             session: header_text(req, &names.session).map(Into::into),
+            authorization: req
+                .headers()
+                .get(header::AUTHORIZATION)
+                .and_then(|value| HeaderValue::from_bytes(value.as_bytes()).ok()),
+            passed_on: PassedOn::read(gateway, req),
             headers: forwarded_headers(names, req, gateway_chooses_model),
             regions: PermittedRegions::new(
                 &route.regions,
@@ -164,6 +175,12 @@
         })
     }
 
+    /// Returns in how many attempts the request may run here.
+    pub(super) fn attempts(&self) -> u32 {
+        let runs = self.passed_on.map_or(0, |passed_on| passed_on.runs);
+        self.route.attempts.saturating_sub(runs).max(1)
+    }
+
     /// Returns the time left until the deadline.
     pub(super) fn time_left(&self, now: Duration) -> Duration {
         self.deadline.saturating_sub(now)
@@ -234,6 +251,7 @@
             || *name == names.organisation
             || *name == names.upstream
             || *name == names.rank
+            || *name == PASSED_ON
             || gateway_chooses_model && *name == names.model
             || names.reserved.contains(name)
             || connection_options
--- a/src/gateway/exchange/choose.rs
+++ b/src/gateway/exchange/choose.rs
@@ -46,7 +46,7 @@
     /// Returns whether the request may go to another upstream if its upstream does not respond.
     pub(super) fn can_fail_over(&self) -> bool {
         let route = &self.call.route;
-        route.is_safe_to_retry() && self.runs < route.attempts
+        route.is_safe_to_retry() && self.runs < self.call.attempts()
     }
 
     /// Predicts when `model` would respond; `None` if there is no upstream for it or its prefill
--- a/src/gateway/exchange/mod.rs
+++ b/src/gateway/exchange/mod.rs
@@ -4,8 +4,12 @@
 mod choose;
 mod log;
 mod models;
+mod pass_on;
 mod placement_refusal;
 
+pub(super) use self::pass_on::PassedOn;
+pub(super) use self::pass_on::key as pass_on_key;
+
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -59,41 +63,61 @@
 const NOT_KNOWN: &str = "-";
 
 /// Handles one request and returns its final response.
-pub(super) async fn handle(gateway: Rc<Gateway>, mut req: Request) -> Response {
+pub(super) async fn handle(gateway: Rc<Gateway>, req: Request) -> Response {
     let names = &gateway.cfg.header_names;
     let id: Name = header_text(&req, &names.attempt_id)
         .unwrap_or(NOT_KNOWN)
         .into();
-    let open = Rc::new(OpenRequest::new(&gateway, &id));
+    let is_passed_on = PassedOn::read(&gateway, &req).is_some();
+    match respond(&gateway, req, &id).await {
+        Ok(response) => response,
+        Err((route, refusal)) => {
+            let mut response = refuse(&gateway, &id, &route, &refusal);
+            if is_passed_on {
+                pass_on::mark_refusal(&gateway, &id, &refusal, &mut response);
+            }
+            response
+        }
+    }
+}
+
+/// Returns the final response to a request, or the name of its route and a refusal.
+async fn respond(
+    gateway: &Rc<Gateway>,
+    mut req: Request,
+    id: &Name,
+) -> Result<Response, (Name, Refusal)> {
+    let open = Rc::new(OpenRequest::new(gateway, id));
     tokio::select! {
         biased;
         () = gateway.wait_for_config() => {}
         // Another gateway serves it sooner.
         () = gateway.wait_for_drain() => {}
     }
-    let call = match Call::read(&gateway, &req) {
+    let call = match Call::read(gateway, &req) {
         Ok(call) => call,
         Err(refusal) => {
             listen::discard_body(req.take_payload()).await;
-            return refuse(&gateway, &id, NOT_KNOWN, &refusal);
+            return Err((NOT_KNOWN.into(), refusal));
         }
     };
+    let route = call.route.name.clone();
     open.set_route(&call.route.name);
     if gateway.refuses_new_requests(&call.route) {
         listen::discard_body(req.take_payload()).await;
-        return refuse(&gateway, &id, &call.route.name, &Refusal::stopping());
+        return Err((route, Refusal::stopping()));
     }
     let body = tokio::select! {
         biased;
-        body = read_body(&gateway, &mut req) => body,
+        body = read_body(gateway, &mut req) => body,
         () = gateway.wait_for_final_answers() => Err(Refusal::stopping()),
     };
     let body = match body {
         Ok(body) => body,
-        Err(refusal) => return refuse(&gateway, &id, &call.route.name, &refusal),
+        Err(refusal) => return Err((route, refusal)),
     };
     let call = Rc::new(call.with_body(body));
-    let mut exchange = Exchange::new(&gateway, &call, open);
+    let mut exchange = Exchange::new(gateway, &call, open);
     let limit = call.time_left(gateway.now());
     let outcome = tokio::select! {
         biased;
@@ -110,14 +134,15 @@
         exchange.log_late_response(time_to_head);
     }
     match outcome {
-        Ok(FinalResponse::Complete(head, body)) => {
+        Ok(FinalResponse::Complete(head, body) | FinalResponse::PassedOn(head, body)) => {
             if let (Some(callers), Some(io)) = (gateway.callers.get(), req.io()) {
                 callers.record_response(io, body.len());
             }
-            response::complete(&gateway, &head, body)
+            Ok(response::complete(gateway, &head, body))
         }
-        Ok(FinalResponse::Stream(relay)) => stream::response(&gateway, *relay, &req),
-        Err(refusal) => refuse(&gateway, &call.id, &call.route.name, &refusal),
+        Ok(FinalResponse::Stream(relay)) => Ok(stream::response(gateway, *relay, &req)),
+        Ok(FinalResponse::PassedOnStream(stream)) => Ok(stream.response(&req)),
+        Err(refusal) => Err((route, refusal)),
     }
 }
 
@@ -143,6 +168,10 @@
 enum FinalResponse {
     Complete(ResponseHead, Bytes),
     Stream(Box<stream::Relay>),
+    /// Response of another gateway, with its whole body.
+    PassedOn(ResponseHead, Bytes),
+    /// Streaming response of another gateway.
+    PassedOnStream(Box<stream::PassedOnStream>),
 }
 
 impl Gateway {
@@ -152,6 +181,7 @@
             Ok(FinalResponse::Complete(head, _)) if head.status.is_success() => "served",
             Ok(FinalResponse::Complete(..)) => "upstream_failed",
             Ok(FinalResponse::Stream(_)) => "streamed",
+            Ok(FinalResponse::PassedOn(..) | FinalResponse::PassedOnStream(_)) => "passed_on",
             Err(refusal) => refusal.code,
         };
         let labels = [("route", &*call.route.name), ("outcome", outcome)];
@@ -190,6 +220,10 @@
     is_charged: bool,
     /// Whether the request is sent though it or its prompt is quarantined.
     is_probe: bool,
+    /// Whether the request stays at this gateway even if that does not reach its service.
+    keeps_own_path: bool,
+    /// Whether the next attempt probes the path to an unreachable service.
+    is_path_probe: bool,
     /// Reason why the last failed attempt failed, for the log.
     last_failure: &'static str,
     /// Reason for the next attempt; `None` for the first one.
@@ -218,6 +252,8 @@
             unreachable: 0,
             is_charged: false,
             is_probe: false,
+            keeps_own_path: false,
+            is_path_probe: false,
             last_failure: "no upstream available",
             repeat_cause: None,
         }
@@ -311,11 +347,22 @@
         let mut failure: Option<(ResponseHead, Bytes)> = None;
         let mut is_dispatched = false;
         loop {
+            if !is_dispatched
+                && failure.is_none()
+                && let Some(outcome) = self.leave_unreachable_service().await
+            {
+                return outcome;
+            }
             if !std::mem::take(&mut is_dispatched) && self.has_attempts_left() {
                 if !self.reserve_retry() {
                     return self.final_failure(failure);
                 }
-                if let Err(refusal) = self.wait_for_dispatch().await {
+                let dispatched = tokio::select! {
+                    biased;
+                    dispatched = self.wait_for_dispatch() => dispatched,
+                    () = self.wait_until_unreachable(), if failure.is_none() => continue,
+                };
+                if let Err(refusal) = dispatched {
                     // A request that may have run must not be reported as rejected.
                     if self.runs == 0 && failure.is_none() {
                         return Err(refusal);
@@ -324,6 +371,9 @@
                 }
             }
             let Some(upstream) = self.next_upstream() else {
+                if let Some(outcome) = self.pass_on_unplaced().await {
+                    return outcome;
+                }
                 return self.final_failure(failure);
             };
             match self.run_attempt(&upstream, None).await {
@@ -374,6 +424,8 @@
             unreachable: self.unreachable,
             is_charged: false,
             is_probe: false,
+            keeps_own_path: true,
+            is_path_probe: false,
             last_failure: self.last_failure,
             repeat_cause: Some(RepeatCause::Resume),
         }
@@ -397,7 +449,7 @@
     /// Returns the largest model, to escalate to, if the response of a smaller one has low
     /// confidence and another attempt is allowed.
     fn escalation_target(&self, headers: &http::HeaderMap) -> Option<usize> {
-        if self.runs >= self.call.route.attempts {
+        if self.runs >= self.call.attempts() {
             return None;
         }
         let service = self.service.as_ref()?;
@@ -448,7 +500,7 @@
 
     /// Returns whether the request's own limits allow another attempt.
     fn has_attempts_left(&self) -> bool {
-        self.runs < self.call.route.attempts
+        self.runs < self.call.attempts()
             && self.refusals < MAX_REFUSALS
             && self.unreachable < MAX_UNREACHABLE
             && !self.gateway.gives_final_answers.get()
@@ -482,7 +534,10 @@
             return None;
         }
         if is_first {
-            self.gateway.record_first_attempt(&service);
+            let passed_on = self.call.passed_on.unwrap_or_default();
+            if !passed_on.is_counted {
+                self.gateway.record_first_attempt(&service);
+            }
         } else if !self.is_charged && !self.gateway.try_retry(&service) {
             self.last_failure = "retry budget exhausted";
             return None;
@@ -556,7 +611,7 @@
     /// Returns whether an interrupted stream may resume at another upstream.
     pub(super) fn can_resume(&self) -> bool {
         let route = &self.call.route;
-        route.repeat == RetryPolicy::Stream && route.resume && self.runs < route.attempts
+        route.repeat == RetryPolicy::Stream && route.resume && self.runs < self.call.attempts()
     }
 
     /// Returns the upstream at which to resume an interrupted stream, if there is one.
--- a/src/gateway/exchange/models.rs
+++ b/src/gateway/exchange/models.rs
@@ -33,7 +33,7 @@
         let mut options = self.larger_models(&service, model, largest);
         let mut decision = Decision::KeptGood;
         if !present.is_good_enough(&options) {
-            decision = if self.runs >= self.call.route.attempts {
+            decision = if self.runs >= self.call.attempts() {
                 Decision::KeptBudget
             } else if self.call.time_left(self.gateway.now()) < MIN_TIME_LEFT {
                 Decision::KeptLate
--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -81,6 +81,10 @@
     }
 }
 
+/// On a request: that another gateway has passed it on, with the proof. On its response: that another
+/// gateway may serve it.
+pub(super) const PASSED_ON: HeaderName = HeaderName::from_static("daisyquay-passed-on");
+
 /// Headers that apply to a single connection and are not forwarded.
 pub(super) const HOP_BY_HOP: [&str; 9] = [
     "connection",
--- a/src/gateway/loads/mod.rs
+++ b/src/gateway/loads/mod.rs
@@ -10,6 +10,7 @@
 mod publisher;
 mod transport;
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -104,6 +105,10 @@
 struct Update {
     /// Run id of the gateway that published the update.
     run_id: u64,
+    /// Its address for callers.
+    address: SocketAddr,
+    /// Hashes of the services whose upstreams it does not reach.
+    unreachable: Vec<u64>,
     /// Sequence number; increases with each update of a run.
     seq: u64,
     /// Whether `rows` holds all upstreams at which the gateway has requests.
@@ -133,6 +138,10 @@
 struct PeerLoad {
     seq: u64,
     last_received: Duration,
+    /// Its address for callers.
+    address: Option<SocketAddr>,
+    /// Hashes of the services whose upstreams it does not reach.
+    unreachable: Vec<u64>,
     rows: HashMap<Index, Load>,
 }
 
@@ -153,6 +162,9 @@
         }
         peer.seq = update.seq;
         peer.last_received = now;
+        peer.address = Some(update.address);
+        peer.unreachable = update.unreachable;
+        peer.unreachable.truncate(MAX_ROWS);
         if update.is_full {
             for (number, load) in peer.rows.drain() {
                 subtract(&mut self.totals, number, &load);
@@ -185,6 +197,15 @@
         self.gateways.keys().copied()
     }
 
+    /// Returns the addresses for callers of the gateways that reach a service, by its hash.
+    pub(super) fn addresses_reaching(&self, service: u64) -> HashSet<SocketAddr> {
+        let peers = self.gateways.values();
+        peers
+            .filter(|peer| !peer.unreachable.contains(&service))
+            .filter_map(|peer| peer.address)
+            .collect()
+    }
+
     /// Returns whether another gateway is heard of.
     pub(super) fn hears_others(&self) -> bool {
         !self.gateways.is_empty()
--- a/src/gateway/loads/publisher.rs
+++ b/src/gateway/loads/publisher.rs
@@ -19,6 +19,8 @@
     last_full_at: Option<Duration>,
     /// Whether the last update had receivers.
     has_peers: bool,
+    /// Unreachable services of the last update.
+    unreachable: Vec<u64>,
     /// Sessions published since the last full update; the next one repeats them.
     sessions: Vec<Assignment>,
 }
@@ -40,6 +42,7 @@
         let rows = self.rows_to_publish(&loads, is_full, &gateway.managed_upstreams.borrow());
         let new_sessions = gateway.sessions.borrow_mut().take_unpublished();
         let refusing = gateway.reachability.borrow_mut().take_unpublished();
+        let unreachable = gateway.unreachable_services();
         let limits = gateway.limit_notices(is_full);
         let quarantines = gateway.quarantine_notices(is_full);
         let crashing_requests = gateway.crash_notice(is_full);
@@ -49,6 +52,7 @@
         let has_news = !(rows.is_empty()
             && new_sessions.is_empty()
             && refusing.is_empty()
+            && unreachable == self.unreachable
             && limits.is_empty()
             && quarantines.is_empty()
             && crashing_requests.is_empty()
@@ -58,6 +62,7 @@
             return None;
         }
         self.seq += 1;
+        self.unreachable.clone_from(&unreachable);
         self.sessions.extend_from_slice(&new_sessions);
         let sessions = if is_full {
             self.last_full_at = Some(now);
@@ -71,6 +76,8 @@
         }
         Some(Update {
             run_id: gateway.run_id,
+            address: gateway.info.address,
+            unreachable,
             seq: self.seq,
             is_full,
             rows,
--- a/src/gateway/loads/transport.rs
+++ b/src/gateway/loads/transport.rs
@@ -29,7 +29,7 @@
 
 /// Approximate encoded size of an update, and of each load, session, upstream number, limit,
 /// slowness and demand in it.
-const UPDATE_BYTES_ESTIMATE: usize = 24;
+const UPDATE_BYTES_ESTIMATE: usize = 32;
 const ROW_BYTES_ESTIMATE: usize = 24;
 const SESSION_BYTES_ESTIMATE: usize = 10;
 const NUMBER_BYTES_ESTIMATE: usize = 9;
@@ -157,7 +157,7 @@
         let more = UPDATE_BYTES_ESTIMATE
             + rows
             + SESSION_BYTES_ESTIMATE * update.sessions.len()
-            + NUMBER_BYTES_ESTIMATE * update.refusing.len()
+            + NUMBER_BYTES_ESTIMATE * (update.refusing.len() + update.unreachable.len())
             + LIMIT_BYTES_ESTIMATE * update.limits.len()
             + SPEED_BYTES_ESTIMATE * update.speeds.row_count()
             + DEMAND_BYTES_ESTIMATE * update.demand.as_ref().map_or(0, demand::Notice::row_count)
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 mod observations;
 mod open_requests;
 mod quarantine;
+mod reachability;
 mod refusal;
 mod renewal;
 mod response;
@@ -56,6 +57,7 @@
 use crate::clock::Clock;
 use crate::collections::HashMap;
 use crate::collections::Name;
+use crate::config::KeyHash;
 use crate::http_client::ConnectionPool;
 use crate::listen;
 use crate::listen::Connections;
@@ -71,6 +73,7 @@
 use crate::policy::retry_budget;
 use crate::policy::retry_budget::Share;
 use crate::policy::retry_budget::SlidingWindow;
+use crate::policy::service_reachability::ServiceReachability;
 use crate::policy::sessions::Sessions;
 use crate::policy::speed::Baselines;
 use crate::policy::speed::Speeds;
@@ -159,6 +162,12 @@
     peer_loads: RefCell<PeerLoads>,
     /// Upstreams that refuse connections, as seen by this gateway and the others.
     reachability: RefCell<Reachability>,
+    /// Services whose upstreams this gateway does not reach.
+    services_reached: RefCell<ServiceReachability>,
+    /// Notified when a service has become unreachable.
+    service_lost: Notify,
+    /// Marks a request that another gateway has passed on.
+    pass_on_key: KeyHash,
     /// Limits, pauses and leaves that upstreams have named in their responses.
     backpressure: RefCell<Backpressure>,
     /// Whether a limit has changed that the other gateways have not been told of.
@@ -247,6 +256,7 @@
         .await
         .context(ListenSnafu { address })?;
     let address = cfg.listen;
+    let pass_on_key = exchange::pass_on_key(&cfg.peer_key);
     let id_header = cfg.header_names.attempt_id.clone();
     let gateway = Rc::new(Gateway {
         recovery: Recovery::new(clock.now()),
@@ -262,6 +272,9 @@
         upstreams: RefCell::default(),
         peer_loads: RefCell::default(),
         reachability: RefCell::default(),
+        services_reached: RefCell::default(),
+        service_lost: Notify::new(),
+        pass_on_key,
         backpressure: RefCell::default(),
         limits_changed: Cell::new(false),
         turn_phase: fastrand::f64(),
@@ -317,6 +330,7 @@
     );
     tokio::task::spawn_local(renewal::run(gateway.clone()));
     tokio::task::spawn_local(sweep(gateway.clone()));
+    tokio::task::spawn_local(reachability::run(gateway.clone()));
     tokio::task::spawn_local(loads::run(gateway.clone(), socket));
     if gateway.cfg.admission {
         tokio::task::spawn_local(admission::run(gateway.clone()));
@@ -335,6 +349,7 @@
         gateway.refresh_speeds();
         gateway.forget_quarantine_evidence();
         gateway.forget_queues();
+        gateway.forget_unreachable_services();
     }
 }
 
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -9,6 +9,7 @@
 
 use super::Gateway;
 use super::headers::HOP_BY_HOP;
+use super::headers::PASSED_ON;
 use crate::http_client::ResponseHead;
 
 /// Returns a response with a complete body.
@@ -29,7 +30,9 @@
 
 fn copy_headers(builder: &mut ResponseBuilder, headers: &HeaderMap) {
     for (name, value) in headers {
-        let is_dropped = HOP_BY_HOP.contains(&name.as_str()) || *name == header::CONTENT_LENGTH;
+        let is_dropped = HOP_BY_HOP.contains(&name.as_str())
+            || *name == header::CONTENT_LENGTH
+            || *name == PASSED_ON;
         if is_dropped {
             continue;
         }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -15,8 +15,10 @@
 use ntex::util::Bytes;
 
 use super::Gateway;
+use super::call::Call;
 use super::events::Events;
 use super::exchange::Exchange;
+use super::open_requests::OpenRequest;
 use super::response;
 use super::routing::Upstream;
 use super::upstreams::InFlightRequest;
@@ -242,6 +244,118 @@
     }
 }
 
+/// A streaming response of another gateway, which relays and resumes it. Its bytes are passed on as
+/// they come, and only read when the caller takes them.
+pub(super) struct PassedOnStream {
+    gateway: Rc<Gateway>,
+    call: Rc<Call>,
+    /// Counts the request as open until the response has ended.
+    _open: Rc<OpenRequest>,
+    response: UpstreamResponse,
+}
+
+impl PassedOnStream {
+    pub(super) fn new(
+        gateway: Rc<Gateway>,
+        call: Rc<Call>,
+        open: Rc<OpenRequest>,
+        response: UpstreamResponse,
+    ) -> Self {
+        Self {
+            gateway,
+            call,
+            _open: open,
+            response,
+        }
+    }
+
+    /// Returns the streaming response to `req`.
+    pub(super) fn response(self, req: &Request) -> Response {
+        let head = ResponseHead {
+            status: self.response.status,
+            headers: self.response.headers.clone(),
+        };
+        let gateway = self.gateway.clone();
+        let mut builder = response::streaming_builder(&head);
+        let mut response = builder.streaming(PassedOnBody {
+            stream: Some(self),
+            next_chunk: None,
+            io: req.io().cloned(),
+        });
+        response::close_if_draining(&gateway, &mut response);
+        response
+    }
+
+    /// Returns the next chunk, `None` at the end, or why the stream is incomplete.
+    async fn next_chunk(&mut self) -> Result<Option<Bytes>, &'static str> {
+        let time_left = self.call.time_left(self.gateway.now());
+        let chunk = tokio::time::timeout(time_left, self.response.next_chunk());
+        match chunk.await {
+            Ok(Some(Ok(chunk))) => Ok(Some(Bytes::copy_from_slice(&chunk))),
+            Ok(Some(Err(e))) => Err(e.reason()),
+            Ok(None) => Ok(None),
+            Err(_) => Err("deadline exceeded"),
+        }
+    }
+}
+
+type ChunkFuture =
+    Pin<Box<dyn Future<Output = (PassedOnStream, Result<Option<Bytes>, &'static str>)>>>;
+
+/// Response body that the server polls. Dropping it cancels the request at the other gateway.
+struct PassedOnBody {
+    stream: Option<PassedOnStream>,
+    next_chunk: Option<ChunkFuture>,
+    io: Option<IoRef>,
+}
+
+impl Stream for PassedOnBody {
+    type Item = Result<Bytes, std::io::Error>;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        let this = &mut *self;
+        if let Some(mut stream) = this.stream.take() {
+            this.next_chunk = Some(Box::pin(async move {
+                let chunk = stream.next_chunk().await;
+                (stream, chunk)
+            }));
+        }
+        let Some(future) = this.next_chunk.as_mut() else {
+            return Poll::Pending;
+        };
+        let Poll::Ready((stream, chunk)) = future.as_mut().poll(cx) else {
+            return Poll::Pending;
+        };
+        this.next_chunk = None;
+        match chunk {
+            Ok(Some(chunk)) => {
+                this.stream = Some(stream);
+                Poll::Ready(Some(Ok(chunk)))
+            }
+            Ok(None) => {
+                stream.response.release_connection();
+                Poll::Ready(None)
+            }
+            Err(reason) => {
+                event!(
+                    Info,
+                    "passed_on_stream_broke",
+                    request = stream.call.id,
+                    reason = reason
+                );
+                // As for a stream of an upstream, the caller must see that it is incomplete.
+                match &this.io {
+                    Some(io) => {
+                        io.close();
+                        Poll::Pending
+                    }
+                    None => Poll::Ready(Some(Err(std::io::Error::other(reason)))),
+                }
+            }
+        }
+    }
+}
+
 type StepFuture = Pin<Box<dyn Future<Output = (Relay, Step)>>>;
 
 /// Response body that the server polls. Dropping it cancels the request at the upstream.
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -327,6 +327,10 @@
     pub(super) upstream: Upstream,
     sent_at: Duration,
     has_result: bool,
+    /// Whether it is known if the upstream has responded.
+    has_verdict: bool,
+    /// Target of the route for the response head.
+    target: Duration,
     /// Whether the upstream was cold when the request was sent.
     was_cold: bool,
     load: Load,
@@ -351,6 +355,7 @@
         rank: u32,
         load: Load,
         is_first: bool,
+        target: Duration,
     ) -> Self {
         let sent_at = gateway.now();
         let report_ttl = gateway
@@ -384,6 +389,8 @@
             upstream,
             sent_at,
             has_result: false,
+            has_verdict: false,
+            target,
             was_cold,
             load,
             model,
@@ -512,6 +519,19 @@
         gateway.load_changed.notify_one();
     }
 
+    /// Records a response, whatever its status, which shows that the service can be reached.
+    pub(super) fn record_answer(&mut self) {
+        self.has_verdict = true;
+        self.gateway.record_answered(&self.upstream);
+    }
+
+    /// Records that the attempt has ended without a byte of response.
+    pub(super) fn record_unanswered(&mut self) {
+        if !std::mem::replace(&mut self.has_verdict, true) {
+            self.gateway.record_unanswered(&self.upstream);
+        }
+    }
+
     /// Records a failure that is attributed to the upstream.
     pub(super) fn record_failure(&mut self) {
         self.record_result(|health, now| health.record_failure(now));
@@ -553,6 +573,10 @@
 
 impl Drop for InFlightRequest {
     fn drop(&mut self) {
+        // The deadline or the caller has ended the attempt.
+        if !self.has_verdict && self.elapsed() >= self.response_timeout(self.target) {
+            self.record_unanswered();
+        }
         let now = self.gateway.now();
         let mut upstreams = self.gateway.upstreams.borrow_mut();
         let row = upstreams.row(&self.upstream);
--- a/src/http_client/mod.rs
+++ b/src/http_client/mod.rs
@@ -27,6 +27,7 @@
 
 pub(crate) use self::pool::ConnectionPool;
 pub(crate) use self::pool::Reuse;
+pub(crate) use self::pool::accepts_connections;
 pub(crate) use self::pool::refuses_connections;
 pub(crate) use self::socket::configure_accepted_socket;
 
--- a/src/http_client/pool.rs
+++ b/src/http_client/pool.rs
@@ -213,6 +213,12 @@
     matches!(connected, Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused)
 }
 
+/// Returns whether a new connection to `address` is accepted within `limit`.
+pub(crate) async fn accepts_connections(address: SocketAddr, limit: Duration) -> bool {
+    let connected = tokio::time::timeout(limit, TcpStream::connect(address)).await;
+    matches!(connected, Ok(Ok(_)))
+}
+
 async fn connect(address: SocketAddr) -> Result<Sender, RequestError> {
     let stream = TcpStream::connect(address)
         .await
--- a/tests/load/service_reachability.rs
+++ b/tests/load/service_reachability.rs
@@ -94,7 +94,7 @@
     }
     assert!((10..=34).contains(&connections), "{connections} probes");
     let now = ms(20_000);
-    assert_eq!(reached.take_due_probes(now), [service.clone()]);
+    assert_eq!(reached.take_due_probes(now), std::slice::from_ref(&service));
     reached.record_probe(&service, true, 0.5, now);
     assert_eq!(reached.path(&service, true, 0.5, now), Path::Probe);
     for i in 0..100 {
--- a/tests/process/partitioned_gateway.rs
+++ b/tests/process/partitioned_gateway.rs
@@ -1,7 +1,11 @@
 //! A gateway whose VM has lost the path to the upstreams of a service still gets its callers served.
 
 use std::collections::BTreeMap;
+use std::io::Read;
+use std::io::Write;
 use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
@@ -55,11 +59,19 @@
 
 impl Setup {
     fn new() -> Self {
+        Self::with_upstreams(respond)
+    }
+
+    fn with_upstreams(
+        script: impl Fn(&ReceivedRequest, &mut TcpStream) -> bool + Clone + Send + Sync + 'static,
+    ) -> Self {
         let cluster = Cluster::start(1, 1);
         let inventory = format!("{INVENTORY}{ROUTES}");
         cluster.apply(&inventory, &["--change-id", "first"]);
         let cut = LinkCut::new();
-        let upstreams: Vec<Upstream> = (0..COUNT).map(|_| Upstream::start(respond)).collect();
+        let upstreams: Vec<Upstream> = (0..COUNT)
+            .map(|_| Upstream::start(script.clone()))
+            .collect();
         for (i, upstream) in upstreams.iter().enumerate() {
             let proxy = cut.start_proxy(upstream.address);
             announce(&cluster, &format!("u{i}"), proxy);
@@ -148,6 +160,17 @@
         runs
     }
 
+    /// Cuts off the first gateway and waits until it passes requests on.
+    fn cut_off_first(&self) {
+        self.cut.set(Cut::Reset);
+        let mut number = 0;
+        eventually("requests are passed on", || {
+            number += 1;
+            let reply = self.call(0, "/lookup/a", &format!("cut-{number}"))?;
+            (reply.status == 200).then_some(())
+        });
+    }
+
     /// Cuts off the first gateway and checks that its callers are served, that nothing runs that
     /// must not, and that it uses its own links again after the cut.
     fn check(&self, cut: Cut) {
@@ -157,6 +180,11 @@
         let start = Instant::now();
         let outcomes = self.send_requests("during", start, DETECTION_TIME + JUDGED_TIME);
         self.cut.set(Cut::Healed);
+        for seen in self.upstreams.iter().flat_map(Upstream::received) {
+            assert_eq!(seen.header("daisyquay-passed-on"), None);
+            assert_eq!(seen.header("daisyquay-organisation"), Some("maple"));
+            assert_eq!(seen.header("authorization"), None);
+        }
         let runs = self.runs();
         for outcome in &outcomes {
             let runs = runs.get(&outcome.id).copied().unwrap_or_default();
@@ -220,11 +248,11 @@
 const RESPONSES_PER_CONNECTION: u32 = 4;
 static COMPLETE_RESPONSES: AtomicU32 = AtomicU32::new(0);
 
-fn respond(seen: &ReceivedRequest, out: &mut std::net::TcpStream) -> bool {
+fn respond(seen: &ReceivedRequest, out: &mut TcpStream) -> bool {
     if !seen.request_line.contains("/notes/") {
         // Connections do not last for ever.
-        let is_last =
-            COMPLETE_RESPONSES.fetch_add(1, Ordering::SeqCst) % RESPONSES_PER_CONNECTION == 0;
+        let number = COMPLETE_RESPONSES.fetch_add(1, Ordering::SeqCst);
+        let is_last = number.is_multiple_of(RESPONSES_PER_CONNECTION);
         return write(out, &ok_response(seen, "tile")) && !is_last;
     }
     write(out, &stream_response_head(seen));
@@ -260,3 +288,83 @@
 fn gateway_that_opens_no_new_upstream_links_gets_its_callers_served() {
     Setup::new().check(Cut::NewRefused);
 }
+
+/// Guards against work at an upstream for a caller that has left the gateway which passed it on.
+#[test]
+fn disconnect_of_the_caller_cancels_a_request_that_was_passed_on() {
+    let cancelled_at: Arc<Mutex<Option<Instant>>> = Arc::default();
+    let recorded = cancelled_at.clone();
+    let setup = Setup::with_upstreams(move |seen, out| {
+        if !seen.request_line.contains("/notes/") {
+            return write(out, &ok_response(seen, "tile"));
+        }
+        write(out, &stream_response_head(seen));
+        let mut id = 0;
+        loop {
+            id += 1;
+            if !write(out, &chunk(&sse_event(id))) {
+                *recorded.lock().unwrap() = Some(Instant::now());
+                return false;
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+    });
+    setup.cut_off_first();
+    let mut caller = TcpStream::connect(setup.gateways[0].1).unwrap();
+    let (name, key) = AUTH_HEADER;
+    let request = format!(
+        "POST /notes/a HTTP/1.1\r\nhost: previews.example\r\n{name}: {key}\r\n\
+         daisyquay-attempt: id-1\r\ncontent-length: 0\r\n\r\n"
+    );
+    caller.write_all(request.as_bytes()).unwrap();
+    let mut buf = [0; 256];
+    assert!(caller.read(&mut buf).unwrap() > 0);
+    assert!(buf.starts_with(b"HTTP/1.1 200"));
+    drop(caller);
+    let disconnected_at = Instant::now();
+    let cancelled_at = eventually("the upstream sees the connection close", || {
+        *cancelled_at.lock().unwrap()
+    });
+    let delay = cancelled_at.saturating_duration_since(disconnected_at);
+    assert!(delay < Duration::from_millis(500), "after {delay:?}");
+}
+
+/// Guards against a complete response to a caller whose stream broke behind the other gateway.
+#[test]
+fn broken_stream_that_was_passed_on_is_not_completed() {
+    let setup = Setup::with_upstreams(|seen, out| {
+        if !seen.request_line.contains("/notes/") {
+            return write(out, &ok_response(seen, "tile"));
+        }
+        write(out, &stream_response_head(seen));
+        write(out, &chunk(&sse_event(1)));
+        false
+    });
+    setup.cut_off_first();
+    let reply = setup.call(0, "/notes/a", "id-1");
+    assert!(reply.is_none_or(|reply| reply.is_truncated));
+}
+
+/// Guards against callers that pretend to be a gateway, whose requests would not be passed on.
+#[test]
+fn mark_of_a_caller_is_neither_believed_nor_forwarded() {
+    let setup = Setup::new();
+    setup.cut_off_first();
+    let mark = format!("{} 0 0", "0".repeat(64));
+    for i in 0..10 {
+        let id = format!("forged-{i}");
+        let headers = [
+            AUTH_HEADER,
+            ("host", "previews.example"),
+            ("daisyquay-attempt", &id),
+            ("daisyquay-deadline-ms", "6000"),
+            ("daisyquay-passed-on", &mark),
+        ];
+        let reply = send("GET", setup.gateways[0].1, "/lookup/a", &headers, "").unwrap();
+        assert_eq!(reply.status, 200, "{}", reply.body);
+        assert_eq!(reply.header("daisyquay-passed-on"), "");
+    }
+    for seen in setup.upstreams.iter().flat_map(Upstream::received) {
+        assert_eq!(seen.header("daisyquay-passed-on"), None);
+    }
+}
