--- a/src/gateway/exchange/choose.rs
+++ b/src/gateway/exchange/choose.rs
@@ -50,7 +50,7 @@
         let Some(service) = self
             .service
             .as_ref()
-            .filter(|_| route.is_safe_to_retry() && self.runs < route.attempts)
+            .filter(|_| route.is_safe_to_retry() && self.runs < self.call.attempts())
         else {
             return FailOver::Never;
         };
--- a/src/gateway/loads/publisher.rs
+++ b/src/gateway/loads/publisher.rs
@@ -18,6 +18,8 @@
     last_full_at: Option<Duration>,
     /// Whether the last update had receivers.
     has_peers: bool,
+    /// Unreachable services of the last update.
+    unreachable: Vec<u64>,
     /// Sessions published since the last full update; the next one repeats them.
     sessions: Vec<Assignment>,
 }
@@ -45,6 +47,7 @@
         };
         let new_sessions = gateway.sessions.borrow_mut().take_unpublished();
         let reachability = gateway.reachability.borrow_mut().next_notice(is_full, now);
+        let unreachable = gateway.unreachable_services();
         let limits = gateway.limit_notices(is_full);
         let brittle = gateway.brittle_notices(is_full);
         let quarantines = gateway.quarantine_notices(is_full);
@@ -55,6 +58,7 @@
         let has_news = !(rows.is_empty()
             && new_sessions.is_empty()
             && reachability.is_empty()
+            && unreachable == self.unreachable
             && limits.is_empty()
             && brittle.is_empty()
             && quarantines.is_empty()
@@ -65,6 +69,7 @@
             return None;
         }
         self.seq += 1;
+        self.unreachable.clone_from(&unreachable);
         self.sessions.extend_from_slice(&new_sessions);
         let sessions = if is_full {
             self.last_full_at = Some(now);
@@ -78,6 +83,8 @@
         }
         Some(Update {
             run_id: gateway.run_id,
+            address: gateway.info.address,
+            unreachable,
             seq: self.seq,
             is_full,
             rows,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -29,6 +29,7 @@
 mod response;
 mod retries;
 mod routing;
+mod service_reachability;
 mod speeds;
 mod stop;
 mod stream;
@@ -60,6 +61,7 @@
 use crate::clock::Clock;
 use crate::collections::HashMap;
 use crate::collections::Name;
+use crate::config::KeyHash;
 use crate::http_client::ConnectionPool;
 use crate::listen;
 use crate::listen::Connections;
@@ -77,6 +79,7 @@
 use crate::policy::retry_budget;
 use crate::policy::retry_budget::Share;
 use crate::policy::retry_budget::SlidingWindow;
+use crate::policy::service_reachability::ServiceReachability;
 use crate::policy::sessions::Sessions;
 use crate::policy::speed::Baselines;
 use crate::policy::speed::Speeds;
@@ -168,6 +171,12 @@
     peer_loads: RefCell<PeerLoads>,
     /// Upstreams that refuse connections, as seen by this gateway and the others.
     reachability: RefCell<Reachability>,
+    /// Services whose upstreams this gateway does not reach.
+    services_reached: RefCell<ServiceReachability>,
+    /// Notified when a service has become unreachable.
+    service_lost: Notify,
+    /// Marks a request that another gateway has passed on.
+    pass_on_key: KeyHash,
     /// Limits, pauses and leaves that upstreams have named in their responses.
     backpressure: RefCell<Backpressure>,
     /// Upstreams that fall over if they reject many requests.
@@ -265,6 +274,7 @@
         .await
         .context(ListenSnafu { address })?;
     let address = cfg.listen;
+    let pass_on_key = exchange::pass_on_key(&cfg.peer_key);
     let id_header = cfg.header_names.attempt_id.clone();
     let run_id = fastrand::u64(1..);
     let gateway = Rc::new(Gateway {
@@ -282,6 +292,9 @@
         upstreams: RefCell::default(),
         peer_loads: RefCell::default(),
         reachability: RefCell::new(Reachability::new(run_id)),
+        services_reached: RefCell::default(),
+        service_lost: Notify::new(),
+        pass_on_key,
         backpressure: RefCell::default(),
         brittle: RefCell::new(BrittleUpstreams::new(fastrand::f64())),
         brittle_changed: Cell::new(false),
@@ -341,6 +354,7 @@
     tokio::task::spawn_local(renewal::run(gateway.clone()));
     tokio::task::spawn_local(replica_list::serve(gateway.clone(), peers));
     tokio::task::spawn_local(sweep(gateway.clone()));
+    tokio::task::spawn_local(service_reachability::run(gateway.clone()));
     tokio::task::spawn_local(loads::run(gateway.clone(), socket));
     if gateway.cfg.admission {
         tokio::task::spawn_local(admission::run(gateway.clone()));
@@ -360,6 +374,7 @@
         gateway.refresh_speeds();
         gateway.forget_quarantine_evidence();
         gateway.forget_queues();
+        gateway.forget_unreachable_services();
     }
 }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -30,6 +30,7 @@
 pub mod replica_search;
 pub mod retry;
 pub mod retry_budget;
+pub mod service_reachability;
 pub mod sessions;
 pub mod slot_allocation;
 pub mod speed;
--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -25,6 +25,7 @@
 mod replica_search;
 mod retry_budget;
 mod retry_budget_restarts;
+mod service_reachability;
 mod sessions;
 mod stalled_callers;
 mod timeouts;
