Judge no gateway while the machine itself is slow

On a machine with a load average of 60, syncs took over 0.4 s, a leader stepped down because its disk was stuck, and requests ended with 502 because the test's own upstream was late. A thread measures how long a short wait and a sync take; while that is 0.2 s more than asked for, no process counts as in touch. That a gateway never returns to an older configuration is checked all the time.

--- a/tests/process/config_changes.rs
+++ b/tests/process/config_changes.rs
@@ -565,6 +565,9 @@
         .map(|_| world.cluster.start_gateway())
         .collect();
     thread::scope(|scope| {
+        let folder = world.cluster.folder.clone();
+        let watched = &shared;
+        scope.spawn(move || watched.record.watch_machine(&folder, &watched.stop));
         scope.spawn(|| run_clients(&shared, upstreams, seed));
         eventually("a configuration is acknowledged", || {
             (shared.record.newest().1 > 0).then_some(())
