Forget crashes of upstreams that have responded since

A gateway that is cut off from upstreams sees a reset and then refused connections, as after a crash, and tells the others.

A response of the same incarnation refutes the crash (see policy::reachability). The evidence is dropped at all gateways, notices that repeat it are ignored, and verdicts that too few crashes are left for end. Verdicts with enough other crashes hold. A loss that is reported just before a refuting response is kept until a later one.

The new tests need refute() and have not been run on the old code.

--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -2,6 +2,7 @@
 //! their prompts: the evidence of this gateway's requests, and the exchange of it with the other
 //! gateways.
 
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use super::Gateway;
@@ -182,10 +183,17 @@
     /// Applies what another gateway has told of requests that crash upstreams.
     pub(super) fn apply_crash_notice(&self, notice: &crashing_requests::Notice) {
         if !notice.is_empty() {
-            self.update_crashing_requests(|requests, now| requests.apply(notice, now));
+            let notice = self.without_refuted_crashes(notice);
+            self.update_crashing_requests(|requests, now| requests.apply(&notice, now));
         }
     }
 
+    /// Forgets the crashes of an upstream at times when it was `alive`.
+    pub(super) fn refute_crashes(&self, upstream: Index, alive: &RangeInclusive<Duration>) {
+        self.update_crashing_requests(|requests, now| requests.refute(upstream, alive, now));
+        self.update_quarantines(|quarantine, _| quarantine.refute(upstream, alive));
+    }
+
     /// Updates the table of requests that crash upstreams, logs the verdicts that this changes, and
     /// wakes the requests that wait for them and the publisher.
     fn update_crashing_requests(&self, update: impl FnOnce(&mut CrashingRequests, Duration)) {
@@ -236,7 +244,15 @@
         for (service, notice) in notices {
             // A service that is not known here has no upstreams to protect.
             if self.routing().pool(service).is_some() {
-                self.update_quarantine(service, |quarantine, now| quarantine.apply(notice, now));
+                let known = self.reachability.borrow();
+                let now = self.now();
+                let mut notice = notice.clone();
+                notice.crashes.retain(|crash| {
+                    let alive = known.alive_during(crash.upstream);
+                    !alive.is_some_and(|alive| alive.contains(&now.saturating_sub(crash.age)))
+                });
+                drop(known);
+                self.update_quarantine(service, |quarantine, now| quarantine.apply(&notice, now));
             }
         }
     }
--- a/src/policy/crashing_requests.rs
+++ b/src/policy/crashing_requests.rs
@@ -15,9 +15,13 @@
 //! same crashes, a verdict needs more of them. Where upstreams also crash under others, a verdict
 //! is put to the test at once.
 //!
+//! A gateway that is partitioned from upstreams takes them for crashed. A crash does not count once
+//! its upstream has responded to any gateway since, and verdicts that it was needed for end.
+//!
 //! Gateways tell each other of crashes, of progress that clears a request under suspicion, and of
 //! verdicts. Requests at which nothing crashed cost neither state nor messages.
 
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -190,6 +194,8 @@
     /// Whether that progress was at this gateway.
     is_own_progress: bool,
     verdict: Option<Verdict>,
+    /// When a verdict was withdrawn because its crashes were refuted.
+    withdrawn_at: Option<Duration>,
 }
 
 impl Record {
@@ -347,6 +353,25 @@
         }
     }
 
+    /// Forgets the crashes of an upstream at times when it was `alive`, and withdraws the verdicts for
+    /// which too few are left.
+    pub fn refute(&mut self, upstream: Index, alive: &RangeInclusive<Duration>, now: Duration) {
+        for record in self.records.values_mut() {
+            let before = record.crashes.len();
+            record
+                .crashes
+                .retain(|crash| crash.upstream != upstream || !alive.contains(&crash.at));
+            if record.crashes.len() == before || record.verdict.is_none() {
+                continue;
+            }
+            let nothing = HashSet::default();
+            if record.count_sequence(now, &nothing) < MIN_CRASHES {
+                record.verdict = None;
+                record.withdrawn_at = Some(now);
+            }
+        }
+    }
+
     /// Returns whether the request must not be sent; if so, for how long from now on at least.
     pub fn quarantined_for(&self, request: &Fingerprints, now: Duration) -> Option<Duration> {
         let verdicts = request.iter().filter_map(|f| self.records.get(&f)?.verdict);
@@ -452,9 +477,11 @@
             record.cleared_at = record.cleared_at.filter(|&at| now < at + EVIDENCE_TTL);
             let verdict = record.verdict;
             record.verdict = verdict.filter(|verdict| now < verdict.since + VERDICT_TTL);
+            record.withdrawn_at = record.withdrawn_at.filter(|&at| now < at + REPEAT_TTL);
         }
         self.records.retain(|_, record| {
-            !record.crashes.is_empty() || record.cleared_at.is_some() || record.verdict.is_some()
+            let has_evidence = !record.crashes.is_empty() || record.cleared_at.is_some();
+            has_evidence || record.verdict.is_some() || record.withdrawn_at.is_some()
         });
     }
 
@@ -489,7 +516,12 @@
 
     fn adopt_verdict(&mut self, request: u64, verdict: Verdict) {
         let is_known = self.records.get(&request).is_some_and(|record| {
-            record.verdict.is_some() || record.cleared_at.is_some_and(|at| at >= verdict.since)
+            // The others may tell of the same verdict until they have heard of the refutation.
+            let is_withdrawn = record
+                .withdrawn_at
+                .is_some_and(|at| at + REPORT_DELAY >= verdict.since);
+            let is_cleared = record.cleared_at.is_some_and(|at| at >= verdict.since);
+            record.verdict.is_some() || is_cleared || is_withdrawn
         });
         if !is_known {
             self.add_verdict(request, verdict);
--- a/src/policy/quarantine.rs
+++ b/src/policy/quarantine.rs
@@ -15,6 +15,7 @@
 //! a gateway that has just started learns of these too.
 
 use std::collections::VecDeque;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -334,6 +335,31 @@
         }
     }
 
+    /// Forgets the crash of an upstream at a time when it was `alive`, and withdraws the verdicts for
+    /// which too few are left.
+    pub fn refute(&mut self, upstream: Index, alive: &RangeInclusive<Duration>) {
+        let is_refuted = |crash: &Crash| crash.upstream == upstream && alive.contains(&crash.at);
+        let refuted: Vec<Crash> = self
+            .crashes
+            .iter()
+            .filter(|c| is_refuted(c))
+            .cloned()
+            .collect();
+        if refuted.is_empty() {
+            return;
+        }
+        self.crashes.retain(|crash| !is_refuted(crash));
+        let crashes = &self.crashes;
+        self.verdicts.retain(|segments, _| {
+            let explains = |crash: &Crash| {
+                let mut requests = crash.requests.iter();
+                requests.any(|request| segments.iter().all(|s| request.segments.contains(s)))
+            };
+            let left = crashes.iter().filter(|crash| explains(crash)).count();
+            left >= MIN_CRASHES || !refuted.iter().any(explains)
+        });
+    }
+
     /// Returns whether a prompt must not be sent; if so, for how long.
     pub fn quarantined_for(&self, segments: &[u64], now: Duration) -> Option<Duration> {
         self.verdicts
--- a/src/policy/reachability.rs
+++ b/src/policy/reachability.rs
@@ -133,9 +133,9 @@
     refused_until: HashMap<Index, Duration>,
     /// The same for refusals that others have reported, with the reporter.
     reported_until: HashMap<Index, (u64, Duration)>,
-    /// When an upstream was observed or reported to be lost, the first time in
-    /// [`MIN_RESTART_TIME`].
-    losses: HashMap<Index, Duration>,
+    /// When an upstream was observed or reported to be lost: the first time in
+    /// [`MIN_RESTART_TIME`], and the last.
+    losses: HashMap<Index, (Duration, Duration)>,
     /// When upstreams last responded to this process.
     responses: HashMap<Index, Duration>,
     refutations: HashMap<Index, Refutation>,
@@ -217,7 +217,8 @@
         }
         if self.losses.len() < UPSTREAM_LIMIT || self.losses.contains_key(&upstream) {
             // Frequent reports must not leave responses no time to refute one of them.
-            let first = self.losses.entry(upstream).or_insert(at);
+            let (first, last) = self.losses.entry(upstream).or_insert((at, at));
+            *last = at.max(*last);
             if at >= *first + MIN_RESTART_TIME {
                 *first = at;
             }
@@ -286,7 +287,7 @@
     pub fn remove_expired(&mut self, now: Duration) {
         self.refused_until.retain(|_, until| now < *until);
         self.reported_until.retain(|_, (_, until)| now < *until);
-        self.losses.retain(|_, at| now < *at + REPORT_TTL);
+        self.losses.retain(|_, (_, last)| now < *last + REPORT_TTL);
         self.responses.retain(|_, at| now < *at + REPORT_TTL);
         self.refutations
             .retain(|_, refutation| now < refutation.responded_at + REFUTATION_TTL);
@@ -298,14 +299,18 @@
 
     /// Uses a response against the report that its upstream was lost; returns whether it refutes it.
     fn refute(&mut self, upstream: Index, responded_at: Duration, is_own: bool) -> bool {
-        let Some(&at) = self.losses.get(&upstream) else {
+        let Some(&(first, last)) = self.losses.get(&upstream) else {
             return false;
         };
-        let refuting = at + RESPONSE_IN_TRANSIT..at + MIN_RESTART_TIME;
+        let refuting = first + RESPONSE_IN_TRANSIT..first + MIN_RESTART_TIME;
         if !refuting.contains(&responded_at) {
             return false;
         }
-        self.losses.remove(&upstream);
+        if last + RESPONSE_IN_TRANSIT > responded_at {
+            self.losses.insert(upstream, (last, last));
+        } else {
+            self.losses.remove(&upstream);
+        }
         let since = responded_at.saturating_sub(MIN_RESTART_TIME);
         let former = self.refutations.get(&upstream);
         let former = former.filter(|former| former.responded_at >= since);
--- a/tests/load/crashing_requests.rs
+++ b/tests/load/crashing_requests.rs
@@ -593,3 +593,53 @@
     assert!(table.quarantined_for(&id(DEADLY), now).is_some());
     assert_eq!(table.quarantined_for(&variant(DEADLY, 1), now), None);
 }
+
+/// Guards against a sound request being quarantined everywhere because a gateway is cut off from
+/// upstreams: these seem to crash under it, but respond to the other gateways.
+#[test]
+fn crashes_that_only_a_partitioned_gateway_sees_quarantine_no_request() {
+    for refuted_after_ms in [150, 600] {
+        let start = Duration::from_secs(100);
+        let (mut cut_off, mut other) = (CrashingRequests::default(), CrashingRequests::default());
+        let at = |i: u64| start + Duration::from_millis(400) * i as u32;
+        for i in 0..3 {
+            cut_off.record_crash(&id(POLLED), i, at(i), at(i) + STEP);
+            other.apply(&cut_off.next_notice(false, at(i) + STEP), at(i) + 2 * STEP);
+        }
+        let refuted_at = at(2) + Duration::from_millis(refuted_after_ms);
+        cut_off.poll(refuted_at);
+        other.poll(refuted_at);
+        for i in 0..3 {
+            let alive = at(i)..=at(i) + Duration::from_millis(100);
+            cut_off.refute(i, &alive, refuted_at);
+            other.refute(i, &alive, refuted_at);
+        }
+        let later = refuted_at + FULL_INTERVAL;
+        for _ in 0..3 {
+            other.apply(&cut_off.next_notice(true, later), later);
+            cut_off.apply(&other.next_notice(true, later), later);
+            other.poll(later);
+            cut_off.poll(later);
+        }
+        for gateway in [&cut_off, &other] {
+            assert_eq!(gateway.quarantined_for(&id(POLLED), later), None);
+            assert!(gateway.allows_retry(&id(POLLED)));
+        }
+    }
+}
+
+/// Guards against a deadly request being sent on because one of its crashes is refuted.
+#[test]
+fn verdict_holds_while_enough_crashes_are_not_refuted() {
+    let mut gateway = CrashingRequests::default();
+    let at = |i: u64| Duration::from_secs(100) + Duration::from_millis(400) * i as u32;
+    for i in 0..4 {
+        gateway.record_crash(&id(DEADLY), i, at(i), at(i) + STEP);
+    }
+    let later = at(4);
+    gateway.poll(later);
+    gateway.refute(3, &(at(3)..=later), later);
+    assert!(gateway.quarantined_for(&id(DEADLY), later).is_some());
+    gateway.refute(2, &(at(3)..=later), later);
+    assert!(gateway.quarantined_for(&id(DEADLY), later).is_some());
+}
--- a/tests/load/quarantine.rs
+++ b/tests/load/quarantine.rs
@@ -484,3 +484,27 @@
     assert!(ids <= 64, "{ids} ids");
     assert!(notice.verdicts.len() <= 16 && notice.crashes.len() <= 16);
 }
+
+/// Guards against sound segments being quarantined because a gateway is cut off from upstreams, which
+/// respond to the other gateways.
+#[test]
+fn crashes_that_only_a_partitioned_gateway_sees_quarantine_no_segment() {
+    let start = Duration::from_secs(100);
+    let at = |i: u64| start + Duration::from_millis(100) * i as u32;
+    let (mut table, mut other) = (Quarantine::default(), Quarantine::default());
+    for i in 0..6 {
+        table.record_crash(i, i, &[RARE], at(i));
+        other.apply(&table.next_notice(false, at(i)), at(i));
+    }
+    let later = at(9);
+    table.poll(later);
+    other.poll(later);
+    for i in 0..6 {
+        table.refute(i, &(at(i)..=at(i + 1)));
+        other.refute(i, &(at(i)..=at(i + 1)));
+    }
+    table.poll(at(20));
+    other.poll(at(20));
+    assert_eq!(table.quarantined_for(&[RARE], at(20)), None);
+    assert_eq!(other.quarantined_for(&[RARE], at(20)), None);
+}
