Show that the search for the leader is slow beside silent connections

If all connections of a gateway fall silent for good while new ones work, each replica in turn costs a call of 0.8 s, because the search meets the silent connection to each of them. After 1.5 s it calls replicas of the settings as well, and those that are gone cost as much again. The gateway serves by the old configuration meanwhile, also once it counts as in touch.

--- a/tests/process/config_fetch.rs
+++ b/tests/process/config_fetch.rs
@@ -134,9 +134,10 @@
     get(gateway, &path, &headers).map(|response| response.status)
 }
 
-/// Runs gateways with this number of replicas, of which the connections to the followers fall silent
-/// for good, and returns the times from a large change until each gateway obeys it.
-fn times_to_a_large_change(replicas: usize) -> Vec<Duration> {
+/// Runs gateways with this number of replicas and two more in their settings that have no power.
+/// Silences connections from position `silent` on for good, waits, and returns the times from a large
+/// change until each gateway obeys it.
+fn times_to_a_large_change(replicas: usize, silent: usize, wait: Duration) -> Vec<Duration> {
     let log = Arc::new(Log::default());
     log.are_behind.store(true, Ordering::SeqCst);
     log.revision.store(1, Ordering::SeqCst);
@@ -152,21 +153,25 @@
     let addresses: Vec<SocketAddr> = links.iter().map(|link| link.address).collect();
     log.replicas.lock().unwrap().extend(&addresses);
     let mut cluster = Cluster::start(0, 0);
+    let dead = [(); 2].map(|()| Link::start(free_address(), free_address()));
     cluster.configured_replicas = addresses;
+    for link in &dead {
+        link.cut_power();
+        cluster.configured_replicas.push(link.address);
+    }
     let gateways: Vec<_> = (0..GATEWAYS).map(|_| cluster.start_gateway()).collect();
     // Each gateway asks all replicas between a few renewals.
-    thread::sleep(Duration::from_secs(2));
+    thread::sleep(Duration::from_secs(4));
     log.are_behind.store(false, Ordering::SeqCst);
     for (_, gateway) in &gateways {
         eventually("the gateway has the first configuration", || {
             (status(*gateway, Probe::Added(2)) == Some(404)).then_some(())
         });
     }
-    // The gateways use only those to the leader all the time.
-    for link in &links[1..] {
+    for link in &links[silent..] {
         link.silence_open();
     }
-    thread::sleep(CONTACT_TIME + Duration::from_secs(1));
+    thread::sleep(wait);
     log.revision.store(2, Ordering::SeqCst);
     assert!(log.update(1).is_some());
     let acked_at = Instant::now();
@@ -187,9 +192,23 @@
 #[test]
 fn large_change_is_in_force_in_time_although_idle_connections_have_fallen_silent() {
     for replicas in [3, 5] {
-        let times = times_to_a_large_change(replicas);
+        // The gateways use only the connections to the leader all the time.
+        let wait = CONTACT_TIME + Duration::from_secs(1);
+        let times = times_to_a_large_change(replicas, 1, wait);
         println!("{replicas} replicas: {times:?}");
         let is_in_time = times.iter().all(|&time| time <= APPLY_LIMIT);
         assert!(is_in_time, "{replicas} replicas: {times:?}");
     }
 }
+
+/// Guards against a search for the leader that takes the time of a call for each replica whose
+/// connection has fallen silent, and then calls replicas that are gone.
+#[test]
+fn change_is_in_force_in_time_although_all_connections_have_fallen_silent() {
+    for replicas in [3, 5] {
+        let times = times_to_a_large_change(replicas, 0, Duration::ZERO);
+        println!("{replicas} replicas: {times:?}");
+        let is_in_time = times.iter().all(|&time| time <= CONTACT_TIME);
+        assert!(is_in_time, "{replicas} replicas: {times:?}");
+    }
+}
