Don't use a connection again that was idle for a second

Only a call without a reply shows that a connection has fallen silent, which takes 0.8 s. A process calls the leader all the time and the other replicas rarely, so in a search, or for a large change, it met one silent connection after another. A new connection takes a round trip.

--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use h2::client::SendRequest;
@@ -28,6 +29,11 @@
 /// repeats it only after 1 s. The first attempt goes on, because a handshake may also take longer.
 const CONNECT_RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time after its last use from which a connection is not used again. It may have fallen silent
+/// meanwhile, which would cost a whole call to find out. Renewals and the log's messages come more
+/// often.
+const IDLE_LIMIT: Duration = Duration::from_secs(1);
+
 /// Error of a call without a reply.
 #[derive(Debug, Snafu)]
 pub enum CallError {
@@ -63,7 +69,12 @@
 #[derive(Clone)]
 pub struct Client {
     key: Rc<str>,
-    connections: Rc<RefCell<HashMap<SocketAddr, SendRequest<Bytes>>>>,
+    connections: Rc<RefCell<HashMap<SocketAddr, Connection>>>,
+}
+
+struct Connection {
+    sender: SendRequest<Bytes>,
+    used_at: Instant,
 }
 
 impl Client {
@@ -108,8 +119,7 @@
     }
 
     async fn connection(&self, address: SocketAddr) -> Result<SendRequest<Bytes>, CallError> {
-        let existing = self.connections.borrow().get(&address).cloned();
-        if let Some(sender) = existing
+        if let Some(sender) = self.recent_connection(address)
             && let Ok(ready) = sender.ready().await
         {
             return Ok(ready);
@@ -120,12 +130,25 @@
             self.drop_connection(address);
             return UnreachableSnafu { address }.fail();
         };
-        self.connections
-            .borrow_mut()
-            .insert(address, sender.clone());
+        let connection = Connection {
+            sender: sender.clone(),
+            used_at: Instant::now(),
+        };
+        self.connections.borrow_mut().insert(address, connection);
         Ok(sender)
     }
 
+    /// Returns the connection to `address`, unless it was idle for [`IDLE_LIMIT`].
+    fn recent_connection(&self, address: SocketAddr) -> Option<SendRequest<Bytes>> {
+        let mut connections = self.connections.borrow_mut();
+        let connection = connections.get_mut(&address)?;
+        if connection.used_at.elapsed() > IDLE_LIMIT {
+            return None;
+        }
+        connection.used_at = Instant::now();
+        Some(connection.sender.clone())
+    }
+
     async fn round_trip(
         &self,
         address: SocketAddr,
