Count silent upstreams less than failed connections

Slow upstreams leave attempts without a response too. In a run of the process tests at a load average of 55, gateways that reached their upstreams found them unreachable up to 14 times, each time for fractions of a second, and passed requests on. Four silent attempts in a row are now needed, or two failed connections.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -21,6 +21,7 @@
 use crate::http_client::Reuse;
 use crate::http_client::UpstreamResponse;
 use crate::log::event;
+use crate::policy::service_reachability::Failure;
 use crate::policy::timeouts;
 use crate::policy::timeouts::RANK_COUNT;
 
@@ -31,6 +32,9 @@
 /// Maximum size of a response body that is not a stream.
 pub(super) const RESPONSE_BODY_LIMIT_BYTES: usize = 8 * 1024 * 1024;
 
+/// Why the gateway has given up on an upstream that seems to hang.
+const RESPONSE_TIMEOUT: &str = "response timeout";
+
 /// Result of one attempt, with the reason for the log if it has no response.
 pub(super) enum AttemptOutcome {
     /// Nothing of the request reached the upstream.
@@ -105,7 +109,10 @@
         Err(e) => {
             in_flight.record_failure();
             if !matches!(e, RequestError::Unattributed(_)) {
-                in_flight.record_unanswered();
+                in_flight.record_unanswered(match e {
+                    RequestError::Interrupted(RESPONSE_TIMEOUT) => Failure::Silence,
+                    _ => Failure::Connection,
+                });
                 gateway.connections.close_idle(address);
             }
             match e {
@@ -143,7 +150,7 @@
             .saturating_sub(in_flight.elapsed());
         if time_left.is_zero() {
             if !in_flight.is_queued(target) {
-                return Err(RequestError::Interrupted("response timeout"));
+                return Err(RequestError::Interrupted(RESPONSE_TIMEOUT));
             }
             time_left = timeouts::recheck_interval(target);
         }
--- a/src/gateway/reachability.rs
+++ b/src/gateway/reachability.rs
@@ -13,6 +13,7 @@
 use crate::peer::EntryInfo;
 use crate::policy::placement::stable_hash;
 use crate::policy::regions::region_of;
+use crate::policy::service_reachability::Failure;
 use crate::policy::service_reachability::Path;
 
 /// Interval between checks whether a probe is due.
@@ -54,7 +55,7 @@
 
 impl Gateway {
     /// Records an attempt at the upstream that ended without a byte of response.
-    pub(super) fn record_unanswered(&self, upstream: &Upstream) {
+    pub(super) fn record_unanswered(&self, upstream: &Upstream, failure: Failure) {
         let Some(service) = upstream.service() else {
             return;
         };
@@ -64,6 +65,7 @@
         let is_unreachable = self.services_reached.borrow_mut().record_failure(
             service,
             upstream.number,
+            failure,
             upstreams,
             draw,
             self.now(),
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -26,6 +26,7 @@
 use crate::policy::placement::TimeHint;
 use crate::policy::placement::stable_hash;
 use crate::policy::reachability::Reachability;
+use crate::policy::service_reachability::Failure;
 use crate::policy::speed::QueueReports;
 use crate::policy::speed::Speeds;
 use crate::policy::timeouts;
@@ -526,9 +527,9 @@
     }
 
     /// Records that the attempt has ended without a byte of response.
-    pub(super) fn record_unanswered(&mut self) {
+    pub(super) fn record_unanswered(&mut self, failure: Failure) {
         if !std::mem::replace(&mut self.has_verdict, true) {
-            self.gateway.record_unanswered(&self.upstream);
+            self.gateway.record_unanswered(&self.upstream, failure);
         }
     }
 
@@ -575,7 +576,7 @@
     fn drop(&mut self) {
         // The deadline or the caller has ended the attempt.
         if !self.has_verdict && self.elapsed() >= self.response_timeout(self.target) {
-            self.record_unanswered();
+            self.record_unanswered(Failure::Silence);
         }
         let now = self.gateway.now();
         let mut upstreams = self.gateway.upstreams.borrow_mut();
--- a/src/policy/service_reachability.rs
+++ b/src/policy/service_reachability.rs
@@ -16,8 +16,9 @@
 /// smaller service.
 const FAILED_UPSTREAMS: usize = 2;
 
-/// Attempts that must fail in a row, also in a service with a single upstream.
-const FAILED_ATTEMPTS: u32 = 2;
+/// Weight of the attempts that must fail in a row, also in a service with a single upstream: two whose
+/// connections failed, or four without a response, which a slow upstream leaves as well.
+const FAILED_WEIGHT: u32 = 4;
 
 /// Time after the last failed attempt from which the failures before it no longer count.
 const FAILURE_TTL: Duration = Duration::from_secs(5);
@@ -37,6 +38,24 @@
 const MIN_OUTAGE: Duration = Duration::from_secs(1);
 const RETURN_TIME: Duration = Duration::from_secs(1);
 
+/// How an attempt ended without a byte of response.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Failure {
+    /// No connection could be opened, or it broke.
+    Connection,
+    /// The upstream was silent until the attempt was given up.
+    Silence,
+}
+
+impl Failure {
+    fn weight(self) -> u32 {
+        match self {
+            Self::Connection => 2,
+            Self::Silence => 1,
+        }
+    }
+}
+
 /// Way of a request to the upstreams of its service.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Path {
@@ -58,7 +77,8 @@
 struct Service {
     /// Upstreams that failed since the last response of one; at most [`FAILED_UPSTREAMS`].
     failed: Vec<Index>,
-    failed_attempts: u32,
+    /// Weight of their failures.
+    failed_weight: u32,
     last_failure: Duration,
     /// `None` while the service is reachable.
     outage: Option<Outage>,
@@ -83,6 +103,7 @@
         &mut self,
         service: &Name,
         upstream: Index,
+        failure: Failure,
         upstreams: usize,
         draw: f64,
         now: Duration,
@@ -95,14 +116,14 @@
         }
         if now > row.last_failure + FAILURE_TTL {
             row.failed.clear();
-            row.failed_attempts = 0;
+            row.failed_weight = 0;
         }
         row.last_failure = now;
-        row.failed_attempts = row.failed_attempts.saturating_add(1);
+        row.failed_weight = row.failed_weight.saturating_add(failure.weight());
         if row.failed.len() < FAILED_UPSTREAMS && !row.failed.contains(&upstream) {
             row.failed.push(upstream);
         }
-        let is_unreachable = row.failed_attempts >= FAILED_ATTEMPTS
+        let is_unreachable = row.failed_weight >= FAILED_WEIGHT
             && row.failed.len() >= FAILED_UPSTREAMS.min(upstreams);
         if is_unreachable {
             row.returning_since = None;
@@ -121,7 +142,7 @@
     pub fn record_response(&mut self, service: &Name, now: Duration) -> Option<Duration> {
         let row = self.services.get_mut(service)?;
         row.failed.clear();
-        row.failed_attempts = 0;
+        row.failed_weight = 0;
         let Some(outage) = row.outage.take() else {
             if row.returning_since.is_none() {
                 self.services.remove(service);
