--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -21,6 +21,7 @@
 use crate::http_client::Reuse;
 use crate::http_client::UpstreamResponse;
 use crate::log::event;
+use crate::policy::service_reachability::Failure;
 use crate::policy::timeouts;
 use crate::policy::timeouts::RANK_COUNT;
 
@@ -31,6 +32,9 @@
 /// Maximum size of a response body that is not a stream.
 pub(super) const RESPONSE_BODY_LIMIT_BYTES: usize = 8 * 1024 * 1024;
 
+/// Why the gateway has given up on an upstream that seems to hang.
+const RESPONSE_TIMEOUT: &str = "response timeout";
+
 /// Result of one attempt, with the reason for the log if it has no response.
 pub(super) enum AttemptOutcome {
     /// Nothing of the request reached the upstream.
@@ -112,7 +116,10 @@
         Err(e) => {
             in_flight.record_failure();
             if !matches!(e, RequestError::Unattributed(_)) {
-                in_flight.record_unanswered();
+                in_flight.record_unanswered(match e {
+                    RequestError::Interrupted(RESPONSE_TIMEOUT) => Failure::Silence,
+                    _ => Failure::Connection,
+                });
                 gateway.connections.close_idle(address);
             }
             match e {
@@ -156,7 +163,7 @@
                 FailOver::Now => true,
             };
             if hangs && !in_flight.is_queued(target) {
-                return Err(RequestError::Interrupted("response timeout"));
+                return Err(RequestError::Interrupted(RESPONSE_TIMEOUT));
             }
             time_left = timeouts::recheck_interval(target);
         }
