Forget the leader on a learner that hears nothing

Cause: found in the review of the search for the leader. Only voters time out, so a learner, or a replica that was removed from the log, named its last leader for good, stayed ready, and never asked to join again.

Change: a replica that does not vote forgets the leader after the election timeout.

--- a/src/agreement/node/mod.rs
+++ b/src/agreement/node/mod.rs
@@ -301,9 +301,14 @@
         match self.role {
             Role::Leader => self.tick_leader(now),
             Role::Follower | Role::PreCandidate | Role::Candidate => {
-                if now >= self.election_deadline && self.membership().is_voter(self.id) {
+                let has_timed_out = now >= self.election_deadline;
+                if has_timed_out && self.membership().is_voter(self.id) {
                     self.start_pre_vote(now);
                 } else {
+                    if has_timed_out {
+                        // A learner starts no election, but no longer names the leader either.
+                        self.leader = None;
+                    }
                     self.tick_restart(now);
                 }
             }
--- a/tests/fuzz/agreement/mod.rs
+++ b/tests/fuzz/agreement/mod.rs
@@ -11,6 +11,7 @@
 use daisyquay::agreement::Entry;
 use daisyquay::agreement::HardState;
 use daisyquay::agreement::Log;
+use daisyquay::agreement::Member;
 use daisyquay::agreement::Membership;
 use daisyquay::agreement::Message;
 use daisyquay::agreement::Node;
@@ -343,3 +344,42 @@
         );
     }
 }
+
+/// Guards against a learner that names a leader for good from which it has heard nothing since, and
+/// so neither asks to join again nor sends others elsewhere.
+#[test]
+fn learner_that_hears_nothing_no_longer_names_a_leader() {
+    let address = |id: u16| std::net::SocketAddr::from(([127, 0, 0, 1], id));
+    let mut membership = Membership::from_voters([(ReplicaId(2), address(2))]);
+    let learner = Member {
+        address: address(1),
+        voter: false,
+    };
+    membership.members.insert(ReplicaId(1), learner);
+    let snapshot = Snapshot {
+        index: 1,
+        term: 1,
+        membership,
+        data: Vec::new(),
+    };
+    let restored = Restored {
+        hard_state: HardState {
+            term: 1,
+            vote: None,
+        },
+        log: Log::new(snapshot, Vec::new()),
+    };
+    let (settings, start) = (Settings::default(), Duration::from_secs(1));
+    let mut node = Node::new(ReplicaId(1), restored, settings, 1, start);
+    let heartbeat = Body::AppendEntries {
+        prev_index: 1,
+        prev_term: 1,
+        entries: Vec::new(),
+        leader_commit: 1,
+        round: 1,
+    };
+    node.receive(to_restarted(2, 1, heartbeat), start);
+    assert_eq!(node.leader(), Some(ReplicaId(2)));
+    node.tick(start + 2 * settings.election_timeout_max);
+    assert_eq!(node.leader(), None);
+}
