Follow replacements in processes without a replica

Cause: `Handle::remote` kept the replicas of its settings. Once all of them were replaced, heartbeats and operators' calls at that process failed for good.

Change: it asks the replicas in turn, every 5 s, which replicas there are. The tests share how a replica is replaced.

--- a/src/replica/handle.rs
+++ b/src/replica/handle.rs
@@ -27,6 +27,9 @@
 /// Time between two attempts to reach the leader.
 const RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Interval at which a process without a replica asks which replicas there are.
+const REPLICAS_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Time for which a stopping process still answers new calls, though it refuses them.
 const REFUSE_TIME: Duration = Duration::from_millis(300);
 
@@ -118,8 +121,11 @@
 
     /// Creates a handle for a process without a replica, such as one on a VM without a disk.
     /// `replicas` are the peer addresses of at least one replica.
+    ///
+    /// Keeps up with replacements of the replicas. Runs in a `LocalSet`.
     pub fn remote(peer_key: &str, replicas: Vec<SocketAddr>, clock: Arc<dyn Clock>) -> Self {
         let leader = LeaderClient::new(Client::new(peer_key), replicas, clock);
+        tokio::task::spawn_local(follow_replicas(leader.clone()));
         Self::with_link(Link::Remote(leader))
     }
 
@@ -274,6 +280,18 @@
     }
 }
 
+/// Asks the replicas in turn which replicas there are; never returns. Unlike a gateway, this process
+/// sends no renewals, with which it would learn of new ones.
+async fn follow_replicas(leader: LeaderClient) {
+    for index in 0.. {
+        let reply = leader.call_replica_at(index, &Request::Replicas).await;
+        if let Some(Reply::Replicas(replicas)) = reply {
+            leader.set_listed(replicas);
+        }
+        tokio::time::sleep(REPLICAS_INTERVAL).await;
+    }
+}
+
 /// Returns the reply unless the request must be sent again.
 fn definite(reply: Reply) -> Option<Reply> {
     match reply {
--- a/tests/process/config_in_force.rs
+++ b/tests/process/config_in_force.rs
@@ -52,8 +52,6 @@
 struct Setup {
     cluster: Cluster,
     gateways: Vec<(Program, SocketAddr)>,
-    /// Replicas that were started after the others.
-    replacements: Vec<Program>,
     /// Number of the last change.
     last_change: usize,
     _upstream: Upstream,
@@ -78,7 +76,6 @@
         Self {
             cluster,
             gateways,
-            replacements: Vec::new(),
             last_change: 0,
             _upstream: upstream,
         }
@@ -110,30 +107,6 @@
             "gateway {i}, change {n}"
         );
     }
-
-    /// Replaces replica `i` by one at another address.
-    fn replace_replica(&mut self, i: usize) {
-        let (old, new) = (
-            self.cluster.replica_addresses[i],
-            crate::support::free_address(),
-        );
-        let folder = self.cluster.data_folder(i);
-        self.cluster.replica_addresses[i] = new;
-        self.cluster.replicas[i].kill();
-        std::fs::remove_dir_all(folder).unwrap();
-        let addresses = self.cluster.replica_addresses.clone();
-        let replacement = self.cluster.start_replica_among(i, &addresses);
-        self.replacements.push(replacement);
-        eventually("the replica is replaced", || {
-            let status = self.cluster.show("status");
-            let members = status["members"].as_array()?;
-            let is_voter = |address: SocketAddr| {
-                let mut members = members.iter();
-                members.any(|m| m[0] == address.to_string() && m[2] == "voter")
-            };
-            (is_voter(new) && !is_voter(old)).then_some(())
-        });
-    }
 }
 
 /// Guards against a gateway that keeps only the addresses of the leader's last list of replicas, and
@@ -143,7 +116,7 @@
     let mut setup = Setup::new(2);
     setup.gateways[0].0.suspend();
     for i in 0..3 {
-        setup.replace_replica(i);
+        setup.cluster.replace_replica(i);
     }
     let acked_at = setup.change();
     thread::sleep((acked_at + APPLY_LIMIT).saturating_duration_since(Instant::now()));
--- a/tests/process/replacement.rs
+++ b/tests/process/replacement.rs
@@ -3,14 +3,19 @@
 use std::collections::BTreeSet;
 use std::future::Future;
 use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
 
 use daisyquay::agreement::ReplicaId;
+use daisyquay::clock::System;
 use daisyquay::peer::BootstrapStatus;
 use daisyquay::peer::Caller;
 use daisyquay::peer::Client;
 use daisyquay::peer::Handler;
 use daisyquay::peer::Reply;
 use daisyquay::peer::Request;
+use daisyquay::replica::Handle;
+use daisyquay::state::query::Query;
 
 use crate::support::Cluster;
 use crate::support::PEER_KEY;
@@ -140,3 +145,48 @@
         member_id(&cluster, wiped).filter(|id| Some(id) != old_id.as_ref())
     });
 }
+
+/// Guards against a process without a replica that keeps only the addresses of its settings, and
+/// reaches no leader once all of these are gone.
+#[test]
+fn process_without_a_replica_follows_replacements() {
+    let mut cluster = Cluster::start_with_inventory(3, 0);
+    let configured = cluster.replica_addresses.clone();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    let tasks = tokio::task::LocalSet::new();
+    let handle = tasks.block_on(&runtime, async {
+        Handle::remote(PEER_KEY, configured, Arc::new(System::new()))
+    });
+    // Long enough for the handle to have asked for the replicas after each replacement.
+    let wait = || {
+        tasks.block_on(&runtime, async {
+            tokio::time::sleep(Duration::from_secs(6)).await;
+        });
+    };
+    for i in 0..3 {
+        cluster.replace_replica(i);
+        wait();
+    }
+    let query = Request::Query(Query::Status);
+    let operator = "ann".into();
+    let call = handle.call_as_operator(&operator, query, Duration::from_secs(5));
+    let reply = tasks.block_on(&runtime, call);
+    assert!(matches!(reply, Some(Reply::Report(_))), "{reply:?}");
+}
+
+/// Guards against a command line that gives up on a leader that is not in `--state`.
+#[test]
+fn command_line_follows_to_a_leader_that_it_was_not_told_of() {
+    let cluster = Cluster::start_with_inventory(3, 0);
+    let leader = cluster.leader();
+    let follower = cluster.replica_addresses[(leader + 1) % 3].to_string();
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_daisyquay"))
+        .args(["--state", &follower, "--operator-key", "key-of-ann"])
+        .args(["--json", "show", "status"])
+        .output()
+        .unwrap();
+    assert!(output.status.success(), "{output:?}");
+}
--- a/tests/process/support/cluster.rs
+++ b/tests/process/support/cluster.rs
@@ -235,6 +235,25 @@
         self.start_replica_among(i, &known_replicas)
     }
 
+    /// Replaces replica `i` by one at another address, with an empty data folder, and waits until it
+    /// votes in the place of the old one.
+    pub(crate) fn replace_replica(&mut self, i: usize) {
+        let (old, new) = (self.replica_addresses[i], free_address());
+        self.replica_addresses[i] = new;
+        self.replicas[i].kill();
+        std::fs::remove_dir_all(self.data_folder(i)).unwrap();
+        self.replicas[i] = self.start_replica(i);
+        eventually("the replica is replaced", || {
+            let status = self.show("status");
+            let members = status["members"].as_array()?;
+            let is_voter = |address: SocketAddr| {
+                let mut members = members.iter();
+                members.any(|m| m[0] == address.to_string() && m[2] == "voter")
+            };
+            (is_voter(new) && !is_voter(old)).then_some(())
+        });
+    }
+
     /// Starts a stand-in that announces itself, and waits until all entries know it.
     pub(crate) fn start_announced_standin(
         &mut self,
