--- a/src/operator/call.rs
+++ b/src/operator/call.rs
@@ -72,19 +72,22 @@
         let mut may_have_run = false;
         let mut last_error = None;
         let mut next = 0;
+        let mut named = None;
         while std::time::Instant::now() < deadline {
-            let address = self.replicas[next % self.replicas.len()];
+            let address = named
+                .take()
+                .unwrap_or_else(|| self.replicas[next % self.replicas.len()]);
             match self
                 .client
                 .call(address, &request, REPLICA_TIMEOUT + wait)
                 .await
             {
                 Ok(Reply::NotLeader { leader }) => {
-                    let index = self
-                        .replicas
-                        .iter()
-                        .position(|&replica| Some(replica) == leader);
-                    next = index.unwrap_or(next + 1);
+                    // The leader may have replaced one of the replicas in `--state`.
+                    named = leader.filter(|&leader| leader != address);
+                    if named.is_none() {
+                        next += 1;
+                    }
                     tokio::time::sleep(RETRY_INTERVAL).await;
                 }
                 Ok(Reply::OutcomeUnknown) => {
