Send the digest of the replicas with an entry's renewals

Cause: found in the review. Entries sent no digest, so that each grant had the list, which is logged since entries use it.

Change: entries send the digest of the last grant, as gateways do.

--- a/src/entry/link.rs
+++ b/src/entry/link.rs
@@ -127,6 +127,8 @@
     loads_version: u64,
     entries_version: u64,
     quality_version: u64,
+    /// Digest of the replicas' addresses.
+    replicas_digest: u32,
     was_live: bool,
 }
 
@@ -150,7 +152,7 @@
             entries_version: self.entries_version,
             quality_version: self.quality_version,
             loads: shared.drain_pending_loads(),
-            replicas_digest: 0,
+            replicas_digest: self.replicas_digest,
             demand: shared.pools.lock().demand(),
             release_stats: Vec::new(),
             is_leaving: shared.is_leaving(),
@@ -165,6 +167,7 @@
         self.is_introduced = !grant.wants_info;
         self.loads_version = grant.loads_version;
         self.entries_version = grant.entries_version;
+        self.replicas_digest = grant.replicas_digest;
         shared
             .is_unlisted
             .store(grant.is_unlisted, Ordering::Relaxed);
