Bound the connections and heads of a gateway's peer listener

Cause: found in the review. The listener took up to 4,096 connections, as many as the process may have descriptors on a small VM, and heads of up to 16 MiB before the key is checked.

Change: 64 connections at a gateway, heads of up to 16 KiB at every peer listener.

--- a/src/gateway/replica_list.rs
+++ b/src/gateway/replica_list.rs
@@ -26,7 +26,10 @@
 /// Number of gateways asked at a time.
 const ASKED_GATEWAYS: usize = 3;
 
-/// Time within which one of them must reply.
+/// Most connections of other processes that are open at a time.
+const MAX_CONNECTIONS: usize = 64;
+
+/// Time within which one of them must reply, once connected.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Answers the other processes, for as long as this one runs.
@@ -36,7 +39,7 @@
         operators: Vec::new(),
     });
     let handler = Rc::new(ListHandler { gateway });
-    peer::serve(listener, keys, handler, Rc::default()).await;
+    peer::serve(listener, MAX_CONNECTIONS, keys, handler, Rc::default()).await;
 }
 
 struct ListHandler {
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -34,5 +34,6 @@
 pub use self::server::Caller;
 pub use self::server::Handler;
 pub use self::server::Keys;
+pub use self::server::MAX_CONNECTIONS;
 pub use self::server::Traffic;
 pub use self::server::serve;
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -30,8 +30,11 @@
 /// Most streams that one connection may have open.
 const MAX_CONCURRENT_STREAMS: u32 = 4096;
 
-/// Most connections that are served at a time; further ones are closed.
-const MAX_CONNECTIONS: usize = 4096;
+/// Most connections that a replica serves at a time; further ones are closed.
+pub const MAX_CONNECTIONS: usize = 4096;
+
+/// Largest head of a request, in bytes. It holds a key.
+const MAX_HEADER_BYTES: u32 = 16 * 1024;
 
 /// Time within which the `h2` handshake of a connection must end.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -125,9 +128,10 @@
     fn call(&self, caller: Caller, request: Request) -> Pin<Box<dyn Future<Output = Reply>>>;
 }
 
-/// Accepts and serves connections on the current thread; never returns.
+/// Accepts and serves up to `max_connections` at a time on the current thread; never returns.
 pub async fn serve(
     listener: TcpListener,
+    max_connections: usize,
     keys: Rc<Keys>,
     handler: Rc<dyn Handler>,
     traffic: Rc<Traffic>,
@@ -137,7 +141,7 @@
             tokio::time::sleep(Duration::from_millis(50)).await;
             continue;
         };
-        if traffic.connections() >= MAX_CONNECTIONS {
+        if traffic.connections() >= max_connections {
             continue;
         }
         let open = OpenConnection::new(&traffic);
@@ -157,7 +161,8 @@
     builder
         .initial_window_size(WINDOW_BYTES)
         .initial_connection_window_size(WINDOW_BYTES)
-        .max_concurrent_streams(MAX_CONCURRENT_STREAMS);
+        .max_concurrent_streams(MAX_CONCURRENT_STREAMS)
+        .max_header_list_size(MAX_HEADER_BYTES);
     let handshake = builder.handshake(stream);
     let Ok(Ok(mut connection)) = tokio::time::timeout(HANDSHAKE_TIMEOUT, handshake).await else {
         return;
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -174,7 +174,13 @@
     });
     let handler = Rc::new(handler::ReplicaHandler::new(core.clone()));
     let traffic = Rc::new(peer::Traffic::default());
-    tokio::task::spawn_local(peer::serve(listener, keys, handler, traffic.clone()));
+    tokio::task::spawn_local(peer::serve(
+        listener,
+        peer::MAX_CONNECTIONS,
+        keys,
+        handler,
+        traffic.clone(),
+    ));
     tokio::task::spawn_local(housekeeping::process_synced(core.clone(), synced_rx));
     tokio::task::spawn_local(housekeeping::tick(core.clone()));
     tokio::task::spawn_local(housekeeping::run_housekeeping(core.clone()));
--- a/tests/process/support/stub_replica.rs
+++ b/tests/process/support/stub_replica.rs
@@ -26,7 +26,14 @@
                 peer: KeyHash::of(PEER_KEY),
                 operators: Vec::new(),
             };
-            daisyquay::peer::serve(listener, Rc::new(keys), Rc::new(handler), Rc::default()).await;
+            daisyquay::peer::serve(
+                listener,
+                daisyquay::peer::MAX_CONNECTIONS,
+                Rc::new(keys),
+                Rc::new(handler),
+                Rc::default(),
+            )
+            .await;
         });
     });
     address
