Call a replica again on a new connection before it counts as silent

Cause: a connection may fall silent for good while new ones work. The search took that for a silent replica, and did not believe followers that name it as the leader. A refusal of a process that is no replica counted as the leader's reply, and a large update that the leader could not get through was asked for again and again.

Change: after a call without a reply all connections are opened anew, and a replica counts as silent after the second such call in a row or if it can't be connected. Refusals say nothing of the leader; a failed renewal ends the request for the whole update. The gauge and the log line tell the time since the last grant, which is not the age of the configuration.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -397,7 +397,7 @@
     }
 
     /// Returns the time since the leader was last heard of; `None` before the first grant.
-    fn config_age(&self) -> Option<Duration> {
+    fn leader_silence(&self) -> Option<Duration> {
         let (_, received_at) = self.leader_revision.get()?;
         Some(self.now().saturating_sub(received_at))
     }
--- a/src/gateway/renewal.rs
+++ b/src/gateway/renewal.rs
@@ -63,6 +63,8 @@
             gateway.restore_release_stats(release_stats);
             state.mark_disconnected(&gateway, &leader);
             timing.record_failure();
+            // A large update may have been too much for the leader or the link to it.
+            state.has_silent_source = false;
             if leader.needs_replicas() && gateway.now() >= next_question_at {
                 next_question_at = gateway.now() + QUESTION_INTERVAL;
                 let (gateway, leader) = (gateway.clone(), leader.clone());
@@ -229,15 +231,15 @@
         }
         self.is_connected = false;
         self.search_logged_at = now;
-        let age = gateway.config_age().unwrap_or_default();
+        let silence = gateway.leader_silence().unwrap_or_default();
         gateway
             .metrics
-            .set_gauge("daisyquay_config_age_seconds", age.as_secs_f64());
+            .set_gauge("daisyquay_leader_silence_seconds", silence.as_secs_f64());
         event!(
             Warn,
             "state_lost",
             revision = self.revision,
-            age_ms = age.as_millis(),
+            silent_ms = silence.as_millis(),
             called = leader.log_text()
         );
     }
@@ -248,7 +250,7 @@
             event!(Info, "state_found", term = grant.term);
             gateway
                 .metrics
-                .set_gauge("daisyquay_config_age_seconds", 0.0);
+                .set_gauge("daisyquay_leader_silence_seconds", 0.0);
         }
         gateway.record_phase(Phase::Leader);
         self.has_rejected_update = false;
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -115,6 +115,11 @@
         }
     }
 
+    /// Closes all connections once their open calls have ended.
+    pub(crate) fn drop_connections(&self) {
+        self.connections.borrow_mut().clear();
+    }
+
     fn drop_connection(&self, address: SocketAddr) {
         self.connections.borrow_mut().remove(&address);
     }
--- a/src/peer/leader.rs
+++ b/src/peer/leader.rs
@@ -14,6 +14,7 @@
 use crate::clock::Clock;
 use crate::log::event;
 use crate::policy::replica_search::Search;
+use crate::policy::replica_search::Silence;
 
 /// Time within which a replica must reply to one call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
@@ -105,13 +106,18 @@
         match result {
             Ok(Reply::NotLeader { leader }) => Err(search.record_follower(address, leader, now)),
             Ok(Reply::OutcomeUnknown) => Err(None),
+            // Any process refuses what is not meant for it, so this says nothing of the leader.
+            Ok(reply @ Reply::Refused(_)) => {
+                search.record_follower(address, None, now);
+                Ok(reply)
+            }
             Ok(reply) => {
                 search.record_leader(address);
                 Ok(reply)
             }
             Err(e) => {
-                log_failure(&e);
-                search.record_silence(address, now);
+                let silence = self.handle_failure(&e);
+                search.record_silence(address, silence, now);
                 Err(None)
             }
         }
@@ -129,13 +135,26 @@
                 Some(reply)
             }
             Err(e) => {
-                log_failure(&e);
-                search.record_unanswered(replica, self.clock.now());
+                let silence = self.handle_failure(&e);
+                search.record_unanswered(replica, silence, self.clock.now());
                 None
             }
         }
     }
 
+    /// Logs a failed call and returns how it ended. A connection that has fallen silent is rarely the
+    /// only one, so the next call of each replica opens a new one.
+    fn handle_failure(&self, e: &CallError) -> Silence {
+        event!(Debug, "call_failed", error = e);
+        match e {
+            CallError::NoReply { .. } => {
+                self.client.drop_connections();
+                Silence::NoReply
+            }
+            _ => Silence::Unreachable,
+        }
+    }
+
     /// Waits between two attempts.
     pub async fn wait_before_retry(&self) {
         tokio::time::sleep(RETRY_INTERVAL).await;
@@ -154,7 +173,3 @@
         tokio::time::timeout(timeout, retries).await.ok()
     }
 }
-
-fn log_failure(e: &CallError) {
-    event!(Debug, "call_failed", error = e);
-}
--- a/src/policy/replica_search.rs
+++ b/src/policy/replica_search.rs
@@ -36,10 +36,22 @@
 struct Contact {
     /// Number of the call, counted over all addresses; 0 before the first.
     last_call: u64,
-    /// When the last call was given up; `None` if it got a reply.
+    /// Calls in a row without a reply.
+    unanswered: u32,
+    /// When the last call was given up; `None` if it got a reply, or if only its connection may have
+    /// been dead.
     silent_at: Option<Duration>,
 }
 
+/// How a call ended without a reply.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Silence {
+    /// No connection could be opened.
+    Unreachable,
+    /// There was no reply on an open connection, which may have been dead while new ones work.
+    NoReply,
+}
+
 /// The addresses among which the leader is searched for.
 #[derive(Clone, Debug)]
 pub struct Search {
@@ -140,8 +152,8 @@
     }
 
     /// Records a call without a reply.
-    pub fn record_silence(&mut self, address: SocketAddr, now: Duration) {
-        self.record_unanswered(address, now);
+    pub fn record_silence(&mut self, address: SocketAddr, silence: Silence, now: Duration) {
+        self.record_unanswered(address, silence, now);
         self.lost_at.get_or_insert(now);
         self.advance(address, now);
     }
@@ -185,18 +197,22 @@
 
     /// Records a reply that says nothing of the leader.
     pub fn record_reply(&mut self, address: SocketAddr) {
-        self.record_call(address, None);
+        self.record_call(address, 0, None);
     }
 
     /// Records a call without a reply, to an address that was not presumed to be the leader.
-    pub fn record_unanswered(&mut self, address: SocketAddr, now: Duration) {
-        self.record_call(address, Some(now));
+    pub fn record_unanswered(&mut self, address: SocketAddr, silence: Silence, now: Duration) {
+        let before = self.contacts.get(&address);
+        let unanswered = before.map_or(0, |contact| contact.unanswered) + 1;
+        let is_silent = silence == Silence::Unreachable || unanswered > 1;
+        self.record_call(address, unanswered, is_silent.then_some(now));
     }
 
-    fn record_call(&mut self, address: SocketAddr, silent_at: Option<Duration>) {
+    fn record_call(&mut self, address: SocketAddr, unanswered: u32, silent_at: Option<Duration>) {
         self.calls += 1;
         let contact = Contact {
             last_call: self.calls,
+            unanswered,
             silent_at,
         };
         self.contacts.insert(address, contact);
--- a/tests/load/replica_search.rs
+++ b/tests/load/replica_search.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use daisyquay::policy::replica_search::Search;
+use daisyquay::policy::replica_search::Silence;
 
 /// Time until a call of an address without a process is given up.
 const SILENCE: Duration = Duration::from_millis(500);
@@ -48,7 +49,7 @@
         match process(called) {
             Process::Gone => {
                 now += SILENCE;
-                search.record_silence(called, now);
+                search.record_silence(called, Silence::Unreachable, now);
             }
             Process::Follower(leader) => {
                 now += ROUND_TRIP;
@@ -133,13 +134,13 @@
     known.set_listed(addresses(4..=6));
     let mut now = Duration::from_secs(1);
     known.record_leader(address(4));
-    known.record_silence(address(4), now);
+    known.record_silence(address(4), Silence::Unreachable, now);
     while !known.is_wide(now) {
         let called = known.next();
         assert!(addresses(4..=6).contains(&called), "{called}");
         now += RETRY_INTERVAL;
         if called == address(4) {
-            known.record_silence(called, now);
+            known.record_silence(called, Silence::Unreachable, now);
         } else {
             known.record_follower(called, Some(address(4)), now);
         }
@@ -151,7 +152,7 @@
 fn updates_are_fetched_from_replicas_that_reply() {
     let now = Duration::from_secs(1);
     let mut known = Search::new(addresses(1..=3), 0).unwrap();
-    known.record_unanswered(address(2), now);
+    known.record_unanswered(address(2), Silence::Unreachable, now);
     let asked: Vec<SocketAddr> = (0..4).map(|i| known.responsive_at(i, now)).collect();
     assert_eq!(asked, addresses([1, 3, 1, 3]));
     let later = now + Duration::from_secs(5);
@@ -182,7 +183,7 @@
                 named = known.record_follower(called, Some(address(13)), now);
             } else {
                 now += SILENCE;
-                known.record_silence(called, now);
+                known.record_silence(called, Silence::Unreachable, now);
             }
             if named.is_none() {
                 now += RETRY_INTERVAL;
@@ -192,3 +193,20 @@
         assert!(time < SEARCH_LIMIT, "{time:?} after {outage_ms} ms");
     }
 }
+
+/// Guards against a search that does not call the leader again on a new connection after the old one
+/// has fallen silent.
+#[test]
+fn follows_to_a_leader_whose_connection_was_dead() {
+    let now = Duration::from_secs(1);
+    let mut known = Search::new(addresses(1..=3), 0).unwrap();
+    known.record_leader(address(1));
+    known.record_silence(address(1), Silence::NoReply, now);
+    let follower = known.next();
+    assert_ne!(follower, address(1));
+    let named = known.record_follower(follower, Some(address(1)), now);
+    assert_eq!(named, Some(address(1)));
+    known.record_silence(address(1), Silence::NoReply, now);
+    let follower = known.next();
+    assert_eq!(known.record_follower(follower, Some(address(1)), now), None);
+}
