Announce the end of connections in the test of partitioned gateways

Upstreams of the test closed connections without saying so, so run-once requests that crossed the close were lost at all gateways: 68 of 80 served at the gateways that reach the upstreams, against the test's own bound, once in 3 runs. They now send connection: close.

--- a/tests/process/partitioned_gateway.rs
+++ b/tests/process/partitioned_gateway.rs
@@ -253,7 +253,12 @@
         // Connections do not last for ever.
         let number = COMPLETE_RESPONSES.fetch_add(1, Ordering::SeqCst);
         let is_last = number.is_multiple_of(RESPONSES_PER_CONNECTION);
-        return write(out, &ok_response(seen, "tile")) && !is_last;
+        let mut response = ok_response(seen, "tile");
+        if is_last {
+            response =
+                response.replacen("content-length", "connection: close\r\ncontent-length", 1);
+        }
+        return write(out, &response) && !is_last;
     }
     write(out, &stream_response_head(seen));
     for id in 1..=EVENTS {
