Find the owner of a connection by both of its ends in the tests

The proxies took the first connection with the same local port for the one in question, so some connections of gateways that are not cut off were. The test prints the status of each request that was not served.

--- a/tests/process/partitioned_gateway.rs
+++ b/tests/process/partitioned_gateway.rs
@@ -195,6 +195,12 @@
                 assert_eq!(runs, 0, "{} was reported as not run", outcome.id);
             }
         }
+        for outcome in outcomes.iter().filter(|outcome| !outcome.is_served) {
+            println!(
+                "{cut:?} {}: status {} at gateway {}, sent after {:?}",
+                outcome.path, outcome.status, outcome.gateway, outcome.sent_at
+            );
+        }
         for path in PATHS {
             let judged = |is_cut: bool| {
                 let judged = outcomes.iter().filter(|outcome| {
--- a/tests/process/support/link_cut.rs
+++ b/tests/process/support/link_cut.rs
@@ -6,6 +6,7 @@
 use std::io::Write;
 use std::net::Shutdown;
 use std::net::SocketAddr;
+use std::net::SocketAddrV4;
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::sync::Arc;
@@ -96,9 +97,7 @@
 
     fn serve(&self, stream: &TcpStream, target: SocketAddr) {
         let others = self.state.lock().unwrap().others.clone();
-        let is_process = !stream
-            .peer_addr()
-            .is_ok_and(|peer| own_connection_from(&others, peer));
+        let is_process = !own_other_end(&others, stream);
         if is_process {
             while self.get() == Cut::Hanging {
                 thread::sleep(POLL_INTERVAL);
@@ -165,20 +164,26 @@
     let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
 }
 
-/// Returns whether the socket of a loopback connection that comes from `peer` belongs to one of the
-/// processes.
-fn own_connection_from(pids: &[u32], peer: SocketAddr) -> bool {
-    let SocketAddr::V4(peer) = peer else {
+/// Returns whether the other end of a loopback connection belongs to one of the processes.
+fn own_other_end(pids: &[u32], stream: &TcpStream) -> bool {
+    let (Ok(SocketAddr::V4(peer)), Ok(SocketAddr::V4(own))) =
+        (stream.peer_addr(), stream.local_addr())
+    else {
         return false;
     };
-    let octets = u32::from_le_bytes(peer.ip().octets());
-    let local = format!("{octets:08X}:{:04X}", peer.port());
+    // Connections to other addresses may have the same local port.
+    let field = |address: SocketAddrV4| {
+        let octets = u32::from_le_bytes(address.ip().octets());
+        format!("{octets:08X}:{:04X}", address.port())
+    };
+    let (local, remote) = (field(peer), field(own));
     // The kernel may skip lines of a table that changes while it is read.
     let inode = (0..TABLE_READS).find_map(|_| {
         let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
         table.lines().find_map(|line| {
             let mut fields = line.split_whitespace().skip(1);
-            (fields.next()? == local).then(|| fields.nth(7).map(str::to_owned))?
+            let is_other_end = fields.next()? == local && fields.next()? == remote;
+            is_other_end.then(|| fields.nth(6).map(str::to_owned))?
         })
     });
     let Some(inode) = inode else {
