--- a/tests/process/support/cluster.rs
+++ b/tests/process/support/cluster.rs
@@ -33,7 +33,7 @@
 const OPERATORS: [&str; 2] = ["ann", "bob"];
 
 /// Clusters that run concurrently; the limit keeps a busy machine usable.
-const MAX_RUNNING_CLUSTERS: u32 = 2;
+const MAX_RUNNING_CLUSTERS: u32 = 3;
 
 /// Number of running clusters, and the signal that one has ended.
 static RUNNING_CLUSTERS: (Mutex<u32>, Condvar) = (Mutex::new(0), Condvar::new());
