--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -21,15 +21,19 @@
 use crate::http_client::Reuse;
 use crate::http_client::UpstreamResponse;
 use crate::log::event;
+use crate::policy::service_reachability::Failure;
 use crate::policy::timeouts;
 use crate::policy::timeouts::RANK_COUNT;
 
 /// Time limit for opening a connection: three round trips between data centres and one
 /// retransmission.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Maximum size of a response body that is not a stream.
-const RESPONSE_BODY_LIMIT_BYTES: usize = 8 * 1024 * 1024;
+pub(super) const RESPONSE_BODY_LIMIT_BYTES: usize = 8 * 1024 * 1024;
+
+/// Why the gateway has given up on an upstream that seems to hang.
+const RESPONSE_TIMEOUT: &str = "response timeout";
 
 /// Result of one attempt, with the reason for the log if it has no response.
 pub(super) enum AttemptOutcome {
@@ -58,14 +62,25 @@
     pub(super) is_repeated: bool,
 }
 
-/// Sends `call` to `upstream` and waits for the response. If the request `can_fail_over`, gives up
-/// on an upstream that seems to hang.
+/// Whether a request may leave an upstream that does not respond.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum FailOver {
+    /// It waits until its deadline.
+    Never,
+    /// Nothing is there for it now.
+    NotNow,
+    /// Another upstream takes it.
+    Now,
+}
+
+/// Sends `call` to `upstream` and waits for the response. Gives up on an upstream that seems to hang,
+/// as `fail_over` permits.
 pub(super) async fn attempt(
     gateway: &Rc<Gateway>,
     call: &Call,
     upstream: &Upstream,
     overrides: &AttemptOverrides,
-    can_fail_over: bool,
+    fail_over: &dyn Fn() -> FailOver,
 ) -> AttemptOutcome {
     let mut in_flight = InFlightRequest::start(
         gateway,
@@ -74,6 +89,7 @@
         rank(call),
         estimate_load(gateway, call, upstream, overrides.model.clone()),
         overrides.is_first,
+        call.route.target(),
     );
     let time_left = call.time_left(gateway.now());
     let Some(request) = build_request(
@@ -94,16 +110,16 @@
     let sent = gateway
         .connections
         .send(address, request, CONNECT_TIMEOUT.min(time_left), reuse);
-    let sent = if can_fail_over {
-        await_response_head(sent, &in_flight, call.route.target()).await
-    } else {
-        sent.await
-    };
+    let sent = await_response_head(sent, &in_flight, call.route.target(), fail_over).await;
     match sent {
         Ok(response) => classify_response(gateway, call, response, in_flight).await,
         Err(e) => {
             in_flight.record_failure();
             if !matches!(e, RequestError::Unattributed(_)) {
+                in_flight.record_unanswered(match e {
+                    RequestError::Interrupted(RESPONSE_TIMEOUT) => Failure::Silence,
+                    _ => Failure::Connection,
+                });
                 gateway.connections.close_idle(address);
             }
             match e {
@@ -113,11 +129,14 @@
                 }
                 RequestError::NotSent(reason) => AttemptOutcome::NotSent(reason),
                 RequestError::Interrupted(reason) => {
+                    gateway.count_lost_response(call, upstream);
                     gateway.record_interruption(call, &in_flight).await;
-                    gateway.count_failure(call, upstream);
                     AttemptOutcome::Lost(reason)
                 }
-                RequestError::Unattributed(reason) => AttemptOutcome::Lost(reason),
+                RequestError::Unattributed(reason) => {
+                    in_flight.record_answer();
+                    AttemptOutcome::Lost(reason)
+                }
             }
         }
     }
@@ -125,20 +144,26 @@
 
 /// Waits for the response head until the upstream seems to hang. The timeout depends on the
 /// upstream's predicted prefill time, which may change meanwhile, so it is computed again when it
-/// has passed.
+/// has passed. A sound upstream may be silent for a second, so a request that cannot go elsewhere
+/// waits for longer.
 async fn await_response_head(
     sent: impl Future<Output = Result<UpstreamResponse, RequestError>>,
     in_flight: &InFlightRequest,
     target: Duration,
+    fail_over: &dyn Fn() -> FailOver,
 ) -> Result<UpstreamResponse, RequestError> {
     let mut sent = std::pin::pin!(sent);
     loop {
-        let mut time_left = in_flight
-            .response_timeout(target)
-            .saturating_sub(in_flight.elapsed());
+        let timeout = in_flight.response_timeout(target);
+        let mut time_left = timeout.saturating_sub(in_flight.elapsed());
         if time_left.is_zero() {
-            if !in_flight.is_queued(target) {
-                return Err(RequestError::Interrupted("response timeout"));
+            let hangs = match fail_over() {
+                FailOver::Never => return sent.await,
+                FailOver::NotNow => in_flight.elapsed() >= timeout + timeouts::MAX_SILENCE,
+                FailOver::Now => true,
+            };
+            if hangs && !in_flight.is_queued(target) {
+                return Err(RequestError::Interrupted(RESPONSE_TIMEOUT));
             }
             time_left = timeouts::recheck_interval(target);
         }
@@ -175,10 +200,12 @@
     mut in_flight: InFlightRequest,
 ) -> AttemptOutcome {
     let names = &gateway.cfg.header_names;
+    in_flight.record_answer();
     in_flight.record_load_report(&response.headers);
     if response.status != StatusCode::MISDIRECTED_REQUEST {
         // Such a response comes from another upstream at the same address.
         gateway.record_backpressure(&in_flight.upstream, response.status, &response.headers);
+        gateway.record_brittle(&in_flight.upstream, response.status, &response.headers);
         in_flight.record_momentary_slowness(&response.headers);
     }
     let is_refused = response.headers.contains_key(&names.not_run)
@@ -234,7 +261,7 @@
     }
 }
 
-fn is_event_stream(response: &UpstreamResponse) -> bool {
+pub(super) fn is_event_stream(response: &UpstreamResponse) -> bool {
     response
         .headers
         .get(http::header::CONTENT_TYPE)
--- a/src/gateway/loads/mod.rs
+++ b/src/gateway/loads/mod.rs
@@ -10,6 +10,7 @@
 mod publisher;
 mod transport;
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -27,12 +28,14 @@
 use crate::log::event;
 use crate::peer::EntryInfo;
 use crate::policy::backpressure::LimitNotice;
+use crate::policy::brittle;
 use crate::policy::crashing_requests;
 use crate::policy::demand;
 use crate::policy::fanout;
 use crate::policy::fanout::Fanout;
 use crate::policy::fanout::Forward;
 use crate::policy::fanout::Peer;
+use crate::policy::reachability;
 use crate::policy::sessions::Assignment;
 use crate::policy::speed;
 
@@ -104,6 +107,10 @@
 struct Update {
     /// Run id of the gateway that published the update.
     run_id: u64,
+    /// Its address for callers.
+    address: SocketAddr,
+    /// Hashes of the services whose upstreams it does not reach.
+    unreachable: Vec<u64>,
     /// Sequence number; increases with each update of a run.
     seq: u64,
     /// Whether `rows` holds all upstreams at which the gateway has requests.
@@ -113,10 +120,13 @@
     /// Sessions assigned to a release since the previous update; a full update repeats all since
     /// the last full one.
     sessions: Vec<Assignment>,
-    /// Upstreams that refused a connection since the previous update, by number.
-    refusing: Vec<Index>,
+    /// Upstreams that refused a connection since the previous update, and those that responded
+    /// though they were reported to be lost.
+    reachability: reachability::Notice,
     /// Limits that upstreams have named or lifted, if one has changed; a full update repeats all.
     limits: Vec<LimitNotice>,
+    /// Brittle upstreams, if there is news; a full update repeats all.
+    brittle: Vec<brittle::Notice>,
     /// Crashes under suspect prompts and the verdicts on these, if there is news; a full update
     /// repeats the verdicts and what is recent.
     quarantines: Vec<ServiceNotice>,
@@ -133,6 +143,10 @@
 struct PeerLoad {
     seq: u64,
     last_received: Duration,
+    /// Its address for callers.
+    address: Option<SocketAddr>,
+    /// Hashes of the services whose upstreams it does not reach.
+    unreachable: Vec<u64>,
     rows: HashMap<Index, Load>,
 }
 
@@ -153,6 +167,9 @@
         }
         peer.seq = update.seq;
         peer.last_received = now;
+        peer.address = Some(update.address);
+        peer.unreachable = update.unreachable;
+        peer.unreachable.truncate(MAX_ROWS);
         if update.is_full {
             for (number, load) in peer.rows.drain() {
                 subtract(&mut self.totals, number, &load);
@@ -185,6 +202,15 @@
         self.gateways.keys().copied()
     }
 
+    /// Returns the addresses for callers of the gateways that reach a service, by its hash.
+    pub(super) fn addresses_reaching(&self, service: u64) -> HashSet<SocketAddr> {
+        let peers = self.gateways.values();
+        peers
+            .filter(|peer| !peer.unreachable.contains(&service))
+            .filter_map(|peer| peer.address)
+            .collect()
+    }
+
     /// Returns whether another gateway is heard of.
     pub(super) fn hears_others(&self) -> bool {
         !self.gateways.is_empty()
@@ -358,13 +384,11 @@
     }
     let now = gateway.now();
     gateway.sessions.borrow_mut().merge(&update.sessions, now);
-    let mut reachability = gateway.reachability.borrow_mut();
-    for &upstream in update.refusing.iter().take(MAX_ROWS) {
-        reachability.record_reported_refusal(upstream, now);
-    }
-    drop(reachability);
+    gateway.apply_reachability_notice(update.run_id, &update.reachability);
     let limits = update.limits.len().min(MAX_ROWS);
     gateway.apply_limit_notices(&update.limits[..limits]);
+    let brittle = update.brittle.len().min(MAX_ROWS);
+    gateway.apply_brittle_notices(&update.brittle[..brittle]);
     let quarantines = update.quarantines.len().min(MAX_ROWS);
     gateway.apply_quarantine_notices(&update.quarantines[..quarantines]);
     gateway.apply_crash_notice(&update.crashing_requests);
--- a/src/gateway/loads/publisher.rs
+++ b/src/gateway/loads/publisher.rs
@@ -8,7 +8,6 @@
 use crate::agreement::Index;
 use crate::collections::HashMap;
 use crate::gateway::Gateway;
-use crate::gateway::speeds::ManagedUpstreams;
 use crate::policy::sessions::Assignment;
 
 /// Tracks what has been published, to send only what has changed.
@@ -19,6 +18,8 @@
     last_full_at: Option<Duration>,
     /// Whether the last update had receivers.
     has_peers: bool,
+    /// Unreachable services of the last update.
+    unreachable: Vec<u64>,
     /// Sessions published since the last full update; the next one repeats them.
     sessions: Vec<Assignment>,
 }
@@ -37,10 +38,18 @@
             || self.last_full_at.is_none_or(|at| now >= at + FULL_INTERVAL);
         self.has_peers = peer_count > 0;
         let loads = gateway.upstreams.borrow().own_loads();
-        let rows = self.rows_to_publish(&loads, is_full, &gateway.managed_upstreams.borrow());
+        let rows = {
+            let managed = gateway.managed_upstreams.borrow();
+            let brittle = gateway.brittle.borrow();
+            let each_counts =
+                |number| managed.is_of_small_service(number) || brittle.contains(number);
+            self.rows_to_publish(&loads, is_full, each_counts)
+        };
         let new_sessions = gateway.sessions.borrow_mut().take_unpublished();
-        let refusing = gateway.reachability.borrow_mut().take_unpublished();
+        let reachability = gateway.reachability.borrow_mut().next_notice(is_full, now);
+        let unreachable = gateway.unreachable_services();
         let limits = gateway.limit_notices(is_full);
+        let brittle = gateway.brittle_notices(is_full);
         let quarantines = gateway.quarantine_notices(is_full);
         let crashing_requests = gateway.crash_notice(is_full);
         let speeds = gateway.speed_notice(is_full, peer_count);
@@ -48,8 +57,10 @@
         let demand_is_due = demand.as_ref().is_some_and(|(_, is_due)| *is_due);
         let has_news = !(rows.is_empty()
             && new_sessions.is_empty()
-            && refusing.is_empty()
+            && reachability.is_empty()
+            && unreachable == self.unreachable
             && limits.is_empty()
+            && brittle.is_empty()
             && quarantines.is_empty()
             && crashing_requests.is_empty()
             && speeds.is_empty()
@@ -58,6 +69,7 @@
             return None;
         }
         self.seq += 1;
+        self.unreachable.clone_from(&unreachable);
         self.sessions.extend_from_slice(&new_sessions);
         let sessions = if is_full {
             self.last_full_at = Some(now);
@@ -71,12 +83,15 @@
         }
         Some(Update {
             run_id: gateway.run_id,
+            address: gateway.info.address,
+            unreachable,
             seq: self.seq,
             is_full,
             rows,
             sessions,
-            refusing,
+            reachability,
             limits,
+            brittle,
             quarantines,
             crashing_requests,
             speeds,
@@ -84,12 +99,13 @@
         })
     }
 
-    /// Returns the rows to publish and records them as published.
+    /// Returns the rows to publish and records them as published. `each_counts` is whether each
+    /// request at an upstream is published.
     fn rows_to_publish(
         &mut self,
         loads: &HashMap<Index, Load>,
         is_full: bool,
-        managed: &ManagedUpstreams,
+        each_counts: impl Fn(Index) -> bool,
     ) -> Vec<(Index, Load)> {
         if is_full {
             self.published.clone_from(loads);
@@ -101,7 +117,7 @@
         let mut rows = Vec::new();
         for (&number, load) in loads {
             let published = self.published.entry(number).or_default();
-            if load.differs_enough(published, managed.is_of_small_service(number)) {
+            if load.differs_enough(published, each_counts(number)) {
                 *published = *load;
                 rows.push((number, *load));
             }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod admission;
 mod attempt;
 mod backpressure;
+mod brittle;
 mod call;
 mod cold_start;
 mod events;
@@ -21,11 +22,14 @@
 mod observations;
 mod open_requests;
 mod quarantine;
+mod reachability;
 mod refusal;
 mod renewal;
+mod replica_list;
 mod response;
 mod retries;
 mod routing;
+mod service_reachability;
 mod speeds;
 mod stop;
 mod stream;
@@ -41,6 +45,7 @@
 
 use snafu::ResultExt;
 use snafu::Snafu;
+use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
@@ -56,6 +61,7 @@
 use crate::clock::Clock;
 use crate::collections::HashMap;
 use crate::collections::Name;
+use crate::config::KeyHash;
 use crate::http_client::ConnectionPool;
 use crate::listen;
 use crate::listen::Connections;
@@ -63,7 +69,9 @@
 use crate::metrics::Metrics;
 use crate::peer::EntryInfo;
 use crate::policy::backpressure::Backpressure;
+use crate::policy::brittle::BrittleUpstreams;
 use crate::policy::crashing_requests::CrashingRequests;
+use crate::policy::lost_responses::LostResponses;
 use crate::policy::prefill::RateEstimator;
 use crate::policy::quarantine::Quarantine;
 use crate::policy::reachability::Reachability;
@@ -71,6 +79,7 @@
 use crate::policy::retry_budget;
 use crate::policy::retry_budget::Share;
 use crate::policy::retry_budget::SlidingWindow;
+use crate::policy::service_reachability::ServiceReachability;
 use crate::policy::sessions::Sessions;
 use crate::policy::speed::Baselines;
 use crate::policy::speed::Speeds;
@@ -108,7 +117,8 @@
     pub state: Vec<SocketAddr>,
     /// Key by which the processes of a deployment authenticate each other.
     pub peer_key: String,
-    /// UDP address on which it receives the other gateways' load updates.
+    /// Address on which it receives the other gateways' load updates, by UDP, and tells them which
+    /// replicas there are, by TCP.
     pub loads_listen: SocketAddr,
     /// Address of the admin listener; `None` disables it.
     pub admin_listen: Option<SocketAddr>,
@@ -155,12 +165,24 @@
     /// The leader's revision of the configuration and when it was received; `None` before the first
     /// grant.
     leader_revision: Cell<Option<(u64, Duration)>>,
+    /// Replicas of the leader's last list.
+    replicas: RefCell<Vec<SocketAddr>>,
     upstreams: RefCell<UpstreamTable>,
     peer_loads: RefCell<PeerLoads>,
     /// Upstreams that refuse connections, as seen by this gateway and the others.
     reachability: RefCell<Reachability>,
+    /// Services whose upstreams this gateway does not reach.
+    services_reached: RefCell<ServiceReachability>,
+    /// Notified when a service has become unreachable.
+    service_lost: Notify,
+    /// Marks a request that another gateway has passed on.
+    pass_on_key: KeyHash,
     /// Limits, pauses and leaves that upstreams have named in their responses.
     backpressure: RefCell<Backpressure>,
+    /// Upstreams that fall over if they reject many requests.
+    brittle: RefCell<BrittleUpstreams>,
+    /// Whether the other gateways have not been told of a change or a rejection there.
+    brittle_changed: Cell<bool>,
     /// Whether a limit has changed that the other gateways have not been told of.
     limits_changed: Cell<bool>,
     /// When in an interval this gateway's turns at limited upstreams begin, from 0 to 1.
@@ -195,6 +217,8 @@
     managed_upstreams: RefCell<ManagedUpstreams>,
     /// Response statistics since the last renewal.
     release_stats: RefCell<HashMap<observations::ReleaseStatsKey, RouteStats>>,
+    /// Requests of which a response was lost that may not count in the statistics.
+    lost_responses: RefCell<LostResponses<observations::ReleaseStatsKey>>,
     rng: RefCell<fastrand::Rng>,
     metrics: Metrics,
     recovery: Recovery,
@@ -246,23 +270,34 @@
     let socket = UdpSocket::bind(address)
         .await
         .context(ListenSnafu { address })?;
+    let peers = TcpListener::bind(address)
+        .await
+        .context(ListenSnafu { address })?;
     let address = cfg.listen;
+    let pass_on_key = exchange::pass_on_key(&cfg.peer_key);
     let id_header = cfg.header_names.attempt_id.clone();
+    let run_id = fastrand::u64(1..);
     let gateway = Rc::new(Gateway {
         recovery: Recovery::new(clock.now()),
         retry_budget_share: RefCell::new(Share::new(cfg.retry_budget, clock.now())),
         cfg,
         clock,
-        run_id: fastrand::u64(1..),
+        run_id,
         info,
         routing: RefCell::default(),
         has_all_gateways: Cell::new(false),
         directory_deadline: Cell::new(None),
         leader_revision: Cell::new(None),
+        replicas: RefCell::default(),
         upstreams: RefCell::default(),
         peer_loads: RefCell::default(),
-        reachability: RefCell::default(),
+        reachability: RefCell::new(Reachability::new(run_id)),
+        services_reached: RefCell::default(),
+        service_lost: Notify::new(),
+        pass_on_key,
         backpressure: RefCell::default(),
+        brittle: RefCell::new(BrittleUpstreams::new(fastrand::f64())),
+        brittle_changed: Cell::new(false),
         limits_changed: Cell::new(false),
         turn_phase: fastrand::f64(),
         quarantines: RefCell::default(),
@@ -280,6 +315,7 @@
         response_times: RefCell::default(),
         managed_upstreams: RefCell::default(),
         release_stats: RefCell::default(),
+        lost_responses: RefCell::default(),
         rng: RefCell::new(fastrand::Rng::new()),
         metrics: Metrics::new(),
         draining_since: Cell::new(None),
@@ -316,7 +352,9 @@
         run = gateway.run_id
     );
     tokio::task::spawn_local(renewal::run(gateway.clone()));
+    tokio::task::spawn_local(replica_list::serve(gateway.clone(), peers));
     tokio::task::spawn_local(sweep(gateway.clone()));
+    tokio::task::spawn_local(service_reachability::run(gateway.clone()));
     tokio::task::spawn_local(loads::run(gateway.clone(), socket));
     if gateway.cfg.admission {
         tokio::task::spawn_local(admission::run(gateway.clone()));
@@ -331,10 +369,12 @@
         let now = gateway.now();
         gateway.sessions.borrow_mut().remove_expired(now);
         gateway.forget_backpressure();
+        gateway.forget_brittle();
         gateway.refresh_cold_starts();
         gateway.refresh_speeds();
         gateway.forget_quarantine_evidence();
         gateway.forget_queues();
+        gateway.forget_unreachable_services();
     }
 }
 
@@ -356,6 +396,12 @@
         self.leader_revision.set(Some((revision, self.now())));
     }
 
+    /// Returns the time since the leader was last heard of; `None` before the first grant.
+    fn leader_silence(&self) -> Option<Duration> {
+        let (_, received_at) = self.leader_revision.get()?;
+        Some(self.now().saturating_sub(received_at))
+    }
+
     /// Returns whether the configuration may be older than one that the leader has acknowledged: a
     /// newer one is known and not received yet, or the leader was not heard of for a while.
     fn may_lag_behind(&self) -> bool {
--- a/src/gateway/renewal.rs
+++ b/src/gateway/renewal.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use super::Gateway;
 use crate::collections::Name;
@@ -35,10 +36,18 @@
 /// this gateway in time.
 const DIRECTORY_UPDATES: usize = 8;
 
+/// Interval between two log lines on the search for a leader.
+const SEARCH_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Interval between two questions to the other gateways which replicas there are.
+const QUESTION_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Sends renewals for as long as the process runs.
 pub(super) async fn run(gateway: Rc<Gateway>) {
     let client = Client::new(&gateway.cfg.peer_key);
-    let leader = LeaderClient::new(client, gateway.cfg.state.clone());
+    let (replicas, clock) = (gateway.cfg.state.clone(), gateway.clock.clone());
+    let leader = LeaderClient::new(client, replicas, clock);
+    let mut next_question_at = Duration::ZERO;
     let mut state = RenewalState {
         update_source: gateway.run_id as usize,
         partial_entries_version: Some(0),
@@ -52,14 +61,23 @@
         let reply = leader.try_call(&Request::Renew(Box::new(renewal))).await;
         let Some(Reply::Grant(grant)) = reply else {
             gateway.restore_release_stats(release_stats);
-            state.mark_disconnected();
+            state.mark_disconnected(&gateway, &leader);
             timing.record_failure();
+            // A large update may have been too much for the leader or the link to it.
+            state.has_silent_source = false;
+            if leader.needs_replicas() && gateway.now() >= next_question_at {
+                next_question_at = gateway.now() + QUESTION_INTERVAL;
+                let (gateway, leader) = (gateway.clone(), leader.clone());
+                tokio::task::spawn_local(async move {
+                    leader.add_reported(gateway.ask_for_replicas().await);
+                });
+            }
             leader.wait_before_retry().await;
             continue;
         };
         timing.record_grant(gateway.now());
         gateway.record_cold_start_grant(sent_at, grant.entries.as_deref());
-        state.apply_grant(&gateway, &leader, *grant);
+        state.apply_grant(&gateway, *grant);
         state.fetch_directory(&gateway, &leader).await;
         state.record_recovery(&gateway);
         state.fetch_config(&gateway, &leader).await;
@@ -138,6 +156,8 @@
     /// Whether an update of the configuration or the directory has been rejected since the last
     /// renewal.
     has_rejected_update: bool,
+    /// Whether a replica asked for an update since the last renewal has not replied.
+    has_silent_source: bool,
     /// The leader's change counter for its list of gateways.
     entries_version: u64,
     /// Version of the incomplete list of the gateways; `None` once the complete one is held.
@@ -146,6 +166,8 @@
     replicas_digest: u32,
     /// Whether the last renewal was granted.
     is_connected: bool,
+    /// When the search for a leader was last logged.
+    search_logged_at: Duration,
 }
 
 impl RenewalState {
@@ -156,7 +178,7 @@
             info: (!self.is_introduced).then(|| gateway.info.clone()),
             acked_revision: self.revision,
             revision: self.revision,
-            max_config_bytes: MAX_GRANTED_CONFIG_BYTES,
+            max_config_bytes: self.max_config_bytes(),
             term: self.term,
             directory_index: self.directory_index,
             loads_version: 0,
@@ -172,6 +194,17 @@
         }
     }
 
+    /// The connections to other replicas than the leader may be idle for long and all have fallen
+    /// silent. To wait for one after another would take too long, so the leader, which has just
+    /// replied, sends the update instead.
+    fn max_config_bytes(&self) -> u32 {
+        if self.has_silent_source && self.revision > 0 {
+            u32::MAX
+        } else {
+            MAX_GRANTED_CONFIG_BYTES
+        }
+    }
+
     /// Returns whether a list of the gateways is held, complete or not.
     fn has_list(&self) -> bool {
         self.partial_entries_version != Some(0)
@@ -190,28 +223,45 @@
         }
     }
 
-    fn mark_disconnected(&mut self) {
-        if self.is_connected {
-            self.is_connected = false;
-            event!(Warn, "state_lost", revision = self.revision);
+    /// Logs that the leader was lost, and at intervals which replicas have been called.
+    fn mark_disconnected(&mut self, gateway: &Gateway, leader: &LeaderClient) {
+        let now = gateway.now();
+        if !self.is_connected && now < self.search_logged_at + SEARCH_LOG_INTERVAL {
+            return;
         }
+        self.is_connected = false;
+        self.search_logged_at = now;
+        let silence = gateway.leader_silence().unwrap_or_default();
+        gateway
+            .metrics
+            .set_gauge("daisyquay_leader_silence_seconds", silence.as_secs_f64());
+        event!(
+            Warn,
+            "state_lost",
+            revision = self.revision,
+            silent_ms = silence.as_millis(),
+            called = leader.log_text()
+        );
     }
 
-    fn apply_grant(&mut self, gateway: &Gateway, leader: &LeaderClient, grant: Grant) {
+    fn apply_grant(&mut self, gateway: &Gateway, grant: Grant) {
         if !self.is_connected {
             self.is_connected = true;
             event!(Info, "state_found", term = grant.term);
+            gateway
+                .metrics
+                .set_gauge("daisyquay_leader_silence_seconds", 0.0);
         }
         gateway.record_phase(Phase::Leader);
         self.has_rejected_update = false;
+        self.has_silent_source = false;
         self.term = grant.term;
         self.is_introduced = !grant.wants_info;
         self.entries_version = grant.entries_version;
         self.replicas_digest = grant.replicas_digest;
         gateway.upstreams.borrow_mut().set_suspects(&grant.suspects);
         if let Some(replicas) = grant.replicas {
-            event!(Info, "replicas_known", replicas = format!("{replicas:?}"));
-            leader.set_replicas(replicas);
+            *gateway.replicas.borrow_mut() = replicas;
         }
         if let Some(entries) = grant.entries {
             self.partial_entries_version = None;
@@ -266,6 +316,7 @@
             };
             let reply = leader.call_replica_at(self.update_source, &request).await;
             let Some(Reply::DirectoryUpdate(update)) = reply else {
+                self.has_silent_source = reply.is_none();
                 self.try_next_source();
                 break;
             };
@@ -309,12 +360,14 @@
     }
 
     /// Fetches the configuration from the replicas in turn, if the leader has a newer one. Gateways
-    /// start at different replicas, which share the load. One that does not reply ends the search
-    /// until after the next renewal, which brings the news of upstreams and must not wait for long,
-    /// unless no configuration is held yet. So does one whose update is rejected.
+    /// start at different replicas, which share the load. One that does not reply, here or when asked
+    /// for the directory, ends the search, unless no configuration is held yet: the next renewal
+    /// brings the update and the news of upstreams, and must not wait for long. One whose update is
+    /// rejected ends the search as well.
     async fn fetch_config(&mut self, gateway: &Gateway, leader: &LeaderClient) {
         for _ in 0..UPDATE_ATTEMPTS {
-            if self.revision >= self.leader_revision {
+            let waits_for_grant = self.has_silent_source && self.revision > 0;
+            if self.revision >= self.leader_revision || waits_for_grant {
                 return;
             }
             let request = Request::ConfigUpdate {
@@ -335,9 +388,7 @@
                 }
                 reply => {
                     self.update_source = self.update_source.wrapping_add(1);
-                    if reply.is_none() && self.revision > 0 {
-                        return;
-                    }
+                    self.has_silent_source = reply.is_none();
                 }
             }
         }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 pub mod backpressure;
+pub mod brittle;
 pub mod cold_start;
 pub mod crashing_requests;
 pub mod demand;
@@ -14,6 +15,7 @@
 pub mod fingerprint;
 pub mod gateway_queue;
 pub mod load_balancing;
+pub mod lost_responses;
 pub mod model_choice;
 pub mod placement;
 pub mod plan;
@@ -25,8 +27,10 @@
 pub mod regions;
 pub mod release_rollout;
 pub mod renewal_timing;
+pub mod replica_search;
 pub mod retry;
 pub mod retry_budget;
+pub mod service_reachability;
 pub mod sessions;
 pub mod slot_allocation;
 pub mod speed;
--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -3,6 +3,7 @@
 #![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 mod backpressure;
+mod brittle;
 mod cold_upstreams;
 mod config_distribution;
 mod crashing_requests;
@@ -11,6 +12,7 @@
 mod fanout;
 mod gateway_queue;
 mod load_balancing;
+mod lost_responses;
 mod models_under_load;
 mod placement;
 mod prefill;
@@ -20,8 +22,10 @@
 mod regions;
 mod release_rollout;
 mod renewals;
+mod replica_search;
 mod retry_budget;
 mod retry_budget_restarts;
+mod service_reachability;
 mod sessions;
 mod stalled_callers;
 mod timeouts;
--- a/tests/process/support/cluster.rs
+++ b/tests/process/support/cluster.rs
@@ -33,7 +33,7 @@
 const OPERATORS: [&str; 2] = ["ann", "bob"];
 
 /// Clusters that run concurrently; the limit keeps a busy machine usable.
-const MAX_RUNNING_CLUSTERS: u32 = 2;
+const MAX_RUNNING_CLUSTERS: u32 = 3;
 
 /// Number of running clusters, and the signal that one has ended.
 static RUNNING_CLUSTERS: (Mutex<u32>, Condvar) = (Mutex::new(0), Condvar::new());
@@ -141,12 +141,26 @@
 
     /// Starts replica `i` with `replicas` in its flag `--replicas`.
     pub(crate) fn start_replica_among(&self, i: usize, replicas: &[SocketAddr]) -> Program {
+        let address = self.replica_addresses[i];
+        self.start_replica_behind(i, address, address, replicas)
+    }
+
+    /// Starts replica `i` on its data folder, which listens on `listen` and is reached at
+    /// `advertised`.
+    pub(crate) fn start_replica_behind(
+        &self,
+        i: usize,
+        listen: SocketAddr,
+        advertised: SocketAddr,
+        replicas: &[SocketAddr],
+    ) -> Program {
         let operators: Vec<String> = OPERATORS
             .iter()
             .map(|name| format!("{name}={:x}", Sha256::digest(format!("key-of-{name}"))))
             .collect();
         let args = flags(&[
-            ("listen", self.replica_addresses[i].to_string()),
+            ("listen", listen.to_string()),
+            ("advertise", advertised.to_string()),
             ("admin-listen", "127.0.0.1:0".to_owned()),
             ("replicas", comma_separated(replicas)),
             ("data", self.data_folder(i).display().to_string()),
@@ -221,6 +235,25 @@
         self.start_replica_among(i, &known_replicas)
     }
 
+    /// Replaces replica `i` by one at another address, with an empty data folder, and waits until it
+    /// votes in the place of the old one.
+    pub(crate) fn replace_replica(&mut self, i: usize) {
+        let (old, new) = (self.replica_addresses[i], free_address());
+        self.replica_addresses[i] = new;
+        self.replicas[i].kill();
+        std::fs::remove_dir_all(self.data_folder(i)).unwrap();
+        self.replicas[i] = self.start_replica(i);
+        eventually("the replica is replaced", || {
+            let status = self.show("status");
+            let members = status["members"].as_array()?;
+            let is_voter = |address: SocketAddr| {
+                let mut members = members.iter();
+                members.any(|m| m[0] == address.to_string() && m[2] == "voter")
+            };
+            (is_voter(new) && !is_voter(old)).then_some(())
+        });
+    }
+
     /// Starts a stand-in that announces itself, and waits until all entries know it.
     pub(crate) fn start_announced_standin(
         &mut self,
