--- a/src/policy/service_reachability.rs
+++ b/src/policy/service_reachability.rs
@@ -199,7 +199,7 @@
     }
 
     /// Returns the unreachable services to which a connection should be opened now, to find out
-    /// whether an upstream accepts it. Its result is due within [`PROBE_LIMIT`].
+    /// whether an upstream accepts it. Its result is due within 4 s.
     pub fn take_due_probes(&mut self, now: Duration) -> Vec<Name> {
         let mut due = Vec::new();
         for (service, row) in &mut self.services {
