Ask gateways in the soak once they have the first change

The trace: a gateway without the first change answers 404 on its route, which the check took for the change that drops it. All its answers after that are those of the first change; within one run a gateway's revision only rises.

Change: the soak begins to ask a gateway once it serves the route of the first change, and fails if it never does.

--- a/tests/process/soak.rs
+++ b/tests/process/soak.rs
@@ -35,6 +35,7 @@
 use crate::support::Findings;
 use crate::support::INVENTORY;
 use crate::support::PartitionProxy;
+use crate::support::Probe;
 use crate::support::Program;
 use crate::support::ReceivedRequest;
 use crate::support::Response;
@@ -771,6 +772,13 @@
     };
     let has_changes = soak.change_rng.is_some();
     let _probed = has_changes.then(|| soak.start_probed_upstreams());
+    // Before its first change a gateway has none of the routes, as if they had been dropped again.
+    for &address in addresses.iter().filter(|_| has_changes) {
+        eventually("the gateway has the first change", || {
+            let probe = Probe::Added(soak.changes);
+            probe.is_obeyed(address, soak.changes).then_some(())
+        });
+    }
     let results = Results::default();
     let (next_number, stop) = (AtomicU64::new(0), AtomicBool::new(false));
     let began = Instant::now();
--- a/tests/process/support/config_record.rs
+++ b/tests/process/support/config_record.rs
@@ -94,6 +94,11 @@
         )
     }
 
+    /// Returns whether a gateway obeys configuration `number`, as far as this request shows.
+    pub(crate) fn is_obeyed(self, address: SocketAddr, number: u64) -> bool {
+        self.send(&mut None, address, "first") == self.answer_under(number)
+    }
+
     /// Sends the request on the connection `caller`, which it opens where there is none.
     fn send(self, caller: &mut Option<Caller>, address: SocketAddr, attempt: &str) -> Answer {
         let (path, headers) = self.request();
