--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -52,7 +52,7 @@
     pub(super) headers: HeaderMap,
     /// The caller's key, for another gateway.
     pub(super) authorization: Option<HeaderValue>,
-    /// What another gateway tells of the request; `None` if it comes from a caller.
+    /// Attempts that the forwarding gateway has made; `None` if the request comes from a caller.
     pub(super) passed_on: Option<PassedOn>,
     pub(super) body: Bytes,
     /// When the request head was received.
--- a/src/gateway/exchange/pass_on.rs
+++ b/src/gateway/exchange/pass_on.rs
@@ -44,7 +44,7 @@
     "unreachable",
 ];
 
-/// What the first gateway tells of a request that it passes on.
+/// Header fields that a gateway adds to a request which it forwards to another gateway.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(in crate::gateway) struct PassedOn {
     /// Attempts in which the request may have run.
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -55,7 +55,7 @@
         if !segments.is_empty() {
             self.update_quarantine(service, Quarantine::record_interruption);
         }
-        // What others report may hold for them only.
+        // Another gateway's reports may describe a fault of its own links.
         let is_known = {
             let reachability = self.reachability.borrow();
             reachability.is_refusing(upstream.number, self.now())
--- a/src/http_client/socket.rs
+++ b/src/http_client/socket.rs
@@ -73,7 +73,7 @@
     let _ = socket.set_tcp_keepalive(&keepalive);
 }
 
-/// What is under way on a connection to an upstream, which decides its user timeout.
+/// State of a connection to an upstream, from which its TCP user timeout follows.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Phase {
     /// Nothing, as far as known.
--- a/src/policy/brittle.rs
+++ b/src/policy/brittle.rs
@@ -57,7 +57,7 @@
     pub rejected_ago: Option<Duration>,
 }
 
-/// What is known of the requests at an upstream.
+/// Slots and requests of an upstream, as one gateway knows them.
 #[derive(Clone, Copy, Debug)]
 pub struct Occupancy {
     /// Its slots.
--- a/src/policy/gateway_queue.rs
+++ b/src/policy/gateway_queue.rs
@@ -137,7 +137,7 @@
     first_token.mul_f64(gain.clamp(0.0, 1.0))
 }
 
-/// What is known of the requests at an upstream.
+/// Slots and requests of an upstream, as one gateway knows them.
 #[derive(Clone, Copy, Debug)]
 pub struct Occupancy {
     /// Its slots.
