Let no process of a case outlive its script

Cause: a gateway that the platform's stand-in started again at the end of case 1 stayed behind, because the fleet had been stopped before.

--- a/review/support.rs
+++ b/review/support.rs
@@ -18,6 +18,7 @@
 use std::process::Stdio;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::TryLockError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -76,12 +77,20 @@
     }
 }
 
+/// The processes that a fleet has started.
+#[derive(Default)]
+struct Processes {
+    running: BTreeMap<String, Child>,
+    /// Whether no further one may be started.
+    is_stopped: bool,
+}
+
 /// A small deployment on loopback addresses: machines with one replica and one gateway each.
 pub struct Fleet {
     pub ips: Vec<String>,
     pub base: u16,
     folder: PathBuf,
-    processes: Mutex<BTreeMap<String, Child>>,
+    processes: Mutex<Processes>,
     pub record: Record,
 }
 
@@ -103,13 +112,23 @@
             }
             let folder = std::env::temp_dir().join(format!("daisyquay-review-{pid}-{attempt}"));
             std::fs::create_dir_all(&folder).expect("temporary folder");
-            return Arc::new(Self {
+            let fleet = Arc::new(Self {
                 ips,
                 base,
                 folder,
                 processes: Mutex::default(),
                 record: record.clone(),
             });
+            // A panic of any thread ends the processes, too.
+            let weak = Arc::downgrade(&fleet);
+            std::panic::set_hook(Box::new(move |panic| {
+                eprintln!("{panic}");
+                if let Some(fleet) = weak.upgrade() {
+                    fleet.stop();
+                }
+                std::process::exit(NOT_RUN);
+            }));
+            return fleet;
         }
         eprintln!("no free ports");
         std::process::exit(NOT_RUN);
@@ -164,18 +183,22 @@
             .open(self.folder.join(format!("{name}.log")))
             .expect("log file");
         command.stdout(log.try_clone().unwrap()).stderr(log);
-        match command.spawn() {
-            Ok(child) => {
-                self.record
-                    .line(&format!("platform starts {name} pid {}", child.id()));
-                self.processes.lock().unwrap().insert(name, child);
-            }
-            Err(e) => {
-                eprintln!("{name} can't be started: {e}; build it first");
-                self.stop();
-                std::process::exit(NOT_RUN);
-            }
+        let mut processes = self.processes.lock().unwrap();
+        if processes.is_stopped {
+            return;
         }
+        let spawned = command.spawn();
+        if let Ok(child) = spawned {
+            let pid = child.id();
+            self.record
+                .line(&format!("platform starts {name} pid {pid}"));
+            processes.running.insert(name, child);
+            return;
+        }
+        drop(processes);
+        eprintln!("{name} can't be started; build it first");
+        self.stop();
+        std::process::exit(NOT_RUN);
     }
 
     /// Starts the replica of a machine; `bootstrap` is that field of its settings.
@@ -217,7 +240,8 @@
 
     /// Kills one of the processes that this fleet started.
     pub fn kill(&self, name: &str) {
-        if let Some(mut child) = self.processes.lock().unwrap().remove(name) {
+        let child = self.processes.lock().unwrap().running.remove(name);
+        if let Some(mut child) = child {
             let _ = child.kill();
             let _ = child.wait();
             self.record.line(&format!("platform kills {name}"));
@@ -228,13 +252,13 @@
     pub fn take_ended(&self) -> Vec<(String, String)> {
         let mut processes = self.processes.lock().unwrap();
         let mut ended = Vec::new();
-        for (name, child) in processes.iter_mut() {
+        for (name, child) in &mut processes.running {
             if let Ok(Some(status)) = child.try_wait() {
                 ended.push((name.clone(), status.to_string()));
             }
         }
         for (name, _) in &ended {
-            processes.remove(name);
+            processes.running.remove(name);
         }
         ended
     }
@@ -251,9 +275,22 @@
 
     /// Ends all processes and removes the temporary folder.
     pub fn stop(&self) {
-        for child in self.processes.lock().unwrap().values_mut() {
-            let _ = child.kill();
-            let _ = child.wait();
+        // The lock may be held by a thread that panics, so it is not waited for without end.
+        for _ in 0..200 {
+            let processes = match self.processes.try_lock() {
+                Ok(processes) => Some(processes),
+                Err(TryLockError::Poisoned(e)) => Some(e.into_inner()),
+                Err(TryLockError::WouldBlock) => None,
+            };
+            if let Some(mut processes) = processes {
+                processes.is_stopped = true;
+                for child in processes.running.values_mut() {
+                    let _ = child.kill();
+                    let _ = child.wait();
+                }
+                break;
+            }
+            thread::sleep(Duration::from_millis(10));
         }
         let _ = std::fs::remove_dir_all(&self.folder);
     }
@@ -596,7 +633,7 @@
     }
 }
 
-fn read_request(reader: &mut BufReader<TcpStream>) -> Option<Received> {
+pub fn read_request(reader: &mut BufReader<TcpStream>) -> Option<Received> {
     let mut line = String::new();
     if reader.read_line(&mut line).ok()? == 0 {
         return None;
