Bound the keep-alive time that an upstream announces

Callers lost their connections without a response, at sound upstreams too, whenever one upstream answered with `Keep-Alive: timeout=`: the gateway that read it ended. The number of seconds became the instant at which the connection expires; from about 9.2e18 s on the addition overflows and panics, and a panic ends the process. Entries use the same pool for their engines.

The announced time counts for an hour at most, so the instant is always one that the clock has.

The two tests of response headers fail without the change (gateway and entry end, `overflow when adding duration to instant`) and pass with it; the two with numbers of callers and announcements pass with and without it.

--- a/src/http_client/pool.rs
+++ b/src/http_client/pool.rs
@@ -25,6 +25,10 @@
 /// Keep-alive time of a connection whose response has no `Keep-Alive: timeout=` parameter.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
 
+/// Longest keep-alive time that is obeyed as announced. It also keeps the instant at which a
+/// connection expires within the range of the clock.
+const MAX_KEEP_ALIVE: Duration = Duration::from_secs(3600);
+
 /// Subtracted from the keep-alive time, so that a request is rarely sent on a connection that the
 /// upstream is about to close.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(500);
@@ -127,6 +131,7 @@
         .map(Duration::from_secs);
     let keep_alive = announced
         .unwrap_or(DEFAULT_KEEP_ALIVE)
+        .min(MAX_KEEP_ALIVE)
         .saturating_sub(KEEP_ALIVE_MARGIN);
     (!keep_alive.is_zero()).then_some(keep_alive)
 }
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -13,6 +13,7 @@
 mod entry_stops;
 mod evacuation;
 mod evacuation_in_transit;
+mod extreme_numbers;
 mod failures;
 mod framing;
 mod gateway;
