Tell an order of its own from a repetition

An order to roll a release out has no id on the wire. Its id was made of service and target, and a change id keeps its first outcome, so the same words were the same order for good: an order for a former release was acknowledged and dropped, a refusal outlived its reason, and another period was refused. A target equal to the latest rollout's counted as a repetition too, also after that was rolled back.

The leader now decides once, by the time since it accepted the last order in the same words, and gives an order of its own the next id of the series. Where it can't tell (it did not accept the earlier one itself and the wall clocks disagree, or a copy may still be on its way), the sender gets 503 and asks again. The ids are in the log, so the decision holds for all replicas. Refusals are not recorded. The commands are those of former builds: a rollout to the target of one that was rolled back follows another that ends at once, in the same batch. Documents of the configuration use the same ids.

Open: a leader of a former build answers as before.

--- a/src/cli/state.rs
+++ b/src/cli/state.rs
@@ -19,6 +19,7 @@
 use super::values;
 use crate::agreement::Settings;
 use crate::replica::Config;
+use crate::replica::DEFAULT_ORDER_RESEND_TIME;
 
 /// The command line of the program.
 pub fn command() -> Command {
@@ -107,6 +108,7 @@
         operators: values(matches, "operators"),
         data_centres: required(matches, "data-centres"),
         snapshot_every: required(matches, "snapshot-every"),
+        order_resend_time: DEFAULT_ORDER_RESEND_TIME,
         settings: Settings::default(),
     }
 }
--- a/src/dev.rs
+++ b/src/dev.rs
@@ -58,6 +58,7 @@
         may_bootstrap: true,
         target_voters: 1,
         snapshot_every: 20_000,
+        order_resend_time: replica::DEFAULT_ORDER_RESEND_TIME,
         data_centres: BTreeSet::new(),
         settings: Settings::default(),
     };
--- a/src/replica/core.rs
+++ b/src/replica/core.rs
@@ -19,6 +19,7 @@
 use super::leader_state::LeaderState;
 use super::leader_state::config_view;
 use super::outbox::Outbox;
+use super::release_orders::ReleaseOrders;
 use super::writer::SyncedBatch;
 use super::writer::WriteJob;
 use super::writer::Writer;
@@ -42,9 +43,14 @@
 use crate::metrics::Metrics;
 use crate::peer::Client;
 use crate::peer::DirectoryUpdate;
+use crate::policy::repetition;
+use crate::policy::repetition::Relation;
 use crate::recovery::Phase;
 use crate::recovery::Recovery;
+use crate::state::AcceptedChange;
 use crate::state::State;
+use crate::state::command::Change;
+use crate::state::command::ChangeOutcome;
 use crate::state::command::Command;
 use crate::state::command::Op;
 use crate::state::command::Outcome;
@@ -64,11 +70,32 @@
 struct Waiter {
     /// Term in which it was proposed: an entry of another term is another command.
     term: Term,
-    /// Whether it is an operator's change.
-    is_change: bool,
+    kind: CommandKind,
     tx: oneshot::Sender<Outcome>,
 }
 
+/// What a pending command is, as far as other requests depend on it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum CommandKind {
+    /// Starts the rollout of a service's release.
+    ReleaseStart,
+    /// Any other change of an operator.
+    Change,
+    Other,
+}
+
+impl CommandKind {
+    fn of(op: &Op) -> Self {
+        match op {
+            Op::Change(request) => match request.change {
+                Change::ReleaseStart { .. } => Self::ReleaseStart,
+                _ => Self::Change,
+            },
+            _ => Self::Other,
+        }
+    }
+}
+
 /// A replica's state, used from one thread.
 pub(super) struct Core {
     pub(super) node: Node,
@@ -83,6 +110,8 @@
     pub(super) disk_bytes: u64,
     pub(super) is_stopping: bool,
     pub(super) target_voters: usize,
+    /// Longest time for which operators send an order without an id again.
+    order_resend_time: Duration,
     /// Data centres named in the settings.
     data_centres: BTreeSet<Name>,
     clock: Arc<dyn Clock>,
@@ -99,6 +128,7 @@
     was_leader: bool,
     metrics: Metrics,
     recovery: Recovery,
+    pub(super) release_orders: ReleaseOrders,
     /// Notified when the first leader since the start is known and can serve.
     leader_found: Rc<Notify>,
     ready: Arc<AtomicBool>,
@@ -130,6 +160,7 @@
             disk_bytes: 0,
             is_stopping: false,
             target_voters: cfg.target_voters,
+            order_resend_time: cfg.order_resend_time,
             data_centres: cfg.data_centres.clone(),
             clock,
             writer,
@@ -141,6 +172,7 @@
             was_leader: false,
             metrics: Metrics::new(),
             recovery: Recovery::new(now),
+            release_orders: ReleaseOrders::new(now),
             leader_found: Rc::default(),
             ready: Arc::default(),
         }
@@ -214,24 +246,64 @@
     /// Returns `None` where this replica is not the leader, is stopping, or has too many pending
     /// commands.
     pub(super) fn propose(&mut self, op: Op) -> Option<oneshot::Receiver<Outcome>> {
+        self.propose_all(vec![op])?.pop()
+    }
+
+    /// Queues commands that follow each other in the log without others between them, as [`propose`]
+    /// does one.
+    ///
+    /// [`propose`]: Self::propose
+    pub(super) fn propose_all(&mut self, ops: Vec<Op>) -> Option<Vec<oneshot::Receiver<Outcome>>> {
         let full = self.pending_commands() >= MAX_PENDING_PROPOSALS;
         if self.node.role() != Role::Leader || full || self.is_stopping {
             return None;
         }
-        let (tx, rx) = oneshot::channel();
-        self.queue.push((op, tx));
+        let mut receivers = Vec::with_capacity(ops.len());
+        for op in ops {
+            let (tx, rx) = oneshot::channel();
+            self.queue.push((op, tx));
+            receivers.push(rx);
+        }
         if self.writer.is_idle() {
             self.flush();
         }
-        Some(rx)
+        Some(receivers)
     }
 
     /// Returns whether an operator's change is queued or proposed here and not yet applied. While
     /// this replica has the leader lease, all changes of former leaders are applied.
     pub(super) fn has_pending_change(&self) -> bool {
-        let mut queued = self.queue.iter();
-        queued.any(|(op, _)| matches!(op, Op::Change(_)))
-            || self.waiters.values().any(|waiter| waiter.is_change)
+        self.pending_kinds().any(|kind| kind != CommandKind::Other)
+    }
+
+    /// Returns the same for the start of a release's rollout.
+    pub(super) fn has_pending_release_start(&self) -> bool {
+        self.pending_kinds()
+            .any(|kind| kind == CommandKind::ReleaseStart)
+    }
+
+    fn pending_kinds(&self) -> impl Iterator<Item = CommandKind> + '_ {
+        let queued = self.queue.iter().map(|(op, _)| CommandKind::of(op));
+        queued.chain(self.waiters.values().map(|waiter| waiter.kind))
+    }
+
+    /// Relates an order to roll a release out to an earlier one in the same words, as the leader.
+    pub(super) fn relate_to_release_order(&self, earlier: &AcceptedChange) -> Relation {
+        let (now, wall_ms) = (self.now(), self.wall_ms());
+        let age = self
+            .release_orders
+            .age(earlier, self.node.term(), now, wall_ms);
+        let relation = repetition::relate(&age, self.order_resend_time);
+        event!(
+            Info,
+            "release_order_in_same_words",
+            earlier = earlier.id,
+            relation = format!("{relation:?}"),
+            known_ms = age.known_for.as_millis(),
+            is_own = age.is_own,
+            wall_ms = age.wall_age.map_or(-1.0, |age| age.as_secs_f64() * 1e3)
+        );
+        relation
     }
 
     /// Returns the number of commands whose outcome a caller waits for.
@@ -249,19 +321,15 @@
         let mut commands = Vec::with_capacity(queue.len());
         let mut senders = Vec::with_capacity(queue.len());
         for (op, tx) in queue {
-            let is_change = matches!(op, Op::Change(_));
+            let kind = CommandKind::of(&op);
             commands.push(Command { at_ms, op }.to_bytes());
-            senders.push((tx, is_change));
+            senders.push((tx, kind));
         }
         let term = self.node.term();
         // If this replica is no longer the leader, the senders are dropped and the receivers fail.
         if let Ok((first, effects)) = self.node.propose(commands, self.clock.now()) {
-            for (i, (tx, is_change)) in senders.into_iter().enumerate() {
-                let waiter = Waiter {
-                    term,
-                    is_change,
-                    tx,
-                };
+            for (i, (tx, kind)) in senders.into_iter().enumerate() {
+                let waiter = Waiter { term, kind, tx };
                 self.waiters.insert(first + i as u64, waiter);
             }
             self.apply_effects(effects);
@@ -332,6 +400,7 @@
         }
         if let Some(snapshot) = &effects.install_snapshot {
             self.state = decode_state(snapshot);
+            self.release_orders = ReleaseOrders::new(self.clock.now());
             self.config_history.record(config_view(&self.state));
         }
         for entry in effects.committed {
@@ -367,7 +436,15 @@
         };
         match Command::from_bytes(data) {
             Some(command) => {
+                let order = release_order(&command.op);
                 let outcome = self.state.apply(entry.index, command);
+                if let Some(id) = order
+                    && matches!(outcome, Outcome::Change(ChangeOutcome::Accepted { .. }))
+                {
+                    let is_own = waiter.as_ref().is_some_and(|w| w.term == entry.term);
+                    let term = is_own.then_some(entry.term);
+                    self.release_orders.record(id, term, self.clock.now());
+                }
                 if self.state.revision > self.config_history.revision() {
                     self.config_history.record(config_view(&self.state));
                 }
@@ -479,6 +556,16 @@
     }
 }
 
+/// Returns the id of a change that starts a release's rollout; `None` for any other command.
+fn release_order(op: &Op) -> Option<Name> {
+    match op {
+        Op::Change(request) if CommandKind::of(op) == CommandKind::ReleaseStart => {
+            Some(request.change_id.clone())
+        }
+        _ => None,
+    }
+}
+
 fn decode_state(snapshot: &Snapshot) -> State {
     if snapshot.data.is_empty() {
         return State::default();
--- a/src/replica/handler.rs
+++ b/src/replica/handler.rs
@@ -19,6 +19,7 @@
 use crate::peer::OperatorChangeReply;
 use crate::peer::Reply;
 use crate::peer::Request;
+use crate::policy::repetition::Relation;
 use crate::state::command::Change;
 use crate::state::command::ChangeOutcome;
 use crate::state::command::ChangeRequest;
@@ -227,6 +228,75 @@
     }
 }
 
+/// What becomes of a change.
+enum Decided {
+    /// Its outcome is known.
+    Outcome(ChangeOutcome),
+    /// It has been proposed.
+    Proposed(oneshot::Receiver<Outcome>),
+}
+
+/// Proposes a change that has an id, unless it was applied or must be refused. Returns a reply where
+/// it has no outcome.
+fn decide_named(core: &Rc<RefCell<Core>>, request: ChangeRequest) -> Result<Decided, Reply> {
+    let recorded = recorded_outcome(&core.borrow(), &request);
+    if let Some(outcome) = recorded {
+        return Ok(Decided::Outcome(outcome));
+    }
+    let refusal = refusal_of_unknown_data_centre(&core.borrow(), &request.change);
+    match refusal {
+        Some(refusal) => Err(refusal),
+        None => submit(core, Op::Change(request)).map(Decided::Proposed),
+    }
+}
+
+/// Decides, as the leader, whether a change that came without an id repeats an earlier one, and
+/// proposes a change of its own. Returns a reply where its sender has to send it again.
+fn decide_unnamed(core: &Rc<RefCell<Core>>, request: ChangeRequest) -> Result<Decided, Reply> {
+    let mut core = core.borrow_mut();
+    if !core.has_leader_lease() {
+        return Err(not_leader(&core));
+    }
+    let is_release_start = matches!(request.change, Change::ReleaseStart { .. });
+    if is_release_start && core.has_pending_release_start() {
+        // Its outcome decides this one.
+        return Err(Reply::OutcomeUnknown);
+    }
+    if let Some(accepted) = core.state.latest_in_same_words(&request) {
+        // A document that was accepted stays accepted, and its number keeps it from being applied
+        // again.
+        let relation = if is_release_start {
+            core.relate_to_release_order(&accepted)
+        } else {
+            Relation::Repetition
+        };
+        match relation {
+            Relation::Repetition => {
+                let revision = accepted.revision;
+                return Ok(Decided::Outcome(ChangeOutcome::Accepted { revision }));
+            }
+            Relation::Unknown => return Err(Reply::OutcomeUnknown),
+            Relation::New => {}
+        }
+    }
+    if let Some(reason) = core.state.refusal_of_unnamed(&request) {
+        event!(
+            Info,
+            "change_refused",
+            who = request.who,
+            change = request.change,
+            reason = reason
+        );
+        let reason = reason.into();
+        return Ok(Decided::Outcome(ChangeOutcome::Refused { reason }));
+    }
+    let (commands, position) = core.state.commands_of_unnamed(request);
+    match core.propose_all(commands) {
+        Some(mut receivers) => Ok(Decided::Proposed(receivers.swap_remove(position))),
+        None => Err(not_leader(&core)),
+    }
+}
+
 async fn apply_change(core: Rc<RefCell<Core>>, who: Name, change: OperatorChange) -> Reply {
     let wait = Duration::from_millis(change.wait_ms).min(MAX_WAIT);
     let change_id = change.change_id.clone();
@@ -244,22 +314,21 @@
         } => Some((data_centre.clone(), *active)),
         _ => None,
     };
-    let recorded = recorded_outcome(&core.borrow(), &request);
-    let outcome = match recorded {
-        Some(outcome) => outcome,
-        None => {
-            if let Some(refusal) = refusal_of_unknown_data_centre(&core.borrow(), &request.change) {
-                return refusal;
-            }
-            let rx = match submit(&core, Op::Change(request)) {
-                Ok(rx) => rx,
-                Err(reply) => return reply,
-            };
+    let is_unnamed = request.change.derived_id().as_ref() == Some(&request.change_id);
+    let decided = if is_unnamed {
+        decide_unnamed(&core, request)
+    } else {
+        decide_named(&core, request)
+    };
+    let outcome = match decided {
+        Ok(Decided::Outcome(outcome)) => outcome,
+        Ok(Decided::Proposed(rx)) => {
             let Ok(Outcome::Change(outcome)) = rx.await else {
                 return Reply::OutcomeUnknown;
             };
             outcome
         }
+        Err(reply) => return reply,
     };
     let revision = core.borrow().state.revision;
     event!(
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -16,6 +16,7 @@
 mod outbox;
 mod quality_publisher;
 mod reaper;
+mod release_orders;
 mod usage;
 mod writer;
 
@@ -25,6 +26,7 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use snafu::ResultExt;
 use snafu::Snafu;
@@ -71,10 +73,16 @@
     pub may_bootstrap: bool,
     /// Data centres that can be evacuated although the directory has no upstream in them.
     pub data_centres: BTreeSet<Name>,
+    /// Longest time for which an operator sends an order without an id again. The same order later
+    /// is one of its own.
+    pub order_resend_time: Duration,
     /// Number of voters to aim at; further replicas stay learners.
     pub target_voters: usize,
 }
 
+/// [`Config::order_resend_time`] of a replica that is not told another one.
+pub const DEFAULT_ORDER_RESEND_TIME: Duration = Duration::from_secs(5);
+
 /// Why the daemon stopped.
 #[derive(Debug, Snafu)]
 pub enum Error {
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -7,6 +7,7 @@
 pub mod query;
 mod releases;
 mod tables;
+mod unnamed_changes;
 
 pub use self::releases::Releases;
 pub use self::releases::ServiceReleases;
@@ -24,3 +25,4 @@
 pub use self::tables::State;
 pub use self::tables::Target;
 pub(crate) use self::tables::is_available;
+pub use self::unnamed_changes::AcceptedChange;
--- a/src/state/releases.rs
+++ b/src/state/releases.rs
@@ -109,6 +109,27 @@
         true
     }
 
+    /// Returns why a rollout can't be started now; `None` if it can, or if it is under way already.
+    pub(super) fn rollout_refusal(
+        &self,
+        service: &str,
+        target: &str,
+        period_ms: u64,
+    ) -> Option<String> {
+        if !(1..=PERIOD_LIMIT_MS).contains(&period_ms) {
+            return Some(format!(
+                "a roll-out takes 1 to {PERIOD_LIMIT_MS} ms; write a time in that range"
+            ));
+        }
+        let active = self.get(service)?.active_rollout()?;
+        (*active.target != *target).then(|| {
+            format!(
+                "a roll-out of {service} to {} is under way; wait until it has ended",
+                active.target
+            )
+        })
+    }
+
     /// Starts a rollout. Idempotent: a target that equals the one of the latest rollout changes
     /// nothing, also after that rollout has ended.
     pub(crate) fn start_rollout(
@@ -118,22 +139,13 @@
         period_ms: u64,
         at_ms: u64,
     ) -> Result<(), String> {
-        if !(1..=PERIOD_LIMIT_MS).contains(&period_ms) {
-            return Err(format!(
-                "a roll-out takes 1 to {PERIOD_LIMIT_MS} ms; write a time in that range"
-            ));
+        if let Some(reason) = self.rollout_refusal(service, target, period_ms) {
+            return Err(reason);
         }
         let releases = self.rows.entry(service.clone()).or_default();
-        if let Some(rollout) = &releases.rollout {
-            if rollout.target == *target {
-                return Ok(());
-            }
-            if releases.active_rollout().is_some() {
-                return Err(format!(
-                    "a roll-out of {service} to {} is under way; wait until it has ended",
-                    rollout.target
-                ));
-            }
+        let latest = releases.rollout.as_ref();
+        if latest.is_some_and(|latest| latest.target == *target) {
+            return Ok(());
         }
         releases.rollout = Some(ServiceRollout {
             target: target.clone(),
--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -22,6 +22,7 @@
 mod regions;
 mod release_rollout;
 mod renewals;
+mod repetition;
 mod replica_search;
 mod retry_budget;
 mod retry_budget_restarts;
--- a/tests/state/main.rs
+++ b/tests/state/main.rs
@@ -7,6 +7,7 @@
 mod evacuations;
 mod full_disk;
 mod releases;
+mod unnamed_changes;
 
 use daisyquay::config::Inventory;
 use daisyquay::config::Service;
