Complete a rollout to the stable release at once

An order for the release that a service runs already was accepted, and about 93 of 100 requests got 503 until nine tenths of the period had passed: all upstreams counted as the new release, which has a share of the traffic in the first stages, and the stable one had none left.

The leader proposes the completion in the batch of commands that begins the rollout, and completes one whose batch was cut off by a change of leaders. Both are commands of former builds.

--- a/src/replica/leader_state.rs
+++ b/src/replica/leader_state.rs
@@ -142,6 +142,12 @@
                 self.rollouts.remove(service);
                 continue;
             };
+            if releases.stable.as_ref() == Some(&rollout.target) {
+                // The command that completes it was lost with its leader.
+                let verdict = Verdict::Advance(Stage::Complete);
+                verdicts.push((service.clone(), rollout.target.clone(), verdict));
+                continue;
+            }
             let observed =
                 self.rollouts
                     .entry(service.clone())
--- a/src/state/unnamed_changes.rs
+++ b/src/state/unnamed_changes.rs
@@ -120,6 +120,7 @@
         let releases = self.releases.get(service);
         let stable = releases.and_then(|releases| releases.stable.as_ref());
         let latest = releases.and_then(|releases| releases.rollout.as_ref());
+        let is_stable = stable == Some(target);
         let set_stage = |target: &Name, stage| Op::SetReleaseStage {
             service: service.clone(),
             target: target.clone(),
@@ -131,7 +132,7 @@
         {
             // A rollout to the target of the latest one changes nothing, also after that has ended.
             // Another one in between, which ends at once, makes it a rollout of its own.
-            let between = stable.filter(|stable| *stable != target).cloned();
+            let between = stable.filter(|_| !is_stable).cloned();
             let between = between.unwrap_or_else(|| format!("not-{target}").into());
             commands.push(Op::Change(ChangeRequest {
                 change_id: format!("{}/supersede", request.change_id).into(),
@@ -144,8 +145,11 @@
             }));
             commands.push(set_stage(&between, Stage::RolledBack));
         }
+        // The release that has the traffic needs no stages, in which it would get a share only.
+        let completion = is_stable.then(|| set_stage(target, Stage::Complete));
         let position = commands.len();
         commands.push(Op::Change(request));
+        commands.extend(completion);
         (commands, position)
     }
 }
--- a/tests/state/unnamed_changes.rs
+++ b/tests/state/unnamed_changes.rs
@@ -152,6 +152,38 @@
     }
 }
 
+/// Guards against stages of a rollout to the release that has the traffic already.
+#[test]
+fn order_for_the_stable_release_is_complete_at_once() {
+    let mut machine = machine();
+    for _ in 0..2 {
+        order(&mut machine, "v1", 1000);
+        assert_eq!(
+            releases(&machine),
+            expected("v1", Stage::Complete, 1000, "v1")
+        );
+    }
+    order(&mut machine, "v2", 1000);
+    set_stage(&mut machine, "v2", Stage::RolledBack);
+    order(&mut machine, "v1", 2000);
+    assert_eq!(
+        releases(&machine),
+        expected("v1", Stage::Complete, 2000, "v1")
+    );
+    // A rollout to the stable release that a former build began may have been rolled back.
+    machine.change("old", rollout("v2", 1000).change);
+    set_stage(&mut machine, "v2", Stage::Complete);
+    machine.change("older", rollout("v1", 1000).change);
+    set_stage(&mut machine, "v1", Stage::RolledBack);
+    machine.change("oldest", rollout("v2", 1000).change);
+    set_stage(&mut machine, "v2", Stage::RolledBack);
+    order(&mut machine, "v2", 3000);
+    assert_eq!(
+        releases(&machine),
+        expected("v2", Stage::Complete, 3000, "v2")
+    );
+}
+
 /// Guards against a refusal that is recorded, and so repeated for good, and against an order whose
 /// period is dropped.
 #[test]
