Bound the memory of all responses that are being read

A faulty upstream that sends bytes without end to many callers used up a small VM's memory: each response was bounded (8 MiB a body, 1 MiB an event), all together were not, and with the process all its requests end. All responses of a gateway now hold 16 MiB together while they are read. Beyond that the largest is given up, one that says how long it is after those that may have no end; its request is repeated like one whose upstream broke off. A body whose length exceeds the limit is not read at all, the body of a refusal up to 64 KiB only, and the end of an event is searched once in each byte, not in the whole buffer with each chunk.

--- a/src/engine/client.rs
+++ b/src/engine/client.rs
@@ -20,6 +20,10 @@
 /// Largest response body of a call.
 const BODY_LIMIT_BYTES: usize = 64 * 1024;
 
+/// Most memory that all responses of one thread hold while they are read, in bytes: two of the largest
+/// that the relay takes.
+const HELD_LIMIT_BYTES: usize = 128 * 1024 * 1024;
+
 /// A connection pool, and the ids of the calls over it.
 pub(super) struct Client {
     pub(super) connections: ConnectionPool,
@@ -29,7 +33,8 @@
 impl Client {
     /// Creates a client, whose expired connections the current thread's runtime closes.
     pub(super) fn new() -> Self {
-        let connections = ConnectionPool::new(HeaderName::from_static(ATTEMPT_HEADER));
+        let connections =
+            ConnectionPool::new(HeaderName::from_static(ATTEMPT_HEADER), HELD_LIMIT_BYTES);
         tokio::task::spawn_local(sweep(connections.clone()));
         Self {
             connections,
--- a/src/engine/http.rs
+++ b/src/engine/http.rs
@@ -92,6 +92,12 @@
 struct ResponseBody(Option<UpstreamResponse>);
 
 impl Chunks for ResponseBody {
+    fn hold(&self, bytes: usize) -> Result<(), AttemptError> {
+        let response = self.0.as_ref();
+        let held = response.map_or(Ok(()), |response| response.hold(bytes));
+        held.map_err(classify)
+    }
+
     fn next(&mut self) -> LocalFuture<'_, Option<Result<Bytes, AttemptError>>> {
         Box::pin(async move {
             match self.0.as_mut()?.next_chunk().await {
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -64,6 +64,13 @@
 pub(crate) trait Chunks {
     /// Reads the next chunk; `None` at the end of a complete body.
     fn next(&mut self) -> LocalFuture<'_, Option<Result<Bytes, AttemptError>>>;
+
+    /// Records how many bytes of the body the reader holds.
+    ///
+    /// # Errors
+    ///
+    /// All responses of the process hold too much together, and this one is given up.
+    fn hold(&self, bytes: usize) -> Result<(), AttemptError>;
 }
 
 /// Sends attempts to upstreams. Dropping a [`Response`] cancels its attempt.
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -212,7 +212,7 @@
         || response.status == StatusCode::MISDIRECTED_REQUEST;
     if is_refused {
         // The body is discarded, but the connection can be reused once it is read.
-        let _ = response.read_to_end(RESPONSE_BODY_LIMIT_BYTES).await;
+        response.discard().await;
         return AttemptOutcome::NotRun("refused by the upstream");
     }
     if !response.headers.contains_key(&names.signature) {
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -10,6 +10,9 @@
 #[derive(Debug, Default)]
 pub(super) struct Events {
     buf: Vec<u8>,
+    /// Length of the part of the buffer that holds no end of an event, so that an event without end
+    /// is not searched again with each chunk.
+    searched: usize,
     last_id: Option<u64>,
     sent: u64,
     /// Whether the next event is the first one of an upstream that resumes the stream.
@@ -33,8 +36,10 @@
         }
         self.buf.extend_from_slice(chunk);
         if self.is_resuming
-            && let Some(end) = memmem::find(&self.buf, b"\n\n")
+            && let begin = self.searched.saturating_sub(1)
+            && let Some(end) = memmem::find(&self.buf[begin..], b"\n\n")
         {
+            let end = begin + end;
             if !self.goes_on_with(&self.buf[..end]) {
                 return Err("resumed stream does not go on after the last event");
             }
@@ -57,7 +62,13 @@
     /// Removes and returns all complete events, with the blank lines after them; `None` if there
     /// are none.
     pub(super) fn take_complete(&mut self) -> Option<Bytes> {
-        let end = memmem::rfind(&self.buf, b"\n\n")? + 2;
+        let begin = self.searched.saturating_sub(1);
+        let Some(end) = memmem::rfind(&self.buf[begin..], b"\n\n") else {
+            self.searched = self.buf.len();
+            return None;
+        };
+        let end = begin + end + 2;
+        self.searched = 0;
         let complete = Bytes::copy_from_slice(&self.buf[..end]);
         self.buf.drain(..end);
         for line in complete.split(|&b| b == b'\n') {
@@ -69,6 +80,11 @@
         Some(complete)
     }
 
+    /// Returns the number of buffered bytes.
+    pub(super) fn buffered(&self) -> usize {
+        self.buf.len()
+    }
+
     /// Returns whether no part of an incomplete event is buffered.
     pub(super) fn is_at_boundary(&self) -> bool {
         self.buf.is_empty()
@@ -77,6 +93,7 @@
     /// Discards an incomplete event; the next upstream sends it again from its start.
     pub(super) fn resume(&mut self) {
         self.buf.clear();
+        self.searched = 0;
         self.is_resuming = true;
     }
 
--- a/src/gateway/exchange/pass_on.rs
+++ b/src/gateway/exchange/pass_on.rs
@@ -280,7 +280,7 @@
         };
         if response.headers.contains_key(PASSED_ON) {
             // The connection can be reused once the body is read.
-            let _ = response.read_to_end(RESPONSE_BODY_LIMIT_BYTES).await;
+            response.discard().await;
             return Outcome::NotTaken("refused by the other gateway");
         }
         if is_event_stream(&response) && response.status.is_success() {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -104,6 +104,10 @@
 /// Interval between sweeps for expired connections and sessions.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Most memory that all responses hold while they are read, in bytes: two of the largest ones. It
+/// leaves the smallest VMs the rest for connections, requests and unwritten responses.
+const HELD_RESPONSES_LIMIT_BYTES: usize = 2 * attempt::RESPONSE_BODY_LIMIT_BYTES;
+
 /// Settings of a gateway.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -306,7 +310,7 @@
         sessions: RefCell::default(),
         load_changed: Notify::new(),
         admission: Admission::default(),
-        connections: ConnectionPool::new(id_header),
+        connections: ConnectionPool::new(id_header, HELD_RESPONSES_LIMIT_BYTES),
         retry_budgets: RefCell::default(),
         exhausted_budgets: RefCell::default(),
         prefill_rates: RefCell::default(),
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -124,6 +124,10 @@
                 if self.exchange.gateway().now() >= self.progress.began_at + PROGRESS_TIME {
                     self.record_progress();
                 }
+                if let Some(response) = &self.upstream_response {
+                    // One that was given up meanwhile ends with its next chunk.
+                    let _ = response.hold(self.events.buffered());
+                }
                 return Step::Events(events);
             }
             let time_left = self.time_left();
@@ -193,7 +197,7 @@
 
     fn push_chunk(&mut self, chunk: Option<Result<bytes::Bytes, RequestError>>) -> ChunkResult {
         match chunk {
-            Some(Ok(chunk)) => match self.events.push(&chunk) {
+            Some(Ok(chunk)) => match self.push_events(&chunk) {
                 Ok(()) => ChunkResult::Events,
                 Err(reason) => ChunkResult::Broken(reason),
             },
@@ -208,6 +212,13 @@
         }
     }
 
+    fn push_events(&mut self, chunk: &[u8]) -> Result<(), &'static str> {
+        self.events.push(chunk)?;
+        let response = self.upstream_response.as_ref();
+        let held = response.map_or(Ok(()), |response| response.hold(self.events.buffered()));
+        held.map_err(RequestError::reason)
+    }
+
     /// Resumes the stream at `first` or another upstream; returns whether that succeeded.
     async fn resume(&mut self, reason: &'static str, first: Option<Upstream>) -> bool {
         // Dropping the response cancels the request at the old upstream before another one resumes.
--- a/src/http_client/mod.rs
+++ b/src/http_client/mod.rs
@@ -9,6 +9,7 @@
 //! on its connection; such a connection is not used again. A request whose id an upstream may have
 //! received before goes over a new connection.
 
+mod held;
 mod pool;
 mod socket;
 
@@ -31,6 +32,7 @@
 pub use self::socket::UpstreamStream;
 pub(crate) use self::socket::configure_accepted_socket;
 
+use self::held::Held;
 use self::pool::PooledConnection;
 
 /// Why a request has no response, or only part of one.
@@ -66,10 +68,14 @@
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
     is_framed: bool,
+    held: Held,
     body: Incoming,
     connection: PooledConnection,
 }
 
+/// Most bytes of a body that is not used which are read so that the connection can be used again.
+const DISCARD_LIMIT_BYTES: usize = 64 * 1024;
+
 impl UpstreamResponse {
     /// Returns whether the response has a length or chunks, rather than to end with its connection.
     pub(crate) fn is_framed(&self) -> bool {
@@ -80,7 +86,12 @@
     /// with the connection, an unclean close is an error.
     pub(crate) async fn next_chunk(&mut self) -> Option<Result<Bytes, RequestError>> {
         loop {
-            match self.body.frame().await? {
+            let frame = tokio::select! {
+                biased;
+                e = self.held.given_up() => return Some(Err(e)),
+                frame = self.body.frame() => frame,
+            };
+            match frame? {
                 Ok(frame) => {
                     if let Ok(data) = frame.into_data() {
                         return Some(Ok(data));
@@ -93,24 +104,49 @@
         }
     }
 
+    /// Records how many bytes of the body the reader holds, without those that it has passed on.
+    ///
+    /// # Errors
+    ///
+    /// All responses together hold too much, and this one is given up.
+    pub(crate) fn hold(&self, bytes: usize) -> Result<(), RequestError> {
+        self.held.set(bytes)
+    }
+
     /// Reads the whole body, up to `limit` bytes, and returns the connection to the pool.
     pub(crate) async fn read_to_end(
         mut self,
         limit: usize,
     ) -> Result<(ResponseHead, Bytes), RequestError> {
+        let too_large = RequestError::Interrupted("response body exceeds the size limit");
+        if self.body.size_hint().lower() > limit as u64 {
+            return Err(too_large);
+        }
         let mut buf = bytes::BytesMut::new();
         while let Some(chunk) = self.next_chunk().await {
             let chunk = chunk?;
             if buf.len() + chunk.len() > limit {
-                return Err(RequestError::Interrupted(
-                    "response body exceeds the size limit",
-                ));
+                return Err(too_large);
             }
+            self.hold(buf.len() + chunk.len())?;
             buf.extend_from_slice(&chunk);
         }
         Ok((self.release_connection(), buf.freeze()))
     }
 
+    /// Reads and drops the body and returns the connection to the pool. Closes the connection of a
+    /// large body.
+    pub(crate) async fn discard(mut self) {
+        let mut discarded = 0;
+        while let Some(chunk) = self.next_chunk().await {
+            discarded += match chunk {
+                Ok(chunk) if discarded + chunk.len() <= DISCARD_LIMIT_BYTES => chunk.len(),
+                _ => return,
+            };
+        }
+        self.release_connection();
+    }
+
     /// Returns the connection to the pool. The whole body must have been read.
     pub(crate) fn release_connection(self) -> ResponseHead {
         self.connection.release(&self.headers);
@@ -167,9 +203,11 @@
                         }
                         connection.close_after_response();
                     }
+                    let has_length = body.size_hint().exact().is_some();
                     return Ok(UpstreamResponse {
+                        held: self.held.open(has_length),
                         version: head.version,
-                        is_framed: body.size_hint().exact().is_some() || is_chunked(&head.headers),
+                        is_framed: has_length || is_chunked(&head.headers),
                         status: head.status,
                         headers: head.headers,
                         body,
--- a/src/http_client/pool.rs
+++ b/src/http_client/pool.rs
@@ -18,6 +18,7 @@
 use tokio::time::Instant;
 
 use super::RequestError;
+use super::held::HeldMemory;
 use super::socket::UpstreamStream;
 use crate::collections::HashMap;
 use crate::policy::lost_responses::Reached;
@@ -63,6 +64,7 @@
 pub(crate) struct ConnectionPool {
     /// Header with the id of a request, which upstreams echo in its response.
     pub(super) id_header: HeaderName,
+    pub(super) held: HeldMemory,
     idle: IdleConnections,
 }
 
@@ -137,10 +139,12 @@
 }
 
 impl ConnectionPool {
-    /// Creates a pool for requests whose id is in the header `id_header`.
-    pub(crate) fn new(id_header: HeaderName) -> Self {
+    /// Creates a pool for requests whose id is in the header `id_header`. All responses hold at most
+    /// `held_limit` bytes together while they are read.
+    pub(crate) fn new(id_header: HeaderName, held_limit: usize) -> Self {
         Self {
             id_header,
+            held: HeldMemory::new(held_limit),
             idle: IdleConnections::default(),
         }
     }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -6,6 +6,7 @@
 pub mod admission;
 pub mod backpressure;
 pub mod brittle;
+pub mod buffer_budget;
 pub mod cold_start;
 pub mod crashing_requests;
 pub mod demand;
--- a/src/relay/chat.rs
+++ b/src/relay/chat.rs
@@ -359,6 +359,8 @@
             if body.len() + chunk.len() > MAX_RESPONSE_BYTES {
                 return Err("the response exceeds the size limit");
             }
+            let held = chunks.hold(body.len() + chunk.len());
+            held.map_err(|_| "responses hold too much memory")?;
             body.extend_from_slice(&chunk);
         }
         Ok(body)
--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -4,6 +4,7 @@
 
 mod backpressure;
 mod brittle;
+mod buffer_budget;
 mod cold_upstreams;
 mod config_distribution;
 mod crashing_requests;
--- a/tests/process/framing.rs
+++ b/tests/process/framing.rs
@@ -202,3 +202,162 @@
         assert!(peak_kb < MEMORY_LIMIT_KB, "{path}: {peak_kb} kB");
     }
 }
+
+/// How an upstream sends bytes without end.
+#[derive(Clone, Copy, Debug)]
+enum Endless {
+    /// A body that would end with its connection.
+    Unframed,
+    /// A body with a length that never comes.
+    Length,
+    /// Chunks.
+    Chunks,
+    /// One chunk.
+    Chunk,
+    /// An event of a stream.
+    Event,
+    /// The body of a response that says that the request has not run.
+    Refusal,
+    /// A failure's body.
+    Failure,
+    /// A head.
+    Head,
+}
+
+impl Endless {
+    /// Returns the beginning of the response, and what follows it without end.
+    fn script(self, seen: &ReceivedRequest) -> (String, String) {
+        let piece = "x".repeat(16 * 1024);
+        let head = |status: &str, lines: &str| {
+            format!(
+                "HTTP/1.1 {status}\r\ndaisyquay-attempt: {}\r\n{lines}\r\n",
+                seen.attempt_id()
+            )
+        };
+        let signed = |lines: &str| head("200 OK", &format!("daisyquay-signature: s\r\n{lines}"));
+        match self {
+            Self::Unframed => (signed(""), piece),
+            Self::Length => (signed("content-length: 9000000000000000000\r\n"), piece),
+            Self::Chunks => (
+                signed("transfer-encoding: chunked\r\n"),
+                crate::support::chunk(&piece),
+            ),
+            Self::Chunk => (
+                signed("transfer-encoding: chunked\r\n") + "7fffffffffffffff\r\n",
+                piece,
+            ),
+            Self::Event => (signed("content-type: text/event-stream\r\n"), piece),
+            Self::Refusal => (
+                head("503 Service Unavailable", "daisyquay-not-run: 1\r\n"),
+                piece,
+            ),
+            Self::Failure => (
+                head("500 Internal Server Error", "daisyquay-signature: s\r\n"),
+                piece,
+            ),
+            Self::Head => ("HTTP/1.1 200 OK\r\n".to_owned(), piece),
+        }
+    }
+}
+
+/// Sends requests from many callers at once, one after the other; returns how many were served and
+/// how many were not.
+fn send_from_many(address: SocketAddr, path: &'static str) -> (usize, usize) {
+    const CALLERS: usize = 150;
+    const REQUESTS: usize = 12;
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|caller| {
+            thread::spawn(move || {
+                let ids = (0..REQUESTS).map(|i| format!("c{caller}-{i}"));
+                let served = ids.filter(|id| {
+                    let reply = call(address, path, id);
+                    reply.is_some_and(|reply| reply.status == 200 && !reply.is_truncated)
+                });
+                served.count()
+            })
+        })
+        .collect();
+    let served = callers.into_iter().map(|caller| caller.join().unwrap());
+    let served = served.sum();
+    (served, CALLERS * REQUESTS - served)
+}
+
+/// Guards against responses that are bounded one by one and use up the memory together: one upstream
+/// of four sends bytes without end to each of many callers.
+#[test]
+fn responses_without_end_to_many_callers_stay_within_the_memory_of_a_small_vm() {
+    for (path, endless) in [
+        ("/lookup/a", Endless::Unframed),
+        ("/lookup/a", Endless::Length),
+        ("/lookup/a", Endless::Chunks),
+        ("/lookup/a", Endless::Chunk),
+        ("/lookup/a", Endless::Refusal),
+        ("/lookup/a", Endless::Failure),
+        ("/lookup/a", Endless::Head),
+        ("/notes/a", Endless::Event),
+    ] {
+        let faulty = Upstream::start(move |seen, out| {
+            let (begin, piece) = endless.script(seen);
+            write(out, &begin);
+            write_without_end(out, &piece);
+            false
+        });
+        let sound = || {
+            Upstream::start(move |seen, out| {
+                if seen.request_line.contains("/notes/") {
+                    write(out, &unframed_head(seen, "text/event-stream"));
+                    write(out, &sse_event(1));
+                    return false;
+                }
+                write(out, &ok_response(seen, "tile"))
+            })
+        };
+        let others = [sound(), sound(), sound()];
+        let mut setup = Setup::new(&[&faulty, &others[0], &others[1], &others[2]]);
+        let (served, not_served) = send_from_many(setup.address, path);
+        let peak_kb = setup.gateway.peak_memory_kb();
+        println!(
+            "{endless:?}: {served} served, {not_served} not, {} at the faulty upstream, {peak_kb} kB",
+            faulty.received().len()
+        );
+        assert_eq!(setup.gateway.try_exit_code(), None, "{endless:?}");
+        assert!(peak_kb < MEMORY_LIMIT_KB, "{endless:?}: {peak_kb} kB");
+        assert!(!faulty.received().is_empty(), "{endless:?}");
+        // A request that is broken off more often than its route allows is not served.
+        assert!(not_served * 50 <= served, "{endless:?}: {not_served}");
+    }
+}
+
+/// Guards against a sound response that is given up for faulty ones: it says how long it is, and they
+/// may have no end.
+#[test]
+fn large_response_is_read_beside_responses_without_end() {
+    let large = "y".repeat(4 * 1024 * 1024);
+    let body = large.clone();
+    let upstream = Upstream::start(move |seen, out| {
+        if seen.request_line.contains("/lookup/large") {
+            return write(out, &ok_response(seen, &body));
+        }
+        write(out, &unframed_head(seen, "text/plain"));
+        write_without_end(out, &"x".repeat(16 * 1024));
+        false
+    });
+    let setup = Setup::new(&[&upstream]);
+    let address = setup.address;
+    let faulty: Vec<_> = (0..40)
+        .map(|i| thread::spawn(move || call(address, "/hold/a", &format!("faulty-{i}"))))
+        .collect();
+    let replies: Vec<_> = (0..3)
+        .map(|i| call(address, "/lookup/large", &format!("large-{i}")))
+        .collect();
+    for reply in replies {
+        let reply = reply.unwrap();
+        assert_eq!((reply.status, reply.body.len()), (200, large.len()));
+    }
+    for reply in faulty {
+        // It may have run, so it must not be reported as not run.
+        let reply = reply.join().unwrap().unwrap();
+        assert!(matches!(reply.status, 502 | 504), "{}", reply.body);
+    }
+    assert!(setup.gateway.peak_memory_kb() < MEMORY_LIMIT_KB);
+}
