--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -27,6 +27,7 @@
 mod regions;
 mod replacement;
 mod replica_stops;
+mod request_bodies;
 mod response_identity;
 mod retry_budget;
 mod sessions;
