Don't relay a response without a body as a stream

A 204 with the media type of streams, as an upstream gives it to a resumed stream of which nothing is left, was followed by `0\r\n\r\n`, and the caller's next response on that connection could not be read. Any success of that media type was relayed as a stream, and the server writes the end of a streamed body as a last chunk, though the head of a 204 announces none.

A response whose status has no body is no stream. It is read, which takes nothing, and passed on whole.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -261,11 +261,18 @@
     }
 }
 
+/// Returns whether a response is a stream of events. One whose status permits no body is none: its
+/// caller would take the end of a streamed body for the next response.
 pub(super) fn is_event_stream(response: &UpstreamResponse) -> bool {
-    response
-        .headers
-        .get(http::header::CONTENT_TYPE)
-        .is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"))
+    let has_no_body = matches!(
+        response.status,
+        StatusCode::NO_CONTENT | StatusCode::RESET_CONTENT | StatusCode::NOT_MODIFIED
+    );
+    !has_no_body
+        && response
+            .headers
+            .get(http::header::CONTENT_TYPE)
+            .is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"))
 }
 
 fn build_request(
--- a/tests/process/framing.rs
+++ b/tests/process/framing.rs
@@ -361,3 +361,73 @@
     }
     assert!(setup.gateway.peak_memory_kb() < MEMORY_LIMIT_KB);
 }
+
+/// Sends requests over one connection, the next one after a pause; returns all bytes received.
+fn raw_exchange(address: SocketAddr, requests: &[String]) -> String {
+    let mut connection = TcpStream::connect(address).unwrap();
+    let mut reader = connection.try_clone().unwrap();
+    let text = thread::spawn(move || {
+        let mut text = String::new();
+        let _ = std::io::Read::read_to_string(&mut reader, &mut text);
+        text
+    });
+    for request in requests {
+        connection.write_all(request.as_bytes()).unwrap();
+        thread::sleep(Duration::from_millis(500));
+    }
+    connection.shutdown(std::net::Shutdown::Both).unwrap();
+    text.join().unwrap()
+}
+
+/// Guards against bytes after a response that has no body, which a caller takes for the next
+/// response: the end of a streamed body.
+#[test]
+fn response_without_a_body_is_followed_by_the_next_response() {
+    for (method, status) in [
+        ("GET", "204 No Content"),
+        ("GET", "205 Reset Content"),
+        ("GET", "304 Not Modified"),
+        ("HEAD", "200 OK"),
+    ] {
+        let upstream = Upstream::start(move |seen, out| {
+            if !seen.request_line.contains("/notes/") {
+                return write(out, &ok_response(seen, "tile"));
+            }
+            let id = seen.attempt_id();
+            let length = if status.starts_with("205") {
+                "content-length: 0\r\n"
+            } else {
+                ""
+            };
+            let head = format!(
+                "HTTP/1.1 {status}\r\ndaisyquay-attempt: {id}\r\ndaisyquay-signature: s\r\n\
+                 content-type: text/event-stream\r\n{length}\r\n"
+            );
+            write(out, &head)
+        });
+        let setup = Setup::new(&[&upstream]);
+        let request = |method: &str, path: &str, id: &str| {
+            let (name, key) = AUTH_HEADER;
+            format!(
+                "{method} {path} HTTP/1.1\r\nhost: previews.example\r\n{name}: {key}\r\n\
+                 daisyquay-attempt: {id}\r\ndaisyquay-deadline-ms: 4000\r\n\r\n"
+            )
+        };
+        let requests = [
+            request(method, "/notes/a", "first"),
+            request("GET", "/lookup/a", "second"),
+        ];
+        let text = raw_exchange(setup.address, &requests);
+        let (first, rest) = text.split_once("\r\n\r\n").unwrap();
+        assert!(
+            first.starts_with(&format!("HTTP/1.1 {}", &status[..3])),
+            "{text}"
+        );
+        assert!(first.contains("daisyquay-signature: s"), "{text}");
+        assert!(
+            rest.starts_with("HTTP/1.1 200"),
+            "{method} {status}: {rest}"
+        );
+        assert!(rest.ends_with("tile"), "{method} {status}: {rest}");
+    }
+}
