Spare small responses when others hold all the memory

Reading the diff showed a case that no test had: with large responses of known length at the limit, every stream that held a part of an event was given up before them, since it may have no end. The new test has 20 such streams beside two large responses: the larger one is given up, and no stream.

--- a/src/policy/buffer_budget.rs
+++ b/src/policy/buffer_budget.rs
@@ -8,6 +8,10 @@
 
 use crate::collections::HashMap;
 
+/// Part of the limit, as a divisor, below which a response that may have no end is no more likely to be
+/// faulty than another: it may be a stream that has just received a part of an event.
+const SMALL_DIVISOR: usize = 256;
+
 /// Memory that a response holds.
 #[derive(Clone, Copy, Debug)]
 struct Row {
@@ -58,8 +62,8 @@
         while self.used > self.limit {
             let rows = self.rows.iter();
             let largest = rows.max_by_key(|(number, row)| {
-                let may_have_no_end = !row.has_length && row.bytes > 0;
-                (may_have_no_end, row.bytes, Reverse(**number))
+                let is_small = row.bytes <= self.limit / SMALL_DIVISOR;
+                (!row.has_length && !is_small, row.bytes, Reverse(**number))
             });
             let Some(number) = largest.map(|(&number, _)| number) else {
                 break;
--- a/tests/load/buffer_budget.rs
+++ b/tests/load/buffer_budget.rs
@@ -49,6 +49,20 @@
     assert_eq!(budget.used(), 0);
 }
 
+/// Guards against streams that are given up for large responses, which hold all the memory.
+#[test]
+fn response_that_holds_little_is_not_given_up_for_large_ones() {
+    let mut budget = BufferBudget::new(LIMIT);
+    let streams: Vec<u64> = (0..20).map(|_| budget.open(false)).collect();
+    for number in &streams {
+        assert!(budget.hold(*number, 3).is_empty());
+    }
+    let (first, second) = (budget.open(true), budget.open(true));
+    assert!(budget.hold(first, 600).is_empty());
+    assert_eq!(budget.hold(second, 500), [first]);
+    assert_eq!(budget.used(), 560);
+}
+
 /// Guards against a sum that drifts from what the responses hold.
 #[test]
 fn memory_is_free_again_when_responses_end() {
