Revert "Bound the memory of all request bodies"

This reverts. I had run only the tests of framing beside it. 24 MiB for all is less than callers may have sent so far; the bound needs a place for them to wait. Open again: 30 bodies of 4 MiB hold 138 MB.

--- a/src/entry/handlers.rs
+++ b/src/entry/handlers.rs
@@ -91,7 +91,6 @@
             let message = format!("the body is larger than {limit} bytes; send a smaller one");
             Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", message)
         }
-        BodyError::NoRoom => Refusal::busy(Duration::from_secs(1)),
     })
 }
 
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -19,7 +19,6 @@
 use super::headers::HOP_BY_HOP;
 use super::headers::HeaderNames;
 use super::headers::PASSED_ON;
-use super::held_bodies::HeldBody;
 use super::refusal::Refusal;
 use super::routing::RoutingTable;
 use crate::collections::Name;
@@ -56,8 +55,6 @@
     /// Attempts that the forwarding gateway has made; `None` if the request comes from a caller.
     pub(super) passed_on: Option<PassedOn>,
     pub(super) body: Bytes,
-    /// Counts the body until the request has ended.
-    _held: Option<Rc<HeldBody>>,
     /// When the request head was received.
     pub(super) received_at: Duration,
     /// When the caller must have the final response.
@@ -144,7 +141,6 @@
             path_and_query: path_and_query.into(),
             route,
             body: Bytes::new(),
-            _held: None,
             fingerprints: OnceCell::new(),
         })
     }
@@ -162,12 +158,8 @@
     }
 
     /// Returns the call with its body.
-    pub(super) fn with_body(self, (body, held): (Bytes, HeldBody)) -> Self {
-        Self {
-            body,
-            _held: Some(Rc::new(held)),
-            ..self
-        }
+    pub(super) fn with_body(self, body: Bytes) -> Self {
+        Self { body, ..self }
     }
 
     /// Returns the request's fingerprints. The body must have been read.
@@ -275,23 +267,11 @@
     headers
 }
 
-/// Reads the whole body of a request, up to the body limit, and counts its memory.
-pub(super) async fn read_body(
-    gateway: &Rc<Gateway>,
-    req: &mut Request,
-) -> Result<(Bytes, HeldBody), Refusal> {
+/// Reads the whole body of a request, up to the body limit.
+pub(super) async fn read_body(gateway: &Rc<Gateway>, req: &mut Request) -> Result<Bytes, Refusal> {
     let limit = gateway.cfg.body_limit;
-    let mut held = gateway.held_bodies.open();
-    let length = header_text(req, &header::CONTENT_LENGTH).and_then(|text| text.parse().ok());
-    let length = length.filter(|&length: &usize| length <= limit);
-    let body = if length.is_none_or(|length| held.try_grow(length)) {
-        let has_room = |bytes| held.try_grow(bytes);
-        listen::read_body_within(req.take_payload(), limit, has_room).await
-    } else {
-        listen::discard_body(req.take_payload()).await;
-        Err(BodyError::NoRoom)
-    };
-    let body = body.map_err(|e| match e {
+    let body = listen::read_body(req.take_payload(), limit).await;
+    body.map(Bytes::from).map_err(|e| match e {
         BodyError::Incomplete => Refusal::new(
             StatusCode::BAD_REQUEST,
             "broken_body",
@@ -302,10 +282,5 @@
             "body_too_large",
             format!("the request body exceeds {limit} bytes; send a smaller one"),
         ),
-        BodyError::NoRoom => Refusal::unavailable(
-            "bodies_too_large",
-            "the bodies of the open requests hold too much memory; retry later or at another gateway",
-        ),
-    })?;
-    Ok((Bytes::from(body), held))
+    })
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,7 +17,6 @@
 mod events;
 mod exchange;
 mod headers;
-mod held_bodies;
 mod loads;
 mod model_choices;
 mod observations;
@@ -53,7 +52,6 @@
 pub use self::headers::HeaderNames;
 
 use self::admission::Admission;
-use self::held_bodies::HeldBodies;
 use self::loads::PeerLoads;
 use self::model_choices::ModelChoices;
 use self::open_requests::OpenRequests;
@@ -207,7 +205,6 @@
     /// Requests that wait for capacity, if admission is on.
     admission: Admission,
     connections: ConnectionPool,
-    held_bodies: HeldBodies,
     retry_budgets: RefCell<HashMap<Name, SlidingWindow>>,
     /// This gateway's share of the retry budgets.
     retry_budget_share: RefCell<Share>,
@@ -314,7 +311,6 @@
         load_changed: Notify::new(),
         admission: Admission::default(),
         connections: ConnectionPool::new(id_header, HELD_RESPONSES_LIMIT_BYTES),
-        held_bodies: HeldBodies::default(),
         retry_budgets: RefCell::default(),
         exhausted_budgets: RefCell::default(),
         prefill_rates: RefCell::default(),
--- a/src/listen/mod.rs
+++ b/src/listen/mod.rs
@@ -72,8 +72,6 @@
     Incomplete,
     /// The body exceeds the size limit.
     TooLarge,
-    /// There is no room for the body now.
-    NoRoom,
 }
 
 /// Reads a complete body of at most `limit` bytes. The rest of a larger one is read as well, within
@@ -82,36 +80,16 @@
 /// # Errors
 ///
 /// The body is incomplete or larger than `limit`.
-pub async fn read_body(payload: Payload, limit: usize) -> Result<Vec<u8>, BodyError> {
-    read_body_within(payload, limit, |_| true).await
-}
-
-/// Like [`read_body`], but gives up once there is no room for the body: `has_room` gets its size so
-/// far.
-///
-/// # Errors
-///
-/// The body is incomplete or larger than `limit`, or has no room.
-pub(crate) async fn read_body_within(
-    mut payload: Payload,
-    limit: usize,
-    mut has_room: impl FnMut(usize) -> bool,
-) -> Result<Vec<u8>, BodyError> {
+pub async fn read_body(mut payload: Payload, limit: usize) -> Result<Vec<u8>, BodyError> {
     let mut buf = Vec::new();
     while let Some(chunk) = payload.recv().await {
         let chunk = chunk.map_err(|_| BodyError::Incomplete)?;
-        let bytes = buf.len() + chunk.len();
-        let error = if bytes > limit {
-            BodyError::TooLarge
-        } else if !has_room(bytes) {
-            BodyError::NoRoom
-        } else {
-            buf.extend_from_slice(&chunk);
-            continue;
-        };
-        drop(buf);
-        discard_body(payload).await;
-        return Err(error);
+        if buf.len() + chunk.len() > limit {
+            drop(buf);
+            discard_body(payload).await;
+            return Err(BodyError::TooLarge);
+        }
+        buf.extend_from_slice(&chunk);
     }
     Ok(buf)
 }
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -27,7 +27,6 @@
 mod regions;
 mod replacement;
 mod replica_stops;
-mod request_bodies;
 mod response_identity;
 mod retry_budget;
 mod sessions;
