--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -104,8 +104,8 @@
 /// Interval between sweeps for expired connections and sessions.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Most memory that all responses hold while they are read, in bytes: two of the largest ones. It
-/// leaves the smallest VMs the rest for connections, requests and unwritten responses.
+/// Most memory that all responses without a length hold while they are read, in bytes: two of the largest
+/// ones. It leaves the smallest VMs the rest for connections, requests and unwritten responses.
 const HELD_RESPONSES_LIMIT_BYTES: usize = 2 * attempt::RESPONSE_BODY_LIMIT_BYTES;
 
 /// Settings of a gateway.
--- a/src/http_client/held.rs
+++ b/src/http_client/held.rs
@@ -32,10 +32,10 @@
         })))
     }
 
-    /// Adds a response; `has_length` is whether its head says how long it is.
-    pub(super) fn open(&self, has_length: bool) -> Held {
+    /// Adds a response.
+    pub(super) fn open(&self) -> Held {
         let mut table = self.0.borrow_mut();
-        let number = table.budget.open(has_length);
+        let number = table.budget.open();
         let given_up = Rc::new(Notify::new());
         table.readers.insert(number, given_up.clone());
         Held {
--- a/src/http_client/mod.rs
+++ b/src/http_client/mod.rs
@@ -68,6 +68,7 @@
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
     is_framed: bool,
+    has_length: bool,
     held: Held,
     body: Incoming,
     connection: PooledConnection,
@@ -104,12 +105,16 @@
         }
     }
 
-    /// Records how many bytes of the body the reader holds, without those that it has passed on.
+    /// Records how many bytes of the body the reader holds, without those that it has passed on. A
+    /// response with a length ends by itself, and is bounded by that alone.
     ///
     /// # Errors
     ///
     /// All responses together hold too much, and this one is given up.
     pub(crate) fn hold(&self, bytes: usize) -> Result<(), RequestError> {
+        if self.has_length {
+            return Ok(());
+        }
         self.held.set(bytes)
     }
 
@@ -205,7 +210,8 @@
                     }
                     let has_length = body.size_hint().exact().is_some();
                     return Ok(UpstreamResponse {
-                        held: self.held.open(has_length),
+                        has_length,
+                        held: self.held.open(),
                         version: head.version,
                         is_framed: has_length || is_chunked(&head.headers),
                         status: head.status,
--- a/src/http_client/pool.rs
+++ b/src/http_client/pool.rs
@@ -139,8 +139,8 @@
 }
 
 impl ConnectionPool {
-    /// Creates a pool for requests whose id is in the header `id_header`. All responses hold at most
-    /// `held_limit` bytes together while they are read.
+    /// Creates a pool for requests whose id is in the header `id_header`. All responses without a
+    /// length hold at most `held_limit` bytes together while they are read.
     pub(crate) fn new(id_header: HeaderName, held_limit: usize) -> Self {
         Self {
             id_header,
