--- a/tests/process/evacuation.rs
+++ b/tests/process/evacuation.rs
@@ -39,6 +39,7 @@
 use crate::support::eventually;
 use crate::support::ok_response;
 use crate::support::post;
+use crate::support::run;
 use crate::support::send;
 use crate::support::sse_event;
 use crate::support::start_stub_replica;
@@ -281,12 +282,10 @@
     ] {
         let leader = BusyLeader::default();
         let address = start_stub_replica(leader.clone()).to_string();
-        let output = Command::new(env!("CARGO_BIN_EXE_daisyquay"))
+        let output = run(Command::new(env!("CARGO_BIN_EXE_daisyquay"))
             .args(["--state", &address, "--operator-key", PEER_KEY])
             .args(["evacuate", "begin", "dc1"])
-            .args(flags)
-            .output()
-            .unwrap();
+            .args(flags));
         assert!(output.status.success(), "{output:?}");
         let changes = leader.changes.lock().unwrap();
         let orders = changes.iter().map(|change| match change.change {
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -19,6 +19,7 @@
 mod gateway;
 mod gateway_stops;
 mod golden;
+mod helpers;
 mod models;
 mod partitioned_gateway;
 mod path;
--- a/tests/process/replacement.rs
+++ b/tests/process/replacement.rs
@@ -21,6 +21,7 @@
 use crate::support::PEER_KEY;
 use crate::support::Program;
 use crate::support::eventually;
+use crate::support::run;
 use crate::support::start_stub_replica;
 
 /// Returns the peer addresses of the voters, or `None` where the status lists no members.
@@ -183,10 +184,8 @@
     let cluster = Cluster::start_with_inventory(3, 0);
     let leader = cluster.leader();
     let follower = cluster.replica_addresses[(leader + 1) % 3].to_string();
-    let output = std::process::Command::new(env!("CARGO_BIN_EXE_daisyquay"))
+    let output = run(std::process::Command::new(env!("CARGO_BIN_EXE_daisyquay"))
         .args(["--state", &follower, "--operator-key", "key-of-ann"])
-        .args(["--json", "show", "status"])
-        .output()
-        .unwrap();
+        .args(["--json", "show", "status"]));
     assert!(output.status.success(), "{output:?}");
 }
--- a/tests/process/support/cluster.rs
+++ b/tests/process/support/cluster.rs
@@ -21,6 +21,8 @@
 use super::eventually;
 use super::get;
 use super::post;
+use super::program::block_spawning;
+use super::run;
 
 /// The sample inventory.
 pub(crate) const INVENTORY: &str = include_str!("../../../examples/inventory.toml");
@@ -71,6 +73,8 @@
     let [_, high, middle, low] = std::process::id().to_be_bytes();
     let ip = Ipv4Addr::new(127, 64 | (high & 63), middle, low);
     loop {
+        // A process that is being started would keep the listener open.
+        let _guard = block_spawning();
         let listener = TcpListener::bind((ip, 0)).unwrap();
         let address = listener.local_addr().unwrap();
         if USED_PORTS.lock().unwrap().insert(address.port()) {
@@ -298,12 +302,10 @@
 
     /// Runs the operators' command line with the key of the operator `who`.
     pub(crate) fn run_cli_as(&self, who: &str, args: &[&str]) -> Output {
-        Command::new(env!("CARGO_BIN_EXE_daisyquay"))
+        run(Command::new(env!("CARGO_BIN_EXE_daisyquay"))
             .args(["--state", &comma_separated(&self.replica_addresses)])
             .args(["--operator-key", &format!("key-of-{who}")])
-            .args(args)
-            .output()
-            .unwrap()
+            .args(args))
     }
 
     /// Applies an inventory and waits until it is in force.
--- a/tests/process/support/program.rs
+++ b/tests/process/support/program.rs
@@ -4,12 +4,38 @@
 use std::path::Path;
 use std::process::Child;
 use std::process::Command;
+use std::process::Output;
 use std::process::Stdio;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 
 use nix::sys::signal::Signal;
 use nix::sys::signal::kill;
 use nix::unistd::Pid;
 
+/// Held while a process is started, and while a socket is open that must be closed for all afterwards:
+/// until a new process runs its program, it has a copy of each descriptor of the test.
+static SPAWNING: Mutex<()> = Mutex::new(());
+
+/// Keeps processes from being started until the result is dropped.
+pub(crate) fn block_spawning() -> MutexGuard<'static, ()> {
+    SPAWNING.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Starts a process. All tests of this binary start theirs with this.
+pub(crate) fn spawn(command: &mut Command) -> Child {
+    let _guard = block_spawning();
+    command.spawn().unwrap()
+}
+
+/// Runs a process to its end and returns its output.
+pub(crate) fn run(command: &mut Command) -> Output {
+    command.stdin(Stdio::null());
+    command.stdout(Stdio::piped()).stderr(Stdio::piped());
+    spawn(command).wait_with_output().unwrap()
+}
+
 /// A running program; it is killed when this is dropped.
 pub(crate) struct Program {
     child: Child,
@@ -19,15 +45,15 @@
     /// Starts the binary `path` and appends its output to the file `log`.
     pub(crate) fn start(path: &str, args: &[String], log: &Path) -> Self {
         let file = File::options().create(true).append(true).open(log).unwrap();
-        let child = Command::new(path)
-            .args(args)
-            .env_clear()
-            .env("RUST_BACKTRACE", "1")
-            .stdin(Stdio::null())
-            .stdout(file.try_clone().unwrap())
-            .stderr(file)
-            .spawn()
-            .unwrap();
+        let child = spawn(
+            Command::new(path)
+                .args(args)
+                .env_clear()
+                .env("RUST_BACKTRACE", "1")
+                .stdin(Stdio::null())
+                .stdout(file.try_clone().unwrap())
+                .stderr(file),
+        );
         Self { child }
     }
 
