Limit what is read before the final head of a response

Callers of a gateway were not served in time while one upstream of four sent informational responses without end, though the others were sound: 121 of 900 requests of 150 callers. Each informational response is a head within the limit, which begins anew with the next, so the gateway read them until the deadline of the request that they preceded, and that took the time of all others.

At most 256 KiB are read from a connection until the final head is complete. Then the connection ends like one that broke off, and the request is repeated where its route allows that.

--- a/src/http_client/mod.rs
+++ b/src/http_client/mod.rs
@@ -193,7 +193,7 @@
         loop {
             let mut connection = self.checkout(address, connect_limit, reuse).await?;
             let is_new = connection.is_new();
-            match connection.sender().try_send_request(request).await {
+            match connection.send(request).await {
                 Ok(response) => {
                     let (head, body) = response.into_parts();
                     let echoed = head.headers.get(&self.id_header);
--- a/src/http_client/pool.rs
+++ b/src/http_client/pool.rs
@@ -11,14 +11,18 @@
 use http::HeaderName;
 use http::header::CONNECTION;
 use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use super::OutgoingRequest;
 use super::RequestError;
 use super::held::HeldMemory;
+use super::socket::HeadBudget;
 use super::socket::UpstreamStream;
 use crate::collections::HashMap;
 use crate::policy::lost_responses::Reached;
@@ -41,10 +45,15 @@
 /// Size limit of the connection's buffer, and so of a response head.
 const HEAD_LIMIT_BYTES: usize = 64 * 1024;
 
+/// Most bytes that are read until the final head of a response is complete: informational responses
+/// before it, itself, and what has arrived with it of the body.
+const HEADS_LIMIT_BYTES: usize = 4 * HEAD_LIMIT_BYTES;
+
 type Sender = SendRequest<Full<Bytes>>;
 
 struct IdleConnection {
     sender: Sender,
+    head_budget: HeadBudget,
     expires_at: Instant,
 }
 
@@ -71,6 +80,7 @@
 /// A connection that is in use by one request. Dropping it closes the connection.
 pub(super) struct PooledConnection {
     sender: Sender,
+    head_budget: HeadBudget,
     address: SocketAddr,
     idle: IdleConnections,
     is_new: bool,
@@ -78,8 +88,15 @@
 }
 
 impl PooledConnection {
-    pub(super) fn sender(&mut self) -> &mut Sender {
-        &mut self.sender
+    /// Sends a request and waits for the head of its response.
+    pub(super) async fn send(
+        &mut self,
+        request: OutgoingRequest,
+    ) -> Result<http::Response<Incoming>, TrySendError<OutgoingRequest>> {
+        self.head_budget.set(HEADS_LIMIT_BYTES);
+        let response = self.sender.try_send_request(request).await;
+        self.head_budget.lift();
+        response
     }
 
     /// Returns whether the connection was opened for this request.
@@ -106,6 +123,7 @@
         if connections.len() < IDLE_LIMIT_PER_ADDRESS {
             connections.push(IdleConnection {
                 sender: self.sender,
+                head_budget: self.head_budget,
                 expires_at: Instant::now() + keep_alive,
             });
         }
@@ -162,14 +180,15 @@
             Reuse::Forbidden => None,
         };
         let is_new = idle.is_none();
-        let sender = match idle {
-            Some(sender) => sender,
+        let (sender, head_budget) = match idle {
+            Some(connection) => connection,
             None => tokio::time::timeout(limit, connect(address))
                 .await
                 .map_err(|_| RequestError::NotSent("connection timed out"))??,
         };
         Ok(PooledConnection {
             sender,
+            head_budget,
             address,
             idle: self.idle.clone(),
             is_new,
@@ -177,13 +196,13 @@
         })
     }
 
-    fn pop_idle(&self, address: SocketAddr) -> Option<Sender> {
+    fn pop_idle(&self, address: SocketAddr) -> Option<(Sender, HeadBudget)> {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
         while let Some(idle) = connections.pop() {
             if idle.expires_at > now && !idle.sender.is_closed() && idle.sender.is_ready() {
-                return Some(idle.sender);
+                return Some((idle.sender, idle.head_budget));
             }
         }
         None
@@ -225,7 +244,7 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<Sender, RequestError> {
+async fn connect(address: SocketAddr) -> Result<(Sender, HeadBudget), RequestError> {
     let stream = TcpStream::connect(address)
         .await
         .map_err(|e| match e.kind() {
@@ -233,6 +252,7 @@
             _ => RequestError::NotSent("connection failed"),
         })?;
     let stream = UpstreamStream::new(stream);
+    let head_budget = stream.head_budget();
     let mut builder = http1::Builder::new();
     builder.max_buf_size(HEAD_LIMIT_BYTES);
     let (sender, connection) = builder
@@ -243,5 +263,5 @@
         // The request on the connection reports how it ended.
         let _ = connection.await;
     });
-    Ok(sender)
+    Ok((sender, head_budget))
 }
--- a/src/http_client/socket.rs
+++ b/src/http_client/socket.rs
@@ -1,11 +1,13 @@
 //! TCP options of the connections to upstreams and callers.
 
+use std::cell::Cell;
 use std::future::Future;
 use std::io;
 use std::io::IoSlice;
 use std::os::fd::AsFd;
 use std::os::fd::BorrowedFd;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
@@ -94,6 +96,32 @@
     }
 }
 
+/// Bytes that may still be read until the head of a response is complete; clones share them.
+#[derive(Clone, Debug, Default)]
+pub(super) struct HeadBudget(Rc<Cell<Option<usize>>>);
+
+impl HeadBudget {
+    /// Allows `bytes` until [`Self::lift`].
+    pub(super) fn set(&self, bytes: usize) {
+        self.0.set(Some(bytes));
+    }
+
+    /// Ends the limit, as the head is complete.
+    pub(super) fn lift(&self) {
+        self.0.set(None);
+    }
+
+    fn charge(&self, bytes: usize) -> io::Result<()> {
+        if let Some(left) = self.0.get() {
+            let left = left.checked_sub(bytes);
+            let left =
+                left.ok_or_else(|| io::Error::other("the response has no end of its head"))?;
+            self.0.set(Some(left));
+        }
+        Ok(())
+    }
+}
+
 /// A connection to an upstream.
 ///
 /// Its user timeout is short for some time after each write, so that a dead upstream is noticed soon,
@@ -110,9 +138,15 @@
     acknowledged_at: Instant,
     /// Wakes at `acknowledged_at` or before; `None` until the first write.
     timer: Option<Pin<Box<Sleep>>>,
+    head_budget: HeadBudget,
 }
 
 impl UpstreamStream {
+    /// Returns the limit on the bytes of a response head; none is set at first.
+    pub(super) fn head_budget(&self) -> HeadBudget {
+        self.head_budget.clone()
+    }
+
     /// Sets the options of a new connection.
     pub fn new(stream: TcpStream) -> Self {
         set_common_options(&stream, UPSTREAM_KEEPALIVE_TIME);
@@ -123,6 +157,7 @@
             phase: Phase::Idle,
             acknowledged_at: Instant::now(),
             timer: None,
+            head_budget: HeadBudget::default(),
         }
     }
 
@@ -200,6 +235,7 @@
         let before = buf.filled().len();
         let result = Pin::new(&mut this.stream).poll_read(cx, buf);
         if buf.filled().len() > before {
+            this.head_budget.charge(buf.filled().len() - before)?;
             this.written = 0;
             if this.phase == Phase::Paused {
                 this.start_sending();
--- a/src/replica/core.rs
+++ b/src/replica/core.rs
@@ -74,13 +74,14 @@
     tx: oneshot::Sender<Outcome>,
 }
 
-/// What a pending command is, as far as other requests depend on it.
+/// Kind of a pending command. Some requests wait until none of a kind is pending.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum CommandKind {
     /// Starts the rollout of a service's release.
     ReleaseStart,
     /// Any other change of an operator.
     Change,
+    /// A command that is no change of an operator.
     Other,
 }
 
--- a/src/replica/handler.rs
+++ b/src/replica/handler.rs
@@ -228,38 +228,45 @@
     }
 }
 
-/// What becomes of a change.
-enum Decided {
-    /// Its outcome is known.
-    Outcome(ChangeOutcome),
-    /// It has been proposed.
+/// Result of submitting an operator's change to the leader.
+enum Submission {
+    /// The outcome is known without a command in the log.
+    Decided(ChangeOutcome),
+    /// The change was proposed; the receiver gets its outcome.
     Proposed(oneshot::Receiver<Outcome>),
 }
 
-/// Proposes a change that has an id, unless it was applied or must be refused. Returns a reply where
-/// it has no outcome.
-fn decide_named(core: &Rc<RefCell<Core>>, request: ChangeRequest) -> Result<Decided, Reply> {
+/// Proposes a change that has an id, unless it was applied before or must be refused.
+///
+/// # Errors
+///
+/// The reply to the sender, where the change has no outcome.
+fn submit_named(core: &Rc<RefCell<Core>>, request: ChangeRequest) -> Result<Submission, Reply> {
     let recorded = recorded_outcome(&core.borrow(), &request);
     if let Some(outcome) = recorded {
-        return Ok(Decided::Outcome(outcome));
+        return Ok(Submission::Decided(outcome));
     }
     let refusal = refusal_of_unknown_data_centre(&core.borrow(), &request.change);
     match refusal {
         Some(refusal) => Err(refusal),
-        None => submit(core, Op::Change(request)).map(Decided::Proposed),
+        None => submit(core, Op::Change(request)).map(Submission::Proposed),
     }
 }
 
 /// Decides, as the leader, whether a change that came without an id repeats an earlier one, and
-/// proposes a change of its own. Returns a reply where its sender has to send it again.
-fn decide_unnamed(core: &Rc<RefCell<Core>>, request: ChangeRequest) -> Result<Decided, Reply> {
+/// proposes it if it does not.
+///
+/// # Errors
+///
+/// The reply to the sender, which has to send the change again.
+fn submit_unnamed(core: &Rc<RefCell<Core>>, request: ChangeRequest) -> Result<Submission, Reply> {
     let mut core = core.borrow_mut();
     if !core.has_leader_lease() {
         return Err(not_leader(&core));
     }
     let is_release_start = matches!(request.change, Change::ReleaseStart { .. });
     if is_release_start && core.has_pending_release_start() {
-        // Its outcome decides this one.
+        // Whether that one is accepted decides what becomes of this one.
         return Err(Reply::OutcomeUnknown);
     }
     if let Some(accepted) = core.state.latest_in_same_words(&request) {
@@ -273,7 +280,7 @@
         match relation {
             Relation::Repetition => {
                 let revision = accepted.revision;
-                return Ok(Decided::Outcome(ChangeOutcome::Accepted { revision }));
+                return Ok(Submission::Decided(ChangeOutcome::Accepted { revision }));
             }
             Relation::Unknown => return Err(Reply::OutcomeUnknown),
             Relation::New => {}
@@ -288,11 +295,11 @@
             reason = reason
         );
         let reason = reason.into();
-        return Ok(Decided::Outcome(ChangeOutcome::Refused { reason }));
+        return Ok(Submission::Decided(ChangeOutcome::Refused { reason }));
     }
     let (commands, position) = core.state.commands_of_unnamed(request);
     match core.propose_all(commands) {
-        Some(mut receivers) => Ok(Decided::Proposed(receivers.swap_remove(position))),
+        Some(mut receivers) => Ok(Submission::Proposed(receivers.swap_remove(position))),
         None => Err(not_leader(&core)),
     }
 }
@@ -315,14 +322,14 @@
         _ => None,
     };
     let is_unnamed = request.change.derived_id().as_ref() == Some(&request.change_id);
-    let decided = if is_unnamed {
-        decide_unnamed(&core, request)
+    let submission = if is_unnamed {
+        submit_unnamed(&core, request)
     } else {
-        decide_named(&core, request)
+        submit_named(&core, request)
     };
-    let outcome = match decided {
-        Ok(Decided::Outcome(outcome)) => outcome,
-        Ok(Decided::Proposed(rx)) => {
+    let outcome = match submission {
+        Ok(Submission::Decided(outcome)) => outcome,
+        Ok(Submission::Proposed(rx)) => {
             let Ok(Outcome::Change(outcome)) = rx.await else {
                 return Reply::OutcomeUnknown;
             };
--- a/src/state/unnamed_changes.rs
+++ b/src/state/unnamed_changes.rs
@@ -2,8 +2,8 @@
 //!
 //! Their id derives from their words, so that a repetition has the id of the first one. The same
 //! words may later be a change of its own, under the next id of the same series: the derived id, then
-//! the derived id with a number. The id is all by which replicas tell them apart, so those of earlier
-//! builds apply such changes alike.
+//! the derived id with a number. Replicas tell such changes apart by their id alone, so replicas of
+//! earlier builds apply them in the same way.
 
 use super::State;
 use super::command::Change;
@@ -14,7 +14,8 @@
 use crate::collections::Name;
 use crate::policy::placement::stable_hash;
 
-/// Period of a rollout that only replaces an ended one, in milliseconds.
+/// Period of the rollout that is put between two rollouts to the same release, in milliseconds. It is
+/// short in case that the command which ends it is lost.
 const SUPERSEDING_PERIOD_MS: u64 = 1;
 
 impl Change {
@@ -130,8 +131,8 @@
         if latest
             .is_some_and(|latest| latest.target == *target && latest.stage == Stage::RolledBack)
         {
-            // A rollout to the target of the latest one changes nothing, also after that has ended.
-            // Another one in between, which ends at once, makes it a rollout of its own.
+            // The state ignores a rollout to the target of the latest one, also after that has
+            // ended. So a rollout to another release, which ends at once, is put in between.
             let between = stable.filter(|_| !is_stable).cloned();
             let between = between.unwrap_or_else(|| format!("not-{target}").into());
             commands.push(Op::Change(ChangeRequest {
