Log why a process ends by itself

Daemons now write process_failed with the reason; a log that ends without it and without a stop is that of a killed process. Programs that aren't daemons are unchanged, but for a panic.

--- a/src/bin/daisyquay-dev.rs
+++ b/src/bin/daisyquay-dev.rs
@@ -10,6 +10,6 @@
     let matches = cli::dev::command().get_matches();
     cli::start_log_to_stderr(&matches);
     let cfg = cli::dev::config(&matches);
-    let result = runtime::block_on("daisyquay-dev", dev::run(cfg));
+    let result = runtime::run_daemon("daisyquay-dev", dev::run(cfg));
     cli::report_result("daisyquay-dev", result, cli::ExitCode::Failed)
 }
--- a/src/bin/daisyquay-entry.rs
+++ b/src/bin/daisyquay-entry.rs
@@ -12,6 +12,6 @@
     let matches = cli::entry::command().get_matches();
     cli::start_log_to_stdout(&matches);
     let cfg = cli::entry::config(&matches);
-    let result = runtime::block_on("daisyquay-entry", entry::run(cfg, Arc::new(System::new())));
+    let result = runtime::run_daemon("daisyquay-entry", entry::run(cfg, Arc::new(System::new())));
     cli::report_result("daisyquay-entry", result, cli::ExitCode::Failed)
 }
--- a/src/bin/daisyquay-gateway.rs
+++ b/src/bin/daisyquay-gateway.rs
@@ -12,7 +12,7 @@
     let matches = cli::gateway::command().get_matches();
     cli::start_log_to_stdout(&matches);
     let cfg = cli::gateway::config(&matches);
-    let result = runtime::block_on("daisyquay-gateway", async {
+    let result = runtime::run_daemon("daisyquay-gateway", async {
         let server = gateway::start(cfg, Arc::new(System::new())).await?;
         server.wait_for_shutdown().await;
         Ok::<_, gateway::Error>(())
--- a/src/bin/daisyquay-standin.rs
+++ b/src/bin/daisyquay-standin.rs
@@ -11,7 +11,7 @@
     cli::start_log_to_stdout(&matches);
     let cfg = cli::standin::config(&matches);
     let print_address = |address| println!("listening on {address}");
-    let result = runtime::block_on("daisyquay-standin", standin::run(cfg, print_address))
+    let result = runtime::run_daemon("daisyquay-standin", standin::run(cfg, print_address))
         .map_err(|e| format!("{e}; choose another --listen"));
     cli::report_result("daisyquay-standin", result, cli::ExitCode::Failed)
 }
--- a/src/bin/daisyquay-state.rs
+++ b/src/bin/daisyquay-state.rs
@@ -12,7 +12,7 @@
     let matches = cli::state::command().get_matches();
     cli::start_log_to_stdout(&matches);
     let cfg = cli::state::config(&matches);
-    let result = runtime::block_on(
+    let result = runtime::run_daemon(
         "daisyquay-state",
         replica::run(cfg, Arc::new(System::new())),
     );
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -1,8 +1,30 @@
-//! Runs a daemon's future on the current thread.
+//! Runs a program's future on the current thread.
 
+use std::fmt::Display;
 use std::future::Future;
 
 use crate::cli::ExitCode;
+use crate::log::event;
+
+/// Runs a daemon's `future` to completion on a new runtime called `name`. Logs why it failed, and flushes the log.
+///
+/// # Errors
+///
+/// The error of `future`.
+pub fn run_daemon<F, E>(name: &str, future: F) -> Result<(), E>
+where
+    F: Future<Output = Result<(), E>> + 'static,
+    E: Display + 'static,
+{
+    block_on(name, async {
+        tokio::task::spawn_local(crate::signal::log_reload_requests());
+        let result = future.await;
+        if let Err(e) = &result {
+            event!(Error, "process_failed", reason = e);
+        }
+        result
+    })
+}
 
 /// Runs `future` to completion on a new runtime called `name`, then flushes the log.
 pub fn block_on<F>(name: &str, future: F) -> F::Output
@@ -11,15 +33,12 @@
     F::Output: 'static,
 {
     exit_on_panic();
-    let output = ntex::rt::System::new(name, ntex::rt::DefaultRuntime).block_on(async {
-        tokio::task::spawn_local(crate::signal::log_reload_requests());
-        future.await
-    });
+    let output = ntex::rt::System::new(name, ntex::rt::DefaultRuntime).block_on(future);
     crate::log::flush();
     output
 }
 
-/// Waits for SIGTERM or SIGINT.
+/// Waits for SIGTERM or SIGINT; returns at once if one has been received.
 pub async fn stop_requested() {
     crate::signal::stop_requested().await;
 }
@@ -31,6 +50,7 @@
 fn exit_on_panic() {
     let default_hook = std::panic::take_hook();
     std::panic::set_hook(Box::new(move |panic| {
+        event!(Error, "process_failed", reason = panic);
         default_hook(panic);
         crate::log::flush();
         std::process::exit(ExitCode::Failed.code());
