Handle signals from the first line of a daemon on

Callers saw nothing of it; a process that was told to reload or stop while it started ended by the signal, which a supervisor counts as a failure. Cause: the handlers were installed by tasks of the runtime, after all that a start does without a pause (24 ms in a replica's folder). And each waiter for a stop had a handler of its own, which did not see a signal that came before it.

Daemons now block the three signals first and let them through once the runtime handles them; the kernel keeps those that came meanwhile. A stop is a state of the process: who asks later learns of it at once. The command line for operators keeps the default actions.

--- a/src/bin/daisyquay-gateway.rs
+++ b/src/bin/daisyquay-gateway.rs
@@ -9,10 +9,11 @@
 use daisyquay::runtime;
 
 fn main() -> ExitCode {
+    let signals = runtime::hold_signals();
     let matches = cli::gateway::command().get_matches();
     cli::start_log_to_stdout(&matches);
     let cfg = cli::gateway::config(&matches);
-    let result = runtime::run_daemon("daisyquay-gateway", async {
+    let result = runtime::run_daemon("daisyquay-gateway", signals, async {
         let server = gateway::start(cfg, Arc::new(System::new())).await?;
         server.wait_for_shutdown().await;
         Ok::<_, gateway::Error>(())
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -5,19 +5,29 @@
 
 use crate::cli::ExitCode;
 use crate::log::event;
+pub use crate::signal::Held as HeldSignals;
 
-/// Runs a daemon's `future` to completion on a new runtime called `name`. Logs why it failed, and flushes the log.
+/// Holds back SIGTERM, SIGINT and SIGHUP until [`run_daemon`] handles them. A daemon calls this
+/// first.
+pub fn hold_signals() -> HeldSignals {
+    HeldSignals::new()
+}
+
+/// Runs a daemon's `future` to completion on a new runtime called `name`, which handles `signals`.
+/// Logs why it failed, and flushes the log.
 ///
 /// # Errors
 ///
 /// The error of `future`.
-pub fn run_daemon<F, E>(name: &str, future: F) -> Result<(), E>
+pub fn run_daemon<F, E>(name: &str, signals: HeldSignals, future: F) -> Result<(), E>
 where
     F: Future<Output = Result<(), E>> + 'static,
     E: Display + 'static,
 {
     block_on(name, async {
-        tokio::task::spawn_local(crate::signal::log_reload_requests());
+        if let Err(e) = signals.handle() {
+            event!(Error, "signals_not_handled", error = e);
+        }
         let result = future.await;
         if let Err(e) = &result {
             event!(Error, "process_failed", reason = e);
