Sync the parents of a data folder that is created

A replica that creates its data folder synced the folder itself, but not the one that holds it: after a loss of power the whole folder may be missing, with all that the replica had acknowledged for a quorum. No test shows it, as that takes a loss of power; a folder that exists costs no further call.

--- a/src/storage/file.rs
+++ b/src/storage/file.rs
@@ -83,9 +83,7 @@
     ///
     /// A file is corrupt or can't be read, or another process has locked the folder.
     pub fn open(path: &Path, new_id: ReplicaId) -> Result<Opened, Error> {
-        fs::create_dir_all(path).context(IoSnafu {
-            path: display_path(path),
-        })?;
+        create_folder(path)?;
         let lock = acquire_lock(&path.join(LOCK))?;
         let id = read_identity(path, new_id)?;
         let (snapshot, snapshot_bytes) = read_snapshot(path)?;
@@ -375,6 +373,32 @@
     sync_folder(folder)
 }
 
+/// Creates a folder and its missing parents, and syncs the folder that holds each new one, without which
+/// a loss of power could remove it with all its files.
+fn create_folder(path: &Path) -> Result<(), Error> {
+    if path.is_dir() {
+        return Ok(());
+    }
+    let parent = match path.parent() {
+        Some(parent) if parent.as_os_str().is_empty() => Path::new("."),
+        Some(parent) => parent,
+        None => path,
+    };
+    if parent != path {
+        create_folder(parent)?;
+    }
+    fs::create_dir(path)
+        .or_else(|e| match e.kind() {
+            // Another process has created it meanwhile.
+            io::ErrorKind::AlreadyExists if path.is_dir() => Ok(()),
+            _ => Err(e),
+        })
+        .context(IoSnafu {
+            path: display_path(path),
+        })?;
+    sync_folder(parent)
+}
+
 fn sync_folder(folder: &Path) -> Result<(), Error> {
     File::open(folder)
         .and_then(|dir| dir.sync_all())
