Start processes whose ports or folder are in use (known red)

A process that finds one of its ports taken, or its data folder locked, ends at once. Eleven tests show this for each port of a replica, a gateway and an entry and for the folder, and that the reason names the wrong flag or none.

--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -35,6 +35,7 @@
 mod slow_peers;
 mod soak;
 mod sockets;
+mod starts;
 mod stops;
 mod streams;
 mod support;
