Wait for addresses in use, and listen once all sockets are bound

Callers saw a VM without its gateway, or upstreams and operators one without its replica: a process that found one of its ports taken ended at once and was missing until something started it again. A predecessor that isn't gone, a short-lived listener or an outgoing connection that got the port is enough. Cause: each socket was bound once, where it was first needed, some after others were already served; every error ended the process.

listen::Sockets opens all sockets of a process. "Address in use" is waited for, every 20 ms and without limit; it is logged (socket_in_use at once and every 5 s, socket_free at the end). Other errors end the process at once, also beside a port in use, and name the flag and the address. So do two flags that exclude each other: the process would wait for itself. All sockets are bound before the first one listens, so that no caller waits in the backlog of a process that doesn't accept; a UDP socket isn't kept during a wait, as its queue would be outdated. If another process listens first on an address that is bound (both with SO_REUSEADDR), the process listens on none and waits. SIGTERM ends the wait with code 0. A free port is bound at the first attempt, without a timer.

--- a/src/admin.rs
+++ b/src/admin.rs
@@ -1,7 +1,7 @@
 //! The admin listener: `/healthz`, `/readyz` and `/metrics`.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -23,12 +23,12 @@
     pub(crate) ready: Arc<AtomicBool>,
 }
 
-/// Starts the admin listener on `address`.
+/// Starts the admin server on `listener`.
 ///
 /// # Errors
 ///
-/// The address can't be bound.
-pub(crate) fn serve(address: SocketAddr, status: Status) -> io::Result<Server> {
+/// The operating system refuses the listener.
+pub(crate) fn serve(listener: TcpListener, status: Status) -> io::Result<Server> {
     let server = HttpServer::new(async move || {
         App::new()
             .state(status.clone())
@@ -38,7 +38,7 @@
     })
     .workers(1)
     .disable_signals()
-    .bind(address)?
+    .listen(listener)?
     .run();
     Ok(server)
 }
--- a/src/bin/daisyquay-gateway.rs
+++ b/src/bin/daisyquay-gateway.rs
@@ -14,7 +14,11 @@
     cli::start_log_to_stdout(&matches);
     let cfg = cli::gateway::config(&matches);
     let result = runtime::run_daemon("daisyquay-gateway", signals, async {
-        let server = gateway::start(cfg, Arc::new(System::new())).await?;
+        let start = gateway::start(cfg, &[], Arc::new(System::new()));
+        let Some(started) = runtime::unless_stopped(start).await else {
+            return Ok(());
+        };
+        let (server, _) = started?;
         server.wait_for_shutdown().await;
         Ok::<_, gateway::Error>(())
     });
--- a/src/cli/gateway.rs
+++ b/src/cli/gateway.rs
@@ -19,6 +19,7 @@
 use super::required;
 use super::values;
 use crate::collections::Name;
+use crate::gateway::AddressFlags;
 use crate::gateway::Config;
 use crate::gateway::HeaderNames;
 use crate::policy::retry_budget::Limits;
@@ -135,5 +136,6 @@
         admission: required::<String>(matches, "admission") == "on",
         regions: required(matches, "regions"),
         header_names: HeaderNames::default(),
+        address_flags: AddressFlags::default(),
     }
 }
--- a/src/cli/state.rs
+++ b/src/cli/state.rs
@@ -18,6 +18,7 @@
 use super::required;
 use super::values;
 use crate::agreement::Settings;
+use crate::replica::AddressFlags;
 use crate::replica::Config;
 use crate::replica::DEFAULT_ORDER_RESEND_TIME;
 
@@ -110,5 +111,6 @@
         snapshot_every: required(matches, "snapshot-every"),
         order_resend_time: DEFAULT_ORDER_RESEND_TIME,
         settings: Settings::default(),
+        address_flags: AddressFlags::default(),
     }
 }
--- a/src/dev.rs
+++ b/src/dev.rs
@@ -61,6 +61,7 @@
         order_resend_time: replica::DEFAULT_ORDER_RESEND_TIME,
         data_centres: BTreeSet::new(),
         settings: Settings::default(),
+        address_flags: replica::AddressFlags::default(),
     };
     let rater = start_standin(
         &cfg,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -47,6 +47,8 @@
 use crate::engine::HttpEngine;
 use crate::http_client;
 use crate::listen;
+use crate::listen::Endpoint;
+use crate::listen::Sockets;
 use crate::log::event;
 
 /// Most headers of a request.
@@ -97,14 +99,16 @@
 /// Why the daemon stopped.
 #[derive(Debug, Snafu)]
 pub enum Error {
-    /// An address can't be bound.
-    #[snafu(display("can't listen on {address}: {source}; choose another with {flag}"))]
+    /// A socket can't be opened.
+    #[snafu(transparent)]
     Listen {
-        /// The address.
-        address: SocketAddr,
-        /// The flag that sets it.
-        flag: &'static str,
-        /// The cause.
+        /// Reason.
+        source: listen::Error,
+    },
+    /// A listener can't be served.
+    #[snafu(display("can't serve a listener: {source}"))]
+    Serve {
+        /// Error of the operating system.
         source: std::io::Error,
     },
 }
@@ -115,10 +119,17 @@
 ///
 /// A listener can't be started.
 pub async fn run(cfg: Config, clock: Arc<dyn Clock>) -> Result<(), Error> {
-    let listener = std::net::TcpListener::bind(cfg.listen).context(ListenSnafu {
-        address: cfg.listen,
-        flag: "--listen",
-    })?;
+    let endpoints = [
+        Endpoint::tcp("--listen", cfg.listen),
+        Endpoint::tcp("--admin-listen", cfg.admin_listen),
+    ];
+    let open = Sockets::open(&endpoints, &*clock);
+    let Some(opened) = crate::signal::unless_stopped(open).await else {
+        return Ok(());
+    };
+    let mut sockets = opened?;
+    let listener = sockets.next_tcp().into_std().context(ServeSnafu)?;
+    let admin = sockets.next_tcp().into_std().context(ServeSnafu)?;
     let local_address = listener.local_addr().unwrap_or(cfg.listen);
     let (link_tx, link_rx) = mpsc::unbounded_channel();
     let shared = Arc::new(Shared::new(cfg.clone(), local_address, clock, link_tx));
@@ -126,14 +137,8 @@
         metrics: shared.metrics.clone(),
         ready: shared.ready.clone(),
     };
-    let _admin = crate::admin::serve(cfg.admin_listen, status).context(ListenSnafu {
-        address: cfg.admin_listen,
-        flag: "--admin-listen",
-    })?;
-    let server = serve(&cfg, listener, shared.clone()).context(ListenSnafu {
-        address: cfg.listen,
-        flag: "--listen",
-    })?;
+    let _admin = crate::admin::serve(admin, status).context(ServeSnafu)?;
+    let server = serve(&cfg, listener, shared.clone()).context(ServeSnafu)?;
     event!(
         Info,
         "entry_start",
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -45,8 +45,6 @@
 
 use snafu::ResultExt;
 use snafu::Snafu;
-use tokio::net::TcpListener;
-use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
 pub use self::headers::HeaderNames;
@@ -65,6 +63,8 @@
 use crate::http_client::ConnectionPool;
 use crate::listen;
 use crate::listen::Connections;
+use crate::listen::Endpoint;
+use crate::listen::Sockets;
 use crate::log::event;
 use crate::metrics::Metrics;
 use crate::peer::EntryInfo;
@@ -138,16 +138,43 @@
     pub regions: HashMap<Name, Name>,
     /// Names of the headers on requests and responses.
     pub header_names: HeaderNames,
+    /// Flags that set the addresses, for messages.
+    pub address_flags: AddressFlags,
+}
+
+/// Flags that set the addresses of a gateway.
+#[derive(Clone, Copy, Debug)]
+pub struct AddressFlags {
+    /// Flag of [`Config::listen`].
+    pub listen: &'static str,
+    /// Flag of [`Config::loads_listen`].
+    pub loads_listen: &'static str,
+    /// Flag of [`Config::admin_listen`].
+    pub admin_listen: &'static str,
+}
+
+impl Default for AddressFlags {
+    fn default() -> Self {
+        Self {
+            listen: "--listen",
+            loads_listen: "--loads-listen",
+            admin_listen: "--admin-listen",
+        }
+    }
 }
 
 /// Why a gateway could not start.
 #[derive(Debug, Snafu)]
 pub enum Error {
-    /// A listener could not be opened.
-    #[snafu(display("can't listen on {address}: {source}; choose another with --listen"))]
+    /// A socket can't be opened.
+    #[snafu(transparent)]
     Listen {
-        /// Address of the listener.
-        address: SocketAddr,
+        /// Reason.
+        source: listen::Error,
+    },
+    /// A listener can't be served.
+    #[snafu(display("can't serve a listener: {source}"))]
+    Serve {
         /// Error of the operating system.
         source: std::io::Error,
     },
@@ -258,26 +285,42 @@
     }
 }
 
-/// Starts a gateway.
+/// Returns the addresses of a gateway.
+fn endpoints(cfg: &Config) -> Vec<Endpoint> {
+    let flags = cfg.address_flags;
+    let mut endpoints = vec![
+        Endpoint::udp(flags.loads_listen, cfg.loads_listen),
+        Endpoint::tcp(flags.loads_listen, cfg.loads_listen),
+        Endpoint::tcp(flags.listen, cfg.listen),
+    ];
+    let admin = cfg.admin_listen;
+    endpoints.extend(admin.map(|address| Endpoint::tcp(flags.admin_listen, address)));
+    endpoints
+}
+
+/// Starts a gateway; waits for addresses that are in use. Returns the sockets for `others`, which the
+/// process listens on beside the gateway.
 ///
 /// # Errors
 ///
-/// Returns an error if a listener cannot be opened.
-pub async fn start(cfg: Config, clock: Arc<dyn Clock>) -> Result<Server, Error> {
+/// Returns an error if an address can't be had.
+pub async fn start(
+    cfg: Config,
+    others: &[Endpoint],
+    clock: Arc<dyn Clock>,
+) -> Result<(Server, Sockets), Error> {
+    let mut endpoints = endpoints(&cfg);
+    endpoints.extend_from_slice(others);
+    let mut sockets = Sockets::open(&endpoints, &*clock).await?;
+    let loads_socket = sockets.next_udp();
+    let peers = sockets.next_tcp();
+    let callers = sockets.next_tcp();
     let info = EntryInfo {
         vm: cfg.vm.clone(),
         address: cfg.listen,
         data_centre: cfg.data_centre.clone(),
         loads_address: Some(cfg.loads_listen),
     };
-    let address = cfg.loads_listen;
-    let socket = UdpSocket::bind(address)
-        .await
-        .context(ListenSnafu { address })?;
-    let peers = TcpListener::bind(address)
-        .await
-        .context(ListenSnafu { address })?;
-    let address = cfg.listen;
     let pass_on_key = exchange::pass_on_key(&cfg.peer_key);
     let id_header = cfg.header_names.attempt_id.clone();
     let run_id = fastrand::u64(1..);
@@ -333,37 +376,38 @@
     let handler = Rc::new(move |req| -> listen::ResponseFuture {
         Box::pin(exchange::handle(shared.clone(), req))
     });
-    let connections = listen::serve(address, listen::MAX_CONNECTIONS, handler)
+    let connections = listen::serve(callers, listen::MAX_CONNECTIONS, handler)
         .await
-        .context(ListenSnafu { address })?;
+        .context(ServeSnafu)?;
     connections.set_metrics(gateway.metrics.clone());
     let _ = gateway.callers.set(connections);
-    if let Some(address) = gateway.cfg.admin_listen {
+    if gateway.cfg.admin_listen.is_some() {
         let shared = gateway.clone();
         let handler = move |req: ntex::http::Request| -> listen::ResponseFuture {
             let response = admin::handle(&shared, &req);
             Box::pin(async move { response })
         };
-        listen::serve(address, listen::MAX_CONNECTIONS, Rc::new(handler))
+        let admin = sockets.next_tcp();
+        listen::serve(admin, listen::MAX_CONNECTIONS, Rc::new(handler))
             .await
-            .context(ListenSnafu { address })?;
+            .context(ServeSnafu)?;
     }
     event!(
         Info,
         "gateway_start",
         vm = gateway.cfg.vm,
-        listen = address,
+        listen = gateway.cfg.listen,
         run = gateway.run_id
     );
     tokio::task::spawn_local(renewal::run(gateway.clone()));
     tokio::task::spawn_local(replica_list::serve(gateway.clone(), peers));
     tokio::task::spawn_local(sweep(gateway.clone()));
     tokio::task::spawn_local(service_reachability::run(gateway.clone()));
-    tokio::task::spawn_local(loads::run(gateway.clone(), socket));
+    tokio::task::spawn_local(loads::run(gateway.clone(), loads_socket));
     if gateway.cfg.admission {
         tokio::task::spawn_local(admission::run(gateway.clone()));
     }
-    Ok(Server { gateway })
+    Ok((Server { gateway }, sockets))
 }
 
 async fn sweep(gateway: Rc<Gateway>) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -38,3 +38,4 @@
 pub(crate) mod recovery;
 pub(crate) mod relay;
 pub(crate) mod signal;
+pub(crate) mod wait_notice;
--- a/src/listen/mod.rs
+++ b/src/listen/mod.rs
@@ -4,10 +4,10 @@
 //! handing each connection to a worker thread costs more wake-ups than the requests themselves.
 
 mod connections;
+mod sockets;
 
 use std::future::Future;
 use std::io;
-use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -29,6 +29,10 @@
 pub(crate) use self::connections::Backlog;
 pub use self::connections::Connections;
 pub(crate) use self::connections::end_stalled;
+pub use self::sockets::Endpoint;
+pub use self::sockets::Error;
+pub use self::sockets::Protocol;
+pub use self::sockets::Sockets;
 
 use crate::http_client;
 use crate::log::event;
@@ -126,19 +130,18 @@
     }
 }
 
-/// Listens on `address` until the process ends; returns the open connections. Those beyond
+/// Serves `listener` until the process ends; returns the open connections. Those beyond
 /// `max_connections` are closed at once, so that their callers turn to another process: each takes
 /// 10 to 30 kB of memory.
 ///
 /// # Errors
 ///
-/// The address can't be bound.
+/// The HTTP service can't be created.
 pub async fn serve(
-    address: SocketAddr,
+    listener: TcpListener,
     max_connections: usize,
     handler: Rc<dyn Handler>,
 ) -> io::Result<Connections> {
-    let listener = TcpListener::bind(address).await?;
     let local = listener.local_addr()?;
     let http = HttpServiceConfig::new()
         .set_max_headers(MAX_HEADERS)
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -30,7 +30,6 @@
 
 use snafu::ResultExt;
 use snafu::Snafu;
-use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
 pub use self::config_history::ConfigHistory;
@@ -42,6 +41,9 @@
 use crate::clock::Clock;
 use crate::collections::Name;
 use crate::config::KeyHash;
+use crate::listen;
+use crate::listen::Endpoint;
+use crate::listen::Sockets;
 use crate::log::event;
 use crate::peer;
 use crate::storage;
@@ -78,6 +80,26 @@
     pub order_resend_time: Duration,
     /// Number of voters to aim at; further replicas stay learners.
     pub target_voters: usize,
+    /// Flags that set the addresses, for messages.
+    pub address_flags: AddressFlags,
+}
+
+/// Flags that set the addresses of a replica.
+#[derive(Clone, Copy, Debug)]
+pub struct AddressFlags {
+    /// Flag of [`Config::listen`].
+    pub listen: &'static str,
+    /// Flag of [`Config::admin_listen`].
+    pub admin_listen: &'static str,
+}
+
+impl Default for AddressFlags {
+    fn default() -> Self {
+        Self {
+            listen: "--listen",
+            admin_listen: "--admin-listen",
+        }
+    }
 }
 
 /// [`Config::order_resend_time`] of a replica that is not told another one.
@@ -92,12 +114,16 @@
         /// Reason.
         source: storage::Error,
     },
-    /// An address can't be listened on.
-    #[snafu(display("can't listen on {address}: {source}; choose another with --listen"))]
+    /// A socket can't be opened.
+    #[snafu(transparent)]
     Listen {
-        /// Address.
-        address: SocketAddr,
         /// Reason.
+        source: listen::Error,
+    },
+    /// The admin listener can't be served.
+    #[snafu(display("can't serve the admin listener: {source}"))]
+    Serve {
+        /// Error of the operating system.
         source: std::io::Error,
     },
 }
@@ -144,25 +170,40 @@
 ///
 /// The folder or the listener can't be used.
 pub async fn run(cfg: Config, clock: Arc<dyn Clock>) -> Result<(), Error> {
-    start(cfg, clock).await?.wait_for_shutdown().await;
+    let Some(started) = crate::signal::unless_stopped(start(cfg, &[], clock)).await else {
+        return Ok(());
+    };
+    let (server, _) = started?;
+    server.wait_for_shutdown().await;
     Ok(())
 }
 
-/// Starts a state replica.
+/// Starts a state replica; waits for addresses that are in use. Returns the sockets for `others`,
+/// which the process listens on beside the replica.
 ///
 /// # Errors
 ///
-/// The folder or the listener can't be used.
-pub async fn start(cfg: Config, clock: Arc<dyn Clock>) -> Result<Server, Error> {
+/// The folder or an address can't be had.
+pub async fn start(
+    cfg: Config,
+    others: &[Endpoint],
+    clock: Arc<dyn Clock>,
+) -> Result<(Server, Sockets), Error> {
+    let flags = cfg.address_flags;
+    let mut endpoints = vec![
+        Endpoint::tcp(flags.listen, cfg.listen),
+        Endpoint::tcp(flags.admin_listen, cfg.admin_listen),
+    ];
+    endpoints.extend_from_slice(others);
     let new_id = ReplicaId(fastrand::u64(1..));
     let opened = DataFolder::open(&cfg.data, new_id).context(StorageSnafu)?;
     if opened.truncated_bytes > 0 {
         event!(Warn, "torn_tail_cut", bytes = opened.truncated_bytes);
     }
+    let mut sockets = Sockets::open(&endpoints, &*clock).await?;
+    let listener = sockets.next_tcp();
+    let admin = sockets.next_tcp();
     let address = cfg.listen;
-    let listener = TcpListener::bind(address)
-        .await
-        .context(ListenSnafu { address })?;
     event!(Info, "replica_start", id = opened.id, listen = address);
     let (synced_tx, synced_rx) = mpsc::unbounded_channel();
     let writer = writer::Writer::start(Box::new(opened.data_folder), synced_tx);
@@ -201,12 +242,13 @@
     tokio::task::spawn_local(reaper::settle_orphans(core.clone()));
     tokio::task::spawn_local(heartbeats::forward(core.clone(), client.clone()));
     let admin_status = core.borrow().admin_status();
-    let address = cfg.admin_listen;
-    let admin = crate::admin::serve(address, admin_status).context(ListenSnafu { address })?;
+    let admin = admin.into_std().context(ServeSnafu)?;
+    let admin = crate::admin::serve(admin, admin_status).context(ServeSnafu)?;
     let handle = Handle::new(core.clone(), client);
-    Ok(Server {
+    let server = Server {
         core,
         _admin: admin,
         handle,
-    })
+    };
+    Ok((server, sockets))
 }
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -53,6 +53,12 @@
     crate::signal::stop_requested().await;
 }
 
+/// Runs a start, which may wait for what another process holds. Returns `None` if SIGTERM or SIGINT
+/// is received before its end.
+pub async fn unless_stopped<F: Future>(start: F) -> Option<F::Output> {
+    crate::signal::unless_stopped(start).await
+}
+
 /// Makes a panic in any task exit the process.
 ///
 /// The runtime would otherwise catch the panic, and the process would keep holding a lease or the
--- a/src/signal.rs
+++ b/src/signal.rs
@@ -1,5 +1,6 @@
 //! Handles the signals SIGTERM, SIGINT and SIGHUP.
 
+use std::future::Future;
 use std::io;
 use std::sync::LazyLock;
 
@@ -70,3 +71,16 @@
         .wait_for(|is_requested| *is_requested)
         .await;
 }
+
+/// Runs a start, which may wait for what another process holds. Returns `None` if SIGTERM or SIGINT
+/// is received before its end.
+pub(crate) async fn unless_stopped<F: Future>(start: F) -> Option<F::Output> {
+    tokio::select! {
+        biased;
+        output = start => Some(output),
+        () = stop_requested() => {
+            event!(Info, "start_given_up", reason = "stop requested");
+            None
+        }
+    }
+}
--- a/tests/process/starts.rs
+++ b/tests/process/starts.rs
@@ -8,6 +8,10 @@
 use std::thread;
 use std::time::Duration;
 
+use socket2::Domain;
+use socket2::Socket;
+use socket2::Type;
+
 use crate::support::PEER_KEY;
 use crate::support::Program;
 use crate::support::eventually;
@@ -88,6 +92,60 @@
     }
 }
 
+/// Guards against an entry that ends because the kernel gave its port to an outgoing connection.
+#[test]
+fn entry_waits_for_a_port_that_an_outgoing_connection_has() {
+    let peer = TcpListener::bind(free_address()).unwrap();
+    let address = free_address();
+    let outgoing = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    outgoing.bind(&address.into()).unwrap();
+    outgoing
+        .connect(&peer.local_addr().unwrap().into())
+        .unwrap();
+    let (accepted, _) = peer.accept().unwrap();
+    // A reset keeps the port of neither end.
+    outgoing.set_linger(Some(Duration::ZERO)).unwrap();
+    let log = log_path("outgoing");
+    let admin = free_address();
+    let mut entry = start_entry(&log, &address.to_string(), &admin.to_string());
+    thread::sleep(HELD_TIME);
+    assert_eq!(entry.try_exit_code(), None);
+    assert!(TcpStream::connect(admin).is_err());
+    drop((outgoing, accepted));
+    for address in [address, admin] {
+        eventually("the port is served", || TcpStream::connect(address).ok());
+    }
+    std::fs::remove_file(&log).unwrap();
+}
+
+/// Guards against an entry that ends, or serves one port alone, because another process listens on an
+/// address that the entry has bound and doesn't listen on yet.
+#[test]
+fn entry_waits_for_a_port_on_which_another_process_listens_first() {
+    let [listen, admin] = [free_address(), free_address()];
+    let log = log_path("first");
+    let admin_holder = TcpListener::bind(admin).unwrap();
+    let mut entry = start_entry(&log, &listen.to_string(), &admin.to_string());
+    let waits_for = |flag: &str| {
+        eventually("the entry waits", || {
+            let text = std::fs::read_to_string(&log).unwrap();
+            let waits = |line: &str| line.contains("event=socket_in_use") && line.contains(flag);
+            text.lines().any(waits).then_some(())
+        });
+    };
+    waits_for("--admin-listen");
+    let listen_holder = TcpListener::bind(listen).unwrap();
+    drop(admin_holder);
+    waits_for("setting=--listen");
+    assert!(TcpStream::connect(admin).is_err());
+    drop(listen_holder);
+    for address in [listen, admin] {
+        eventually("the port is served", || TcpStream::connect(address).ok());
+    }
+    assert_eq!(entry.try_exit_code(), None);
+    std::fs::remove_file(&log).unwrap();
+}
+
 /// Guards against an entry that waits for a port and takes no notice of a stop.
 #[test]
 fn entry_that_is_asked_to_stop_while_it_waits_for_a_port_ends_with_success() {
