Wait for a data folder that another process has locked

A replica that started while its predecessor still held the data folder ended at once with code 3, and was missing until something started it again. Cause: the lock was tried once, and its error ended the process like that of a folder that can't be used.

The lock is now tried every 20 ms without limit; the wait is logged (data_folder_locked at once and every 5 s, data_folder_free at the end) and SIGTERM ends it with code 0. All other errors of the folder still end the process. The folder and the sockets are waited for at the same time, so that an error of one isn't held back by the other, and nothing listens before the process has both.

A folder that is a file, beside a port in use, ends the process at once as before.

--- a/src/listen/mod.rs
+++ b/src/listen/mod.rs
@@ -29,6 +29,7 @@
 pub(crate) use self::connections::Backlog;
 pub use self::connections::Connections;
 pub(crate) use self::connections::end_stalled;
+pub(crate) use self::sockets::BoundSockets;
 pub use self::sockets::Endpoint;
 pub use self::sockets::Error;
 pub use self::sockets::Protocol;
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -7,6 +7,7 @@
 mod config_history;
 mod core;
 mod directory_history;
+mod folder;
 mod handle;
 mod handler;
 mod heartbeats;
@@ -42,12 +43,12 @@
 use crate::collections::Name;
 use crate::config::KeyHash;
 use crate::listen;
+use crate::listen::BoundSockets;
 use crate::listen::Endpoint;
 use crate::listen::Sockets;
 use crate::log::event;
 use crate::peer;
 use crate::storage;
-use crate::storage::DataFolder;
 
 /// Settings of a state replica.
 #[derive(Clone, Debug)]
@@ -178,7 +179,7 @@
     Ok(())
 }
 
-/// Starts a state replica; waits for addresses that are in use. Returns the sockets for `others`,
+/// Starts a state replica; waits for addresses that are in use and for a locked data folder. Returns the sockets for `others`,
 /// which the process listens on beside the replica.
 ///
 /// # Errors
@@ -196,11 +197,19 @@
     ];
     endpoints.extend_from_slice(others);
     let new_id = ReplicaId(fastrand::u64(1..));
-    let opened = DataFolder::open(&cfg.data, new_id).context(StorageSnafu)?;
+    // An error of either ends the wait for the other.
+    let (bound, opened) = tokio::try_join!(
+        async { Ok(BoundSockets::bind(&endpoints, &*clock).await?) },
+        async {
+            folder::open(&cfg.data, new_id, &*clock)
+                .await
+                .context(StorageSnafu)
+        },
+    )?;
     if opened.truncated_bytes > 0 {
         event!(Warn, "torn_tail_cut", bytes = opened.truncated_bytes);
     }
-    let mut sockets = Sockets::open(&endpoints, &*clock).await?;
+    let mut sockets = bound.listen().await?;
     let listener = sockets.next_tcp();
     let admin = sockets.next_tcp();
     let address = cfg.listen;
