--- a/src/replica/folder.rs
+++ b/src/replica/folder.rs
@@ -1,4 +1,4 @@
-//! Opens the data folder of a replica, which a predecessor may still hold.
+//! Opens the data folder of a replica, which a predecessor may still hold, or whose disk may be full.
 
 use std::path::Path;
 use std::time::Duration;
@@ -12,9 +12,12 @@
 use crate::wait_notice::WaitNotice;
 
 /// Interval between attempts to lock the folder.
-const RETRY_INTERVAL: Duration = Duration::from_millis(20);
+const LOCK_RETRY_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Opens the data folder; waits while another process has locked it.
+/// Interval between attempts to open a folder whose disk is full.
+const SPACE_RETRY_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Opens the data folder; waits while another process has locked it or its disk is full.
 ///
 /// # Errors
 ///
@@ -26,11 +29,18 @@
 ) -> Result<Opened, Error> {
     let mut wait = WaitNotice::default();
     loop {
-        match DataFolder::open(path, new_id) {
+        let delay = match DataFolder::open(path, new_id) {
             Err(Error::Locked { path }) => {
                 if wait.is_due(clock.now()) {
                     event!(Warn, "data_folder_locked", setting = "--data", path = path);
                 }
+                LOCK_RETRY_INTERVAL
+            }
+            Err(e) if e.is_out_of_space() => {
+                if wait.is_due(clock.now()) {
+                    event!(Warn, "data_folder_full", setting = "--data", reason = e);
+                }
+                SPACE_RETRY_INTERVAL
             }
             result => {
                 if wait.end() {
@@ -39,7 +49,7 @@
                 }
                 return result;
             }
-        }
-        tokio::time::sleep(RETRY_INTERVAL).await;
+        };
+        tokio::time::sleep(delay).await;
     }
 }
--- a/src/storage/mod.rs
+++ b/src/storage/mod.rs
@@ -3,6 +3,8 @@
 mod file;
 mod frame;
 
+use std::io::ErrorKind;
+
 use snafu::Snafu;
 
 use crate::agreement::Persist;
@@ -86,3 +88,16 @@
         path: String,
     },
 }
+
+impl Error {
+    /// Returns whether a write failed because the disk, or a quota of it, is full.
+    pub(crate) fn is_out_of_space(&self) -> bool {
+        let Self::Io { source, .. } = self else {
+            return false;
+        };
+        matches!(
+            source.kind(),
+            ErrorKind::StorageFull | ErrorKind::QuotaExceeded
+        )
+    }
+}
