--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -179,8 +179,8 @@
     Ok(())
 }
 
-/// Starts a state replica; waits for addresses that are in use and for a locked data folder. Returns the sockets for `others`,
-/// which the process listens on beside the replica.
+/// Starts a state replica; waits for addresses that are in use and for a locked data folder. Returns
+/// the sockets for `others`, which the process listens on beside the replica.
 ///
 /// # Errors
 ///
