Send the head of a stream with its first event

Callers saw status 200 and then a cut connection where an upstream broke off within its first event, or sent none before the deadline; on a route that may be resumed they got the head and receipt of that upstream before the events of another. Cause: the gateway sent the head as soon as it had the upstream's, so nothing could take its place.

The exchange now reads on to the first complete event, or to the sound end of the stream, before it answers. One that breaks off sooner is a lost attempt: it is repeated where the route permits (charged to the retry budget, counted with the cause "resume"), with the head of the upstream that serves, and answered 502 answer_lost otherwise; 504 at the deadline. There is no new time limit: an idle timeout before the first event still moves the request only where another upstream takes it. Upstreams that refuse the repeat are asked again in rounds, as for a resumed stream, but an exhausted budget is answered at once. A repeat of a request with Last-Event-Id must go on after that event. The loss of a stream that may not be repeated now counts for its release, as that of a plain response.

Time to head (daisyquay_first_seconds, "late") now ends with the first event, and a stream without one is answered before a stop.

--- a/src/gateway/exchange/mod.rs
+++ b/src/gateway/exchange/mod.rs
@@ -37,6 +37,7 @@
 use crate::gateway::retries::RepeatCause;
 use crate::gateway::routing::Upstream;
 use crate::gateway::stream;
+use crate::gateway::stream::NoFirstEvent;
 use crate::gateway::upstreams::InFlightRequest;
 use crate::http_client::ResponseHead;
 use crate::http_client::UpstreamResponse;
@@ -175,7 +176,8 @@
 }
 
 impl Gateway {
-    /// Records metrics of a request: its outcome and the time to the response head.
+    /// Records metrics of a request: its outcome and the time to the response head, which comes with
+    /// the first event of a stream.
     fn meter(&self, call: &Call, outcome: &Result<FinalResponse, Refusal>, time_to_head: Duration) {
         let outcome = match outcome {
             Ok(FinalResponse::Complete(head, _)) if head.status.is_success() => "served",
@@ -347,6 +349,9 @@
         }
         let mut failure: Option<(ResponseHead, Bytes)> = None;
         let mut is_dispatched = false;
+        let mut replacement = None;
+        let mut is_interrupted = false;
+        let mut retry_delay = MIN_RESUME_DELAY;
         loop {
             if !is_dispatched
                 && failure.is_none()
@@ -371,10 +376,19 @@
                     return self.final_failure(failure);
                 }
             }
-            let Some(upstream) = self.next_upstream() else {
+            let Some(upstream) = replacement.take().or_else(|| self.next_upstream()) else {
                 if let Some(outcome) = self.pass_on_unplaced().await {
                     return outcome;
                 }
+                // A stream is not given up for upstreams that lack room for a moment.
+                let were_full = self.refusals > 0 || self.unreachable > 0;
+                if is_interrupted
+                    && were_full
+                    && failure.is_none()
+                    && self.wait_for_next_round(&mut retry_delay).await
+                {
+                    continue;
+                }
                 return self.final_failure(failure);
             };
             match self.run_attempt(&upstream, None).await {
@@ -401,17 +415,33 @@
                         self.tried.clear();
                         continue;
                     }
-                    self.open.set_stage(Stage::Streaming, Some(upstream.id()));
-                    let exchange = self.detach();
-                    let relay = stream::Relay::new(exchange, *response, in_flight);
-                    return Ok(FinalResponse::Stream(Box::new(relay)));
+                    match stream::Relay::begin(self, *response, in_flight).await {
+                        Ok(relay) => {
+                            self.open.set_stage(Stage::Streaming, Some(upstream.id()));
+                            return Ok(FinalResponse::Stream(Box::new(relay)));
+                        }
+                        Err(NoFirstEvent::DeadlineExceeded) => {
+                            return Err(Refusal::gateway_timeout());
+                        }
+                        Err(NoFirstEvent::Interrupted(interruption)) => {
+                            if !self.call.route.is_safe_to_retry() {
+                                return Err(Refusal::bad_gateway("answer_lost"));
+                            }
+                            self.open.set_stage(Stage::Queued, None);
+                            self.last_failure = interruption.reason;
+                            self.repeat_cause = Some(RepeatCause::Resume);
+                            is_interrupted = true;
+                            replacement = interruption.next_upstream;
+                            is_dispatched = replacement.is_some();
+                        }
+                    }
                 }
             }
         }
     }
 
     /// Copies the state for the relay of a stream, which outlives `run`.
-    fn detach(&mut self) -> Self {
+    pub(super) fn detach(&self) -> Self {
         Self {
             gateway: self.gateway.clone(),
             open: self.open.clone(),
@@ -609,6 +639,15 @@
         &self.call
     }
 
+    pub(super) fn time_left(&self) -> Duration {
+        self.call.time_left(self.gateway.now())
+    }
+
+    /// Returns whether an upstream may have received an attempt before the present one.
+    pub(super) fn is_repeated(&self) -> bool {
+        self.sent_to.len() > 1
+    }
+
     /// Returns whether an interrupted stream may resume at another upstream.
     pub(super) fn can_resume(&self) -> bool {
         let route = &self.call.route;
@@ -635,12 +674,9 @@
         let mut retry_delay = MIN_RESUME_DELAY;
         loop {
             let Some(upstream) = next.take().or_else(|| self.next_upstream()) else {
-                if !self.can_resume() || self.is_barred() {
+                if !self.wait_for_next_round(&mut retry_delay).await {
                     return None;
                 }
-                tokio::time::sleep(retry_delay).await;
-                retry_delay = (2 * retry_delay).min(MAX_RESUME_DELAY);
-                self.forget_refusals();
                 continue;
             };
             match self.run_attempt(&upstream, after).await {
@@ -665,6 +701,17 @@
         }
     }
 
+    /// Waits until an interrupted stream is offered to all upstreams again; returns whether it may be.
+    async fn wait_for_next_round(&mut self, delay: &mut Duration) -> bool {
+        if !self.can_resume() || self.is_barred() {
+            return false;
+        }
+        tokio::time::sleep(*delay).await;
+        *delay = (2 * *delay).min(MAX_RESUME_DELAY);
+        self.forget_refusals();
+        true
+    }
+
     /// Returns whether the request or its prompt must not be sent again, as it may crash upstreams.
     fn is_barred(&self) -> bool {
         let gateway = &self.gateway;
--- a/src/gateway/exchange/pass_on.rs
+++ b/src/gateway/exchange/pass_on.rs
@@ -284,7 +284,10 @@
             return Outcome::NotTaken("refused by the other gateway");
         }
         if is_event_stream(&response) && response.status.is_success() {
-            return Outcome::Response(self.passed_on_stream(response));
+            return match self.begin_passed_on_stream(response).await {
+                Ok(response) => Outcome::Response(response),
+                Err(e) => Outcome::Lost(e.reason()),
+            };
         }
         match response.read_to_end(RESPONSE_BODY_LIMIT_BYTES).await {
             Ok((mut head, body)) => {
@@ -299,15 +302,19 @@
         }
     }
 
-    fn passed_on_stream(&self, response: UpstreamResponse) -> FinalResponse {
-        self.open.set_stage(Stage::Streaming, None);
-        let stream = PassedOnStream::new(
+    async fn begin_passed_on_stream(
+        &self,
+        response: UpstreamResponse,
+    ) -> Result<FinalResponse, RequestError> {
+        let stream = PassedOnStream::begin(
             self.gateway.clone(),
             self.call.clone(),
             self.open.clone(),
             response,
-        );
-        FinalResponse::PassedOnStream(Box::new(stream))
+        )
+        .await?;
+        self.open.set_stage(Stage::Streaming, None);
+        Ok(FinalResponse::PassedOnStream(Box::new(stream)))
     }
 
     /// Returns the caller's request with the time that is left for it.
--- a/src/gateway/open_requests.rs
+++ b/src/gateway/open_requests.rs
@@ -16,7 +16,7 @@
     Receiving,
     /// For an upstream: capacity, a retry or the end of a pause.
     Queued,
-    /// For the head of an upstream's response.
+    /// For the head of an upstream's response, and the first event of a stream.
     Sent,
     /// For the rest of a stream whose head the caller has.
     Streaming,
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -48,8 +48,15 @@
 /// One streaming response, over all the upstreams that contribute to it.
 pub(super) struct Relay {
     exchange: Exchange,
+    /// Head of the upstream that sent the first event.
     head: ResponseHead,
-    upstream_response: Option<UpstreamResponse>,
+    source: Source,
+    first_step: Option<Step>,
+}
+
+/// Response of one upstream, of which complete events are taken.
+struct Source {
+    response: Option<UpstreamResponse>,
     in_flight: InFlightRequest,
     events: Events,
     /// Whether the idle timeout has passed and no other upstream could take over, so that it no
@@ -78,6 +85,29 @@
     Broken(&'static str),
 }
 
+/// Next step of the response of one upstream.
+enum SourceStep {
+    /// Complete events to forward.
+    Events(Bytes),
+    /// The stream is complete.
+    End,
+    Interrupted(Interruption),
+    DeadlineExceeded,
+}
+
+/// Why a stream does not go on at its upstream.
+pub(super) struct Interruption {
+    pub(super) reason: &'static str,
+    /// Upstream that takes over, if it has been chosen.
+    pub(super) next_upstream: Option<Upstream>,
+}
+
+/// Why a response has no first event.
+pub(super) enum NoFirstEvent {
+    Interrupted(Interruption),
+    DeadlineExceeded,
+}
+
 /// Result of reading one chunk from the upstream.
 enum ChunkResult {
     Events,
@@ -86,26 +116,89 @@
 }
 
 impl Relay {
-    pub(super) fn new(
-        exchange: Exchange,
-        upstream_response: UpstreamResponse,
+    /// Waits for the first event of a response, or for its end. Until then, the caller has nothing
+    /// of it and another upstream can take its place.
+    ///
+    /// # Errors
+    ///
+    /// The response was interrupted or the deadline has passed. The request has been cancelled at
+    /// the upstream.
+    pub(super) async fn begin(
+        exchange: &mut Exchange,
+        response: UpstreamResponse,
         in_flight: InFlightRequest,
-    ) -> Self {
+    ) -> Result<Self, NoFirstEvent> {
         let head = ResponseHead {
-            status: upstream_response.status,
-            headers: upstream_response.headers.clone(),
+            status: response.status,
+            headers: response.headers.clone(),
         };
-        let names = &exchange.gateway().cfg.header_names;
-        let events = Events::after(exchange.call().last_event_id(names));
-        let progress = Progress {
-            began_at: exchange.gateway().now(),
-            events_before: events.sent(),
-            is_recorded: false,
+        let mut source = Source::new(exchange, response, in_flight);
+        let first_step = match source.next_step(exchange).await {
+            SourceStep::Events(events) => Step::Events(events),
+            SourceStep::End => Step::End,
+            SourceStep::Interrupted(interruption) => {
+                source.record_loss(exchange, interruption.reason);
+                return Err(NoFirstEvent::Interrupted(interruption));
+            }
+            SourceStep::DeadlineExceeded => return Err(NoFirstEvent::DeadlineExceeded),
         };
-        Self {
-            exchange,
+        Ok(Self {
+            exchange: exchange.detach(),
             head,
-            upstream_response: Some(upstream_response),
+            source,
+            first_step: Some(first_step),
+        })
+    }
+
+    async fn next_step(&mut self) -> Step {
+        if let Some(step) = self.first_step.take() {
+            return step;
+        }
+        loop {
+            let interruption = match self.source.next_step(&mut self.exchange).await {
+                SourceStep::Events(events) => return Step::Events(events),
+                SourceStep::End => return Step::End,
+                SourceStep::DeadlineExceeded => return Step::Broken("deadline exceeded"),
+                SourceStep::Interrupted(interruption) => interruption,
+            };
+            let reason = interruption.reason;
+            let upstream = interruption
+                .next_upstream
+                .or_else(|| self.exchange.next_resume_upstream());
+            if !self.exchange.can_resume() && upstream.is_none()
+                || !self.resume(reason, upstream).await
+            {
+                return Step::Broken(reason);
+            }
+        }
+    }
+
+    /// Resumes the stream at `first` or another upstream; returns whether that succeeded.
+    async fn resume(&mut self, reason: &'static str, first: Option<Upstream>) -> bool {
+        self.source.record_loss(&self.exchange, reason);
+        let after = self.source.events.last_id();
+        let time_left = self.exchange.time_left();
+        let resumed = tokio::time::timeout(time_left, self.exchange.resume(first, after)).await;
+        let Ok(Some((response, in_flight))) = resumed else {
+            return false;
+        };
+        self.source.go_on_with(&self.exchange, response, in_flight);
+        true
+    }
+}
+
+impl Source {
+    fn new(exchange: &Exchange, response: UpstreamResponse, in_flight: InFlightRequest) -> Self {
+        let names = &exchange.gateway().cfg.header_names;
+        let last_id = exchange.call().last_event_id(names);
+        let mut events = Events::after(last_id);
+        if last_id.is_some() && exchange.is_repeated() {
+            // As with a resumed stream, the caller must not get events again.
+            events.interrupt();
+        }
+        let progress = Progress::new(exchange, &events);
+        Self {
+            response: Some(response),
             in_flight,
             events,
             ignores_idle_timeout: false,
@@ -113,86 +206,95 @@
         }
     }
 
-    fn time_left(&self) -> Duration {
-        let now = self.exchange.gateway().now();
-        self.exchange.call().time_left(now)
+    /// Continues with the response of the upstream that has resumed the stream.
+    fn go_on_with(
+        &mut self,
+        exchange: &Exchange,
+        response: UpstreamResponse,
+        in_flight: InFlightRequest,
+    ) {
+        self.response = Some(response);
+        self.in_flight = in_flight;
+        self.ignores_idle_timeout = false;
+        self.progress = Progress::new(exchange, &self.events);
     }
 
-    async fn next_step(&mut self) -> Step {
+    /// Reads on to the next complete events. `exchange` chooses the upstream that takes over after
+    /// the idle timeout.
+    async fn next_step(&mut self, exchange: &mut Exchange) -> SourceStep {
         loop {
             if let Some(events) = self.events.take_complete() {
-                if self.exchange.gateway().now() >= self.progress.began_at + PROGRESS_TIME {
-                    self.record_progress();
+                if exchange.gateway().now() >= self.progress.began_at + PROGRESS_TIME {
+                    self.record_progress(exchange);
                 }
-                if let Some(response) = &self.upstream_response {
+                if let Some(response) = &self.response {
                     // One that was given up meanwhile ends with its next chunk.
                     let _ = response.hold(self.events.buffered());
                 }
-                return Step::Events(events);
+                return SourceStep::Events(events);
             }
-            let time_left = self.time_left();
+            let time_left = exchange.time_left();
             let wait = self
-                .idle_timeout()
+                .idle_timeout(exchange)
                 .map_or(time_left, |timeout| timeout.min(time_left));
-            let Some(upstream_response) = self.upstream_response.as_mut() else {
-                return Step::End;
+            let Some(response) = self.response.as_mut() else {
+                return SourceStep::End;
             };
-            let chunk = tokio::time::timeout(wait, upstream_response.next_chunk()).await;
-            let reason = match chunk {
-                Err(_) if wait == time_left => return Step::Broken("deadline exceeded"),
+            let chunk = tokio::time::timeout(wait, response.next_chunk()).await;
+            match chunk {
+                Err(_) if wait == time_left => return SourceStep::DeadlineExceeded,
                 Err(_) => {
                     self.ignores_idle_timeout = true;
-                    "idle timeout"
+                    // An idle timeout alone does not end the stream: it goes on if there is no
+                    // other upstream.
+                    let next_upstream = exchange.next_resume_upstream();
+                    if next_upstream.is_some() {
+                        return SourceStep::Interrupted(Interruption {
+                            reason: "idle timeout",
+                            next_upstream,
+                        });
+                    }
                 }
                 Ok(chunk) => match self.push_chunk(chunk) {
-                    ChunkResult::Events => continue,
+                    ChunkResult::Events => {}
                     ChunkResult::End => {
-                        self.record_progress();
-                        return Step::End;
+                        self.record_progress(exchange);
+                        return SourceStep::End;
                     }
                     ChunkResult::Broken(reason) => {
-                        self.upstream_response = None;
+                        self.response = None;
                         self.events.interrupt();
                         if !self.progress.is_recorded {
-                            let (gateway, call) = (self.exchange.gateway(), self.exchange.call());
+                            let (gateway, call) = (exchange.gateway(), exchange.call());
                             gateway.record_interruption(call, &self.in_flight).await;
                         }
-                        reason
+                        return SourceStep::Interrupted(Interruption {
+                            reason,
+                            next_upstream: None,
+                        });
                     }
                 },
-            };
-            // An idle timeout alone does not end the stream: it goes on if there is no other
-            // upstream.
-            let upstream = self.exchange.next_resume_upstream();
-            if upstream.is_none() && self.upstream_response.is_some() {
-                continue;
-            }
-            if !self.exchange.can_resume() && upstream.is_none()
-                || !self.resume(reason, upstream).await
-            {
-                return Step::Broken(reason);
             }
         }
     }
 
     /// Returns how long to wait for the next chunk before resuming elsewhere; `None` for no limit
     /// but the deadline.
-    fn idle_timeout(&self) -> Option<Duration> {
-        if self.ignores_idle_timeout || !self.exchange.can_resume() {
+    fn idle_timeout(&self, exchange: &Exchange) -> Option<Duration> {
+        if self.ignores_idle_timeout || !exchange.can_resume() {
             return None;
         }
-        timeouts::stream_event(Duration::from_millis(self.exchange.call().route.gap_ms))
+        timeouts::stream_event(Duration::from_millis(exchange.call().route.gap_ms))
     }
 
     /// Records that the response has made progress, if it has any event.
-    fn record_progress(&mut self) {
+    fn record_progress(&mut self, exchange: &Exchange) {
         if self.progress.is_recorded || self.events.sent() == self.progress.events_before {
             return;
         }
         self.progress.is_recorded = true;
         if let Some(service) = self.in_flight.upstream.service() {
-            let gateway = self.exchange.gateway();
-            gateway.record_progress(service, self.exchange.call());
+            exchange.gateway().record_progress(service, exchange.call());
         }
     }
 
@@ -203,8 +305,8 @@
                 Err(reason) => ChunkResult::Broken(reason),
             },
             None if self.events.is_at_boundary() => {
-                if let Some(upstream_response) = self.upstream_response.take() {
-                    upstream_response.release_connection();
+                if let Some(response) = self.response.take() {
+                    response.release_connection();
                 }
                 ChunkResult::End
             }
@@ -215,44 +317,38 @@
 
     fn push_events(&mut self, chunk: &[u8]) -> Result<(), &'static str> {
         self.events.push(chunk)?;
-        let response = self.upstream_response.as_ref();
+        let response = self.response.as_ref();
         let held = response.map_or(Ok(()), |response| response.hold(self.events.buffered()));
         held.map_err(RequestError::reason)
     }
 
-    /// Resumes the stream at `first` or another upstream; returns whether that succeeded.
-    async fn resume(&mut self, reason: &'static str, first: Option<Upstream>) -> bool {
-        // Dropping the response cancels the request at the old upstream before another one resumes.
-        self.upstream_response = None;
+    /// Cancels the request at the upstream, before another one gets it, and records the loss.
+    fn record_loss(&mut self, exchange: &Exchange, reason: &'static str) {
+        self.response = None;
         self.events.interrupt();
         self.in_flight.record_failure();
-        let gateway = self.exchange.gateway().clone();
-        gateway.count_lost_response(self.exchange.call(), &self.in_flight.upstream);
+        let (gateway, call) = (exchange.gateway(), exchange.call());
+        gateway.count_lost_response(call, &self.in_flight.upstream);
         event!(
             Info,
             "stream_broke",
-            request = self.exchange.call().id,
+            request = call.id,
             upstream = self.in_flight.upstream.id(),
             reason = reason,
             events = self.events.sent(),
             open_ms = self.in_flight.elapsed().as_millis(),
-            segments = self.exchange.call().prompt.shared_log_text()
+            segments = call.prompt.shared_log_text()
         );
-        let after = self.events.last_id();
-        let time_left = self.time_left();
-        let resumed = tokio::time::timeout(time_left, self.exchange.resume(first, after)).await;
-        let Ok(Some((upstream_response, in_flight))) = resumed else {
-            return false;
-        };
-        self.upstream_response = Some(upstream_response);
-        self.in_flight = in_flight;
-        self.ignores_idle_timeout = false;
-        self.progress = Progress {
-            began_at: gateway.now(),
-            events_before: self.events.sent(),
+    }
+}
+
+impl Progress {
+    fn new(exchange: &Exchange, events: &Events) -> Self {
+        Self {
+            began_at: exchange.gateway().now(),
+            events_before: events.sent(),
             is_recorded: false,
-        };
-        true
+        }
     }
 }
 
@@ -264,21 +360,31 @@
     /// Counts the request as open until the response has ended.
     _open: Rc<OpenRequest>,
     response: UpstreamResponse,
+    /// Chunk that has been read before the response to the caller begins.
+    first_chunk: Option<Bytes>,
 }
 
 impl PassedOnStream {
-    pub(super) fn new(
+    /// Waits for the first part of the body, or for its end. Another gateway may send the head
+    /// before there is an event.
+    ///
+    /// # Errors
+    ///
+    /// The response was interrupted.
+    pub(super) async fn begin(
         gateway: Rc<Gateway>,
         call: Rc<Call>,
         open: Rc<OpenRequest>,
-        response: UpstreamResponse,
-    ) -> Self {
-        Self {
+        mut response: UpstreamResponse,
+    ) -> Result<Self, RequestError> {
+        let chunk = response.next_chunk().await.transpose()?;
+        Ok(Self {
             gateway,
             call,
             _open: open,
             response,
-        }
+            first_chunk: chunk.map(|chunk| Bytes::copy_from_slice(&chunk)),
+        })
     }
 
     /// Returns the streaming response to `req`.
@@ -300,6 +406,9 @@
 
     /// Returns the next chunk, `None` at the end, or why the stream is incomplete.
     async fn next_chunk(&mut self) -> Result<Option<Bytes>, &'static str> {
+        if let Some(chunk) = self.first_chunk.take() {
+            return Ok(Some(chunk));
+        }
         let time_left = self.call.time_left(self.gateway.now());
         let chunk = tokio::time::timeout(time_left, self.response.next_chunk());
         match chunk.await {
@@ -407,9 +516,9 @@
                     "stream_given_up",
                     request = relay.exchange.call().id,
                     reason = reason,
-                    upstream = relay.in_flight.upstream.id(),
-                    events = relay.events.sent(),
-                    open_ms = relay.in_flight.elapsed().as_millis(),
+                    upstream = relay.source.in_flight.upstream.id(),
+                    events = relay.source.events.sent(),
+                    open_ms = relay.source.in_flight.elapsed().as_millis(),
                     segments = relay.exchange.call().prompt.shared_log_text()
                 );
                 // After an error, the server would write an error response into the open response.
--- a/tests/process/broken_heads.rs
+++ b/tests/process/broken_heads.rs
@@ -1,10 +1,12 @@
 //! Upstreams that send the head of a stream and break off within its first event, or are quiet
 //! before it.
 
+use std::collections::BTreeSet;
 use std::io::Read;
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -256,6 +258,51 @@
     }
 }
 
+/// Guards against a stream that is given up although an upstream has room for it a moment later.
+#[test]
+fn stream_that_broke_off_is_offered_again_to_an_upstream_that_was_full() {
+    let broken_ids: Arc<Mutex<BTreeSet<String>>> = Arc::default();
+    let ids = broken_ids.clone();
+    let breaking_once = Upstream::start(move |seen, out| {
+        if seen.request_line.contains("/lookup/") {
+            return write(out, &ok_response(seen, "tile"));
+        }
+        write(out, &stream_head(seen, "breaking-once", Framing::Chunked));
+        if ids.lock().unwrap().insert(seen.attempt_id().to_owned()) {
+            write(out, &chunk("id: 1\ndata: pie"));
+            return false;
+        }
+        write(out, &chunk(&events_after(0))) && write(out, "0\r\n\r\n")
+    });
+    let refused_ids: Mutex<BTreeSet<String>> = Mutex::default();
+    let full_once = Upstream::start(move |seen, out| {
+        if seen.request_line.contains("/lookup/") {
+            return write(out, &ok_response(seen, "tile"));
+        }
+        let id = seen.attempt_id();
+        let has_broken = broken_ids.lock().unwrap().contains(id);
+        if has_broken && refused_ids.lock().unwrap().insert(id.to_owned()) {
+            let head = format!("HTTP/1.1 503 Full\r\ndaisyquay-attempt: {id}\r\n");
+            let rest = "daisyquay-not-run: 1\r\ncontent-length: 0\r\n\r\n";
+            return write(out, &format!("{head}{rest}"));
+        }
+        write(out, &stream_head(seen, "full-once", Framing::Chunked));
+        write(out, &chunk(&events_after(0))) && write(out, "0\r\n\r\n")
+    });
+    let setup = Setup::new(vec![breaking_once, full_once]);
+    setup.earn_retries();
+    for sent in 0.. {
+        assert!(sent < 200, "the breaking upstream gets no requests");
+        let id = format!("id-{sent}");
+        let reply = setup.call("/notes/a", &id, &[]);
+        let signature = whole_from(reply.as_ref(), &id, 0);
+        assert!(signature.is_some(), "{id}: {reply:?}");
+        if setup.runs(&id) == 3 {
+            break;
+        }
+    }
+}
+
 /// Guards against callers without a status, and against more attempts than a route allows, where
 /// all upstreams break off within the first event.
 #[test]
--- a/tests/process/partitioned_gateway.rs
+++ b/tests/process/partitioned_gateway.rs
@@ -356,6 +356,25 @@
     assert!(reply.is_none_or(|reply| reply.is_truncated));
 }
 
+/// Guards against a caller without a status whose stream broke behind the other gateway before there
+/// was any event.
+#[test]
+fn stream_that_was_passed_on_and_broke_within_its_first_event_is_answered_502() {
+    let setup = Setup::with_upstreams(|seen, out| {
+        if !seen.request_line.contains("/notes/") {
+            return write(out, &ok_response(seen, "tile"));
+        }
+        write(out, &stream_response_head(seen));
+        write(out, &chunk("id: 1\ndata: pie"));
+        thread::sleep(Duration::from_millis(30));
+        false
+    });
+    setup.cut_off_first();
+    let reply = setup.call(0, "/notes/a", "id-1");
+    let status = reply.as_ref().map(|reply| reply.status);
+    assert_eq!(status, Some(502), "{reply:?}");
+}
+
 /// Guards against callers that pretend to be a gateway, whose requests would not be passed on.
 #[test]
 fn mark_of_a_caller_is_neither_believed_nor_forwarded() {
