--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -5,6 +5,7 @@
 mod admission;
 mod backpressure;
 mod brittle;
+mod broken_bodies;
 mod cold_upstreams;
 mod config_changes;
 mod config_fetch;
