Count a response for the health of its upstream once its body is known

An upstream whose heads are sound and whose bodies fail drew a quarter of the requests of four and more, for good; callers saw streams cut, and 502 where a request may run once. Cause: a head counted as a success and reset the count of failures in a row; a body that broke off, was malformed or too long counted as nothing (plain) or was discarded, as the request had its result (stream). The circuit never opened.

A response now counts as a success with its whole body, and as a failure as soon as the body fails, before the pause in which the evidence against its request is gathered. The first whole event of a stream settles a probe without waiting for its end; until a whole response, one more failure opens the circuit again for twice as long, so streams that all break off later are avoided too. Not counted: callers that leave, the deadline, a stop, idle timeouts (as before: they had no effect) and the bound over all bodies, unless the response given up is a stream that holds an incomplete event of 256 KiB or more (a quarter of an event's own limit).

Many bodies may break off at one moment, so failures of requests sent before the circuit opened no longer lengthen its delay nor end its probe. A sample of the speed counts once the response is known to be sound, so that failing fast is not rewarded.

Ruled out: placement as the cause (the share comes back to that of an open circuit with placement unchanged).

--- a/src/engine/http.rs
+++ b/src/engine/http.rs
@@ -82,8 +82,8 @@
 fn classify(e: RequestError) -> AttemptError {
     match e {
         RequestError::Refused | RequestError::NotSent(_) => AttemptError::NotSent,
-        RequestError::Interrupted(reason) | RequestError::Unattributed(reason) => {
-            AttemptError::Failed(reason)
+        RequestError::Interrupted(_) | RequestError::Unattributed(_) | RequestError::GivenUp => {
+            AttemptError::Failed(e.reason())
         }
     }
 }
--- a/src/entry/upstreams.rs
+++ b/src/entry/upstreams.rs
@@ -128,7 +128,8 @@
         self.is_recorded = true;
         let now = self.shared.now();
         let mut upstreams = self.shared.upstreams.lock();
-        upstreams.row(&self.upstream.id).health.record_failure(now);
+        let health = &mut upstreams.row(&self.upstream.id).health;
+        health.record_failure(self.started, now);
     }
 }
 
@@ -140,7 +141,7 @@
         row.in_flight.decrement(now);
         if !self.is_recorded {
             row.health.record_wait(now.saturating_sub(self.started));
-            row.health.record_cancelled();
+            row.health.record_cancelled(self.started);
         }
     }
 }
--- a/src/experiment/load/mod.rs
+++ b/src/experiment/load/mod.rs
@@ -132,6 +132,8 @@
     tried: Vec<Name>,
     /// Time at which it got a slot of its entry.
     admitted_at: Duration,
+    /// Time of its last attempt.
+    sent_at: Duration,
     first_token_at: Option<Duration>,
 }
 
--- a/src/experiment/load/requests.rs
+++ b/src/experiment/load/requests.rs
@@ -53,6 +53,7 @@
             attempts: 0,
             tried: Vec::new(),
             admitted_at: self.now,
+            sent_at: self.now,
             first_token_at: None,
         });
         if self.now >= MEASURE_FROM {
@@ -130,6 +131,7 @@
             return;
         };
         self.requests[request].attempts += 1;
+        self.requests[request].sent_at = self.now;
         self.attempts += u64::from(self.now >= MEASURE_FROM);
         let now = self.now;
         let view = &mut self.entries[self.requests[request].entry].runner_views[runner];
@@ -194,9 +196,12 @@
         let (policy, now) = (self.policy, self.now);
         let failed = &mut self.requests[request];
         failed.tried.push(self.runner_names[runner].clone());
+        let sent_at = failed.sent_at;
         let entry = &mut self.entries[failed.entry];
         entry.runner_views[runner].in_flight.decrement(now);
-        entry.runner_views[runner].health.record_failure(now);
+        entry.runner_views[runner]
+            .health
+            .record_failure(sent_at, now);
         let time_left = DEADLINE.saturating_sub(now.saturating_sub(failed.arrived));
         let is_retried = match policy {
             Policy::Daisyquay => {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -128,10 +128,10 @@
                     AttemptOutcome::NotSent(e.reason())
                 }
                 RequestError::NotSent(reason) => AttemptOutcome::NotSent(reason),
-                RequestError::Interrupted(reason) => {
+                RequestError::Interrupted(_) | RequestError::GivenUp => {
                     gateway.count_lost_response(call, upstream);
                     gateway.record_interruption(call, &in_flight).await;
-                    AttemptOutcome::Lost(reason)
+                    AttemptOutcome::Lost(e.reason())
                 }
                 RequestError::Unattributed(reason) => {
                     in_flight.record_answer();
@@ -241,20 +241,28 @@
     gateway.count_response(call, &in_flight.upstream, is_failure, time_to_head);
     if !is_failure {
         in_flight.record_first_token();
-        in_flight.record_speed_sample(call);
+        in_flight.take_speed_sample(call);
     }
-    in_flight.record_response();
+    in_flight.record_head();
     if is_event_stream(&response) && !is_failure {
         return AttemptOutcome::Stream(Box::new(response), in_flight);
     }
     match response.read_to_end(RESPONSE_BODY_LIMIT_BYTES).await {
         Ok((head, body)) => {
+            in_flight.record_success();
             if let Some(service) = in_flight.upstream.service().filter(|_| !is_failure) {
                 gateway.record_progress(service, call);
             }
             AttemptOutcome::Complete(head, body)
         }
         Err(e) => {
+            // Before the next pause, in which the caller may go away.
+            if e != RequestError::GivenUp {
+                in_flight.record_failure();
+                if !is_failure {
+                    gateway.count_broken_response(call, &in_flight.upstream);
+                }
+            }
             gateway.record_interruption(call, &in_flight).await;
             AttemptOutcome::Lost(e.reason())
         }
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -6,6 +6,10 @@
 /// Maximum size of buffered data without a complete event.
 const EVENT_LIMIT_BYTES: usize = 1024 * 1024;
 
+/// Size of an incomplete event from which it is taken for one without end, if its response had to be
+/// given up for the memory of all. Usual events are far smaller.
+const EXCESSIVE_EVENT_BYTES: usize = EVENT_LIMIT_BYTES / 4;
+
 /// Buffer for the events of one response.
 #[derive(Debug, Default)]
 pub(super) struct Events {
@@ -85,6 +89,11 @@
         self.buf.len()
     }
 
+    /// Returns whether the incomplete event is so large that it may have no end.
+    pub(super) fn is_excessive(&self) -> bool {
+        self.buf.len() >= EXCESSIVE_EVENT_BYTES
+    }
+
     /// Returns whether no part of an incomplete event is buffered.
     pub(super) fn is_at_boundary(&self) -> bool {
         self.buf.is_empty()
--- a/src/gateway/exchange/pass_on.rs
+++ b/src/gateway/exchange/pass_on.rs
@@ -272,9 +272,9 @@
                     RequestError::Refused | RequestError::NotSent(_) => {
                         Outcome::NotTaken(e.reason())
                     }
-                    RequestError::Interrupted(reason) | RequestError::Unattributed(reason) => {
-                        Outcome::Lost(reason)
-                    }
+                    RequestError::Interrupted(_)
+                    | RequestError::Unattributed(_)
+                    | RequestError::GivenUp => Outcome::Lost(e.reason()),
                 };
             }
         };
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -222,7 +222,7 @@
     /// Response statistics since the last renewal.
     release_stats: RefCell<HashMap<observations::ReleaseStatsKey, RouteStats>>,
     /// Requests of which a response was lost that may not count in the statistics.
-    lost_responses: RefCell<LostResponses<observations::ReleaseStatsKey>>,
+    lost_responses: RefCell<LostResponses<observations::LostResponse>>,
     rng: RefCell<fastrand::Rng>,
     metrics: Metrics,
     recovery: Recovery,
--- a/src/gateway/observations.rs
+++ b/src/gateway/observations.rs
@@ -26,6 +26,14 @@
     upstream: Index,
 }
 
+/// A request of which no response or only a part of one came.
+#[derive(Debug)]
+pub(super) struct LostResponse {
+    key: ReleaseStatsKey,
+    /// Whether it is among the requests already, as its head was.
+    is_counted: bool,
+}
+
 impl Gateway {
     /// Records that the first token came after `elapsed` from an upstream that had `prefill_tokens`
     /// to process.
@@ -112,29 +120,47 @@
         }
     }
 
-    /// Counts a request of which no response or only a part of one came, unless that is the fault of
-    /// the link to the upstream.
+    /// Counts a request of which no response came, unless that is the fault of the link to the upstream.
     pub(super) fn count_lost_response(self: &Rc<Self>, call: &Call, upstream: &Upstream) {
+        self.count_loss(call, upstream, false);
+    }
+
+    /// Counts the failure of a response that was counted as a success with its head, unless that is the
+    /// fault of the link to the upstream.
+    pub(super) fn count_broken_response(self: &Rc<Self>, call: &Call, upstream: &Upstream) {
+        self.count_loss(call, upstream, true);
+    }
+
+    fn count_loss(self: &Rc<Self>, call: &Call, upstream: &Upstream, is_counted: bool) {
         let Some(key) = self.release_stats_key(call, upstream) else {
             return;
         };
         let (gateway, address) = (self.clone(), upstream.address());
         tokio::task::spawn_local(async move {
             let reached = http_client::probe(address, CONNECT_TIMEOUT).await;
-            gateway.apply_lost_response(key, reached);
+            gateway.apply_lost_response(LostResponse { key, is_counted }, reached);
         });
     }
 
-    fn apply_lost_response(&self, key: ReleaseStatsKey, reached: Reached) {
-        let (now, upstream) = (self.now(), key.upstream);
+    fn apply_lost_response(&self, response: LostResponse, reached: Reached) {
+        let (now, upstream) = (self.now(), response.key.upstream);
         if reached == Reached::Refused {
             let mut reachability = self.reachability.borrow_mut();
             reachability.record_refusal(upstream, now);
             self.load_changed.notify_one();
         }
         let mut lost = self.lost_responses.borrow_mut();
-        if let Some(key) = lost.record(key, upstream, reached, now) {
-            self.add_failure(key);
+        if let Some(response) = lost.record(response, upstream, reached, now) {
+            self.add_loss(response);
+        }
+    }
+
+    fn add_loss(&self, response: LostResponse) {
+        if response.is_counted {
+            let mut stats = self.release_stats.borrow_mut();
+            stats.entry(response.key).or_default().failed += 1;
+        } else {
+            self.add_failure(response.key);
         }
     }
 
@@ -186,8 +212,8 @@
                 alive.is_some_and(|alive| alive.contains(&at))
             })
         };
-        for key in due {
-            self.add_failure(key);
+        for response in due {
+            self.add_loss(response);
         }
         self.release_stats
             .borrow_mut()
--- a/src/gateway/speeds.rs
+++ b/src/gateway/speeds.rs
@@ -48,6 +48,23 @@
     }
 }
 
+/// Sample of an upstream's speed. It counts once the response is known to be sound: an upstream whose
+/// bodies fail may begin them sooner than others.
+#[derive(Debug)]
+pub(super) enum SpeedSample {
+    /// Times until the first token, observed and expected.
+    Prefill {
+        observed: Duration,
+        expected: Duration,
+    },
+    /// Time to the head of a response of a plain service.
+    Plain {
+        observed: Duration,
+        learned: f64,
+        route: Name,
+    },
+}
+
 impl Gateway {
     /// Computes the learned slowness again and publishes it as metrics and log lines.
     pub(super) fn refresh_speeds(&self) {
@@ -155,9 +172,9 @@
         speeds.record_momentary(service, self.upstream.number, percent, now);
     }
 
-    /// Records the time to the response head as a sample of the upstream's speed. It is divided by
-    /// the momentary slowness that came with it, which is not to be learned.
-    pub(super) fn record_speed_sample(&self, call: &Call) {
+    /// Takes the time to the response head as a sample of the upstream's speed. It is divided by the
+    /// momentary slowness that came with it, which is not to be learned.
+    pub(super) fn take_speed_sample(&mut self, call: &Call) {
         let gateway = &self.gateway;
         let Some(service) = self.upstream.service() else {
             return;
@@ -170,23 +187,48 @@
         let momentary = gateway.speeds.borrow().momentary(number, now);
         let learned = gateway.speeds.borrow().learned(number);
         let elapsed = self.elapsed().div_f64(momentary);
-        let expected = if call.route.affinity {
+        self.speed_sample = if call.route.affinity {
             let tokens = self.prefill_tokens_ahead;
             gateway
                 .predict_prefill_time(service, self.model.clone(), tokens)
                 .filter(|_| RateEstimator::is_sample(tokens))
-                .map(|expected| (elapsed, expected))
+                .map(|expected| SpeedSample::Prefill {
+                    observed: elapsed,
+                    expected,
+                })
         } else {
             // Above its slots, the upstream queues requests, and the wait is not its slowness.
-            let elapsed = elapsed.div_f64(self.utilization.max(1.0));
-            let expected = gateway.usual_response_time(service, call);
-            let mut response_times = gateway.response_times.borrow_mut();
-            response_times.record(service, &call.route.name, elapsed.div_f64(learned));
-            expected.map(|expected| (elapsed, expected))
+            Some(SpeedSample::Plain {
+                observed: elapsed.div_f64(self.utilization.max(1.0)),
+                learned,
+                route: call.route.name.clone(),
+            })
+        };
+    }
+
+    /// Records the sample, if there is one.
+    pub(super) fn commit_speed_sample(&mut self) {
+        let gateway = &self.gateway;
+        let (Some(sample), Some(service)) = (self.speed_sample.take(), self.upstream.service())
+        else {
+            return;
+        };
+        let (observed, expected) = match sample {
+            SpeedSample::Prefill { observed, expected } => (observed, Some(expected)),
+            SpeedSample::Plain {
+                observed,
+                learned,
+                route,
+            } => {
+                let mut response_times = gateway.response_times.borrow_mut();
+                let expected = response_times.expected(service, &route);
+                response_times.record(service, &route, observed.div_f64(learned));
+                (observed, expected)
+            }
         };
-        if let Some((observed, expected)) = expected {
+        if let Some(expected) = expected {
             let mut speeds = gateway.speeds.borrow_mut();
-            speeds.record_sample(number, observed, expected, now);
+            speeds.record_sample(self.upstream.number, observed, expected, gateway.now());
         }
     }
 }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -82,7 +82,8 @@
 enum ChunkResult {
     Events,
     End,
-    Broken(&'static str),
+    /// Broken off, by the upstream or to free memory.
+    Broken(RequestError),
 }
 
 impl Relay {
@@ -121,6 +122,7 @@
     async fn next_step(&mut self) -> Step {
         loop {
             if let Some(events) = self.events.take_complete() {
+                self.in_flight.record_progress();
                 if self.exchange.gateway().now() >= self.progress.began_at + PROGRESS_TIME {
                     self.record_progress();
                 }
@@ -148,16 +150,18 @@
                     ChunkResult::Events => continue,
                     ChunkResult::End => {
                         self.record_progress();
+                        self.in_flight.record_success();
                         return Step::End;
                     }
-                    ChunkResult::Broken(reason) => {
+                    ChunkResult::Broken(e) => {
+                        self.record_failure(e);
                         self.upstream_response = None;
                         self.events.interrupt();
                         if !self.progress.is_recorded {
                             let (gateway, call) = (self.exchange.gateway(), self.exchange.call());
                             gateway.record_interruption(call, &self.in_flight).await;
                         }
-                        reason
+                        e.reason()
                     }
                 },
             };
@@ -196,11 +200,22 @@
         }
     }
 
+    /// Records that the response has broken off, unless that is not the upstream's fault. Comes before
+    /// the next pause, in which the caller may go away.
+    fn record_failure(&mut self, e: RequestError) {
+        if e == RequestError::GivenUp && !self.events.is_excessive() {
+            return;
+        }
+        self.in_flight.record_failure();
+        let (gateway, call) = (self.exchange.gateway(), self.exchange.call());
+        gateway.count_broken_response(call, &self.in_flight.upstream);
+    }
+
     fn push_chunk(&mut self, chunk: Option<Result<bytes::Bytes, RequestError>>) -> ChunkResult {
         match chunk {
             Some(Ok(chunk)) => match self.push_events(&chunk) {
                 Ok(()) => ChunkResult::Events,
-                Err(reason) => ChunkResult::Broken(reason),
+                Err(e) => ChunkResult::Broken(e),
             },
             None if self.events.is_at_boundary() => {
                 if let Some(upstream_response) = self.upstream_response.take() {
@@ -208,26 +223,27 @@
                 }
                 ChunkResult::End
             }
-            None => ChunkResult::Broken("stream ended within an event"),
-            Some(Err(e)) => ChunkResult::Broken(e.reason()),
+            None => ChunkResult::Broken(RequestError::Interrupted("stream ended within an event")),
+            Some(Err(e)) => ChunkResult::Broken(e),
         }
     }
 
-    fn push_events(&mut self, chunk: &[u8]) -> Result<(), &'static str> {
-        self.events.push(chunk)?;
+    fn push_events(&mut self, chunk: &[u8]) -> Result<(), RequestError> {
+        self.events.push(chunk).map_err(RequestError::Interrupted)?;
         let response = self.upstream_response.as_ref();
-        let held = response.map_or(Ok(()), |response| response.hold(self.events.buffered()));
-        held.map_err(RequestError::reason)
+        response.map_or(Ok(()), |response| response.hold(self.events.buffered()))
     }
 
     /// Resumes the stream at `first` or another upstream; returns whether that succeeded.
     async fn resume(&mut self, reason: &'static str, first: Option<Upstream>) -> bool {
         // Dropping the response cancels the request at the old upstream before another one resumes.
-        self.upstream_response = None;
+        let is_idle = self.upstream_response.take().is_some();
         self.events.interrupt();
-        self.in_flight.record_failure();
         let gateway = self.exchange.gateway().clone();
-        gateway.count_lost_response(self.exchange.call(), &self.in_flight.upstream);
+        if is_idle {
+            // A busy upstream may be that late, so it stays in use.
+            gateway.count_broken_response(self.exchange.call(), &self.in_flight.upstream);
+        }
         event!(
             Info,
             "stream_broke",
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -11,6 +11,7 @@
 use super::loads::PeerLoads;
 use super::routing::Upstream;
 use super::speeds::ManagedUpstreams;
+use super::speeds::SpeedSample;
 use crate::agreement::Index;
 use crate::collections::HashMap;
 use crate::collections::HashSet;
@@ -386,6 +387,8 @@
     has_result: bool,
     /// Whether it is known if the upstream has responded.
     has_verdict: bool,
+    /// Whether there was an event of a streaming response.
+    has_progress: bool,
     /// Target of the route for the response head.
     target: Duration,
     /// Whether the upstream was cold when the request was sent.
@@ -400,6 +403,10 @@
     pub(super) utilization: f64,
     /// Queue of the upstream before and after the response.
     pub(super) queue: QueueReports,
+    /// Time from sending to the response head.
+    time_to_head: Option<Duration>,
+    /// Sample of the upstream's speed, until the response is known to be sound.
+    pub(super) speed_sample: Option<SpeedSample>,
 }
 
 impl InFlightRequest {
@@ -447,6 +454,7 @@
             sent_at,
             has_result: false,
             has_verdict: false,
+            has_progress: false,
             target,
             was_cold,
             load,
@@ -458,6 +466,8 @@
                 before: last_report,
                 after: None,
             },
+            time_to_head: None,
+            speed_sample: None,
         }
     }
 
@@ -550,11 +560,32 @@
         self.gateway.now().saturating_sub(self.sent_at)
     }
 
-    /// Records a response head. Any status counts as a success, since the upstream is reachable.
-    pub(super) fn record_response(&mut self) {
-        let time_to_head = self.elapsed();
+    /// Records a response head, which shows that the upstream is reachable. Its health depends on the
+    /// body, too: a head alone would hide an upstream whose bodies fail.
+    pub(super) fn record_head(&mut self) {
+        self.time_to_head = Some(self.elapsed());
         self.finish_prefill();
         self.gateway.record_reachable(self.upstream.number);
+    }
+
+    /// Records an event of a stream. The first one settles a probe, which must not wait for the end.
+    pub(super) fn record_progress(&mut self) {
+        if std::mem::replace(&mut self.has_progress, true) {
+            return;
+        }
+        self.commit_speed_sample();
+        let sent_at = self.sent_at;
+        let mut upstreams = self.gateway.upstreams.borrow_mut();
+        upstreams
+            .row(&self.upstream)
+            .health
+            .record_progress(sent_at);
+    }
+
+    /// Records a whole response. Any status counts as a success, since the upstream works.
+    pub(super) fn record_success(&mut self) {
+        self.commit_speed_sample();
+        let time_to_head = self.time_to_head.unwrap_or_else(|| self.elapsed());
         if self.is_cold() {
             self.record_result(|health, _| health.record_cold_success());
         } else {
@@ -589,7 +620,8 @@
 
     /// Records a failure that is attributed to the upstream.
     pub(super) fn record_failure(&mut self) {
-        self.record_result(|health, now| health.record_failure(now));
+        let sent_at = self.sent_at;
+        self.record_result(|health, now| health.record_failure(sent_at, now));
     }
 
     /// Updates the health of the upstream, once for each request.
@@ -643,7 +675,7 @@
             .saturating_sub(self.load.prefill_tokens);
         row.load.kv_tokens = row.load.kv_tokens.saturating_sub(self.load.kv_tokens);
         if !self.has_result {
-            row.health.record_cancelled();
+            row.health.record_cancelled(self.sent_at);
         }
         drop(upstreams);
         self.gateway.record_freed_capacity();
--- a/src/http_client/held.rs
+++ b/src/http_client/held.rs
@@ -10,9 +10,6 @@
 use crate::log::event;
 use crate::policy::buffer_budget::BufferBudget;
 
-/// Why a response was given up.
-const GIVEN_UP: RequestError = RequestError::Interrupted("responses hold too much memory");
-
 struct Table {
     budget: BufferBudget,
     /// Wakes the readers of responses that are given up, by the number of the response.
@@ -58,7 +55,7 @@
     pub(super) fn set(&self, bytes: usize) -> Result<(), RequestError> {
         let mut table = self.memory.0.borrow_mut();
         if !table.readers.contains_key(&self.number) {
-            return Err(GIVEN_UP);
+            return Err(RequestError::GivenUp);
         }
         for number in table.budget.hold(self.number, bytes) {
             event!(Warn, "response_given_up", held = table.budget.used());
@@ -69,14 +66,14 @@
         if table.readers.contains_key(&self.number) {
             Ok(())
         } else {
-            Err(GIVEN_UP)
+            Err(RequestError::GivenUp)
         }
     }
 
     /// Waits until the response is given up for others.
     pub(super) async fn given_up(&self) -> RequestError {
         self.given_up.notified().await;
-        GIVEN_UP
+        RequestError::GivenUp
     }
 }
 
--- a/src/http_client/mod.rs
+++ b/src/http_client/mod.rs
@@ -48,6 +48,9 @@
     /// The request was sent, and a response arrived that may belong to another one. The upstream may
     /// have run the request.
     Unattributed(&'static str),
+    /// All responses together hold too much memory, and this one was given up for the others. That alone
+    /// is no failure of its upstream.
+    GivenUp,
 }
 
 impl RequestError {
@@ -55,6 +58,7 @@
     pub(crate) fn reason(self) -> &'static str {
         match self {
             Self::Refused => "connection refused",
+            Self::GivenUp => "responses hold too much memory",
             Self::NotSent(reason) | Self::Interrupted(reason) | Self::Unattributed(reason) => {
                 reason
             }
--- a/src/upstream/health.rs
+++ b/src/upstream/health.rs
@@ -33,6 +33,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct Health {
     failures: u32,
+    /// When the circuit last opened. Requests that were sent before belong to the trouble that opened
+    /// it, and tell nothing more.
+    opened_at: Option<Duration>,
     open_until: Option<Duration>,
     probe_delay: Duration,
     is_probing: bool,
@@ -56,7 +59,7 @@
         self.is_probing = self.open_until.is_some();
     }
 
-    /// Records a response whose first token or head came after `latency`, and closes the circuit.
+    /// Records a whole response whose first token or head came after `latency`, and closes the circuit.
     ///
     /// The latency of the first response is ignored. It includes the setup of a connection, and an
     /// upstream that counted as slow would get no requests that could correct it.
@@ -64,6 +67,7 @@
         let seconds = latency.as_secs_f64();
         let mean = self.mean_latency_s.unwrap_or(seconds);
         *self = Self {
+            opened_at: self.opened_at,
             has_responded: true,
             mean_latency_s: self
                 .has_responded
@@ -75,19 +79,37 @@
     /// Records a response of a cold upstream, and closes the circuit. Its latency does not count.
     pub fn record_cold_success(&mut self) {
         *self = Self {
+            opened_at: self.opened_at,
             has_responded: self.has_responded,
             mean_latency_s: self.mean_latency_s,
             ..Self::default()
         };
     }
 
-    /// Records a request that ended without a success or a failure of the upstream.
-    pub fn record_cancelled(&mut self) {
+    /// Records that a response which may go on for long has begun soundly, and closes the circuit
+    /// without waiting for its end. As it may still break off, the failures so far count until a whole
+    /// response: one more opens the circuit for twice as long.
+    pub fn record_progress(&mut self, sent_at: Duration) {
+        if self.is_before_opening(sent_at) {
+            return;
+        }
         self.is_probing = false;
+        self.open_until = None;
+    }
+
+    /// Records a request, sent at `sent_at`, that ended without a success or a failure of the upstream.
+    pub fn record_cancelled(&mut self, sent_at: Duration) {
+        if !self.is_before_opening(sent_at) {
+            self.is_probing = false;
+        }
     }
 
-    /// Records a failure of the upstream, which may open the circuit.
-    pub fn record_failure(&mut self, now: Duration) {
+    /// Records a failure of the upstream, which may open the circuit. Many requests may fail at once, so
+    /// those sent before the circuit opened neither lengthen its delay nor end a probe.
+    pub fn record_failure(&mut self, sent_at: Duration, now: Duration) {
+        if self.is_before_opening(sent_at) {
+            return;
+        }
         self.failures += 1;
         let was_probe = self.is_probing;
         self.is_probing = false;
@@ -99,9 +121,14 @@
         } else {
             (self.probe_delay * 2).min(MAX_PROBE_DELAY)
         };
+        self.opened_at = Some(now);
         self.open_until = Some(now + self.probe_delay);
     }
 
+    fn is_before_opening(&self, sent_at: Duration) -> bool {
+        self.opened_at.is_some_and(|opened_at| sent_at < opened_at)
+    }
+
     /// Returns the moving average of the latency, in seconds; `None` until the second response.
     pub fn mean_latency_s(&self) -> Option<f64> {
         self.mean_latency_s
--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -12,6 +12,7 @@
 mod escalation;
 mod fanout;
 mod gateway_queue;
+mod health;
 mod load_balancing;
 mod lost_responses;
 mod models_under_load;
