--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -112,7 +112,8 @@
 enum ChunkResult {
     Events,
     End,
-    Broken(&'static str),
+    /// Broken off, by the upstream or to free memory.
+    Broken(RequestError),
 }
 
 impl Relay {
@@ -224,6 +225,7 @@
     async fn next_step(&mut self, exchange: &mut Exchange) -> SourceStep {
         loop {
             if let Some(events) = self.events.take_complete() {
+                self.in_flight.record_progress();
                 if exchange.gateway().now() >= self.progress.began_at + PROGRESS_TIME {
                     self.record_progress(exchange);
                 }
@@ -259,9 +261,11 @@
                     ChunkResult::Events => {}
                     ChunkResult::End => {
                         self.record_progress(exchange);
+                        self.in_flight.record_success();
                         return SourceStep::End;
                     }
-                    ChunkResult::Broken(reason) => {
+                    ChunkResult::Broken(e) => {
+                        self.record_failure(exchange, e);
                         self.response = None;
                         self.events.interrupt();
                         if !self.progress.is_recorded {
@@ -269,7 +273,7 @@
                             gateway.record_interruption(call, &self.in_flight).await;
                         }
                         return SourceStep::Interrupted(Interruption {
-                            reason,
+                            reason: e.reason(),
                             next_upstream: None,
                         });
                     }
@@ -298,11 +302,22 @@
         }
     }
 
+    /// Records that the response has broken off, unless that is not the upstream's fault. Comes before
+    /// the next pause, in which the caller may go away.
+    fn record_failure(&mut self, exchange: &Exchange, e: RequestError) {
+        if e == RequestError::GivenUp && !self.events.is_excessive() {
+            return;
+        }
+        self.in_flight.record_failure();
+        let (gateway, call) = (exchange.gateway(), exchange.call());
+        gateway.count_broken_response(call, &self.in_flight.upstream);
+    }
+
     fn push_chunk(&mut self, chunk: Option<Result<bytes::Bytes, RequestError>>) -> ChunkResult {
         match chunk {
             Some(Ok(chunk)) => match self.push_events(&chunk) {
                 Ok(()) => ChunkResult::Events,
-                Err(reason) => ChunkResult::Broken(reason),
+                Err(e) => ChunkResult::Broken(e),
             },
             None if self.events.is_at_boundary() => {
                 if let Some(response) = self.response.take() {
@@ -310,25 +325,26 @@
                 }
                 ChunkResult::End
             }
-            None => ChunkResult::Broken("stream ended within an event"),
-            Some(Err(e)) => ChunkResult::Broken(e.reason()),
+            None => ChunkResult::Broken(RequestError::Interrupted("stream ended within an event")),
+            Some(Err(e)) => ChunkResult::Broken(e),
         }
     }
 
-    fn push_events(&mut self, chunk: &[u8]) -> Result<(), &'static str> {
-        self.events.push(chunk)?;
+    fn push_events(&mut self, chunk: &[u8]) -> Result<(), RequestError> {
+        self.events.push(chunk).map_err(RequestError::Interrupted)?;
         let response = self.response.as_ref();
-        let held = response.map_or(Ok(()), |response| response.hold(self.events.buffered()));
-        held.map_err(RequestError::reason)
+        response.map_or(Ok(()), |response| response.hold(self.events.buffered()))
     }
 
     /// Cancels the request at the upstream, before another one gets it, and records the loss.
     fn record_loss(&mut self, exchange: &Exchange, reason: &'static str) {
-        self.response = None;
+        let is_idle = self.response.take().is_some();
         self.events.interrupt();
-        self.in_flight.record_failure();
         let (gateway, call) = (exchange.gateway(), exchange.call());
-        gateway.count_lost_response(call, &self.in_flight.upstream);
+        if is_idle {
+            // A busy upstream may be that late, so it stays in use.
+            gateway.count_broken_response(call, &self.in_flight.upstream);
+        }
         event!(
             Info,
             "stream_broke",
