Offer upgrades and send half bodies (known red)

The tests cover the front, the entries and the listeners of the platform.

No response comes to an offer without a body, to CONNECT and to half a body; a request with a body and an offer is answered with `connection: upgrade`, and its connection closes.

--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -39,3 +39,4 @@
 mod streams;
 mod support;
 mod uneven_upstreams;
+mod upgrade_offers;
--- a/tests/process/support/caller.rs
+++ b/tests/process/support/caller.rs
@@ -1,5 +1,6 @@
 //! A caller that keeps its connection open and reads its responses at the pace of a test.
 
+use std::io::ErrorKind;
 use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
@@ -75,6 +76,18 @@
         self.stream.write_all(head.as_bytes()).is_ok()
     }
 
+    /// Sends text as it is; `false` if the connection has ended.
+    pub(crate) fn send_text(&mut self, text: &str) -> bool {
+        self.stream.write_all(text.as_bytes()).is_ok()
+    }
+
+    /// Waits for the end of the connection; `false` if another byte comes, or nothing for a while.
+    pub(crate) fn is_closed(&mut self) -> bool {
+        let received = self.stream.read(&mut [0]);
+        let is_end = received.map_or_else(|e| e.kind() == ErrorKind::ConnectionReset, |n| n == 0);
+        self.buf.is_empty() && is_end
+    }
+
     /// Receives a response as fast as it comes; see [`Self::receive_at`].
     pub(crate) fn receive(&mut self) -> Option<Response> {
         self.receive_at(|_| {})
