Decline upgrades and serve the request as usual

Callers that offer an upgrade with each request (`Connection: Upgrade, HTTP2-Settings`, `Upgrade: h2c`) got no response. ntex takes all that follows such a head for its body, which ends only with the connection, and the handler waits for that end. With a body, the response came with `connection: upgrade` and its connection was closed. CONNECT was held.

ntex hands the connection over before it reads a body if the handler of control messages is ready at once. That handler now puts the head back without the offer, and the connection is served anew: the body is that of the content-length or the chunks, the connection stays open, and pipelined requests follow. No upgrade can come twice from one head, since neither `Upgrade` nor an option with that name is left. CONNECT gets 405. All options of all `Connection` headers are now kept from upstreams, not those of the first one only.

The web servers of the entries have no such handler: a request without a length has no body there, and its connection closes after it.

Not covered: an entry's request with `Upgrade: websocket` after a content-length, whose length ntex drops.

--- a/src/entry/open_requests.rs
+++ b/src/entry/open_requests.rs
@@ -15,6 +15,7 @@
 
 use ntex::SharedCfg;
 use ntex::http::ConnectionType;
+use ntex::http::Payload;
 use ntex::http::body::Body;
 use ntex::http::body::BodySize;
 use ntex::http::body::MessageBody;
@@ -114,6 +115,10 @@
         mut req: WebRequest<E>,
         cx: ServiceCtx<'_, Self>,
     ) -> Result<WebResponse, S::Error> {
+        if listen::has_no_body(req.headers()) {
+            // ntex takes all that follows an offer of an upgrade for its body.
+            req.set_payload(Payload::None);
+        }
         let shared = &self.worker.shared;
         // The request is counted before the check, so that the stop sees it or refuses it.
         let open = OpenRequest::new(shared);
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -241,7 +241,13 @@
 /// caller's key, and headers that only the gateway may set.
 fn forwarded_headers(names: &HeaderNames, req: &Request, gateway_chooses_model: bool) -> HeaderMap {
     let mut headers = HeaderMap::with_capacity(req.headers().len());
-    let connection_options = header_text(req, &header::CONNECTION).unwrap_or_default();
+    let connection_options: Vec<&str> = req
+        .headers()
+        .get_all(header::CONNECTION)
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(str::trim)
+        .collect();
     for (name, value) in req.headers() {
         let is_dropped = HOP_BY_HOP.contains(&name.as_str())
             || *name == header::AUTHORIZATION
@@ -255,8 +261,8 @@
             || gateway_chooses_model && *name == names.model
             || names.reserved.contains(name)
             || connection_options
-                .split(',')
-                .any(|option| option.trim().eq_ignore_ascii_case(name.as_str()));
+                .iter()
+                .any(|option| option.eq_ignore_ascii_case(name.as_str()));
         if is_dropped {
             continue;
         }
--- a/src/listen/mod.rs
+++ b/src/listen/mod.rs
@@ -4,8 +4,10 @@
 //! handing each connection to a worker thread costs more wake-ups than the requests themselves.
 
 mod connections;
+mod upgrade;
 
 use std::future::Future;
+use std::future::ready;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -18,6 +20,8 @@
 use ntex::http::Payload;
 use ntex::http::Request;
 use ntex::http::Response;
+use ntex::http::header;
+use ntex::http::header::HeaderMap;
 use ntex::io::IoConfig;
 use ntex::service::Pipeline;
 use ntex::service::ServiceFactory;
@@ -29,6 +33,7 @@
 pub(crate) use self::connections::Backlog;
 pub use self::connections::Connections;
 pub(crate) use self::connections::end_stalled;
+use self::upgrade::Declined;
 
 use crate::http_client;
 use crate::log::event;
@@ -74,6 +79,12 @@
     TooLarge,
 }
 
+/// Returns whether a request with these headers has no body.
+pub(crate) fn has_no_body(headers: &HeaderMap) -> bool {
+    !headers.contains_key(header::CONTENT_LENGTH)
+        && !headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Reads a complete body of at most `limit` bytes. The rest of a larger one is read as well, within
 /// bounds, so that the caller receives the response.
 ///
@@ -151,7 +162,13 @@
         let response = handler.handle(req);
         async move { Ok::<_, io::Error>(response.await) }
     }));
+    let declined = Declined::default();
+    let at_control = declined.clone();
     let service = service
+        .control(fn_service(move |message| {
+            // ntex begins to read the body if the result is not ready at once.
+            ready(Ok::<_, io::Error>(upgrade::decline(&at_control, message)))
+        }))
         .create(cfg.clone())
         .await
         .map_err(|()| io::Error::other("the HTTP service can't be created"))?;
@@ -187,10 +204,15 @@
                         continue;
                     };
                     let open = open_connections.register(io.get_ref(), started_at.elapsed());
-                    let call = service.call_static(io);
+                    let (id, service) = (io.id(), service.clone());
+                    let declined = declined.clone();
                     tokio::task::spawn_local(async move {
-                        // The outcome of the request itself is logged elsewhere.
-                        let _ = call.await;
+                        let mut next = Some(io);
+                        while let Some(io) = next {
+                            // The outcome of the request itself is logged elsewhere.
+                            let _ = service.call(io).await;
+                            next = declined.take(id);
+                        }
                         open.log_end(local);
                     });
                 }
