Refuse bodies that are not complete in time

A body that stopped halfway was held beyond the route's timeout and the caller's deadline, until the caller gave up: the body was read before the time limit of the request began.

The limit now begins with the head. When it passes before the end of the body, the response is 408 (not run) with the code `body_late`, logged and counted like other refusals, and the connection closes. A gateway that has passed a request on treats a 408 like the other statements that a request has not run.

--- a/src/entry/handlers.rs
+++ b/src/entry/handlers.rs
@@ -81,7 +81,7 @@
 
 async fn read_body(worker: &Worker, payload: Payload) -> Result<Bytes, Refusal> {
     let limit = worker.shared.cfg.body_limit;
-    let body = listen::read_body(payload.into_inner(), limit).await;
+    let body = listen::read_body(payload.into_inner(), limit, listen::BODY_TIMEOUT).await;
     body.map(Bytes::from).map_err(|e| match e {
         BodyError::Incomplete => Refusal::bad(
             "invalid_body",
@@ -91,6 +91,11 @@
             let message = format!("the body is larger than {limit} bytes; send a smaller one");
             Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", message)
         }
+        BodyError::Late => Refusal::new(
+            StatusCode::REQUEST_TIMEOUT,
+            "body_late",
+            "the body was not complete in time; send the request again",
+        ),
     })
 }
 
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -1,7 +1,6 @@
 //! A caller's request, parsed into typed fields.
 
 use std::cell::OnceCell;
-use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -273,10 +272,15 @@
     headers
 }
 
-/// Reads the whole body of a request, up to the body limit.
-pub(super) async fn read_body(gateway: &Rc<Gateway>, req: &mut Request) -> Result<Bytes, Refusal> {
+/// Reads the whole body of a request, up to the body limit, within the time that is left for it.
+pub(super) async fn read_body(
+    gateway: &Gateway,
+    call: &Call,
+    req: &mut Request,
+) -> Result<Bytes, Refusal> {
     let limit = gateway.cfg.body_limit;
-    let body = listen::read_body(req.take_payload(), limit).await;
+    let time_left = call.time_left(gateway.now());
+    let body = listen::read_body(req.take_payload(), limit, time_left).await;
     body.map(Bytes::from).map_err(|e| match e {
         BodyError::Incomplete => Refusal::new(
             StatusCode::BAD_REQUEST,
@@ -288,5 +292,10 @@
             "body_too_large",
             format!("the request body exceeds {limit} bytes; send a smaller one"),
         ),
+        BodyError::Late => Refusal::new(
+            StatusCode::REQUEST_TIMEOUT,
+            "body_late",
+            "the request body was not complete before the deadline; send the request again",
+        ),
     })
 }
--- a/src/gateway/exchange/mod.rs
+++ b/src/gateway/exchange/mod.rs
@@ -109,7 +109,7 @@
     }
     let body = tokio::select! {
         biased;
-        body = read_body(gateway, &mut req) => body,
+        body = read_body(gateway, &call, &mut req) => body,
         () = gateway.wait_for_final_answers() => Err(Refusal::stopping()),
     };
     let body = match body {
--- a/src/gateway/exchange/pass_on.rs
+++ b/src/gateway/exchange/pass_on.rs
@@ -250,7 +250,9 @@
         !head.headers.contains_key(&names.signature)
             && matches!(
                 head.status,
-                StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE
+                StatusCode::REQUEST_TIMEOUT
+                    | StatusCode::TOO_MANY_REQUESTS
+                    | StatusCode::SERVICE_UNAVAILABLE
             )
     }
 
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -8,8 +8,8 @@
 use crate::api::ErrorBody;
 use crate::api::ErrorDetail;
 
-/// An error response of the gateway. Its status tells whether the request has run: 429 and 503
-/// guarantee that it has not and will not.
+/// An error response of the gateway. Its status tells whether the request has run: 408, 429 and
+/// 503 guarantee that it has not and will not.
 #[derive(Clone, Debug)]
 pub(super) struct Refusal {
     pub(super) status: StatusCode,
@@ -78,6 +78,10 @@
         if let Some(after) = self.retry_after {
             response.header("retry-after", format!("{:.2}", after.as_secs_f64()));
         }
+        if self.status == StatusCode::REQUEST_TIMEOUT {
+            // What follows is the rest of the body.
+            response.force_close();
+        }
         response.json(&body)
     }
 }
--- a/src/listen/mod.rs
+++ b/src/listen/mod.rs
@@ -70,6 +70,9 @@
 /// Longest time for which such a body is read.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Longest wait for a complete body of a request that has no time limit of its own.
+pub const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Why a request body could not be read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum BodyError {
@@ -77,6 +80,8 @@
     Incomplete,
     /// The body exceeds the size limit.
     TooLarge,
+    /// The body was not complete within the time limit.
+    Late,
 }
 
 /// Returns whether a request with these headers has no body.
@@ -85,19 +90,30 @@
         && !headers.contains_key(header::TRANSFER_ENCODING)
 }
 
-/// Reads a complete body of at most `limit` bytes. The rest of a larger one is read as well, within
-/// bounds, so that the caller receives the response.
+/// Reads a complete body of at most `limit` bytes, which must arrive within `timeout`. The rest of a
+/// larger one is read as well, within bounds, so that the caller receives the response.
 ///
 /// # Errors
 ///
-/// The body is incomplete or larger than `limit`.
-pub async fn read_body(mut payload: Payload, limit: usize) -> Result<Vec<u8>, BodyError> {
+/// The body is incomplete, late or larger than `limit`.
+pub async fn read_body(
+    mut payload: Payload,
+    limit: usize,
+    timeout: Duration,
+) -> Result<Vec<u8>, BodyError> {
+    let body = tokio::time::timeout(timeout, read(&mut payload, limit)).await;
+    let body = body.unwrap_or(Err(BodyError::Late));
+    if body == Err(BodyError::TooLarge) {
+        discard_body(payload).await;
+    }
+    body
+}
+
+async fn read(payload: &mut Payload, limit: usize) -> Result<Vec<u8>, BodyError> {
     let mut buf = Vec::new();
     while let Some(chunk) = payload.recv().await {
         let chunk = chunk.map_err(|_| BodyError::Incomplete)?;
         if buf.len() + chunk.len() > limit {
-            drop(buf);
-            discard_body(payload).await;
             return Err(BodyError::TooLarge);
         }
         buf.extend_from_slice(&chunk);
