--- a/tests/process/partitioned_gateway.rs
+++ b/tests/process/partitioned_gateway.rs
@@ -379,3 +379,38 @@
         assert_eq!(seen.header("daisyquay-passed-on"), None);
     }
 }
+
+/// Guards against gateways that have lost the path to the upstreams as well and get no request that
+/// would show them that they have it again, while the callers of another one wait for that.
+#[test]
+fn gateways_without_callers_serve_for_the_one_that_is_cut_off_once_their_paths_return() {
+    let setup = Setup::with_upstreams(|seen, out| {
+        write(out, &ok_response(seen, "tile"));
+        // No connection from before the outage is left.
+        false
+    });
+    setup.cut.set_others(Vec::new());
+    setup.cut.set(Cut::Reset);
+    for number in 0..20 {
+        for gateway in 0..COUNT {
+            let reply = setup.call(gateway, "/lookup/a", &format!("outage-{gateway}-{number}"));
+            assert_ne!(reply.map(|reply| reply.status), Some(200));
+        }
+    }
+    let others = setup.gateways[1..].iter();
+    setup
+        .cut
+        .set_others(others.map(|(program, _)| program.pid()).collect());
+    let healed_at = Instant::now();
+    let mut number = 0;
+    let is_served = || {
+        number += 1;
+        let reply = setup.call(0, "/lookup/a", &format!("after-{number}"));
+        thread::sleep(REQUEST_INTERVAL);
+        reply.is_some_and(|reply| reply.status == 200)
+    };
+    let is_served_again = std::iter::repeat_with(is_served)
+        .take_while(|_| healed_at.elapsed() < DETECTION_TIME * 3)
+        .any(|is_served| is_served);
+    assert!(is_served_again, "not served for {:?}", healed_at.elapsed());
+}
