Pass requests on to gateways that may have their paths back

Callers of a gateway that is cut off got 502 for good once the other gateways had lost their paths for a moment as well. A gateway ends that state only by a response to a request, and without callers of its own it got none: the cut-off gateway chose from those that say they reach the service, and there were none.

If none says so, the request now goes to one that is heard of. That one sends it as its probe if a connection has succeeded meanwhile, and else refuses it at once as not taken; then the request stays here as before. No message between gateways changes.

Not run: the users' case with gateways that stand still in turn, and a case in which all upstreams are gone, where each request now costs one more refusal.

--- a/src/gateway/exchange/pass_on.rs
+++ b/src/gateway/exchange/pass_on.rs
@@ -171,11 +171,11 @@
         let service = self.service.clone()?;
         let gateway = self.gateway.clone();
         let had_runs = self.runs > 0;
-        for peer in gateway
-            .gateways_reaching(&service, &self.call)
-            .into_iter()
-            .take(MAX_GATEWAYS)
-        {
+        let mut peers = gateway.gateways_reaching(&service, &self.call);
+        if peers.is_empty() {
+            peers.extend(gateway.gateway_that_may_reach(&self.call));
+        }
+        for peer in peers.into_iter().take(MAX_GATEWAYS) {
             if self.call.time_left(gateway.now()) < MIN_TIME_LEFT
                 || self.runs >= self.call.attempts()
                 || gateway.gives_final_answers.get()
--- a/src/gateway/loads/mod.rs
+++ b/src/gateway/loads/mod.rs
@@ -211,6 +211,12 @@
             .collect()
     }
 
+    /// Returns the addresses for callers of the gateways that are heard of.
+    pub(super) fn addresses(&self) -> HashSet<SocketAddr> {
+        let peers = self.gateways.values();
+        peers.filter_map(|peer| peer.address).collect()
+    }
+
     /// Returns whether another gateway is heard of.
     pub(super) fn hears_others(&self) -> bool {
         !self.gateways.is_empty()
--- a/src/gateway/service_reachability.rs
+++ b/src/gateway/service_reachability.rs
@@ -1,5 +1,6 @@
 //! Services whose upstreams this gateway does not reach, and the gateways that may serve them.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -7,6 +8,7 @@
 use super::attempt::CONNECT_TIMEOUT;
 use super::call::Call;
 use super::routing::Upstream;
+use crate::collections::HashSet;
 use crate::collections::Name;
 use crate::http_client;
 use crate::log::event;
@@ -168,9 +170,20 @@
     /// those of the own data centre first. The request passes through no region in which it may not
     /// run.
     pub(super) fn gateways_reaching(&self, service: &Name, call: &Call) -> Vec<EntryInfo> {
-        let routing = self.routing();
         let peer_loads = self.peer_loads.borrow();
-        let reaching = peer_loads.addresses_reaching(stable_hash(service));
+        self.permitted_gateways(&peer_loads.addresses_reaching(stable_hash(service)), call)
+    }
+
+    /// Returns a gateway to try if none is known to reach the service of the call. One that has no
+    /// other requests for the service learns only from such a request that it reaches it again.
+    pub(super) fn gateway_that_may_reach(&self, call: &Call) -> Option<EntryInfo> {
+        let addresses = self.peer_loads.borrow().addresses();
+        self.permitted_gateways(&addresses, call).into_iter().next()
+    }
+
+    /// Returns those of the other gateways through which the call may pass.
+    fn permitted_gateways(&self, addresses: &HashSet<SocketAddr>, call: &Call) -> Vec<EntryInfo> {
+        let routing = self.routing();
         let own = &self.info;
         let is_permitted = |info: &EntryInfo| {
             info.data_centre == own.data_centre
@@ -182,7 +195,7 @@
         let others = routing.entries.iter().filter(|info| {
             info.loads_address.is_some()
                 && info.address != own.address
-                && reaching.contains(&info.address)
+                && addresses.contains(&info.address)
                 && is_permitted(info)
         });
         let mut others: Vec<EntryInfo> = others.cloned().collect();
