--- a/src/listen/mod.rs
+++ b/src/listen/mod.rs
@@ -5,8 +5,10 @@
 
 mod connections;
 mod sockets;
+mod upgrade;
 
 use std::future::Future;
+use std::future::ready;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -18,6 +20,8 @@
 use ntex::http::Payload;
 use ntex::http::Request;
 use ntex::http::Response;
+use ntex::http::header;
+use ntex::http::header::HeaderMap;
 use ntex::io::IoConfig;
 use ntex::service::Pipeline;
 use ntex::service::ServiceFactory;
@@ -34,6 +38,7 @@
 pub use self::sockets::Error;
 pub use self::sockets::Protocol;
 pub use self::sockets::Sockets;
+use self::upgrade::Declined;
 
 use crate::http_client;
 use crate::log::event;
@@ -70,6 +75,9 @@
 /// Longest time for which such a body is read.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Longest wait for a complete body of a request that has no time limit of its own.
+pub const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Why a request body could not be read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum BodyError {
@@ -77,21 +85,40 @@
     Incomplete,
     /// The body exceeds the size limit.
     TooLarge,
+    /// The body was not complete within the time limit.
+    Late,
+}
+
+/// Returns whether a request with these headers has no body.
+pub(crate) fn has_no_body(headers: &HeaderMap) -> bool {
+    !headers.contains_key(header::CONTENT_LENGTH)
+        && !headers.contains_key(header::TRANSFER_ENCODING)
 }
 
-/// Reads a complete body of at most `limit` bytes. The rest of a larger one is read as well, within
-/// bounds, so that the caller receives the response.
+/// Reads a complete body of at most `limit` bytes, which must arrive within `timeout`. The rest of a
+/// larger one is read as well, within bounds, so that the caller receives the response.
 ///
 /// # Errors
 ///
-/// The body is incomplete or larger than `limit`.
-pub async fn read_body(mut payload: Payload, limit: usize) -> Result<Vec<u8>, BodyError> {
+/// The body is incomplete, late or larger than `limit`.
+pub async fn read_body(
+    mut payload: Payload,
+    limit: usize,
+    timeout: Duration,
+) -> Result<Vec<u8>, BodyError> {
+    let body = tokio::time::timeout(timeout, read(&mut payload, limit)).await;
+    let body = body.unwrap_or(Err(BodyError::Late));
+    if body == Err(BodyError::TooLarge) {
+        discard_body(payload).await;
+    }
+    body
+}
+
+async fn read(payload: &mut Payload, limit: usize) -> Result<Vec<u8>, BodyError> {
     let mut buf = Vec::new();
     while let Some(chunk) = payload.recv().await {
         let chunk = chunk.map_err(|_| BodyError::Incomplete)?;
         if buf.len() + chunk.len() > limit {
-            drop(buf);
-            discard_body(payload).await;
             return Err(BodyError::TooLarge);
         }
         buf.extend_from_slice(&chunk);
@@ -155,7 +182,13 @@
         let response = handler.handle(req);
         async move { Ok::<_, io::Error>(response.await) }
     }));
+    let declined = Declined::default();
+    let at_control = declined.clone();
     let service = service
+        .control(fn_service(move |message| {
+            // ntex begins to read the body if the result is not ready at once.
+            ready(Ok::<_, io::Error>(upgrade::decline(&at_control, message)))
+        }))
         .create(cfg.clone())
         .await
         .map_err(|()| io::Error::other("the HTTP service can't be created"))?;
@@ -191,10 +224,15 @@
                         continue;
                     };
                     let open = open_connections.register(io.get_ref(), started_at.elapsed());
-                    let call = service.call_static(io);
+                    let (id, service) = (io.id(), service.clone());
+                    let declined = declined.clone();
                     tokio::task::spawn_local(async move {
-                        // The outcome of the request itself is logged elsewhere.
-                        let _ = call.await;
+                        let mut next = Some(io);
+                        while let Some(io) = next {
+                            // The outcome of the request itself is logged elsewhere.
+                            let _ = service.call(io).await;
+                            next = declined.take(id);
+                        }
                         open.log_end(local);
                     });
                 }
