Keep the permission to create the first log on the disk

No process logged what it waited for.

- The permission is a file of the data folder, `bootstrap`, synced with its folder before the replica listens.
It holds the addresses for which it was given, and is good for no other seeds.
A replica with a log doesn't use it; one that hears of a log ends it.
- Only the lowest address still forms the log, so that no two replicas can.
If it has no permission (killed before it kept one, or its disk lost), those of a majority of the replicas do, which it then keeps.
Such a majority has the disks of the first start and no log, so that nothing was ever committed in an earlier log.
One permission of three isn't enough: it can't be told from two lost disks.
- A second round of status requests must see the same identities and no log as the first.
- Status messages are unchanged; the question for the permission is a new request, the last variant.
Builds before this one refuse it, which counts as no permission, and ignore the file.
- A replica without a log logs `log_missing` every 5 s: which replicas have not replied, that the lowest address is to form the log, or that it is not permitted.
- A new log begins in a term in which its creator has not voted.

--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -96,6 +96,9 @@
     },
     /// Asks any process which replicas there are.
     Replicas,
+    /// Asks a replica without a log whether it was permitted to create one of the replicas at these
+    /// addresses.
+    BootstrapPermission(BTreeSet<SocketAddr>),
 }
 
 /// The reply to a request.
@@ -134,6 +137,9 @@
     /// To `Replicas`: the peer addresses of the members of the log; none where the process does not
     /// hear of a leader.
     Replicas(Vec<SocketAddr>),
+    /// To `BootstrapPermission`: the identity of the replica; `None` if it has a log or no such
+    /// permission.
+    BootstrapPermission(Option<ReplicaId>),
 }
 
 /// Whether a replica has a log.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 pub mod backpressure;
+pub mod bootstrap;
 pub mod brittle;
 pub mod buffer_budget;
 pub mod cold_start;
--- a/src/replica/bootstrap.rs
+++ b/src/replica/bootstrap.rs
@@ -1,8 +1,7 @@
 //! Creates the first log of a cluster, or joins an existing one with an empty disk.
 //!
-//! A replica with an empty disk can't tell whether it is new or has lost its data. So a log is
-//! created only when *all* configured addresses reply and *none* of them has a log. As soon as one
-//! of them has a log, the replica asks to join it as a learner, under its new identity.
+//! [`crate::policy::bootstrap`] has the conditions for a new log. As soon as one of the configured
+//! replicas has a log, this one asks to join it as a learner, under its new identity.
 //!
 //! A replica that was removed while it was away finds itself in its own old log. So one that
 //! follows no leader for a while asks to join as well; the leader ignores this from a member.
@@ -30,7 +29,11 @@
 use crate::peer::Client;
 use crate::peer::Reply;
 use crate::peer::Request;
+use crate::policy::bootstrap;
+use crate::policy::bootstrap::NextStep;
 use crate::state::State;
+use crate::storage;
+use crate::storage::BootstrapPermission;
 
 /// Time between two rounds of status requests.
 const ROUND_INTERVAL: Duration = Duration::from_millis(250);
@@ -44,9 +47,13 @@
 /// Time without a leader after which a member asks to join: an election takes less.
 const LEADERLESS_LIMIT: Duration = Duration::from_secs(1);
 
+/// Time between two log lines on what a replica without a log waits for.
+const WAIT_LOG_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Creates a log or joins one, and joins again after a removal; never returns.
 pub(super) async fn bootstrap(core: Rc<RefCell<Core>>, client: Client, cfg: Config) {
     let mut followed_at = core.borrow().now();
+    let mut logged_at = followed_at;
     let mut rounds = tokio::time::interval(ROUND_INTERVAL);
     rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -60,26 +67,146 @@
                 continue;
             }
         }
-        let mut statuses = Vec::new();
-        for address in other_replicas(&core, &cfg) {
-            statuses.push((address, fetch_status(&client, address).await));
-        }
+        let statuses = fetch_statuses(&client, other_replicas(&core, &cfg)).await;
         let id = core.borrow().node.id();
         let next_step = if cfg.replicas.contains(&cfg.advertise) {
-            decide(cfg.advertise, id, &statuses)
+            bootstrap::decide(cfg.advertise, id, &statuses)
         } else {
-            decide_join(&statuses)
+            bootstrap::decide_join(&statuses)
         };
+        let has_log = core.borrow().has_log();
+        let mut can_create = false;
+        if let NextStep::Bootstrap(members) = &next_step
+            && !has_log
+        {
+            can_create = is_permitted(&core, &client, &cfg, members).await;
+        }
+        if !has_log && !can_create && now >= logged_at + WAIT_LOG_INTERVAL {
+            log_wait(&next_step);
+            logged_at = now;
+        }
         match next_step {
-            NextStep::Bootstrap(members) if cfg.may_bootstrap && !has_log(&core) => {
-                core.borrow_mut().bootstrap(members, &cfg);
+            NextStep::Bootstrap(members) if can_create => {
+                // The first round saw the replicas one after the other. If the second one sees the
+                // same, there was a moment between them at which none had a log.
+                let confirmed = fetch_statuses(&client, other_replicas(&core, &cfg)).await;
+                if confirmed == statuses && !core.borrow().has_log() {
+                    core.borrow_mut().bootstrap(members, &cfg);
+                }
+            }
+            NextStep::AwaitReplies(_) | NextStep::AwaitLog(_) | NextStep::Bootstrap(_) => {}
+            NextStep::Join(addresses) => {
+                end_permission(&core, &cfg).await;
+                join(&core, &client, &cfg, &addresses).await;
             }
-            NextStep::Wait | NextStep::Bootstrap(_) => {}
-            NextStep::Join(addresses) => join(&core, &client, &cfg, &addresses).await,
         }
     }
 }
 
+/// Logs what a replica without a log waits for.
+fn log_wait(next_step: &NextStep) {
+    let (reason, replicas) = match next_step {
+        NextStep::AwaitReplies(silent) => ("no reply", silent.clone()),
+        NextStep::AwaitLog(lowest) => ("the lowest address creates the log", vec![*lowest]),
+        NextStep::Bootstrap(_) => ("not permitted to create a log", Vec::new()),
+        NextStep::Join(addresses) => ("asks to join", addresses.clone()),
+    };
+    let replicas: Vec<String> = replicas.iter().map(SocketAddr::to_string).collect();
+    event!(
+        Warn,
+        "log_missing",
+        reason = reason,
+        replicas = replicas.join(",")
+    );
+}
+
+/// Returns the addresses for which this replica may create a log. A permission of the settings is
+/// durable when this returns, before the replica takes part.
+pub(super) fn load_permission(
+    cfg: &Config,
+    restored: &Restored,
+) -> Result<Option<BTreeSet<SocketAddr>>, storage::Error> {
+    let stored = BootstrapPermission::in_folder(&cfg.data);
+    let held = stored.read()?;
+    let (_, membership) = restored.log.membership();
+    if !membership.members.is_empty() {
+        if held.is_some() {
+            remove_permission(&stored);
+        }
+        return Ok(None);
+    }
+    let replicas = configured_replicas(cfg);
+    let is_granted = cfg.may_bootstrap && replicas.contains(&cfg.advertise);
+    if !is_granted || held.as_ref() == Some(&replicas) {
+        return Ok(held);
+    }
+    stored.write(&replicas)?;
+    Ok(Some(replicas))
+}
+
+/// Removes a permission that is of no use any more. It may stay if the disk fails: a replica with a
+/// log, or one that reaches another with a log, does not use it.
+fn remove_permission(stored: &BootstrapPermission) {
+    if let Err(e) = stored.remove() {
+        event!(Warn, "bootstrap_permission_kept", error = e);
+    }
+}
+
+/// Ends the permission of a replica that knows of a log.
+async fn end_permission(core: &Rc<RefCell<Core>>, cfg: &Config) {
+    if core.borrow_mut().bootstrap_permission.take().is_none() {
+        return;
+    }
+    let stored = BootstrapPermission::in_folder(&cfg.data);
+    let _ = tokio::task::spawn_blocking(move || remove_permission(&stored)).await;
+}
+
+/// Returns whether this replica may create a log: by its own permission, or by that of a majority
+/// of the `members`, which it then keeps as its own.
+async fn is_permitted(
+    core: &Rc<RefCell<Core>>,
+    client: &Client,
+    cfg: &Config,
+    members: &[(ReplicaId, SocketAddr)],
+) -> bool {
+    let replicas = configured_replicas(cfg);
+    if bootstrap::covers(core.borrow().bootstrap_permission.as_ref(), &replicas) {
+        return true;
+    }
+    let request = Request::BootstrapPermission(replicas.clone());
+    let mut permitting = BTreeSet::new();
+    for &(_, address) in members.iter().filter(|(_, a)| *a != cfg.advertise) {
+        // A build without this request refuses it, so it doesn't count as permitting.
+        let reply = client.call(address, &request, CALL_TIMEOUT).await;
+        if let Ok(Reply::BootstrapPermission(Some(id))) = reply {
+            permitting.insert(id);
+        }
+    }
+    if !bootstrap::is_permitted_by_majority(members, &permitting) {
+        return false;
+    }
+    // The others end their permissions when they hear of the log, which is lost if this process is
+    // killed before the log is durable.
+    let stored = BootstrapPermission::in_folder(&cfg.data);
+    let written = replicas.clone();
+    match tokio::task::spawn_blocking(move || stored.write(&written)).await {
+        Ok(Ok(())) => {
+            core.borrow_mut().bootstrap_permission = Some(replicas);
+            event!(Info, "bootstrap_permitted", by = permitting.len());
+            true
+        }
+        Ok(Err(e)) => {
+            event!(Error, "disk_refuses", error = e);
+            false
+        }
+        Err(_) => false,
+    }
+}
+
+fn configured_replicas(cfg: &Config) -> BTreeSet<SocketAddr> {
+    cfg.replicas.iter().copied().collect()
+}
+
 /// Returns the addresses of the configured replicas and of the members of the own log, without this
 /// replica's.
 fn other_replicas(core: &Rc<RefCell<Core>>, cfg: &Config) -> BTreeSet<SocketAddr> {
@@ -91,52 +218,16 @@
     addresses
 }
 
-/// What to do after one round of status requests.
-#[derive(Debug, Eq, PartialEq)]
-enum NextStep {
-    /// Asks again in the next round.
-    Wait,
-    /// Creates a log with these members.
-    Bootstrap(Vec<(ReplicaId, SocketAddr)>),
-    /// Asks the replicas at these addresses, which have a log, to join it.
-    Join(Vec<SocketAddr>),
-}
-
-/// Decides for a replica outside the configured ones, which may join a log but not create one.
-fn decide_join(statuses: &[(SocketAddr, Option<BootstrapStatus>)]) -> NextStep {
-    let addresses: Vec<SocketAddr> = statuses
-        .iter()
-        .filter(|(_, status)| status.is_some_and(|status| status.has_log))
-        .map(|(address, _)| *address)
-        .collect();
-    if addresses.is_empty() {
-        return NextStep::Wait;
-    }
-    NextStep::Join(addresses)
-}
-
-fn decide(
-    own_address: SocketAddr,
-    id: ReplicaId,
-    statuses: &[(SocketAddr, Option<BootstrapStatus>)],
-) -> NextStep {
-    if let NextStep::Join(addresses) = decide_join(statuses) {
-        return NextStep::Join(addresses);
-    }
-    let mut members = vec![(id, own_address)];
-    for (address, status) in statuses {
-        let Some(status) = status else {
-            return NextStep::Wait;
-        };
-        members.push((status.id, *address));
-    }
-    // The replica with the lowest address creates the log and sends it to the others.
-    let lowest = members.iter().map(|(_, address)| *address).min();
-    if lowest == Some(own_address) {
-        NextStep::Bootstrap(members)
-    } else {
-        NextStep::Wait
+/// Asks the replicas at `addresses` whether they have a log.
+async fn fetch_statuses(
+    client: &Client,
+    addresses: BTreeSet<SocketAddr>,
+) -> Vec<(SocketAddr, Option<BootstrapStatus>)> {
+    let mut statuses = Vec::new();
+    for address in addresses {
+        statuses.push((address, fetch_status(client, address).await));
     }
+    statuses
 }
 
 fn is_member(core: &Rc<RefCell<Core>>) -> bool {
@@ -145,10 +236,6 @@
     core.node.membership().members.contains_key(&id)
 }
 
-fn has_log(core: &Rc<RefCell<Core>>) -> bool {
-    !core.borrow().node.membership().members.is_empty()
-}
-
 async fn fetch_status(client: &Client, address: SocketAddr) -> Option<BootstrapStatus> {
     match client
         .call(address, &Request::BootstrapStatus, CALL_TIMEOUT)
@@ -192,7 +279,8 @@
             data: codec::encode(&State::default()),
         };
         let hard_state = HardState {
-            term: INITIAL_POSITION.max(self.node.term()),
+            // A term in which this replica has not voted yet.
+            term: self.node.term() + 1,
             vote: None,
         };
         let restored = Restored {
--- a/src/replica/core.rs
+++ b/src/replica/core.rs
@@ -133,6 +133,8 @@
     /// Notified when the first leader since the start is known and can serve.
     leader_found: Rc<Notify>,
     ready: Arc<AtomicBool>,
+    /// Addresses of the replicas that this one may create a log of; `None` once it knows of a log.
+    pub(super) bootstrap_permission: Option<BTreeSet<SocketAddr>>,
 }
 
 impl Core {
@@ -176,9 +178,15 @@
             release_orders: ReleaseOrders::new(now),
             leader_found: Rc::default(),
             ready: Arc::default(),
+            bootstrap_permission: None,
         }
     }
 
+    /// Returns whether this replica knows the members of a log.
+    pub(super) fn has_log(&self) -> bool {
+        !self.node.membership().members.is_empty()
+    }
+
     pub(super) fn now(&self) -> Duration {
         self.clock.now()
     }
--- a/src/replica/handler.rs
+++ b/src/replica/handler.rs
@@ -19,6 +19,7 @@
 use crate::peer::OperatorChangeReply;
 use crate::peer::Reply;
 use crate::peer::Request;
+use crate::policy::bootstrap;
 use crate::policy::repetition::Relation;
 use crate::state::command::Change;
 use crate::state::command::ChangeOutcome;
@@ -78,7 +79,7 @@
             let core = core.borrow();
             Reply::BootstrapStatus(BootstrapStatus {
                 id: core.node.id(),
-                has_log: !core.node.membership().members.is_empty(),
+                has_log: core.has_log(),
             })
         }
         Request::Join { id, address } => {
@@ -118,6 +119,12 @@
         Request::Leave { id, incarnation } => propose(&core, Op::Leave { id, incarnation }).await,
         Request::OnBehalf { who, request } => handle_operator(core, who, *request).await,
         Request::Replicas => Reply::Replicas(core.borrow().replicas_under_leader()),
+        Request::BootstrapPermission(replicas) => {
+            let core = core.borrow();
+            let is_permitted =
+                !core.has_log() && bootstrap::covers(core.bootstrap_permission.as_ref(), &replicas);
+            Reply::BootstrapPermission(is_permitted.then(|| core.node.id()))
+        }
         Request::Change(_) | Request::Query(_) => {
             Reply::Refused("this request needs an operator key; pass --operator-key".into())
         }
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -70,6 +70,7 @@
     /// Timing of elections, heartbeats and the leader lease.
     pub settings: Settings,
     /// Whether this replica may create a new log; true only at the first start of the whole system.
+    /// The permission is kept in the data folder for later starts, until the replica knows of a log.
     pub may_bootstrap: bool,
     /// Data centres that can be evacuated although the directory has no upstream in them.
     pub data_centres: BTreeSet<Name>,
@@ -159,6 +160,7 @@
     if opened.truncated_bytes > 0 {
         event!(Warn, "torn_tail_cut", bytes = opened.truncated_bytes);
     }
+    let permission = bootstrap::load_permission(&cfg, &opened.restored).context(StorageSnafu)?;
     let address = cfg.listen;
     let listener = TcpListener::bind(address)
         .await
@@ -167,7 +169,7 @@
     let (synced_tx, synced_rx) = mpsc::unbounded_channel();
     let writer = writer::Writer::start(Box::new(opened.data_folder), synced_tx);
     let client = peer::Client::new(&cfg.peer_key);
-    let core = Core::new(
+    let mut core = Core::new(
         &cfg,
         opened.id,
         opened.restored,
@@ -175,6 +177,7 @@
         client.clone(),
         clock,
     );
+    core.bootstrap_permission = permission;
     let core = Rc::new(RefCell::new(core));
     let keys = Rc::new(peer::Keys {
         peer: KeyHash::of(&cfg.peer_key),
--- a/src/storage/file.rs
+++ b/src/storage/file.rs
@@ -249,7 +249,7 @@
     }
 }
 
-fn read_or_empty(path: &Path) -> Result<Vec<u8>, Error> {
+pub(super) fn read_or_empty(path: &Path) -> Result<Vec<u8>, Error> {
     match fs::read(path) {
         Ok(bytes) => Ok(bytes),
         Err(e) if e.kind() == io::ErrorKind::NotFound => Ok(Vec::new()),
@@ -360,7 +360,7 @@
 }
 
 /// Atomically replaces the file `name` in `folder` by `bytes`.
-fn replace(folder: &Path, name: &str, bytes: &[u8]) -> Result<(), Error> {
+pub(super) fn replace(folder: &Path, name: &str, bytes: &[u8]) -> Result<(), Error> {
     let path = folder.join(name);
     let temp_path = folder.join(format!("{name}.new"));
     let write = || -> io::Result<()> {
@@ -375,7 +375,7 @@
     sync_folder(folder)
 }
 
-fn sync_folder(folder: &Path) -> Result<(), Error> {
+pub(super) fn sync_folder(folder: &Path) -> Result<(), Error> {
     File::open(folder)
         .and_then(|dir| dir.sync_all())
         .context(IoSnafu {
--- a/src/storage/mod.rs
+++ b/src/storage/mod.rs
@@ -2,6 +2,7 @@
 
 mod file;
 mod frame;
+mod permission;
 
 use snafu::Snafu;
 
@@ -13,6 +14,7 @@
 pub use self::frame::Frames;
 pub use self::frame::encode as encode_frame;
 pub use self::frame::read as read_frames;
+pub use self::permission::BootstrapPermission;
 
 /// Durable storage for a replica's persistent state.
 pub trait Store: Send {
--- a/tests/fuzz/main.rs
+++ b/tests/fuzz/main.rs
@@ -7,6 +7,7 @@
 
 mod admission;
 mod agreement;
+mod bootstrap;
 mod config_update;
 mod evacuation;
 mod lease;
