--- a/src/replica/folder.rs
+++ b/src/replica/folder.rs
@@ -1,8 +1,11 @@
 //! Opens the data folder of a replica, which a predecessor may still hold, or whose disk may be full.
 
-use std::path::Path;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::Config;
+use super::bootstrap;
 use crate::agreement::ReplicaId;
 use crate::clock::Clock;
 use crate::log::event;
@@ -17,19 +20,20 @@
 /// Interval between attempts to open a folder whose disk is full.
 const SPACE_RETRY_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Opens the data folder; waits while another process has locked it or its disk is full.
+/// Opens the data folder, and returns the addresses for which the replica may create a log as well.
+/// Waits while another process has locked the folder or its disk is full.
 ///
 /// # Errors
 ///
 /// A file is corrupt or can't be read.
 pub(super) async fn open(
-    path: &Path,
+    cfg: &Config,
     new_id: ReplicaId,
     clock: &dyn Clock,
-) -> Result<Opened, Error> {
+) -> Result<(Opened, Option<BTreeSet<SocketAddr>>), Error> {
     let mut wait = WaitNotice::default();
     loop {
-        let delay = match DataFolder::open(path, new_id) {
+        let delay = match try_open(cfg, new_id) {
             Err(Error::Locked { path }) => {
                 if wait.is_due(clock.now()) {
                     event!(Warn, "data_folder_locked", setting = "--data", path = path);
@@ -44,7 +48,7 @@
             }
             result => {
                 if wait.end() {
-                    let path = path.display();
+                    let path = cfg.data.display();
                     event!(Info, "data_folder_free", setting = "--data", path = path);
                 }
                 return result;
@@ -53,3 +57,12 @@
         tokio::time::sleep(delay).await;
     }
 }
+
+fn try_open(
+    cfg: &Config,
+    new_id: ReplicaId,
+) -> Result<(Opened, Option<BTreeSet<SocketAddr>>), Error> {
+    let opened = DataFolder::open(&cfg.data, new_id)?;
+    let permission = bootstrap::load_permission(cfg, &opened.restored)?;
+    Ok((opened, permission))
+}
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -73,6 +73,7 @@
     /// Timing of elections, heartbeats and the leader lease.
     pub settings: Settings,
     /// Whether this replica may create a new log; true only at the first start of the whole system.
+    /// The permission is kept in the data folder for later starts, until the replica knows of a log.
     pub may_bootstrap: bool,
     /// Data centres that can be evacuated although the directory has no upstream in them.
     pub data_centres: BTreeSet<Name>,
@@ -198,10 +199,10 @@
     endpoints.extend_from_slice(others);
     let new_id = ReplicaId(fastrand::u64(1..));
     // An error of either ends the wait for the other.
-    let (bound, opened) = tokio::try_join!(
+    let (bound, (opened, permission)) = tokio::try_join!(
         async { Ok(BoundSockets::bind(&endpoints, &*clock).await?) },
         async {
-            folder::open(&cfg.data, new_id, &*clock)
+            folder::open(&cfg, new_id, &*clock)
                 .await
                 .context(StorageSnafu)
         },
@@ -217,7 +218,7 @@
     let (synced_tx, synced_rx) = mpsc::unbounded_channel();
     let writer = writer::Writer::start(Box::new(opened.data_folder), synced_tx);
     let client = peer::Client::new(&cfg.peer_key);
-    let core = Core::new(
+    let mut core = Core::new(
         &cfg,
         opened.id,
         opened.restored,
@@ -225,6 +226,7 @@
         client.clone(),
         clock,
     );
+    core.bootstrap_permission = permission;
     let core = Rc::new(RefCell::new(core));
     let keys = Rc::new(peer::Keys {
         peer: KeyHash::of(&cfg.peer_key),
