Count only runs when a resumption by the caller is repeated

Attempts that were refused or not sent have given the caller nothing; only those that may have run count now.

The test failed before (502) and passes.

--- a/src/gateway/exchange/mod.rs
+++ b/src/gateway/exchange/mod.rs
@@ -643,9 +643,9 @@
         self.call.time_left(self.gateway.now())
     }
 
-    /// Returns whether an upstream may have received an attempt before the present one.
+    /// Returns whether the request may have run before the present attempt.
     pub(super) fn is_repeated(&self) -> bool {
-        self.sent_to.len() > 1
+        self.runs > 1
     }
 
     /// Returns whether an interrupted stream may resume at another upstream.
--- a/tests/process/broken_heads.rs
+++ b/tests/process/broken_heads.rs
@@ -335,6 +335,43 @@
     }
 }
 
+/// Guards against a resumption by the caller that is taken for one by the gateway, because an upstream
+/// refused the request before: the events of a sound upstream were given up.
+#[test]
+fn resumption_by_the_caller_that_was_refused_once_may_begin_with_a_comment() {
+    const COMMENT: &str = ": ping\n\n";
+    let full = Upstream::start(|seen, out| {
+        if seen.request_line.contains("/lookup/") {
+            return write(out, &ok_response(seen, "tile"));
+        }
+        let head = format!(
+            "HTTP/1.1 503 Full\r\ndaisyquay-attempt: {}\r\n",
+            seen.attempt_id()
+        );
+        let rest = "daisyquay-not-run: 1\r\ncontent-length: 0\r\n\r\n";
+        write(out, &format!("{head}{rest}"))
+    });
+    let sound = Upstream::start(|seen, out| {
+        if seen.request_line.contains("/lookup/") {
+            return write(out, &ok_response(seen, "tile"));
+        }
+        let events = events_after(last_event_id(seen));
+        write(out, &stream_head(seen, "sound", Framing::Chunked))
+            && write(out, &chunk(&format!("{COMMENT}{events}")))
+            && write(out, "0\r\n\r\n")
+    });
+    let setup = Setup::new(vec![full, sound]);
+    setup.earn_retries();
+    let whole = format!("{COMMENT}{}", events_after(2));
+    for i in 0..20 {
+        let id = format!("id-{i}");
+        let reply = setup.call("/notes/a", &id, &[("last-event-id", "2")]);
+        let body = reply.as_ref().map(|reply| (reply.status, &*reply.body));
+        assert_eq!(body, Some((200, &*whole)), "{reply:?}");
+    }
+    assert!(arrivals_at_first(&setup, "/notes/") > 0);
+}
+
 /// Guards against a deadline that cuts a stream of which the caller has nothing, in place of a 504.
 #[test]
 fn stream_without_an_event_at_the_deadline_is_answered_504() {
