End a daemon that can't handle its signals

Found by the review: it went on with SIGTERM, SIGINT and SIGHUP blocked, so that only SIGKILL could end it. It ends with code 1 and the reason now. No test: a handler can't be installed only where descriptors are lacking.

--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -26,7 +26,8 @@
 {
     block_on(name, async {
         if let Err(e) = signals.handle() {
-            event!(Error, "signals_not_handled", error = e);
+            // The process could only be stopped by SIGKILL.
+            exit_failed(&format!("can't handle signals: {e}"));
         }
         let result = future.await;
         if let Err(e) = &result {
@@ -72,3 +73,11 @@
         std::process::exit(ExitCode::Failed.code());
     }));
 }
+
+/// Logs `reason` and exits.
+fn exit_failed(reason: &str) -> ! {
+    event!(Error, "process_failed", reason = reason);
+    eprintln!("{reason}");
+    crate::log::flush();
+    std::process::exit(ExitCode::Failed.code());
+}
