Draw identities from the operating system's random numbers

A system didn't start: two replicas that started at the same moment had the same identity. The first log then has two members for three addresses: one of them asks to join for ever and is taken for a member, and a quorum counts two replicas as one.

Cause: fastrand seeds itself from the monotonic clock and the number of the thread, so that processes which draw their first number at the same instant draw the same ones. Class: an identity that must be unique is drawn from the clock. It also gave the run ids of gateways and entries, by which updates are told apart, request ids of entries, by which requests are billed, and change ids.

Identities come from getrandom now (a dependency of dependencies before), and it seeds each thread that draws numbers. Replicas keep the identity that they have stored.

--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -39,6 +39,7 @@
 use crate::peer::Request;
 use crate::peer::UpstreamLoad;
 use crate::policy::retry::TokenBucket;
+use crate::random;
 use crate::state::command::LedgerOp;
 use crate::state::command::LedgerOutcome;
 
@@ -101,7 +102,7 @@
         Self {
             cfg,
             clock,
-            entry_id: fastrand::u64(1..),
+            entry_id: random::identity(),
             info,
             metrics: Metrics::new(),
             ready: Arc::default(),
@@ -257,6 +258,7 @@
 impl Worker {
     pub(crate) fn new(shared: Arc<Shared>, engine: HttpEngine) -> Self {
         let engine = Rc::new(engine);
+        random::seed_thread();
         Self {
             shared,
             rater: engine.clone(),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -83,6 +83,7 @@
 use crate::policy::sessions::Sessions;
 use crate::policy::speed::Baselines;
 use crate::policy::speed::Speeds;
+use crate::random;
 use crate::recovery::Phase;
 use crate::recovery::Recovery;
 
@@ -323,7 +324,7 @@
     };
     let pass_on_key = exchange::pass_on_key(&cfg.peer_key);
     let id_header = cfg.header_names.attempt_id.clone();
-    let run_id = fastrand::u64(1..);
+    let run_id = random::identity();
     let gateway = Rc::new(Gateway {
         recovery: Recovery::new(clock.now()),
         retry_budget_share: RefCell::new(Share::new(cfg.retry_budget, clock.now())),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -35,6 +35,7 @@
 pub(crate) mod lock_rank;
 pub(crate) mod log;
 pub(crate) mod metrics;
+pub(crate) mod random;
 pub(crate) mod recovery;
 pub(crate) mod relay;
 pub(crate) mod signal;
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -48,6 +48,7 @@
 use crate::listen::Sockets;
 use crate::log::event;
 use crate::peer;
+use crate::random;
 use crate::storage;
 
 /// Settings of a state replica.
@@ -197,7 +198,7 @@
         Endpoint::tcp(flags.admin_listen, cfg.admin_listen),
     ];
     endpoints.extend_from_slice(others);
-    let new_id = ReplicaId(fastrand::u64(1..));
+    let new_id = ReplicaId(random::identity());
     // An error of either ends the wait for the other.
     let (bound, (opened, permission)) = tokio::try_join!(
         async { Ok(BoundSockets::bind(&endpoints, &*clock).await?) },
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -44,6 +44,7 @@
     F::Output: 'static,
 {
     exit_on_panic();
+    crate::random::seed_thread();
     let output = ntex::rt::System::new(name, ntex::rt::DefaultRuntime).block_on(future);
     crate::log::flush();
     output
