Create a data folder below one that can't be read

A regression of the sync of parents, found by the review: below a folder that may be written but not read, the first start ended with code 3 (run as another user, parent 0333). Such a folder can't be synced; the start goes on as before that change.

--- a/src/storage/file.rs
+++ b/src/storage/file.rs
@@ -396,7 +396,11 @@
         .context(IoSnafu {
             path: display_path(path),
         })?;
-    sync_folder(parent)
+    match sync_folder(parent) {
+        // A folder that may be written but not read can't be synced.
+        Err(Error::Io { source, .. }) if source.kind() == io::ErrorKind::PermissionDenied => Ok(()),
+        result => result,
+    }
 }
 
 pub(super) fn sync_folder(folder: &Path) -> Result<(), Error> {
