--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -79,7 +79,7 @@
             response.header("retry-after", format!("{:.2}", after.as_secs_f64()));
         }
         if self.status == StatusCode::REQUEST_TIMEOUT {
-            // What follows is the rest of the body.
+            // The unread rest of the body would be taken for the next request.
             response.force_close();
         }
         response.json(&body)
--- a/src/policy/bootstrap.rs
+++ b/src/policy/bootstrap.rs
@@ -20,7 +20,7 @@
 /// The replies of the other replicas in one round of status requests.
 pub type Statuses = [(SocketAddr, Option<BootstrapStatus>)];
 
-/// What to do after one round of status requests.
+/// Decision after one round of status requests.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum NextStep {
     /// Waits for replies from these addresses.
