Tell apart why no replica leads to the leader

A process without a replica logged nothing, nor did a replica with a log and no leader, nor a leader whose lost voters nobody replaces.

Now: state_lost has the outcome of each address, and comes from processes without a replica, too; leader_missing and leader_found of replicas with a log; voters_missing of the leader, with gauges of voters, learners and missing voters.

--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::future::Future;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -44,6 +45,12 @@
         /// Address.
         address: SocketAddr,
     },
+    /// The address refuses connections: nothing listens there. The request was not sent.
+    #[snafu(display("nothing listens at {address}; check that daisyquay-state runs there"))]
+    NotListening {
+        /// Address.
+        address: SocketAddr,
+    },
     /// The connection broke or the call timed out: the request may have been executed.
     #[snafu(display("{address} did not reply; the request may have been executed"))]
     NoReply {
@@ -132,9 +139,17 @@
         }
         let connect = connect(address);
         let connected = tokio::time::timeout(CONNECT_TIMEOUT, connect).await;
-        let Some(sender) = connected.ok().flatten() else {
-            self.drop_connection(address);
-            return UnreachableSnafu { address }.fail();
+        let sender = match connected {
+            Ok(Ok(sender)) => sender,
+            failed => {
+                self.drop_connection(address);
+                let is_refused = matches!(failed, Ok(Err(io::ErrorKind::ConnectionRefused)));
+                return if is_refused {
+                    NotListeningSnafu { address }.fail()
+                } else {
+                    UnreachableSnafu { address }.fail()
+                };
+            }
         };
         let connection = Connection {
             sender: sender.clone(),
@@ -199,17 +214,18 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Option<SendRequest<Bytes>> {
-    let stream = repeat_until_reply(move || TcpStream::connect(address)).await?;
-    let stream = stream.ok()?;
+async fn connect(address: SocketAddr) -> Result<SendRequest<Bytes>, io::ErrorKind> {
+    let stream = repeat_until_reply(move || TcpStream::connect(address)).await;
+    let stream = stream.ok_or(io::ErrorKind::Other)?.map_err(|e| e.kind())?;
     socket::configure(&stream);
     let mut builder = h2::client::Builder::new();
     builder
         .initial_window_size(WINDOW_BYTES)
         .initial_connection_window_size(WINDOW_BYTES);
-    let (sender, connection) = builder.handshake::<_, Bytes>(stream).await.ok()?;
+    let handshake = builder.handshake::<_, Bytes>(stream).await;
+    let (sender, connection) = handshake.map_err(|_| io::ErrorKind::Other)?;
     tokio::task::spawn_local(async move {
         let _ = connection.await;
     });
-    sender.ready().await.ok()
+    sender.ready().await.map_err(|_| io::ErrorKind::Other)
 }
--- a/src/peer/leader.rs
+++ b/src/peer/leader.rs
@@ -60,9 +60,9 @@
         self.search.borrow().is_wide(self.clock.now())
     }
 
-    /// Returns the replicas called and whether they replied, for the log.
+    /// Returns the replicas called and what came of it, for the log.
     pub fn log_text(&self) -> String {
-        self.search.borrow().log_text(self.clock.now())
+        self.search.borrow().log_text()
     }
 
     /// Adds replicas that another process has named; ignored once a leader has replied.
@@ -108,7 +108,7 @@
             Ok(Reply::OutcomeUnknown) => Err(None),
             // Any process refuses what is not meant for it, so this says nothing of the leader.
             Ok(reply @ Reply::Refused(_)) => {
-                search.record_follower(address, None, now);
+                search.record_refusal(address, now);
                 Ok(reply)
             }
             Ok(reply) => {
@@ -151,6 +151,7 @@
                 self.client.drop_connections();
                 Silence::NoReply
             }
+            CallError::NotListening { .. } => Silence::NotListening,
             _ => Silence::Unreachable,
         }
     }
--- a/src/policy/replica_search.rs
+++ b/src/policy/replica_search.rs
@@ -5,6 +5,7 @@
 //! were removed from the log and still reply. So the process keeps the addresses of its settings
 //! and those that other processes report, and calls them too once the list has led nowhere.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -31,8 +32,40 @@
 /// Most addresses in one log line.
 const MAX_LOGGED: usize = 8;
 
-/// Outcome of the last call of an address.
-#[derive(Clone, Copy, Debug, Default)]
+/// What a call has shown of an address.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Outcome {
+    /// The leader replied.
+    Leader,
+    /// A replica replied that names another one as the leader.
+    Names(SocketAddr),
+    /// A replica replied that names no leader.
+    NoLeader,
+    /// A process replied that doesn't handle such requests.
+    Refusal,
+    /// A reply that says nothing of the leader.
+    Reply,
+    /// There was no reply.
+    Silence(Silence),
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Leader => f.write_str("leader"),
+            Self::Names(leader) => write!(f, "names:{leader}"),
+            Self::NoLeader => f.write_str("no_leader"),
+            Self::Refusal => f.write_str("refuses"),
+            Self::Reply => f.write_str("replied"),
+            Self::Silence(Silence::NotListening) => f.write_str("not_listening"),
+            Self::Silence(Silence::Unreachable) => f.write_str("unreachable"),
+            Self::Silence(Silence::NoReply) => f.write_str("no_reply"),
+        }
+    }
+}
+
+/// The last call of an address.
+#[derive(Clone, Copy, Debug)]
 struct Contact {
     /// Number of the call, counted over all addresses; 0 before the first.
     last_call: u64,
@@ -41,12 +74,15 @@
     /// When the last call was given up; `None` if it got a reply, or if only its connection may have
     /// been dead.
     silent_at: Option<Duration>,
+    outcome: Outcome,
 }
 
 /// How a call ended without a reply.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Silence {
-    /// No connection could be opened.
+    /// The address refuses connections, so its VM runs without a process there.
+    NotListening,
+    /// No connection could be opened in time.
     Unreachable,
     /// There was no reply on an open connection, which may have been dead while new ones work.
     NoReply,
@@ -120,7 +156,7 @@
 
     /// Records a reply of the leader.
     pub fn record_leader(&mut self, address: SocketAddr) {
-        self.record_reply(address);
+        self.record_call(address, Outcome::Leader, 0, None);
         self.next = address;
         self.lost_at = None;
         self.reported.clear();
@@ -134,7 +170,8 @@
         leader: Option<SocketAddr>,
         now: Duration,
     ) -> Option<SocketAddr> {
-        self.record_reply(address);
+        let outcome = leader.map_or(Outcome::NoLeader, Outcome::Names);
+        self.record_call(address, outcome, 0, None);
         self.lost_at.get_or_insert(now);
         let leader = leader.filter(|&leader| leader != address);
         match leader {
@@ -151,6 +188,13 @@
         }
     }
 
+    /// Records the refusal of a process that doesn't handle such requests.
+    pub fn record_refusal(&mut self, address: SocketAddr, now: Duration) {
+        self.record_call(address, Outcome::Refusal, 0, None);
+        self.lost_at.get_or_insert(now);
+        self.advance(address, now);
+    }
+
     /// Records a call without a reply.
     pub fn record_silence(&mut self, address: SocketAddr, silence: Silence, now: Duration) {
         self.record_unanswered(address, silence, now);
@@ -178,42 +222,43 @@
         }
     }
 
-    /// Returns the addresses called and whether they replied, the latest call first, for the log.
-    pub fn log_text(&self, now: Duration) -> String {
+    /// Returns the addresses called and the outcome of the last call of each, the latest call first,
+    /// for the log.
+    pub fn log_text(&self) -> String {
         let mut contacts: Vec<_> = self.contacts.iter().collect();
         contacts.sort_by_key(|(_, contact)| std::cmp::Reverse(contact.last_call));
-        let text = |address: SocketAddr| {
-            let outcome = if self.is_silent(address, now) {
-                "silent"
-            } else {
-                "replied"
-            };
-            format!("{address}={outcome}")
-        };
-        let addresses = contacts.iter().take(MAX_LOGGED);
-        let texts: Vec<String> = addresses.map(|(address, _)| text(**address)).collect();
-        texts.join(",")
+        let texts = contacts.iter().take(MAX_LOGGED);
+        let texts = texts.map(|(address, contact)| format!("{address}={}", contact.outcome));
+        texts.collect::<Vec<String>>().join(",")
     }
 
     /// Records a reply that says nothing of the leader.
     pub fn record_reply(&mut self, address: SocketAddr) {
-        self.record_call(address, 0, None);
+        self.record_call(address, Outcome::Reply, 0, None);
     }
 
     /// Records a call without a reply, to an address that was not presumed to be the leader.
     pub fn record_unanswered(&mut self, address: SocketAddr, silence: Silence, now: Duration) {
         let before = self.contacts.get(&address);
         let unanswered = before.map_or(0, |contact| contact.unanswered) + 1;
-        let is_silent = silence == Silence::Unreachable || unanswered > 1;
-        self.record_call(address, unanswered, is_silent.then_some(now));
+        let is_silent = silence != Silence::NoReply || unanswered > 1;
+        let outcome = Outcome::Silence(silence);
+        self.record_call(address, outcome, unanswered, is_silent.then_some(now));
     }
 
-    fn record_call(&mut self, address: SocketAddr, unanswered: u32, silent_at: Option<Duration>) {
+    fn record_call(
+        &mut self,
+        address: SocketAddr,
+        outcome: Outcome,
+        unanswered: u32,
+        silent_at: Option<Duration>,
+    ) {
         self.calls += 1;
         let contact = Contact {
             last_call: self.calls,
             unanswered,
             silent_at,
+            outcome,
         };
         self.contacts.insert(address, contact);
         self.forget_unknown();
--- a/src/replica/bootstrap.rs
+++ b/src/replica/bootstrap.rs
@@ -34,6 +34,7 @@
 use crate::state::State;
 use crate::storage;
 use crate::storage::BootstrapPermission;
+use crate::wait_notice::WaitNotice;
 
 /// Time between two rounds of status requests.
 const ROUND_INTERVAL: Duration = Duration::from_millis(250);
@@ -54,6 +55,7 @@
 pub(super) async fn bootstrap(core: Rc<RefCell<Core>>, client: Client, cfg: Config) {
     let mut followed_at = core.borrow().now();
     let mut logged_at = followed_at;
+    let mut search = WaitNotice::default();
     let mut rounds = tokio::time::interval(ROUND_INTERVAL);
     rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -62,12 +64,18 @@
         if is_member(&core) {
             if core.borrow().leader_address().is_some() {
                 followed_at = now;
+                if search.end() {
+                    event!(Info, "leader_found", term = core.borrow().node.term());
+                }
             }
             if now < followed_at + LEADERLESS_LIMIT {
                 continue;
             }
         }
         let statuses = fetch_statuses(&client, other_replicas(&core, &cfg)).await;
+        if core.borrow().has_log() && search.is_due(now) {
+            log_search(&core.borrow(), &statuses);
+        }
         let id = core.borrow().node.id();
         let next_step = if cfg.replicas.contains(&cfg.advertise) {
             bootstrap::decide(cfg.advertise, id, &statuses)
@@ -103,6 +111,27 @@
     }
 }
 
+/// Logs that a replica with a log follows no leader, with the status of each replica that it knows of.
+fn log_search(core: &Core, statuses: &bootstrap::Statuses) {
+    let texts = statuses.iter().map(|(address, status)| {
+        let text = match status {
+            Some(status) if status.has_log => "log",
+            Some(_) => "no_log",
+            None => "silent",
+        };
+        format!("{address}={text}")
+    });
+    let texts: Vec<String> = texts.collect();
+    event!(
+        Warn,
+        "leader_missing",
+        term = core.node.term(),
+        index = core.node.log().last_index(),
+        voters = core.node.membership().voters().count(),
+        replicas = texts.join(",")
+    );
+}
+
 /// Logs what a replica without a log waits for.
 fn log_wait(next_step: &NextStep) {
     let (reason, replicas) = match next_step {
--- a/src/replica/core.rs
+++ b/src/replica/core.rs
@@ -54,6 +54,7 @@
 use crate::state::command::Command;
 use crate::state::command::Op;
 use crate::state::command::Outcome;
+use crate::wait_notice::WaitNotice;
 
 /// Most commands that are queued or wait for their outcome; further ones are rejected.
 const MAX_PENDING_PROPOSALS: usize = 20_000;
@@ -132,6 +133,8 @@
     pub(super) release_orders: ReleaseOrders,
     /// Notified when the first leader since the start is known and can serve.
     leader_found: Rc<Notify>,
+    /// While voters are lost and no learner can replace them.
+    pub(super) voter_loss: WaitNotice,
     ready: Arc<AtomicBool>,
     /// Addresses of the replicas that this one may create a log of; `None` once it knows of a log.
     pub(super) bootstrap_permission: Option<BTreeSet<SocketAddr>>,
@@ -177,6 +180,7 @@
             recovery: Recovery::new(now),
             release_orders: ReleaseOrders::new(now),
             leader_found: Rc::default(),
+            voter_loss: WaitNotice::default(),
             ready: Arc::default(),
             bootstrap_permission: None,
         }
@@ -562,6 +566,15 @@
         );
         metrics.set_gauge("daisyquay_sessions", self.state.pinned_sessions() as f64);
         metrics.set_gauge("daisyquay_disk_bytes", self.disk_bytes as f64);
+        let membership = self.node.membership();
+        let voters = membership.voters().count();
+        let learners = membership.members.len() - voters;
+        metrics.set_gauge("daisyquay_voters", voters as f64);
+        metrics.set_gauge("daisyquay_learners", learners as f64);
+        metrics.set_gauge("daisyquay_target_voters", self.target_voters as f64);
+        if !self.was_leader {
+            metrics.set_gauge("daisyquay_missing_voters", 0.0);
+        }
     }
 }
 
--- a/src/replica/handle.rs
+++ b/src/replica/handle.rs
@@ -11,6 +11,7 @@
 use super::handler::handle_peer;
 use crate::clock::Clock;
 use crate::collections::Name;
+use crate::log::event;
 use crate::peer::Client;
 use crate::peer::LeaderClient;
 use crate::peer::OperatorChange;
@@ -20,6 +21,7 @@
 use crate::state::command::ChangeOutcome;
 use crate::state::query::Query;
 use crate::state::query::Report;
+use crate::wait_notice::WaitNotice;
 
 /// Time within which the leader must reply to one call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
@@ -124,8 +126,8 @@
     ///
     /// Keeps up with replacements of the replicas. Runs in a `LocalSet`.
     pub fn remote(peer_key: &str, replicas: Vec<SocketAddr>, clock: Arc<dyn Clock>) -> Self {
-        let leader = LeaderClient::new(Client::new(peer_key), replicas, clock);
-        tokio::task::spawn_local(follow_replicas(leader.clone()));
+        let leader = LeaderClient::new(Client::new(peer_key), replicas, clock.clone());
+        tokio::task::spawn_local(follow_replicas(leader.clone(), clock));
         Self::with_link(Link::Remote(leader))
     }
 
@@ -282,11 +284,22 @@
 
 /// Asks the replicas in turn which replicas there are; never returns. Unlike a gateway, this process
 /// sends no renewals, with which it would learn of new ones.
-async fn follow_replicas(leader: LeaderClient) {
+async fn follow_replicas(leader: LeaderClient, clock: Arc<dyn Clock>) {
+    let mut search = WaitNotice::default();
     for index in 0.. {
         let reply = leader.call_replica_at(index, &Request::Replicas).await;
-        if let Some(Reply::Replicas(replicas)) = reply {
-            leader.set_listed(replicas);
+        match reply {
+            Some(Reply::Replicas(replicas)) if !replicas.is_empty() => {
+                leader.set_listed(replicas);
+                if search.end() {
+                    event!(Info, "state_found");
+                }
+            }
+            _ => {
+                if search.is_due(clock.now()) {
+                    event!(Warn, "state_lost", called = leader.log_text());
+                }
+            }
         }
         tokio::time::sleep(REPLICAS_INTERVAL).await;
     }
--- a/src/replica/housekeeping.rs
+++ b/src/replica/housekeeping.rs
@@ -100,6 +100,7 @@
         let now = core.now();
         core.leader_state.expire(now);
         core.update_membership();
+        core.report_lost_voters();
         core.mark_silent_upstreams();
         core.advance_releases();
         if round % EVIDENCE_INTERVAL_ROUNDS == 0 {
@@ -145,6 +146,37 @@
         }
     }
 
+    /// Reports, as the leader, how many voters are lost or missing, and logs it while no learner is
+    /// there to replace them. Until then the log tolerates fewer failures than the settings say.
+    fn report_lost_voters(&mut self) {
+        let now = self.now();
+        let status = LogMemberStatus {
+            node: &self.node,
+            now,
+        };
+        let membership = self.node.membership();
+        let lost = membership.voters().filter(|&id| status.is_lost(id));
+        let lost = lost.filter_map(|id| membership.members.get(&id));
+        let lost: Vec<String> = lost.map(|member| member.address.to_string()).collect();
+        let voters = membership.voters().count();
+        let learners = membership.members.len() - voters;
+        let missing = lost.len() + self.target_voters.saturating_sub(voters);
+        let metrics = self.metrics();
+        metrics.set_gauge("daisyquay_missing_voters", missing as f64);
+        if missing <= learners {
+            self.voter_loss.end();
+        } else if self.voter_loss.is_due(now) {
+            event!(
+                Warn,
+                "voters_missing",
+                voters = voters,
+                target = self.target_voters,
+                learners = learners,
+                lost = lost.join(",")
+            );
+        }
+    }
+
     /// Advances the services' rollouts to their next stage or rolls them back.
     fn advance_releases(&mut self) {
         if !self.has_leader_lease() {
--- a/src/wait_notice.rs
+++ b/src/wait_notice.rs
@@ -1,4 +1,4 @@
-//! When a process that waits at its start for what another one holds logs that it waits.
+//! When a process logs that it still waits for something.
 
 use std::time::Duration;
 
