Let a replica without its disk join the leader that calls it

A replica that has lost its disk looked for a log at the addresses of its settings alone. If these were other such replicas or VMs without a disk, it waited for good, although the leader has its address as a member's and sends it messages of the log.

Now the senders of messages of a log are asked for their status as well. They only lead to an existing log: what permits a first log is as before, and the replies of these addresses can only prevent one. The statuses of a round are fetched at once, since a silent address costs half a second.

Test: replica_discovery::replicas_without_their_disks_join_the_leader_that_calls_them.

--- a/src/policy/bootstrap.rs
+++ b/src/policy/bootstrap.rs
@@ -33,9 +33,15 @@
     Join(Vec<SocketAddr>),
 }
 
-/// Decides for one of the configured replicas.
-pub fn decide(own_address: SocketAddr, id: ReplicaId, statuses: &Statuses) -> NextStep {
-    let addresses = addresses_with_log(statuses);
+/// Decides for one of the configured replicas. `statuses` has the other configured ones; `elsewhere`
+/// has others that are known, which only lead to an existing log.
+pub fn decide(
+    own_address: SocketAddr,
+    id: ReplicaId,
+    statuses: &Statuses,
+    elsewhere: &Statuses,
+) -> NextStep {
+    let addresses = addresses_with_log(statuses, elsewhere);
     if !addresses.is_empty() {
         return NextStep::Join(addresses);
     }
@@ -58,8 +64,8 @@
 }
 
 /// Decides for a replica outside the configured ones, which may join a log but not create one.
-pub fn decide_join(statuses: &Statuses) -> NextStep {
-    let addresses = addresses_with_log(statuses);
+pub fn decide_join(statuses: &Statuses, elsewhere: &Statuses) -> NextStep {
+    let addresses = addresses_with_log(statuses, elsewhere);
     if addresses.is_empty() {
         let silent = statuses.iter().filter(|(_, status)| status.is_none());
         return NextStep::AwaitReplies(silent.map(|&(address, _)| address).collect());
@@ -67,9 +73,9 @@
     NextStep::Join(addresses)
 }
 
-fn addresses_with_log(statuses: &Statuses) -> Vec<SocketAddr> {
+fn addresses_with_log(statuses: &Statuses, elsewhere: &Statuses) -> Vec<SocketAddr> {
+    let statuses = statuses.iter().chain(elsewhere);
     statuses
-        .iter()
         .filter(|(_, status)| status.is_some_and(|status| status.has_log))
         .map(|&(address, _)| address)
         .collect()
--- a/src/replica/bootstrap.rs
+++ b/src/replica/bootstrap.rs
@@ -1,7 +1,8 @@
 //! Creates the first log of a cluster, or joins an existing one with an empty disk.
 //!
-//! [`crate::policy::bootstrap`] has the conditions for a new log. As soon as one of the configured
-//! replicas has a log, this one asks to join it as a learner, under its new identity.
+//! [`crate::policy::bootstrap`] has the conditions for a new log. As soon as a replica with a log is
+//! found, this one asks to join it as a learner, under its new identity. It is looked for at the
+//! addresses of the settings, and at those that send messages of a log.
 //!
 //! A replica that was removed while it was away finds itself in its own old log. So one that
 //! follows no leader for a while asks to join as well; the leader ignores this from a member.
@@ -12,6 +13,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::task::JoinSet;
 use tokio::time::MissedTickBehavior;
 
 use super::Config;
@@ -76,11 +78,12 @@
         if core.borrow().has_log() && search.is_due(now) {
             log_search(&core.borrow(), &statuses);
         }
+        let elsewhere = fetch_statuses(&client, replicas_elsewhere(&core, &cfg)).await;
         let id = core.borrow().node.id();
         let next_step = if cfg.replicas.contains(&cfg.advertise) {
-            bootstrap::decide(cfg.advertise, id, &statuses)
+            bootstrap::decide(cfg.advertise, id, &statuses, &elsewhere)
         } else {
-            bootstrap::decide_join(&statuses)
+            bootstrap::decide_join(&statuses, &elsewhere)
         };
         let has_log = core.borrow().has_log();
         let mut can_create = false;
@@ -95,7 +98,7 @@
         }
         match next_step {
             NextStep::Bootstrap(members) if can_create => {
-                // The first round saw the replicas one after the other. If the second one sees the
+                // The first round saw the replicas at different times. If the second one sees the
                 // same, there was a moment between them at which none had a log.
                 let confirmed = fetch_statuses(&client, other_replicas(&core, &cfg)).await;
                 if confirmed == statuses && !core.borrow().has_log() {
@@ -236,6 +239,14 @@
     cfg.replicas.iter().copied().collect()
 }
 
+/// Returns the addresses of replicas that are neither configured nor members of the own log.
+fn replicas_elsewhere(core: &Rc<RefCell<Core>>, cfg: &Config) -> BTreeSet<SocketAddr> {
+    let mut addresses = core.borrow().known_replicas();
+    let others = other_replicas(core, cfg);
+    addresses.retain(|address| *address != cfg.advertise && !others.contains(address));
+    addresses
+}
+
 /// Returns the addresses of the configured replicas and of the members of the own log, without this
 /// replica's.
 fn other_replicas(core: &Rc<RefCell<Core>>, cfg: &Config) -> BTreeSet<SocketAddr> {
@@ -252,10 +263,13 @@
     client: &Client,
     addresses: BTreeSet<SocketAddr>,
 ) -> Vec<(SocketAddr, Option<BootstrapStatus>)> {
-    let mut statuses = Vec::new();
+    let mut calls = JoinSet::new();
     for address in addresses {
-        statuses.push((address, fetch_status(client, address).await));
+        let client = client.clone();
+        calls.spawn_local(async move { (address, fetch_status(&client, address).await) });
     }
+    let mut statuses = calls.join_all().await;
+    statuses.sort_unstable_by_key(|&(address, _)| address);
     statuses
 }
 
--- a/src/replica/core.rs
+++ b/src/replica/core.rs
@@ -246,6 +246,16 @@
             .filter(|&leader| leader != self.address)
     }
 
+    /// Returns the peer addresses of replicas that are not in the settings: the members of the own
+    /// log, and those that have sent messages of a log. The leader sends them to a member that has lost
+    /// its disk, too.
+    pub(super) fn known_replicas(&self) -> BTreeSet<SocketAddr> {
+        let members = self.node.membership().members.values();
+        let members = members.map(|member| member.address);
+        let senders = self.sender_addresses.values().copied();
+        members.chain(senders).collect()
+    }
+
     /// Returns the peer addresses of the members of the log; none where no leader is known.
     pub(super) fn replicas_under_leader(&self) -> Vec<SocketAddr> {
         if self.remote_leader().is_none() && !self.has_leader_lease() {
--- a/tests/fuzz/bootstrap.rs
+++ b/tests/fuzz/bootstrap.rs
@@ -144,7 +144,7 @@
             Fault::IgnoreAddressOrder => SocketAddr::from(([10, 0, 0, 0], 7500)),
             _ => replica.address,
         };
-        match bootstrap::decide(own_address, replica.id, &round.statuses) {
+        match bootstrap::decide(own_address, replica.id, &round.statuses, &[]) {
             NextStep::Bootstrap(mut members) if replica.log.is_none() => {
                 members[0].1 = replica.address;
                 self.ask_for_permission(i, &others, members, round);
