Find the replicas through any VM of the settings

The settings of a process name three VMs that serve the control address. Most of these have no disk: they pass calls on, and had no listener for other processes. A process that started with three of them found nobody; a replacement never joined the log, while the platform counted it and took the next VM away, until the last quorum was gone.

Class: a process that can only reach what its settings name, where the settings name any member of a larger group. Now knowledge of the replicas flows between a process and the VMs of its settings in both directions: - A process without a replica has a peer listener. It lists the replicas, and redirects what is meant for the leader, so that gateways of a former build find it as well. It is no replica to anyone who looks for a log. - A replica without a log, a process without a replica and a gateway ask the VMs of their settings, on the port of the replica and on that of the gateway, which every VM has, and their own VM's other process. - Whoever hears of a leader tells the VMs of its settings (ReportReplicas), at once and then every 5 s: after a restart of everything only the replicas know of each other, and nobody may name them. - A process passes on only what a leader or a member of the log has told it, so that a list can't outlive its replicas by going round. Reports are merged, the latest first, in place of replacing each other. What permits a first log is as before.

Builds side by side: Replicas, NotLeader and Refused are the messages of before; ReportReplicas is new at the end of the enumeration, and a former build refuses it (400). Nothing that is stored or replicated has changed.

--- a/src/cli/gateway.rs
+++ b/src/cli/gateway.rs
@@ -127,6 +127,7 @@
         vm: required::<Name>(matches, "vm"),
         data_centre: required::<Name>(matches, "data-centre"),
         state: values(matches, "state"),
+        contacts: Vec::new(),
         peer_key: required(matches, "peer-key"),
         loads_listen: required(matches, "loads-listen"),
         admin_listen: optional(matches, "admin-listen"),
--- a/src/cli/state.rs
+++ b/src/cli/state.rs
@@ -103,6 +103,7 @@
         admin_listen: required(matches, "admin-listen"),
         target_voters: replicas.len(),
         replicas,
+        contacts: Vec::new(),
         may_bootstrap: true,
         data: required(matches, "data"),
         peer_key: required(matches, "peer-key"),
--- a/src/dev.rs
+++ b/src/dev.rs
@@ -57,6 +57,7 @@
         operators: vec![("dev".into(), KeyHash::of(OPERATOR_KEY))],
         may_bootstrap: true,
         target_voters: 1,
+        contacts: Vec::new(),
         snapshot_every: 20_000,
         order_resend_time: replica::DEFAULT_ORDER_RESEND_TIME,
         data_centres: BTreeSet::new(),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -67,7 +67,9 @@
 use crate::listen::Sockets;
 use crate::log::event;
 use crate::metrics::Metrics;
+use crate::peer::Client;
 use crate::peer::EntryInfo;
+use crate::peer::LeaderClient;
 use crate::policy::backpressure::Backpressure;
 use crate::policy::brittle::BrittleUpstreams;
 use crate::policy::crashing_requests::CrashingRequests;
@@ -120,6 +122,9 @@
     pub data_centre: Name,
     /// Peer addresses of some state replicas; the leader sends the full list later.
     pub state: Vec<SocketAddr>,
+    /// Peer addresses of other processes that may know the replicas, such as gateways. They are asked
+    /// while no leader is found, beside the gateways that the leader has listed.
+    pub contacts: Vec<SocketAddr>,
     /// Key by which the processes of a deployment authenticate each other.
     pub peer_key: String,
     /// Address on which it receives the other gateways' load updates, by UDP, and tells them which
@@ -199,6 +204,8 @@
     leader_revision: Cell<Option<(u64, Duration)>>,
     /// Replicas of the leader's last list.
     replicas: RefCell<Vec<SocketAddr>>,
+    /// Finds the leader and calls it.
+    leader: LeaderClient,
     upstreams: RefCell<UpstreamTable>,
     peer_loads: RefCell<PeerLoads>,
     /// Upstreams that refuse connections, as seen by this gateway and the others.
@@ -325,6 +332,8 @@
     let pass_on_key = exchange::pass_on_key(&cfg.peer_key);
     let id_header = cfg.header_names.attempt_id.clone();
     let run_id = random::identity();
+    let client = Client::new(&cfg.peer_key);
+    let leader = LeaderClient::new(client, cfg.state.clone(), clock.clone());
     let gateway = Rc::new(Gateway {
         recovery: Recovery::new(clock.now()),
         retry_budget_share: RefCell::new(Share::new(cfg.retry_budget, clock.now())),
@@ -337,6 +346,7 @@
         directory_deadline: Cell::new(None),
         leader_revision: Cell::new(None),
         replicas: RefCell::default(),
+        leader,
         upstreams: RefCell::default(),
         peer_loads: RefCell::default(),
         reachability: RefCell::new(Reachability::new(run_id)),
@@ -402,6 +412,7 @@
     );
     tokio::task::spawn_local(renewal::run(gateway.clone()));
     tokio::task::spawn_local(replica_list::serve(gateway.clone(), peers));
+    tokio::task::spawn_local(replica_list::report(gateway.clone()));
     tokio::task::spawn_local(sweep(gateway.clone()));
     tokio::task::spawn_local(service_reachability::run(gateway.clone()));
     tokio::task::spawn_local(loads::run(gateway.clone(), loads_socket));
--- a/src/gateway/renewal.rs
+++ b/src/gateway/renewal.rs
@@ -11,7 +11,6 @@
 use crate::collections::Name;
 use crate::evacuation;
 use crate::log::event;
-use crate::peer::Client;
 use crate::peer::ConfigUpdate;
 use crate::peer::DirectoryUpdate;
 use crate::peer::EntryInfo;
@@ -39,14 +38,12 @@
 /// Interval between two log lines on the search for a leader.
 const SEARCH_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Interval between two questions to the other gateways which replicas there are.
+/// Interval between two questions to other processes which replicas there are.
 const QUESTION_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Sends renewals for as long as the process runs.
 pub(super) async fn run(gateway: Rc<Gateway>) {
-    let client = Client::new(&gateway.cfg.peer_key);
-    let (replicas, clock) = (gateway.cfg.state.clone(), gateway.clock.clone());
-    let leader = LeaderClient::new(client, replicas, clock);
+    let leader = gateway.leader.clone();
     let mut next_question_at = Duration::ZERO;
     let mut state = RenewalState {
         update_source: gateway.run_id as usize,
@@ -67,9 +64,11 @@
             state.has_silent_source = false;
             if leader.needs_replicas() && gateway.now() >= next_question_at {
                 next_question_at = gateway.now() + QUESTION_INTERVAL;
-                let (gateway, leader) = (gateway.clone(), leader.clone());
+                let gateway = gateway.clone();
                 tokio::task::spawn_local(async move {
-                    leader.add_reported(gateway.ask_for_replicas().await);
+                    gateway
+                        .leader
+                        .add_reported(gateway.ask_for_replicas().await);
                 });
             }
             leader.wait_before_retry().await;
--- /dev/null
+++ b/src/peer/discovery.rs
@@ -0,0 +1,116 @@
+//! Exchanges between processes which replicas there are.
+//!
+//! The settings of a process name a few VMs. Some of these may be gone, or run a process without a
+//! replica. A process that finds no replica asks others; one that hears of a leader tells the VMs of
+//! its settings. So knowledge flows in both directions between a process and the VMs that its settings
+//! name. A process passes on only what a leader or a member of the log has told it: a list can't
+//! go round in circles after its replicas have been replaced.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::task::JoinSet;
+
+use super::Client;
+use super::Reply;
+use super::Request;
+use crate::log::event;
+
+/// Number of processes asked at a time.
+const ASKED_PROCESSES: usize = 4;
+
+/// Time within which a process must reply, once connected.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Interval between checks whether a leader is known.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Interval between two reports to the same process. It may have restarted in between, with settings
+/// that name nobody who knows the replicas.
+const REPORT_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Interval after the first report; it doubles up to [`REPORT_INTERVAL`]. VMs that start at the same
+/// time don't listen yet.
+const FIRST_REPORT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Asks some of the processes at `addresses` which replicas there are. Returns what they list,
+/// without duplicates; none if no process that replies in time hears of a leader.
+pub(crate) async fn ask_for_replicas(
+    key: &str,
+    mut addresses: Vec<SocketAddr>,
+    rng: &mut fastrand::Rng,
+) -> Vec<SocketAddr> {
+    rng.shuffle(&mut addresses);
+    addresses.truncate(ASKED_PROCESSES);
+    let mut listed = Vec::new();
+    for (address, reply) in call_all(key, addresses, &Request::Replicas).await {
+        if let Reply::Replicas(replicas) = reply
+            && !replicas.is_empty()
+        {
+            log_report(address, &replicas);
+            listed.extend(replicas);
+        }
+    }
+    listed.sort_unstable();
+    listed.dedup();
+    listed
+}
+
+/// Logs which replicas a process has named.
+fn log_report(by: SocketAddr, replicas: &[SocketAddr]) {
+    event!(
+        Info,
+        "replicas_reported",
+        by = by,
+        replicas = format!("{replicas:?}")
+    );
+}
+
+/// Tells the processes at `targets` which replicas there are, at intervals and for as long as the
+/// process runs. `current` returns the replicas; none while no leader is heard of.
+pub(crate) async fn report_replicas(
+    key: &str,
+    targets: &[SocketAddr],
+    current: impl Fn() -> Vec<SocketAddr>,
+) {
+    let mut interval = FIRST_REPORT_INTERVAL;
+    loop {
+        let replicas = current();
+        if replicas.is_empty() {
+            interval = FIRST_REPORT_INTERVAL;
+            tokio::time::sleep(CHECK_INTERVAL).await;
+            continue;
+        }
+        // Members of the log know each other.
+        let others = targets.iter().filter(|target| !replicas.contains(target));
+        let others = others.copied().collect();
+        let _ = call_all(key, others, &Request::ReportReplicas(replicas)).await;
+        // Hundreds of processes may have started at the same time.
+        tokio::time::sleep(interval.mul_f64(0.75 + fastrand::f64() / 2.0)).await;
+        interval = (2 * interval).min(REPORT_INTERVAL);
+    }
+}
+
+/// Calls several processes at once, on connections that close with this call. Returns the replies.
+async fn call_all(
+    key: &str,
+    addresses: Vec<SocketAddr>,
+    request: &Request,
+) -> Vec<(SocketAddr, Reply)> {
+    let client = Client::new(key);
+    let mut calls = JoinSet::new();
+    for address in addresses {
+        let (client, request) = (client.clone(), request.clone());
+        calls.spawn_local(async move {
+            let reply = client.call(address, &request, REPLY_TIMEOUT).await;
+            (address, reply)
+        });
+    }
+    let mut replies = Vec::new();
+    while let Some(call) = calls.join_next().await {
+        if let Ok((address, Ok(reply))) = call {
+            replies.push((address, reply));
+        }
+    }
+    replies
+}
--- a/src/peer/leader.rs
+++ b/src/peer/leader.rs
@@ -65,9 +65,40 @@
         self.search.borrow().log_text()
     }
 
-    /// Adds replicas that another process has named; ignored once a leader has replied.
+    /// Adds replicas that another process has named; ignored while the leader replies.
     pub fn add_reported(&self, replicas: Vec<SocketAddr>) {
-        self.search.borrow_mut().set_reported(replicas);
+        self.search.borrow_mut().add_reported(replicas);
+    }
+
+    /// Returns the address to call next: the presumed leader.
+    pub(crate) fn presumed_leader(&self) -> SocketAddr {
+        self.search.borrow().next()
+    }
+
+    /// Asks the presumed leader which replicas there are. Returns them if it is a member of the log
+    /// that follows a leader, or the leader.
+    pub(crate) async fn fetch_replicas(&self) -> Option<Vec<SocketAddr>> {
+        let address = self.search.borrow().next();
+        let result = self.client.call(address, &Request::Replicas, CALL_TIMEOUT);
+        let result = result.await;
+        let now = self.clock.now();
+        let mut search = self.search.borrow_mut();
+        match result {
+            Ok(Reply::Replicas(replicas)) if replicas.contains(&address) => {
+                search.record_list(address, replicas.clone());
+                return Some(replicas);
+            }
+            Ok(Reply::Replicas(replicas)) => {
+                search.record_follower(address, None, now);
+                search.add_reported(replicas);
+            }
+            Ok(_) => search.record_refusal(address, now),
+            Err(e) => {
+                let silence = self.handle_failure(&e);
+                search.record_silence(address, silence, now);
+            }
+        }
+        None
     }
 
     /// Replaces the replicas among which the leader is looked for first; an empty list is ignored.
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -99,6 +99,9 @@
     /// Asks a replica without a log whether it was permitted to create one of the replicas at these
     /// addresses.
     BootstrapPermission(BTreeSet<SocketAddr>),
+    /// Tells any process the peer addresses of the members of the log, as the sender has them from a
+    /// leader or a member. A process of a former build refuses this.
+    ReportReplicas(Vec<SocketAddr>),
 }
 
 /// The reply to a request.
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -4,6 +4,7 @@
 mod client;
 mod config_update;
 mod directory_update;
+pub(crate) mod discovery;
 mod leader;
 mod message;
 mod server;
--- a/src/policy/bootstrap.rs
+++ b/src/policy/bootstrap.rs
@@ -34,7 +34,7 @@
 }
 
 /// Decides for one of the configured replicas. `statuses` has the other configured ones; `elsewhere`
-/// has others that are known, which only lead to an existing log.
+/// has those that other processes have named, which only lead to an existing log.
 pub fn decide(
     own_address: SocketAddr,
     id: ReplicaId,
--- a/src/policy/replica_search.rs
+++ b/src/policy/replica_search.rs
@@ -95,7 +95,7 @@
     configured: Vec<SocketAddr>,
     /// The leader's last list.
     listed: Vec<SocketAddr>,
-    /// The list that another process has reported since the last reply of a leader.
+    /// What other processes have reported since the last reply of a leader, the latest first.
     reported: Vec<SocketAddr>,
     /// Address that is called next.
     next: SocketAddr,
@@ -103,6 +103,8 @@
     calls: u64,
     /// When the first call without a reply of the leader ended; `None` while the leader replies.
     lost_at: Option<Duration>,
+    /// Whether a leader, or a member of the log that follows one, has replied.
+    has_found: bool,
 }
 
 impl Search {
@@ -119,6 +121,7 @@
             contacts: HashMap::default(),
             calls: 0,
             lost_at: None,
+            has_found: false,
         })
     }
 
@@ -141,13 +144,16 @@
         self.forget_unknown();
     }
 
-    /// Sets the list that another process has reported, and calls its addresses next; an empty one
-    /// is ignored, and so is any while the leader replies.
-    pub fn set_reported(&mut self, replicas: Vec<SocketAddr>) {
-        if replicas.is_empty() || self.lost_at.is_none() {
+    /// Adds the replicas that another process has reported, and calls one of those that have been
+    /// reported next; an empty list is ignored, and so is any while the leader replies.
+    ///
+    /// Earlier reports are kept behind it: it may be the older one.
+    pub fn add_reported(&mut self, replicas: Vec<SocketAddr>) {
+        let is_found = self.has_found && self.lost_at.is_none();
+        if replicas.is_empty() || is_found {
             return;
         }
-        self.reported = bounded(replicas);
+        merge_addresses(&mut self.reported, replicas);
         self.forget_unknown();
         if let Some(next) = self.least_recent(&self.reported.clone()) {
             self.next = next;
@@ -158,7 +164,19 @@
     pub fn record_leader(&mut self, address: SocketAddr) {
         self.record_call(address, Outcome::Leader, 0, None);
         self.next = address;
+        self.end_search();
+    }
+
+    /// Records the list of a member of the log that follows a leader.
+    pub fn record_list(&mut self, address: SocketAddr, replicas: Vec<SocketAddr>) {
+        self.record_call(address, Outcome::Reply, 0, None);
+        self.set_listed(replicas);
+        self.end_search();
+    }
+
+    fn end_search(&mut self) {
         self.lost_at = None;
+        self.has_found = true;
         self.reported.clear();
     }
 
@@ -322,6 +340,15 @@
     }
 }
 
+/// Puts `newer` before the addresses, without duplicates, and drops the oldest beyond
+/// [`MAX_ADDRESSES`].
+pub(crate) fn merge_addresses(addresses: &mut Vec<SocketAddr>, newer: Vec<SocketAddr>) {
+    let newer = bounded(newer);
+    addresses.retain(|address| !newer.contains(address));
+    addresses.splice(0..0, newer);
+    addresses.truncate(MAX_ADDRESSES);
+}
+
 fn bounded(mut addresses: Vec<SocketAddr>) -> Vec<SocketAddr> {
     addresses.truncate(MAX_ADDRESSES);
     addresses
--- a/src/replica/bootstrap.rs
+++ b/src/replica/bootstrap.rs
@@ -2,7 +2,8 @@
 //!
 //! [`crate::policy::bootstrap`] has the conditions for a new log. As soon as a replica with a log is
 //! found, this one asks to join it as a learner, under its new identity. It is looked for at the
-//! addresses of the settings, and at those that send messages of a log.
+//! addresses of the settings, and at those that other processes name: the settings may name only VMs
+//! that are gone or have no replica.
 //!
 //! A replica that was removed while it was away finds itself in its own old log. So one that
 //! follows no leader for a while asks to join as well; the leader ignores this from a member.
@@ -31,6 +32,7 @@
 use crate::peer::Client;
 use crate::peer::Reply;
 use crate::peer::Request;
+use crate::peer::discovery;
 use crate::policy::bootstrap;
 use crate::policy::bootstrap::NextStep;
 use crate::state::State;
@@ -41,6 +43,9 @@
 /// Time between two rounds of status requests.
 const ROUND_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Interval between two questions to other processes which replicas there are.
+const QUESTION_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Time within which a replica must reply to a call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -58,6 +63,7 @@
     let mut followed_at = core.borrow().now();
     let mut logged_at = followed_at;
     let mut search = WaitNotice::default();
+    let mut next_question_at = Duration::ZERO;
     let mut rounds = tokio::time::interval(ROUND_INTERVAL);
     rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -66,6 +72,7 @@
         if is_member(&core) {
             if core.borrow().leader_address().is_some() {
                 followed_at = now;
+                core.borrow_mut().clear_reported();
                 if search.end() {
                     event!(Info, "leader_found", term = core.borrow().node.term());
                 }
@@ -79,6 +86,10 @@
             log_search(&core.borrow(), &statuses);
         }
         let elsewhere = fetch_statuses(&client, replicas_elsewhere(&core, &cfg)).await;
+        if now >= next_question_at {
+            next_question_at = now + QUESTION_INTERVAL;
+            tokio::task::spawn_local(ask_others(core.clone(), cfg.clone()));
+        }
         let id = core.borrow().node.id();
         let next_step = if cfg.replicas.contains(&cfg.advertise) {
             bootstrap::decide(cfg.advertise, id, &statuses, &elsewhere)
@@ -239,6 +250,26 @@
     cfg.replicas.iter().copied().collect()
 }
 
+/// Asks other processes which replicas there are. The addresses of the settings are among them: a
+/// process without a replica may have one of them.
+async fn ask_others(core: Rc<RefCell<Core>>, cfg: Config) {
+    let mut addresses = cfg.contacts.clone();
+    addresses.extend(
+        cfg.replicas
+            .iter()
+            .filter(|&&replica| replica != cfg.advertise),
+    );
+    let mut rng = fastrand::Rng::new();
+    let listed = discovery::ask_for_replicas(&cfg.peer_key, addresses, &mut rng).await;
+    core.borrow_mut().add_reported(listed);
+}
+
+/// Tells the VMs of the settings which replicas there are; never returns.
+pub(super) async fn report_replicas(core: Rc<RefCell<Core>>, cfg: Config) {
+    let current = || core.borrow().replicas_under_leader();
+    discovery::report_replicas(&cfg.peer_key, &cfg.replicas, current).await;
+}
+
 /// Returns the addresses of replicas that are neither configured nor members of the own log.
 fn replicas_elsewhere(core: &Rc<RefCell<Core>>, cfg: &Config) -> BTreeSet<SocketAddr> {
     let mut addresses = core.borrow().known_replicas();
--- a/src/replica/core.rs
+++ b/src/replica/core.rs
@@ -45,6 +45,7 @@
 use crate::peer::DirectoryUpdate;
 use crate::policy::repetition;
 use crate::policy::repetition::Relation;
+use crate::policy::replica_search::merge_addresses;
 use crate::recovery::Phase;
 use crate::recovery::Recovery;
 use crate::state::AcceptedChange;
@@ -121,6 +122,8 @@
     outbox: Outbox,
     /// Source addresses of messages, to reply to replicas that are not in the membership yet.
     sender_addresses: BTreeMap<ReplicaId, SocketAddr>,
+    /// Replicas that other processes have named while this one followed no leader, the latest first.
+    reported: Vec<SocketAddr>,
     /// Commands not yet proposed.
     queue: Vec<(Op, oneshot::Sender<Outcome>)>,
     /// Proposed commands, by log index.
@@ -172,6 +175,7 @@
             writer,
             outbox: Outbox::new(cfg.advertise, client),
             sender_addresses: BTreeMap::new(),
+            reported: Vec::new(),
             queue: Vec::new(),
             waiters: BTreeMap::new(),
             snapshot_every: cfg.snapshot_every,
@@ -246,14 +250,27 @@
             .filter(|&leader| leader != self.address)
     }
 
+    /// Adds replicas that another process has named; ignored while this one follows a leader.
+    pub(super) fn add_reported(&mut self, replicas: Vec<SocketAddr>) {
+        if self.leader_address().is_none() {
+            merge_addresses(&mut self.reported, replicas);
+        }
+    }
+
+    /// Forgets the replicas that other processes have named.
+    pub(super) fn clear_reported(&mut self) {
+        self.reported.clear();
+    }
+
     /// Returns the peer addresses of replicas that are not in the settings: the members of the own
-    /// log, and those that have sent messages of a log. The leader sends them to a member that has lost
-    /// its disk, too.
+    /// log, those that other processes have named, and those that have sent messages of a log. The
+    /// leader sends them to a member that has lost its disk, too.
     pub(super) fn known_replicas(&self) -> BTreeSet<SocketAddr> {
         let members = self.node.membership().members.values();
         let members = members.map(|member| member.address);
         let senders = self.sender_addresses.values().copied();
-        members.chain(senders).collect()
+        let reported = self.reported.iter().copied();
+        members.chain(senders).chain(reported).collect()
     }
 
     /// Returns the peer addresses of the members of the log; none where no leader is known.
--- a/src/replica/handle.rs
+++ b/src/replica/handle.rs
@@ -4,14 +4,11 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use super::core::Core;
 use super::handler::handle_peer;
-use crate::clock::Clock;
 use crate::collections::Name;
-use crate::log::event;
 use crate::peer::Client;
 use crate::peer::LeaderClient;
 use crate::peer::OperatorChange;
@@ -21,7 +18,6 @@
 use crate::state::command::ChangeOutcome;
 use crate::state::query::Query;
 use crate::state::query::Report;
-use crate::wait_notice::WaitNotice;
 
 /// Time within which the leader must reply to one call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
@@ -29,9 +25,6 @@
 /// Time between two attempts to reach the leader.
 const RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Interval at which a process without a replica asks which replicas there are.
-const REPLICAS_INTERVAL: Duration = Duration::from_secs(5);
-
 /// Time for which a stopping process still answers new calls, though it refuses them.
 const REFUSE_TIME: Duration = Duration::from_millis(300);
 
@@ -121,13 +114,8 @@
         }
     }
 
-    /// Creates a handle for a process without a replica, such as one on a VM without a disk.
-    /// `replicas` are the peer addresses of at least one replica.
-    ///
-    /// Keeps up with replacements of the replicas. Runs in a `LocalSet`.
-    pub fn remote(peer_key: &str, replicas: Vec<SocketAddr>, clock: Arc<dyn Clock>) -> Self {
-        let leader = LeaderClient::new(Client::new(peer_key), replicas, clock.clone());
-        tokio::task::spawn_local(follow_replicas(leader.clone(), clock));
+    /// Creates a handle for a process without a replica.
+    pub(super) fn remote(leader: LeaderClient) -> Self {
         Self::with_link(Link::Remote(leader))
     }
 
@@ -282,29 +270,6 @@
     }
 }
 
-/// Asks the replicas in turn which replicas there are; never returns. Unlike a gateway, this process
-/// sends no renewals, with which it would learn of new ones.
-async fn follow_replicas(leader: LeaderClient, clock: Arc<dyn Clock>) {
-    let mut search = WaitNotice::default();
-    for index in 0.. {
-        let reply = leader.call_replica_at(index, &Request::Replicas).await;
-        match reply {
-            Some(Reply::Replicas(replicas)) if !replicas.is_empty() => {
-                leader.set_listed(replicas);
-                if search.end() {
-                    event!(Info, "state_found");
-                }
-            }
-            _ => {
-                if search.is_due(clock.now()) {
-                    event!(Warn, "state_lost", called = leader.log_text());
-                }
-            }
-        }
-        tokio::time::sleep(REPLICAS_INTERVAL).await;
-    }
-}
-
 /// Returns the reply unless the request must be sent again.
 fn definite(reply: Reply) -> Option<Reply> {
     match reply {
--- a/src/replica/handler.rs
+++ b/src/replica/handler.rs
@@ -37,7 +37,7 @@
 /// Longest time that a renewal waits for the first leader after this replica's start. It is less
 /// than the time after which gateways and entries give up a call, so that they don't ask again and
 /// again and learn of the leader at once.
-const LEADER_SEARCH_LIMIT: Duration = Duration::from_millis(400);
+pub(super) const LEADER_SEARCH_LIMIT: Duration = Duration::from_millis(400);
 
 /// Longest time that an operator may wait for a revision to be in force.
 const MAX_WAIT: Duration = Duration::from_secs(60);
@@ -119,6 +119,10 @@
         Request::Leave { id, incarnation } => propose(&core, Op::Leave { id, incarnation }).await,
         Request::OnBehalf { who, request } => handle_operator(core, who, *request).await,
         Request::Replicas => Reply::Replicas(core.borrow().replicas_under_leader()),
+        Request::ReportReplicas(replicas) => {
+            core.borrow_mut().add_reported(replicas);
+            Reply::Done
+        }
         Request::BootstrapPermission(replicas) => {
             let core = core.borrow();
             let is_permitted =
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -8,6 +8,7 @@
 mod core;
 mod directory_history;
 mod folder;
+mod forwarder;
 mod handle;
 mod handler;
 mod heartbeats;
@@ -35,6 +36,8 @@
 
 pub use self::config_history::ConfigHistory;
 use self::core::Core;
+pub use self::forwarder::ForwarderConfig;
+pub use self::forwarder::start_forwarder;
 pub use self::handle::Evacuation;
 pub use self::handle::Handle;
 use crate::agreement::ReplicaId;
@@ -63,6 +66,9 @@
     pub admin_listen: SocketAddr,
     /// Peer addresses of the configured replicas.
     pub replicas: Vec<SocketAddr>,
+    /// Peer addresses of other processes, such as gateways, that may know the replicas. They are asked
+    /// while no replica with a log is found.
+    pub contacts: Vec<SocketAddr>,
     /// Data folder: the log, the snapshot and the replica's identity.
     pub data: PathBuf,
     /// Key with which the processes of the system authenticate to each other.
@@ -251,6 +257,7 @@
         client.clone(),
         cfg.clone(),
     ));
+    tokio::task::spawn_local(bootstrap::report_replicas(core.clone(), cfg.clone()));
     tokio::task::spawn_local(reaper::settle_orphans(core.clone()));
     tokio::task::spawn_local(heartbeats::forward(core.clone(), client.clone()));
     let admin_status = core.borrow().admin_status();
--- a/tests/load/replica_search.rs
+++ b/tests/load/replica_search.rs
@@ -62,7 +62,7 @@
         }
         if named.is_none() {
             if search.is_wide(now) && search.next() != address(0) {
-                search.set_reported(reported.to_vec());
+                search.add_reported(reported.to_vec());
             }
             now += RETRY_INTERVAL;
         }
--- a/tests/process/replacement.rs
+++ b/tests/process/replacement.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,7 +15,8 @@
 use daisyquay::peer::Handler;
 use daisyquay::peer::Reply;
 use daisyquay::peer::Request;
-use daisyquay::replica::Handle;
+use daisyquay::replica::ForwarderConfig;
+use daisyquay::replica::start_forwarder;
 use daisyquay::state::query::Query;
 
 use crate::support::Cluster;
@@ -159,7 +161,15 @@
         .unwrap();
     let tasks = tokio::task::LocalSet::new();
     let handle = tasks.block_on(&runtime, async {
-        Handle::remote(PEER_KEY, configured, Arc::new(System::new()))
+        let cfg = ForwarderConfig {
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            listen_flag: "--listen",
+            replicas: configured,
+            contacts: Vec::new(),
+            peer_key: PEER_KEY.to_owned(),
+        };
+        let started = start_forwarder(cfg, &[], Arc::new(System::new())).await;
+        started.unwrap().0
     });
     // Long enough for the handle to have asked for the replicas after each replacement.
     let wait = || {
