Decide in policy::replica_discovery when replicas are reported

The intervals of the reports and questions were in the shells, where a model of hundreds of VMs can't use them.

When a report is due and to whom, who is asked, and the intervals of a process without a replica move to a pure module; the question interval was defined three times. Behaviour is unchanged.

--- a/src/gateway/renewal.rs
+++ b/src/gateway/renewal.rs
@@ -21,6 +21,7 @@
 use crate::peer::Request;
 use crate::policy::renewal_timing::Progress;
 use crate::policy::renewal_timing::RenewalTiming;
+use crate::policy::replica_discovery::QUESTION_INTERVAL;
 use crate::recovery::Phase;
 use crate::upstream::Upstream;
 
@@ -38,9 +39,6 @@
 /// Interval between two log lines on the search for a leader.
 const SEARCH_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Interval between two questions to other processes which replicas there are.
-const QUESTION_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Sends renewals for as long as the process runs.
 pub(super) async fn run(gateway: Rc<Gateway>) {
     let leader = gateway.leader.clone();
--- a/src/peer/discovery.rs
+++ b/src/peer/discovery.rs
@@ -15,35 +15,22 @@
 use super::Reply;
 use super::Request;
 use crate::log::event;
-
-/// Number of processes asked at a time.
-const ASKED_PROCESSES: usize = 4;
+use crate::policy::replica_discovery;
+use crate::policy::replica_discovery::Reports;
 
 /// Time within which a process must reply, once connected.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Interval between checks whether a leader is known.
-const CHECK_INTERVAL: Duration = Duration::from_millis(100);
-
-/// Interval between two reports to the same process. It may have restarted in between, with settings
-/// that name nobody who knows the replicas.
-const REPORT_INTERVAL: Duration = Duration::from_secs(5);
-
-/// Interval after the first report; it doubles up to [`REPORT_INTERVAL`]. VMs that start at the same
-/// time don't listen yet.
-const FIRST_REPORT_INTERVAL: Duration = Duration::from_millis(500);
-
 /// Asks some of the processes at `addresses` which replicas there are. Returns what they list,
 /// without duplicates; none if no process that replies in time hears of a leader.
 pub(crate) async fn ask_for_replicas(
     key: &str,
-    mut addresses: Vec<SocketAddr>,
+    addresses: Vec<SocketAddr>,
     rng: &mut fastrand::Rng,
 ) -> Vec<SocketAddr> {
-    rng.shuffle(&mut addresses);
-    addresses.truncate(ASKED_PROCESSES);
+    let asked = replica_discovery::choose_asked(addresses, rng);
     let mut listed = Vec::new();
-    for (address, reply) in call_all(key, addresses, &Request::Replicas).await {
+    for (address, reply) in call_all(key, asked, &Request::Replicas).await {
         if let Reply::Replicas(replicas) = reply
             && !replicas.is_empty()
         {
@@ -73,21 +60,15 @@
     targets: &[SocketAddr],
     current: impl Fn() -> Vec<SocketAddr>,
 ) {
-    let mut interval = FIRST_REPORT_INTERVAL;
+    let mut reports = Reports::default();
     loop {
         let replicas = current();
-        if replicas.is_empty() {
-            interval = FIRST_REPORT_INTERVAL;
-            tokio::time::sleep(CHECK_INTERVAL).await;
-            continue;
+        let report = reports.next(&replicas, targets, fastrand::f64());
+        if !report.to.is_empty() {
+            let request = Request::ReportReplicas(replicas);
+            let _ = call_all(key, report.to, &request).await;
         }
-        // Members of the log know each other.
-        let others = targets.iter().filter(|target| !replicas.contains(target));
-        let others = others.copied().collect();
-        let _ = call_all(key, others, &Request::ReportReplicas(replicas)).await;
-        // Hundreds of processes may have started at the same time.
-        tokio::time::sleep(interval.mul_f64(0.75 + fastrand::f64() / 2.0)).await;
-        interval = (2 * interval).min(REPORT_INTERVAL);
+        tokio::time::sleep(report.delay).await;
     }
 }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -30,6 +30,7 @@
 pub mod release_rollout;
 pub mod renewal_timing;
 pub mod repetition;
+pub mod replica_discovery;
 pub mod replica_search;
 pub mod retry;
 pub mod retry_budget;
--- a/src/replica/bootstrap.rs
+++ b/src/replica/bootstrap.rs
@@ -35,6 +35,7 @@
 use crate::peer::discovery;
 use crate::policy::bootstrap;
 use crate::policy::bootstrap::NextStep;
+use crate::policy::replica_discovery::QUESTION_INTERVAL;
 use crate::state::State;
 use crate::storage;
 use crate::storage::BootstrapPermission;
@@ -43,9 +44,6 @@
 /// Time between two rounds of status requests.
 const ROUND_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Interval between two questions to other processes which replicas there are.
-const QUESTION_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Time within which a replica must reply to a call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 
--- a/src/replica/forwarder.rs
+++ b/src/replica/forwarder.rs
@@ -28,24 +28,16 @@
 use crate::peer::Reply;
 use crate::peer::Request;
 use crate::peer::discovery;
+use crate::policy::replica_discovery::LIST_TTL;
+use crate::policy::replica_discovery::QUESTION_INTERVAL;
+use crate::policy::replica_discovery::REFRESH_INTERVAL;
+use crate::policy::replica_discovery::SEARCH_INTERVAL;
 use crate::wait_notice::WaitNotice;
 
 /// Most connections of other processes that are open at a time: gateways of hundreds of VMs may
 /// have this one in their settings.
 const MAX_CONNECTIONS: usize = 512;
 
-/// Interval at which the process asks a replica which ones there are.
-const REFRESH_INTERVAL: Duration = Duration::from_secs(2);
-
-/// Interval between two attempts while no replica follows a leader.
-const SEARCH_INTERVAL: Duration = Duration::from_millis(100);
-
-/// Interval between two questions to other processes which replicas there are.
-const QUESTION_INTERVAL: Duration = Duration::from_secs(1);
-
-/// Time for which a list is passed on: two attempts to refresh it.
-const LIST_TTL: Duration = Duration::from_secs(5);
-
 /// Settings of a process without a replica.
 #[derive(Clone, Debug)]
 pub struct ForwarderConfig {
