Spread the first reports of the replicas after an election

All gateways hear of a leader within the same second and reported it to the VMs of their settings at once. With 200 VMs of which 10 run a process without a replica and are all that the settings name, such a VM got up to 88 reports in a second, 137 calls in all, which is more than 0.12 cores handle at 1 ms each; with 360 VMs, 25 of them with a replica program, 99 reports and 155 calls.

Only replicas report at once. The others wait for a random part of the interval first.

--- a/src/gateway/replica_list.rs
+++ b/src/gateway/replica_list.rs
@@ -20,6 +20,7 @@
 use crate::peer::Reply;
 use crate::peer::Request;
 use crate::peer::discovery;
+use crate::policy::replica_discovery::Reports;
 
 /// Most connections of other processes that are open at a time.
 const MAX_CONNECTIONS: usize = 64;
@@ -37,7 +38,13 @@
 /// Tells the VMs of the settings which replicas there are; never returns.
 pub(super) async fn report(gateway: Rc<Gateway>) {
     let current = || gateway.current_replicas();
-    discovery::report_replicas(&gateway.cfg.peer_key, &gateway.cfg.state, current).await;
+    discovery::report_replicas(
+        &gateway.cfg.peer_key,
+        &gateway.cfg.state,
+        Reports::spread(),
+        current,
+    )
+    .await;
 }
 
 struct ListHandler {
--- a/src/peer/discovery.rs
+++ b/src/peer/discovery.rs
@@ -58,9 +58,9 @@
 pub(crate) async fn report_replicas(
     key: &str,
     targets: &[SocketAddr],
+    mut reports: Reports,
     current: impl Fn() -> Vec<SocketAddr>,
 ) {
-    let mut reports = Reports::default();
     loop {
         let replicas = current();
         let report = reports.next(&replicas, targets, fastrand::f64());
--- a/src/policy/replica_discovery.rs
+++ b/src/policy/replica_discovery.rs
@@ -39,7 +39,10 @@
 /// The reports of a process.
 #[derive(Clone, Debug)]
 pub struct Reports {
-    interval: Duration,
+    /// Whether the first one waits for a random part of the interval.
+    is_spread: bool,
+    /// Interval after the next report; `None` while no leader is heard of.
+    interval: Option<Duration>,
 }
 
 /// A step of the reports.
@@ -51,33 +54,49 @@
     pub delay: Duration,
 }
 
-impl Default for Reports {
-    fn default() -> Self {
+impl Reports {
+    /// Creates the reports of a replica, which is the first to know, so they begin at once.
+    pub fn at_once() -> Self {
         Self {
-            interval: FIRST_REPORT_INTERVAL,
+            is_spread: false,
+            interval: None,
+        }
+    }
+
+    /// Creates the reports of another process. Hundreds of them may hear of a leader at the same time,
+    /// so the first ones are spread over the normal interval.
+    pub fn spread() -> Self {
+        Self {
+            is_spread: true,
+            interval: None,
         }
     }
-}
 
-impl Reports {
     /// Returns what is due now. `replicas` are those known; none while no leader is heard of. `phase`
     /// is random, from 0 to 1.
     pub fn next(&mut self, replicas: &[SocketAddr], targets: &[SocketAddr], phase: f64) -> Report {
+        let wait = |delay| Report {
+            to: Vec::new(),
+            delay,
+        };
         if replicas.is_empty() {
-            self.interval = FIRST_REPORT_INTERVAL;
-            return Report {
-                to: Vec::new(),
-                delay: CHECK_INTERVAL,
-            };
+            self.interval = None;
+            return wait(CHECK_INTERVAL);
         }
+        let interval = match self.interval {
+            Some(interval) => interval,
+            None if self.is_spread => {
+                self.interval = Some(REPORT_INTERVAL);
+                return wait(REPORT_INTERVAL.mul_f64(phase));
+            }
+            None => FIRST_REPORT_INTERVAL,
+        };
         // Members of the log know each other.
         let others = targets.iter().filter(|target| !replicas.contains(target));
-        // Hundreds of processes may have started at the same time.
-        let delay = self.interval.mul_f64(0.75 + phase / 2.0);
-        self.interval = (2 * self.interval).min(REPORT_INTERVAL);
+        self.interval = Some((2 * interval).min(REPORT_INTERVAL));
         Report {
             to: others.copied().collect(),
-            delay,
+            delay: interval.mul_f64(0.75 + phase / 2.0),
         }
     }
 }
--- a/src/replica/bootstrap.rs
+++ b/src/replica/bootstrap.rs
@@ -36,6 +36,7 @@
 use crate::policy::bootstrap;
 use crate::policy::bootstrap::NextStep;
 use crate::policy::replica_discovery::QUESTION_INTERVAL;
+use crate::policy::replica_discovery::Reports;
 use crate::state::State;
 use crate::storage;
 use crate::storage::BootstrapPermission;
@@ -265,7 +266,7 @@
 /// Tells the VMs of the settings which replicas there are; never returns.
 pub(super) async fn report_replicas(core: Rc<RefCell<Core>>, cfg: Config) {
     let current = || core.borrow().replicas_under_leader();
-    discovery::report_replicas(&cfg.peer_key, &cfg.replicas, current).await;
+    discovery::report_replicas(&cfg.peer_key, &cfg.replicas, Reports::at_once(), current).await;
 }
 
 /// Returns the addresses of replicas that are neither configured nor members of the own log.
--- a/src/replica/forwarder.rs
+++ b/src/replica/forwarder.rs
@@ -31,6 +31,7 @@
 use crate::policy::replica_discovery::LIST_TTL;
 use crate::policy::replica_discovery::QUESTION_INTERVAL;
 use crate::policy::replica_discovery::REFRESH_INTERVAL;
+use crate::policy::replica_discovery::Reports;
 use crate::policy::replica_discovery::SEARCH_INTERVAL;
 use crate::wait_notice::WaitNotice;
 
@@ -156,7 +157,10 @@
     async fn report_replicas(self: Rc<Self>) {
         let mut targets = self.cfg.replicas.clone();
         targets.retain(|&target| target != self.cfg.listen);
-        discovery::report_replicas(&self.cfg.peer_key, &targets, || self.current_replicas()).await;
+        discovery::report_replicas(&self.cfg.peer_key, &targets, Reports::spread(), || {
+            self.current_replicas()
+        })
+        .await;
     }
 
     /// Refuses a request for the leader, and names the replica that may be it or know it.
--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -25,6 +25,7 @@
 mod release_rollout;
 mod renewals;
 mod repetition;
+mod replica_discovery;
 mod replica_search;
 mod retry_budget;
 mod retry_budget_restarts;
