Refuse a request on behalf of another one while it is decoded

Callers with the peer key, or on a replica's own listener with an operator's, could end any process of the system with a message of 64 kB or less: a request on behalf of an operator that contains another one, thousands of times. Decoding it overflowed the stack.

Cause: Request contains itself, and the limits on the bytes of a message don't bound the levels.

Now a second level is refused while it is decoded, with 400. No process sends one, and a replica refused it as a request; what is encoded is as before. The mark of the thread is set only while the inner request is decoded, and is cleared after a failure, too.

--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -1,13 +1,16 @@
 //! The messages between processes, in a positional encoding: the order and types of fields and
 //! variants are part of the protocol.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use serde::Deserialize;
+use serde::Deserializer;
 use serde::Serialize;
+use serde::de::Error;
 
 use crate::agreement::Index;
 use crate::agreement::Message;
@@ -92,6 +95,7 @@
         /// Name of the operator.
         who: Name,
         /// The operator's request.
+        #[serde(deserialize_with = "decode_inner")]
         request: Box<Request>,
     },
     /// Asks any process which replicas there are.
@@ -104,6 +108,20 @@
     ReportReplicas(Vec<SocketAddr>),
 }
 
+/// Decodes the request in an [`Request::OnBehalf`], unless that is within another one: thousands of
+/// levels would overflow the stack.
+fn decode_inner<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Box<Request>, D::Error> {
+    thread_local! {
+        static IS_INNER: Cell<bool> = const { Cell::new(false) };
+    }
+    if IS_INNER.replace(true) {
+        return Err(D::Error::custom("a request on behalf of another one"));
+    }
+    let request = Box::deserialize(deserializer);
+    IS_INNER.set(false);
+    request
+}
+
 /// The reply to a request.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum Reply {
