Promote only a learner that responds at present

A learner that had all committed entries was promoted in place of a lost voter although it was lost, too: both had ended together, with no commit in between. Its vote raised the quorum above the replicas that were left, the leader stepped down, and nothing was acknowledged until one of the lost ones came back.

Now a learner is promoted only if it has replied within the last 500 ms. To ask whether it counts as lost is not enough: it crosses that limit in the same round as the voter.

--- a/src/replica/housekeeping.rs
+++ b/src/replica/housekeeping.rs
@@ -39,6 +39,9 @@
 /// Time without contact after which a voter counts as lost, so that a learner may replace it.
 const LOST_AFTER: Duration = Duration::from_secs(2);
 
+/// Time since the last contact for which a member counts as responsive: several heartbeats of the log.
+const RESPONSIVE_FOR: Duration = Duration::from_millis(500);
+
 /// Member states as the leader's node sees them.
 struct LogMemberStatus<'a> {
     node: &'a Node,
@@ -54,6 +57,11 @@
         id != self.node.id() && self.now > since + LOST_AFTER
     }
 
+    fn is_responsive(&self, id: ReplicaId) -> bool {
+        let contact = self.node.last_contact(id);
+        contact.is_some_and(|at| self.now <= at + RESPONSIVE_FOR)
+    }
+
     fn is_leader(&self, id: ReplicaId) -> bool {
         id == self.node.id()
     }
--- a/src/replica/membership.rs
+++ b/src/replica/membership.rs
@@ -13,6 +13,10 @@
     /// Returns whether a member has not responded for so long that it counts as lost.
     fn is_lost(&self, id: ReplicaId) -> bool;
 
+    /// Returns whether a member responds at present. One that has just failed does not, long before it
+    /// counts as lost.
+    fn is_responsive(&self, id: ReplicaId) -> bool;
+
     /// Returns whether a member is the leader, which can't be removed.
     fn is_leader(&self, id: ReplicaId) -> bool;
 
@@ -25,7 +29,8 @@
 /// A replica that asks to join from a member's address replaces that member, whose disk is lost,
 /// unless it is the leader, whose address was given to two replicas. A learner is promoted while
 /// there are fewer than `target` voters, or exactly `target` of which one is lost. A lost voter is
-/// removed once there are more than `target`.
+/// removed once there are more than `target`. A learner that does not respond is not promoted: as a
+/// voter it would raise the quorum.
 pub(super) fn next_change(
     membership: &Membership,
     join_requests: &BTreeMap<SocketAddr, ReplicaId>,
@@ -50,10 +55,9 @@
         return Some(Change::Remove(lost));
     }
     let wanted = voters < target || lost.is_some() && voters == target;
-    let learner = membership
-        .members
-        .iter()
-        .find(|(id, member)| !member.voter && members.is_caught_up(**id));
+    let learner = membership.members.iter().find(|(id, member)| {
+        !member.voter && members.is_caught_up(**id) && members.is_responsive(**id)
+    });
     match learner {
         Some((&id, _)) if wanted => Some(Change::Promote(id)),
         _ => None,
