Report lost voters although a lost learner is left

voters_missing says that fewer failures are tolerated than the settings ask for, before the last quorum is lost. Any learner ended it, a lost one too, and learners are never removed. Now only learners with contact count, there and in daisyquay_learners, which the leader sets.

--- a/src/replica/core.rs
+++ b/src/replica/core.rs
@@ -593,14 +593,12 @@
         );
         metrics.set_gauge("daisyquay_sessions", self.state.pinned_sessions() as f64);
         metrics.set_gauge("daisyquay_disk_bytes", self.disk_bytes as f64);
-        let membership = self.node.membership();
-        let voters = membership.voters().count();
-        let learners = membership.members.len() - voters;
+        let voters = self.node.membership().voters().count();
         metrics.set_gauge("daisyquay_voters", voters as f64);
-        metrics.set_gauge("daisyquay_learners", learners as f64);
         metrics.set_gauge("daisyquay_target_voters", self.target_voters as f64);
         if !self.was_leader {
             metrics.set_gauge("daisyquay_missing_voters", 0.0);
+            metrics.set_gauge("daisyquay_learners", 0.0);
         }
     }
 }
--- a/src/replica/housekeeping.rs
+++ b/src/replica/housekeeping.rs
@@ -167,10 +167,13 @@
         let lost = lost.filter_map(|id| membership.members.get(&id));
         let lost: Vec<String> = lost.map(|member| member.address.to_string()).collect();
         let voters = membership.voters().count();
-        let learners = membership.members.len() - voters;
+        let members = membership.members.iter();
+        let learners = members.filter(|(id, member)| !member.voter && !status.is_lost(**id));
+        let learners = learners.count();
         let missing = lost.len() + self.target_voters.saturating_sub(voters);
         let metrics = self.metrics();
         metrics.set_gauge("daisyquay_missing_voters", missing as f64);
+        metrics.set_gauge("daisyquay_learners", learners as f64);
         if missing <= learners {
             self.voter_loss.end();
         } else if self.voter_loss.is_due(now) {
