Log how long a gateway has found no leader, and which addresses refuse

Both now count from the start. log_missing and leader_missing called a process without a replica silent; it is listed as refusing now.

Beside it, from the same review: the two rounds of status requests of a replica without a log run at once, after its question to others, because silent addresses cost a second each; a redirect without a presumed leader names any member, not always the first.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -456,10 +456,11 @@
         self.leader_revision.set(Some((revision, self.now())));
     }
 
-    /// Returns the time since the leader was last heard of; `None` before the first grant.
-    fn leader_silence(&self) -> Option<Duration> {
-        let (_, received_at) = self.leader_revision.get()?;
-        Some(self.now().saturating_sub(received_at))
+    /// Returns the time since the leader was last heard of, or since the start before the first grant.
+    fn leader_silence(&self) -> Duration {
+        let since = self.leader_revision.get();
+        let since = since.map_or(self.recovery.started_at(), |(_, received_at)| received_at);
+        self.now().saturating_sub(since)
     }
 
     /// Returns whether the configuration may be older than one that the leader has acknowledged: a
--- a/src/gateway/renewal.rs
+++ b/src/gateway/renewal.rs
@@ -228,7 +228,7 @@
         }
         self.is_connected = false;
         self.search_logged_at = now;
-        let silence = gateway.leader_silence().unwrap_or_default();
+        let silence = gateway.leader_silence();
         gateway
             .metrics
             .set_gauge("daisyquay_leader_silence_seconds", silence.as_secs_f64());
--- a/src/recovery.rs
+++ b/src/recovery.rs
@@ -52,6 +52,11 @@
         }
     }
 
+    /// Returns when the process started.
+    pub(crate) fn started_at(&self) -> Duration {
+        self.started_at
+    }
+
     /// Returns whether the process started less than [`RECENT`] ago.
     pub(crate) fn is_recent(&self, now: Duration) -> bool {
         now < self.started_at + RECENT
--- a/src/replica/bootstrap.rs
+++ b/src/replica/bootstrap.rs
@@ -80,20 +80,23 @@
                 continue;
             }
         }
-        let statuses = fetch_statuses(&client, other_replicas(&core, &cfg)).await;
-        if core.borrow().has_log() && search.is_due(now) {
-            log_search(&core.borrow(), &statuses);
-        }
-        let elsewhere = fetch_statuses(&client, replicas_elsewhere(&core, &cfg)).await;
         if now >= next_question_at {
             next_question_at = now + QUESTION_INTERVAL;
             tokio::task::spawn_local(ask_others(core.clone(), cfg.clone()));
         }
+        let (round, elsewhere) = tokio::join!(
+            Round::run(&client, other_replicas(&core, &cfg)),
+            Round::run(&client, replicas_elsewhere(&core, &cfg)),
+        );
+        if core.borrow().has_log() && search.is_due(now) {
+            log_search(&core.borrow(), &round);
+        }
+        let (statuses, elsewhere) = (&round.statuses, &elsewhere.statuses);
         let id = core.borrow().node.id();
         let next_step = if cfg.replicas.contains(&cfg.advertise) {
-            bootstrap::decide(cfg.advertise, id, &statuses, &elsewhere)
+            bootstrap::decide(cfg.advertise, id, statuses, elsewhere)
         } else {
-            bootstrap::decide_join(&statuses, &elsewhere)
+            bootstrap::decide_join(statuses, elsewhere)
         };
         let has_log = core.borrow().has_log();
         let mut can_create = false;
@@ -103,15 +106,15 @@
             can_create = is_permitted(&core, &client, &cfg, members).await;
         }
         if !has_log && !can_create && now >= logged_at + WAIT_LOG_INTERVAL {
-            log_wait(&next_step);
+            log_wait(&next_step, &round);
             logged_at = now;
         }
         match next_step {
             NextStep::Bootstrap(members) if can_create => {
                 // The first round saw the replicas at different times. If the second one sees the
                 // same, there was a moment between them at which none had a log.
-                let confirmed = fetch_statuses(&client, other_replicas(&core, &cfg)).await;
-                if confirmed == statuses && !core.borrow().has_log() {
+                let confirmed = Round::run(&client, other_replicas(&core, &cfg)).await;
+                if confirmed.statuses == *statuses && !core.borrow().has_log() {
                     core.borrow_mut().bootstrap(members, &cfg);
                 }
             }
@@ -125,11 +128,12 @@
 }
 
 /// Logs that a replica with a log follows no leader, with the status of each replica that it knows of.
-fn log_search(core: &Core, statuses: &bootstrap::Statuses) {
-    let texts = statuses.iter().map(|(address, status)| {
+fn log_search(core: &Core, round: &Round) {
+    let texts = round.statuses.iter().map(|(address, status)| {
         let text = match status {
             Some(status) if status.has_log => "log",
             Some(_) => "no_log",
+            None if round.refusing.contains(address) => "refuses",
             None => "silent",
         };
         format!("{address}={text}")
@@ -146,19 +150,23 @@
 }
 
 /// Logs what a replica without a log waits for.
-fn log_wait(next_step: &NextStep) {
+fn log_wait(next_step: &NextStep, round: &Round) {
     let (reason, replicas) = match next_step {
         NextStep::AwaitReplies(silent) => ("no reply", silent.clone()),
         NextStep::AwaitLog(lowest) => ("the lowest address creates the log", vec![*lowest]),
         NextStep::Bootstrap(_) => ("not permitted to create a log", Vec::new()),
         NextStep::Join(addresses) => ("asks to join", addresses.clone()),
     };
-    let replicas: Vec<String> = replicas.iter().map(SocketAddr::to_string).collect();
+    let join = |addresses: &[SocketAddr]| {
+        let texts: Vec<String> = addresses.iter().map(SocketAddr::to_string).collect();
+        texts.join(",")
+    };
     event!(
         Warn,
         "log_missing",
         reason = reason,
-        replicas = replicas.join(",")
+        replicas = join(&replicas),
+        refusing = join(&round.refusing)
     );
 }
 
@@ -288,19 +296,44 @@
     addresses
 }
 
-/// Asks the replicas at `addresses` whether they have a log.
-async fn fetch_statuses(
-    client: &Client,
-    addresses: BTreeSet<SocketAddr>,
-) -> Vec<(SocketAddr, Option<BootstrapStatus>)> {
-    let mut calls = JoinSet::new();
-    for address in addresses {
-        let client = client.clone();
-        calls.spawn_local(async move { (address, fetch_status(&client, address).await) });
+/// A round of status requests.
+struct Round {
+    /// By address.
+    statuses: Vec<(SocketAddr, Option<BootstrapStatus>)>,
+    /// Addresses at which a process without a replica replied.
+    refusing: Vec<SocketAddr>,
+}
+
+impl Round {
+    /// Asks the replicas at `addresses` whether they have a log.
+    async fn run(client: &Client, addresses: BTreeSet<SocketAddr>) -> Self {
+        let mut calls = JoinSet::new();
+        for address in addresses {
+            let client = client.clone();
+            calls.spawn_local(async move {
+                let reply = client.call(address, &Request::BootstrapStatus, CALL_TIMEOUT);
+                (address, reply.await)
+            });
+        }
+        let mut replies = calls.join_all().await;
+        replies.sort_unstable_by_key(|&(address, _)| address);
+        let mut round = Self {
+            statuses: Vec::new(),
+            refusing: Vec::new(),
+        };
+        for (address, reply) in replies {
+            let status = match reply {
+                Ok(Reply::BootstrapStatus(status)) => Some(status),
+                Ok(_) => {
+                    round.refusing.push(address);
+                    None
+                }
+                Err(_) => None,
+            };
+            round.statuses.push((address, status));
+        }
+        round
     }
-    let mut statuses = calls.join_all().await;
-    statuses.sort_unstable_by_key(|&(address, _)| address);
-    statuses
 }
 
 fn is_member(core: &Rc<RefCell<Core>>) -> bool {
@@ -309,16 +342,6 @@
     core.node.membership().members.contains_key(&id)
 }
 
-async fn fetch_status(client: &Client, address: SocketAddr) -> Option<BootstrapStatus> {
-    match client
-        .call(address, &Request::BootstrapStatus, CALL_TIMEOUT)
-        .await
-    {
-        Ok(Reply::BootstrapStatus(status)) => Some(status),
-        _ => None,
-    }
-}
-
 /// Asks the leader to join, through the first of the replicas that is the leader or knows it.
 async fn join(core: &Rc<RefCell<Core>>, client: &Client, cfg: &Config, replicas: &[SocketAddr]) {
     let request = Request::Join {
--- a/src/replica/forwarder.rs
+++ b/src/replica/forwarder.rs
@@ -169,7 +169,7 @@
         let presumed = self.leader.presumed_leader();
         let leader = Some(presumed).filter(|presumed| replicas.contains(presumed));
         Reply::NotLeader {
-            leader: leader.or_else(|| replicas.first().copied()),
+            leader: leader.or_else(|| fastrand::choice(replicas)),
         }
     }
 }
