Ask the senders of load updates which replicas there are

A VM whose processes started again while all VMs of its settings were down found no replica until one of those was back, though the other gateways ran. They still send it load updates, as long as the leader lists its former run. Now a gateway without a grant asks their senders, too, and a process without a replica learns of it from the gateway of its VM. The answer of gateways to ReportReplicas is gone: nobody tells them, since they ask the process beside them.

It holds only within the time for which the leader lists the former run; a replacement whose VMs of the settings are all down still waits for one of them.

--- a/src/gateway/loads/mod.rs
+++ b/src/gateway/loads/mod.rs
@@ -372,6 +372,7 @@
         match transport.receive().await {
             Ok((from, datagram)) => {
                 transport.record_received(from, gateway.now());
+                gateway.record_update_sender(from);
                 for update in datagram.updates {
                     receive_update(&gateway, &transport, update, datagram.forward);
                 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -206,6 +206,9 @@
     replicas: RefCell<Vec<SocketAddr>>,
     /// Finds the leader and calls it.
     leader: LeaderClient,
+    /// Gateways that have sent load updates before the first grant, the latest first. They know this one
+    /// from before its restart.
+    update_senders: RefCell<Vec<SocketAddr>>,
     upstreams: RefCell<UpstreamTable>,
     peer_loads: RefCell<PeerLoads>,
     /// Upstreams that refuse connections, as seen by this gateway and the others.
@@ -347,6 +350,7 @@
         leader_revision: Cell::new(None),
         replicas: RefCell::default(),
         leader,
+        update_senders: RefCell::default(),
         upstreams: RefCell::default(),
         peer_loads: RefCell::default(),
         reachability: RefCell::new(Reachability::new(run_id)),
--- a/src/gateway/replica_list.rs
+++ b/src/gateway/replica_list.rs
@@ -21,6 +21,7 @@
 use crate::peer::Request;
 use crate::peer::discovery;
 use crate::policy::replica_discovery::Reports;
+use crate::policy::replica_search::merge_addresses;
 
 /// Most connections of other processes that are open at a time.
 const MAX_CONNECTIONS: usize = 64;
@@ -55,10 +56,6 @@
     fn call(&self, _: Caller, request: Request) -> Pin<Box<dyn Future<Output = Reply>>> {
         let reply = match request {
             Request::Replicas => Reply::Replicas(self.gateway.current_replicas()),
-            Request::ReportReplicas(replicas) => {
-                self.gateway.leader.add_reported(replicas);
-                Reply::Done
-            }
             _ => Reply::Refused("a gateway answers only which replicas there are".into()),
         };
         Box::pin(async move { reply })
@@ -78,7 +75,14 @@
         }
     }
 
-    /// Asks some of the other gateways and contacts for the replicas. Returns what they list; none if
+    /// Records the sender of a load update until the leader has granted a renewal.
+    pub(super) fn record_update_sender(&self, sender: SocketAddr) {
+        if self.leader_revision.get().is_none() {
+            merge_addresses(&mut self.update_senders.borrow_mut(), vec![sender]);
+        }
+    }
+
+    /// Asks some of the other gateways, contacts and senders of load updates for the replicas. Returns what they list; none if
     /// no process that replies in time hears of the leader.
     pub(super) async fn ask_for_replicas(&self) -> Vec<SocketAddr> {
         let mut addresses: Vec<SocketAddr> = {
@@ -88,6 +92,7 @@
             others.filter_map(|info| info.loads_address).collect()
         };
         addresses.extend(&self.cfg.contacts);
+        addresses.extend(&*self.update_senders.borrow());
         let mut rng = self.rng.borrow_mut().fork();
         discovery::ask_for_replicas(&self.cfg.peer_key, addresses, &mut rng).await
     }
