Begin the replicas that are reported at different positions

A process calls the first replica that is reported.

Each search begins a list at its own random position.

--- a/src/peer/leader.rs
+++ b/src/peer/leader.rs
@@ -39,8 +39,8 @@
     ///
     /// `replicas` is empty.
     pub fn new(client: Client, replicas: Vec<SocketAddr>, clock: Arc<dyn Clock>) -> Self {
-        let first = fastrand::usize(..replicas.len());
-        let search = Search::new(replicas, first).expect("the settings name a replica");
+        let search =
+            Search::new(replicas, fastrand::usize(..)).expect("the settings name a replica");
         Self {
             client,
             clock,
--- a/src/policy/replica_search.rs
+++ b/src/policy/replica_search.rs
@@ -95,6 +95,9 @@
     configured: Vec<SocketAddr>,
     /// The leader's last list.
     listed: Vec<SocketAddr>,
+    /// Position at which each list that is reported begins, counted over it again and again.
+    /// Hundreds of processes may receive the same list at the same time.
+    first: usize,
     /// What other processes have reported since the last reply of a leader, the latest first.
     reported: Vec<SocketAddr>,
     /// Address that is called next.
@@ -116,6 +119,7 @@
         Some(Self {
             listed: configured.clone(),
             configured,
+            first,
             reported: Vec::new(),
             next,
             contacts: HashMap::default(),
@@ -148,11 +152,13 @@
     /// reported next; an empty list is ignored, and so is any while the leader replies.
     ///
     /// Earlier reports are kept behind it: it may be the older one.
-    pub fn add_reported(&mut self, replicas: Vec<SocketAddr>) {
+    pub fn add_reported(&mut self, mut replicas: Vec<SocketAddr>) {
         let is_found = self.has_found && self.lost_at.is_none();
         if replicas.is_empty() || is_found {
             return;
         }
+        let first = self.first % replicas.len();
+        replicas.rotate_left(first);
         merge_addresses(&mut self.reported, replicas);
         self.forget_unknown();
         if let Some(next) = self.least_recent(&self.reported.clone()) {
--- a/tests/load/replica_discovery.rs
+++ b/tests/load/replica_discovery.rs
@@ -126,8 +126,12 @@
     searches: usize,
     questions: usize,
     reports: usize,
-    /// Questions and reports.
-    discovery: usize,
+}
+
+impl Calls {
+    fn discovery(self) -> usize {
+        self.questions + self.reports
+    }
 }
 
 /// How a call ended without a reply.
@@ -243,7 +247,7 @@
             Role::Replica => process.contacts.extend(&process.seeds),
             Role::Forwarder => {}
         }
-        let first = self.rng.usize(..process.seeds.len());
+        let first = self.rng.usize(..);
         process.search = Search::new(process.seeds.clone(), first).unwrap();
         process.run += 1;
         process.is_running = false;
@@ -572,10 +576,10 @@
         (0..self.processes.len()).filter(is_stale).count()
     }
 
-    /// Returns the most calls on new connections that a VM without a replica got in one second, of each
-    /// kind, and the most of all kinds, from `since` on.
-    fn peaks(&self, since: Duration) -> (Calls, usize) {
-        let (mut peaks, mut most) = (Calls::default(), 0);
+    /// Returns the most calls on new connections that a VM without a replica got in one second, from
+    /// `since` on: of each kind, for the exchange of the replicas, and of all kinds.
+    fn peaks(&self, since: Duration) -> (Calls, usize, usize) {
+        let (mut peaks, mut most_discovery, mut most) = (Calls::default(), 0, 0);
         for (&(_, vm), calls) in self.calls.range((since.as_secs(), 0)..) {
             if self.members.contains(&address(vm, PEER_PORT)) {
                 continue;
@@ -583,26 +587,40 @@
             peaks.searches = peaks.searches.max(calls.searches);
             peaks.questions = peaks.questions.max(calls.questions);
             peaks.reports = peaks.reports.max(calls.reports);
-            peaks.discovery = peaks.discovery.max(calls.questions + calls.reports);
-            most = most.max(calls.searches + calls.questions + calls.reports);
+            most_discovery = most_discovery.max(calls.discovery());
+            most = most.max(calls.searches + calls.discovery());
         }
-        (peaks, most)
+        (peaks, most_discovery, most)
+    }
+
+    /// Returns the most calls on new connections that a replica other than the leader got in one second.
+    fn follower_peak(&self, since: Duration) -> usize {
+        let calls = self.calls.range((since.as_secs(), 0)..);
+        let at_followers = calls.filter(|((_, vm), _)| {
+            let replica = address(*vm, PEER_PORT);
+            self.members.contains(&replica) && self.leader != Some(replica)
+        });
+        let totals = at_followers.map(|(_, calls)| calls.searches + calls.discovery());
+        totals.max().unwrap_or_default()
     }
 
     /// Checks the time and the load until all knew the present replicas, and prints both.
     fn assert_found(&self, case: &str, since: Duration) {
         let time = self.slowest(since);
-        let (peaks, most) = self.peaks(since.saturating_sub(ELECTION));
-        println!("{case}: {time:?}, {most} calls/s: {peaks:?}");
+        let (peaks, discovery, most) = self.peaks(since.saturating_sub(ELECTION));
+        let follower = self.follower_peak(since.saturating_sub(ELECTION));
+        println!("{case}: {time:?}, {most} calls/s: {peaks:?}, follower {follower}");
         assert!(
             time.is_some_and(|time| time <= RECOVERY),
             "{case}: {time:?}"
         );
         assert!(
-            peaks.discovery <= MAX_DISCOVERY_CALLS_PER_S,
-            "{case}: {peaks:?}"
+            discovery <= MAX_DISCOVERY_CALLS_PER_S,
+            "{case}: {discovery} calls/s"
         );
         assert!(most <= MAX_CALLS_PER_S, "{case}: {most} calls/s");
+        let is_spread = follower <= 2 * self.vms / 3;
+        assert!(is_spread, "{case}: {follower} calls/s at one follower");
     }
 }
 
--- a/tests/load/replica_search.rs
+++ b/tests/load/replica_search.rs
@@ -84,6 +84,18 @@
     assert!(time.is_some_and(|time| time < SEARCH_LIMIT), "{time:?}");
 }
 
+/// Guards against hundreds of processes that receive the same list and all call its first replica.
+#[test]
+fn processes_with_the_same_report_begin_with_different_replicas() {
+    let begin = |first| {
+        let mut known = Search::new(addresses(1..=3), first).unwrap();
+        known.add_reported(addresses(4..=8));
+        known.next()
+    };
+    let begun: Vec<SocketAddr> = (0..5).map(begin).collect();
+    assert_eq!(begun, addresses(4..=8));
+}
+
 /// Guards against a process that no longer knows the addresses of its settings.
 #[test]
 fn finds_configured_replicas_when_all_that_are_listed_are_gone() {
