--- a/src/peer/discovery.rs
+++ b/src/peer/discovery.rs
@@ -3,8 +3,8 @@
 //! The settings of a process name a few VMs. Some of these may be gone, or run a process without a
 //! replica. A process that finds no replica asks others; one that hears of a leader tells the VMs of
 //! its settings. So knowledge flows in both directions between a process and the VMs that its settings
-//! name. A process passes on only what a leader or a member of the log has told it: a list can't
-//! go round in circles after its replicas have been replaced.
+//! name. A process passes on only what a leader or a member of the log has told it: processes that
+//! name each other do not keep a list alive whose replicas have been replaced.
 
 use std::net::SocketAddr;
 use std::time::Duration;
