--- a/src/gateway/replica_list.rs
+++ b/src/gateway/replica_list.rs
@@ -82,8 +82,8 @@
         }
     }
 
-    /// Asks some of the other gateways, contacts and senders of load updates for the replicas. Returns what they list; none if
-    /// no process that replies in time hears of the leader.
+    /// Asks some of the other gateways, contacts and senders of load updates for the replicas. Returns
+    /// what they list; none if no process that replies in time hears of the leader.
     pub(super) async fn ask_for_replicas(&self) -> Vec<SocketAddr> {
         let mut addresses: Vec<SocketAddr> = {
             let routing = self.routing.borrow();
