Read the resident memory in bytes, not in assumed pages

Operators would have seen a replica's memory too small, and no `memory` line in its log, on an arm64 kernel with pages of 16 or 64 KiB.

Cause: usage.rs multiplied the pages of statm by 4096, the size on x86-64. The size of a page depends on the kernel, and arm64 has three.

Change: it reads VmRSS of /proc/self/status, which is in KiB everywhere.

Evidence: read, when the code was searched for what holds on one kind of processor alone; nothing else was found.

--- a/src/replica/usage.rs
+++ b/src/replica/usage.rs
@@ -16,9 +16,6 @@
 /// less in normal operation.
 const LOGGED_FROM_BYTES: u64 = 32 * 1024 * 1024;
 
-/// Size of a page of memory, in bytes.
-const PAGE_BYTES: u64 = 4096;
-
 /// Updates the metrics of memory and of what may take it; never returns.
 pub(super) async fn report(core: Rc<RefCell<Core>>, traffic: Rc<Traffic>) {
     let mut reply_bytes = 0;
@@ -56,7 +53,10 @@
 
 /// Returns the resident memory of this process, in bytes; `None` where the system does not tell.
 fn resident_bytes() -> Option<u64> {
-    let statm = std::fs::read_to_string("/proc/self/statm").ok()?;
-    let pages: u64 = statm.split_whitespace().nth(1)?.parse().ok()?;
-    Some(pages * PAGE_BYTES)
+    let status = std::fs::read_to_string("/proc/self/status").ok()?;
+    let line = status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmRSS:"))?;
+    let kib: u64 = line.split_whitespace().next()?.parse().ok()?;
+    Some(kib * 1024)
 }
