--- a/src/operator/call.rs
+++ b/src/operator/call.rs
@@ -65,13 +65,14 @@
         }
     }
 
-    /// Tries the replicas in turn until the leader replies. A change may be sent more than once;
-    /// its id makes that idempotent.
+    /// Tries the replicas in turn until the leader replies, or as many have rejected the key as there
+    /// are. A change may be sent more than once; its id makes that idempotent.
     async fn call(&self, request: Request, wait: Duration) -> Result<Reply, Failure> {
         let deadline = std::time::Instant::now() + LEADER_TIMEOUT + wait;
         let mut may_have_run = false;
         let mut last_error = None;
         let mut next = 0;
+        let mut rejections = 0;
         let mut named = None;
         while std::time::Instant::now() < deadline {
             let address = named
@@ -95,6 +96,11 @@
                     tokio::time::sleep(RETRY_INTERVAL).await;
                 }
                 Ok(reply) => return Ok(reply),
+                // A process without a replica has no operators.
+                Err(CallError::Unauthorized { .. }) if rejections + 1 < self.replicas.len() => {
+                    rejections += 1;
+                    next += 1;
+                }
                 Err(e @ (CallError::Unauthorized { .. } | CallError::Protocol { .. })) => {
                     return Err(Failure {
                         code: ExitCode::Refused,
--- a/tests/process/replacement.rs
+++ b/tests/process/replacement.rs
@@ -6,6 +6,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use daisyquay::agreement::ReplicaId;
 use daisyquay::clock::System;
@@ -194,8 +195,41 @@
     let cluster = Cluster::start_with_inventory(3, 0);
     let leader = cluster.leader();
     let follower = cluster.replica_addresses[(leader + 1) % 3].to_string();
-    let output = run(std::process::Command::new(env!("CARGO_BIN_EXE_daisyquay"))
-        .args(["--state", &follower, "--operator-key", "key-of-ann"])
-        .args(["--json", "show", "status"]));
+    let output = show_status(&follower, "key-of-ann");
     assert!(output.status.success(), "{output:?}");
 }
+
+/// Runs the command line's `show status` with some addresses and a key.
+fn show_status(state: &str, key: &str) -> std::process::Output {
+    run(std::process::Command::new(env!("CARGO_BIN_EXE_daisyquay"))
+        .args(["--state", state, "--operator-key", key])
+        .args(["--json", "show", "status"]))
+}
+
+/// Guards against a command line that gives up at a process without a replica, which has no operators,
+/// although another address of `--state` has a replica.
+#[test]
+fn command_line_passes_over_an_address_that_knows_no_operators() {
+    let cluster = Cluster::start_with_inventory(3, 0);
+    let without_operators = start_stub_replica(Leaderless);
+    let state = format!("{without_operators},{}", cluster.replica_addresses[0]);
+    let output = show_status(&state, "key-of-ann");
+    assert!(output.status.success(), "{output:?}");
+}
+
+/// Guards against a command line that looks for an address that accepts a wrong key until its time
+/// limit.
+#[test]
+fn command_line_with_a_wrong_key_fails_once_every_address_has_rejected_it() {
+    let cluster = Cluster::start_with_inventory(3, 0);
+    let state: Vec<String> = cluster
+        .replica_addresses
+        .iter()
+        .map(ToString::to_string)
+        .collect();
+    let started_at = Instant::now();
+    let output = show_status(&state.join(","), "wrong-key");
+    let message = String::from_utf8_lossy(&output.stderr);
+    assert!(message.contains("rejected the key"), "{output:?}");
+    assert!(started_at.elapsed() < Duration::from_secs(5), "{output:?}");
+}
