--- a/src/replica/bootstrap.rs
+++ b/src/replica/bootstrap.rs
@@ -91,13 +91,7 @@
         if core.borrow().has_log() && search.is_due(now) {
             log_search(&core.borrow(), &round);
         }
-        let (statuses, elsewhere) = (&round.statuses, &elsewhere.statuses);
-        let id = core.borrow().node.id();
-        let next_step = if cfg.replicas.contains(&cfg.advertise) {
-            bootstrap::decide(cfg.advertise, id, statuses, elsewhere)
-        } else {
-            bootstrap::decide_join(statuses, elsewhere)
-        };
+        let next_step = decide(&core.borrow(), &cfg, &round, &elsewhere);
         let has_log = core.borrow().has_log();
         let mut can_create = false;
         if let NextStep::Bootstrap(members) = &next_step
@@ -114,7 +108,7 @@
                 // The first round saw the replicas at different times. If the second one sees the
                 // same, there was a moment between them at which none had a log.
                 let confirmed = Round::run(&client, other_replicas(&core, &cfg)).await;
-                if confirmed.statuses == *statuses && !core.borrow().has_log() {
+                if confirmed.statuses == round.statuses && !core.borrow().has_log() {
                     core.borrow_mut().bootstrap(members, &cfg);
                 }
             }
@@ -127,6 +121,17 @@
     }
 }
 
+/// Decides what to do after `round` at the configured replicas and members, and one at the replicas
+/// that are known beside them.
+fn decide(core: &Core, cfg: &Config, round: &Round, elsewhere: &Round) -> NextStep {
+    let (statuses, elsewhere) = (&round.statuses, &elsewhere.statuses);
+    if cfg.replicas.contains(&cfg.advertise) {
+        bootstrap::decide(cfg.advertise, core.node.id(), statuses, elsewhere)
+    } else {
+        bootstrap::decide_join(statuses, elsewhere)
+    }
+}
+
 /// Logs that a replica with a log follows no leader, with the status of each replica that it knows of.
 fn log_search(core: &Core, round: &Round) {
     let texts = round.statuses.iter().map(|(address, status)| {
