--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -250,6 +250,7 @@
                     // An idle timeout alone does not end the stream: it goes on if there is no
                     // other upstream.
                     let next_upstream = exchange.next_resume_upstream();
+                    self.log_silence(exchange, wait, next_upstream.as_ref());
                     if next_upstream.is_some() {
                         return SourceStep::Interrupted(Interruption {
                             reason: "idle timeout",
@@ -291,6 +292,19 @@
         timeouts::stream_event(Duration::from_millis(exchange.call().route.gap_ms))
     }
 
+    /// Logs that the upstream has been silent for `silence`. `next` is the one that takes over.
+    fn log_silence(&self, exchange: &Exchange, silence: Duration, next: Option<&Upstream>) {
+        event!(
+            Info,
+            "stream_silent",
+            request = exchange.call().id,
+            upstream = self.in_flight.upstream.id(),
+            silent_ms = silence.as_millis(),
+            events = self.events.sent(),
+            next = next.map_or("-", |upstream| upstream.id())
+        );
+    }
+
     /// Records that the response has made progress, if it has any event.
     fn record_progress(&mut self, exchange: &Exchange) {
         if self.progress.is_recorded || self.events.sent() == self.progress.events_before {
--- a/src/replica/core.rs
+++ b/src/replica/core.rs
@@ -138,6 +138,7 @@
     leader_found: Rc<Notify>,
     /// While voters are lost and no learner can replace them.
     pub(super) voter_loss: WaitNotice,
+    disk_stall: WaitNotice,
     ready: Arc<AtomicBool>,
     /// Addresses of the replicas that this one may create a log of; `None` once it knows of a log.
     pub(super) bootstrap_permission: Option<BTreeSet<SocketAddr>>,
@@ -185,6 +186,7 @@
             release_orders: ReleaseOrders::new(now),
             leader_found: Rc::default(),
             voter_loss: WaitNotice::default(),
+            disk_stall: WaitNotice::default(),
             ready: Arc::default(),
             bootstrap_permission: None,
         }
@@ -378,7 +380,10 @@
 
     pub(super) fn tick(&mut self) {
         let now = self.clock.now();
-        if self.writer.is_stuck(now) {
+        if let Some(stalled) = self.writer.stuck_for(now) {
+            if self.disk_stall.is_due(now) {
+                event!(Warn, "disk_stalls", ms = stalled.as_millis());
+            }
             // A leader that can't write blocks all commands, and a candidate that can't write would
             // do the same as leader. So the leader steps down, and the election timer is not
             // ticked.
@@ -408,6 +413,9 @@
     }
 
     pub(super) fn on_synced(&mut self, synced: SyncedBatch) {
+        if self.disk_stall.end() {
+            event!(Info, "disk_goes_on");
+        }
         self.writer.record_synced(synced.jobs, self.clock.now());
         self.disk_bytes = synced.disk_bytes;
         for message in synced.messages {
--- a/src/replica/writer.rs
+++ b/src/replica/writer.rs
@@ -76,10 +76,11 @@
         self.last_progress = now;
     }
 
-    /// Returns whether jobs are pending and none was completed for [`STUCK_AFTER`], because the
-    /// disk hangs or reports errors.
-    pub(super) fn is_stuck(&self, now: Duration) -> bool {
-        !self.is_idle() && now > self.last_progress + STUCK_AFTER
+    /// Returns the time without progress if jobs are pending and none was completed for
+    /// [`STUCK_AFTER`], because the disk hangs or reports errors.
+    pub(super) fn stuck_for(&self, now: Duration) -> Option<Duration> {
+        let stalled = now.saturating_sub(self.last_progress);
+        (!self.is_idle() && stalled > STUCK_AFTER).then_some(stalled)
     }
 }
 
