Test streams of silent upstreams that no other upstream takes (known red)

Both tests fail on the present code: the caller gets one event and a cut connection, or 502 before the first event.

--- a/tests/process/silence.rs
+++ b/tests/process/silence.rs
@@ -143,10 +143,16 @@
 }
 
 fn start(upstreams: &[Pausing]) -> (Cluster, Program, SocketAddr) {
+    let addresses: Vec<SocketAddr> = upstreams.iter().map(|u| u.upstream.address).collect();
+    start_at(&addresses)
+}
+
+/// Starts a gateway in front of the upstreams at `addresses`.
+fn start_at(addresses: &[SocketAddr]) -> (Cluster, Program, SocketAddr) {
     let cluster = Cluster::start(1, 1);
     cluster.apply(&format!("{INVENTORY}{ROUTES}"), &["--change-id", "first"]);
-    for (i, upstream) in upstreams.iter().enumerate() {
-        announce(&cluster, &format!("u{i}"), upstream.upstream.address);
+    for (i, &address) in addresses.iter().enumerate() {
+        announce(&cluster, &format!("u{i}"), address);
     }
     let (gateway, address) = cluster.start_gateway();
     eventually("the gateway has its routes", || {
@@ -218,3 +224,71 @@
         "the upstream gets nothing {RETURN_TIME:?} after its silence"
     );
 }
+
+/// Starts upstreams whose streams fall silent after so many events, until the time that the test sets.
+/// From when it is set until then they close new connections.
+fn start_closing_upstreams(
+    silent_until: &Arc<Mutex<Option<Instant>>>,
+    silent_after: u64,
+) -> Vec<Upstream> {
+    let start = |_| {
+        let gate = silent_until.clone();
+        Upstream::start(move |seen, out| {
+            let until = || *gate.lock().unwrap();
+            if until().is_some_and(|until| Instant::now() < until) {
+                return false;
+            }
+            let after = seen
+                .header("last-event-id")
+                .map_or(0, |id| id.parse().unwrap());
+            write(out, &stream_response_head(seen))
+                && (after + 1..=EVENTS).all(|id| {
+                    if id == silent_after + 1 {
+                        let end = eventually("the silence is set", until);
+                        thread::sleep(end.saturating_duration_since(Instant::now()));
+                    }
+                    write(out, &chunk(&sse_event(id)))
+                })
+                && write(out, "0\r\n\r\n")
+        })
+    };
+    (0..3).map(start).collect()
+}
+
+/// Checks that streams are whole whose upstreams fall silent after so many events, while no other
+/// upstream takes them.
+fn check_streams_without_another_upstream(silent_after: u64) {
+    const STREAMS: usize = 6;
+    let silent_until = Arc::default();
+    let upstreams = start_closing_upstreams(&silent_until, silent_after);
+    let addresses: Vec<SocketAddr> = upstreams.iter().map(|upstream| upstream.address).collect();
+    let (_cluster, _gateway, gateway) = start_at(&addresses);
+    let calls: Vec<Call> = (0..STREAMS)
+        .map(|i| call(gateway, "notes", format!("notes-{i}")))
+        .collect();
+    let received = || upstreams.iter().map(|u| u.received().len()).sum::<usize>();
+    eventually("all streams have begun", || {
+        (received() >= STREAMS).then_some(())
+    });
+    *silent_until.lock().unwrap() = Some(Instant::now() + SILENCE);
+    let whole: String = (1..=EVENTS).map(sse_event).collect();
+    for reply in calls {
+        let (_, took, response) = reply.join().unwrap();
+        assert_eq!(response, Some((200, whole.clone())), "after {took:?}");
+    }
+    assert!(received() > STREAMS, "no stream was offered to another");
+}
+
+/// Guards against cutting off a stream whose upstream is only silent, because the others close the
+/// connections on which it is offered to them.
+#[test]
+fn stream_goes_on_after_a_silence_though_other_upstreams_close_connections() {
+    check_streams_without_another_upstream(1);
+}
+
+/// Guards against answering 502 for a stream whose upstream is silent before the first event, because
+/// the others close the connections on which it is offered to them.
+#[test]
+fn stream_begins_after_a_silence_though_other_upstreams_close_connections() {
+    check_streams_without_another_upstream(0);
+}
