Keep a stream at its silent upstream until another one has taken it

Cause: after the idle timeout the stream's request was cancelled as soon as another upstream had been chosen. That one and the next may refuse, reset or be silent, too; two resets use up the attempts within milliseconds, and nothing is left. The class: letting go of what works before its replacement is known to work.

The stream is now offered elsewhere while its own response stays open. Whichever sends something first goes on, and the other is cancelled. If the silent one breaks off meanwhile, the offer in progress is awaited, as it may be the last attempt. After an offer in vain the idle timeout begins anew; before, it was ignored for the rest of that response. The charge of an attempt that is cancelled is used up.

--- a/src/gateway/exchange/mod.rs
+++ b/src/gateway/exchange/mod.rs
@@ -296,6 +296,8 @@
         if let (Some(service), Some(cause)) = (service, self.repeat_cause) {
             self.gateway.count_repeat(service, cause);
         }
+        // It has been used up even if the attempt is cancelled.
+        self.is_charged = false;
         let fail_over = || self.fail_over();
         let outcome = tokio::select! {
             biased;
@@ -349,7 +351,6 @@
         }
         let mut failure: Option<(ResponseHead, Bytes)> = None;
         let mut is_dispatched = false;
-        let mut replacement = None;
         let mut is_interrupted = false;
         let mut retry_delay = MIN_RESUME_DELAY;
         loop {
@@ -376,7 +377,7 @@
                     return self.final_failure(failure);
                 }
             }
-            let Some(upstream) = replacement.take().or_else(|| self.next_upstream()) else {
+            let Some(upstream) = self.next_upstream() else {
                 if let Some(outcome) = self.pass_on_unplaced().await {
                     return outcome;
                 }
@@ -423,16 +424,14 @@
                         Err(NoFirstEvent::DeadlineExceeded) => {
                             return Err(Refusal::gateway_timeout());
                         }
-                        Err(NoFirstEvent::Interrupted(interruption)) => {
+                        Err(NoFirstEvent::Interrupted(reason)) => {
                             if !self.call.route.is_safe_to_retry() {
                                 return Err(Refusal::bad_gateway("answer_lost"));
                             }
                             self.open.set_stage(Stage::Queued, None);
-                            self.last_failure = interruption.reason;
+                            self.last_failure = reason;
                             self.repeat_cause = Some(RepeatCause::Resume);
                             is_interrupted = true;
-                            replacement = interruption.next_upstream;
-                            is_dispatched = replacement.is_some();
                         }
                     }
                 }
@@ -654,29 +653,22 @@
         route.repeat == RetryPolicy::Stream && route.resume && self.runs < self.call.attempts()
     }
 
-    /// Returns the upstream at which to resume an interrupted stream, if there is one.
-    pub(super) fn next_resume_upstream(&mut self) -> Option<Upstream> {
-        if self.can_resume() {
-            self.next_upstream()
-        } else {
-            None
-        }
-    }
-
-    /// Resumes an interrupted stream after the event with id `after`, first at `first`, then at
-    /// others. Upstreams that are full or unreachable now are tried again until the deadline.
+    /// Resumes a stream after the event with id `after` at another upstream than `present`, which has
+    /// the stream but is silent. Upstreams that are full or unreachable now are tried again until the
+    /// deadline. Dropping the future cancels the attempt.
     pub(super) async fn resume(
         &mut self,
-        first: Option<Upstream>,
         after: Option<u64>,
+        present: Option<&Name>,
     ) -> Option<(UpstreamResponse, InFlightRequest)> {
-        let mut next = first;
+        self.repeat_cause = Some(RepeatCause::Resume);
         let mut retry_delay = MIN_RESUME_DELAY;
-        loop {
-            let Some(upstream) = next.take().or_else(|| self.next_upstream()) else {
+        while self.can_resume() {
+            let Some(upstream) = self.next_upstream() else {
                 if !self.wait_for_next_round(&mut retry_delay).await {
                     return None;
                 }
+                self.tried.extend(present.cloned());
                 continue;
             };
             match self.run_attempt(&upstream, after).await {
@@ -686,19 +678,32 @@
                 AttemptOutcome::Stream(response, in_flight)
                     if response.status == StatusCode::OK =>
                 {
-                    event!(
-                        Info,
-                        "stream_resumed",
-                        request = self.call.id,
-                        upstream = upstream.id(),
-                        after = after.map_or(-1, |after| i64::try_from(after).unwrap_or(-1))
-                    );
-                    self.open.set_stage(Stage::Streaming, Some(upstream.id()));
                     return Some((*response, in_flight));
                 }
                 AttemptOutcome::Complete(..) | AttemptOutcome::Stream(..) => return None,
             }
         }
+        None
+    }
+
+    /// Logs that the stream goes on at `upstream`, after the event with id `after`.
+    pub(super) fn log_resumed(&self, upstream: &Upstream, after: Option<u64>) {
+        event!(
+            Info,
+            "stream_resumed",
+            request = self.call.id,
+            upstream = upstream.id(),
+            after = after.map_or(-1, |after| i64::try_from(after).unwrap_or(-1))
+        );
+    }
+
+    pub(super) fn stage(&self) -> Stage {
+        self.open.stage()
+    }
+
+    /// Records that the request waits for `upstream` again.
+    pub(super) fn set_stage(&self, stage: Stage, upstream: &Upstream) {
+        self.open.set_stage(stage, Some(upstream.id()));
     }
 
     /// Waits until an interrupted stream is offered to all upstreams again; returns whether it may be.
--- a/src/gateway/open_requests.rs
+++ b/src/gateway/open_requests.rs
@@ -114,6 +114,12 @@
         });
     }
 
+    pub(super) fn stage(&self) -> Stage {
+        let rows = self.gateway.open_requests.rows.borrow();
+        rows.get(&self.key)
+            .map_or(Stage::Receiving, |row| row.stage)
+    }
+
     fn update(&self, change: impl FnOnce(&mut Snapshot)) {
         let mut rows = self.gateway.open_requests.rows.borrow_mut();
         if let Some(row) = rows.get_mut(&self.key) {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -19,8 +19,8 @@
 use super::events::Events;
 use super::exchange::Exchange;
 use super::open_requests::OpenRequest;
+use super::open_requests::Stage;
 use super::response;
-use super::routing::Upstream;
 use super::upstreams::InFlightRequest;
 use crate::http_client::RequestError;
 use crate::http_client::ResponseHead;
@@ -56,12 +56,10 @@
 
 /// Response of one upstream, of which complete events are taken.
 struct Source {
+    head: ResponseHead,
     response: Option<UpstreamResponse>,
     in_flight: InFlightRequest,
     events: Events,
-    /// Whether the idle timeout has passed and no other upstream could take over, so that it no
-    /// longer applies.
-    ignores_idle_timeout: bool,
     progress: Progress,
 }
 
@@ -91,23 +89,21 @@
     Events(Bytes),
     /// The stream is complete.
     End,
-    Interrupted(Interruption),
+    /// The upstream has broken off, for this reason.
+    Interrupted(&'static str),
     DeadlineExceeded,
 }
 
-/// Why a stream does not go on at its upstream.
-pub(super) struct Interruption {
-    pub(super) reason: &'static str,
-    /// Upstream that takes over, if it has been chosen.
-    pub(super) next_upstream: Option<Upstream>,
-}
-
 /// Why a response has no first event.
 pub(super) enum NoFirstEvent {
-    Interrupted(Interruption),
+    /// The upstream has broken off, for this reason.
+    Interrupted(&'static str),
     DeadlineExceeded,
 }
 
+/// The next chunk of a response; `None` at its end.
+type Chunk = Option<Result<bytes::Bytes, RequestError>>;
+
 /// Result of reading one chunk from the upstream.
 enum ChunkResult {
     Events,
@@ -129,23 +125,19 @@
         response: UpstreamResponse,
         in_flight: InFlightRequest,
     ) -> Result<Self, NoFirstEvent> {
-        let head = ResponseHead {
-            status: response.status,
-            headers: response.headers.clone(),
-        };
         let mut source = Source::new(exchange, response, in_flight);
         let first_step = match source.next_step(exchange).await {
             SourceStep::Events(events) => Step::Events(events),
             SourceStep::End => Step::End,
-            SourceStep::Interrupted(interruption) => {
-                source.record_loss(exchange, interruption.reason);
-                return Err(NoFirstEvent::Interrupted(interruption));
+            SourceStep::Interrupted(reason) => {
+                source.record_loss(exchange, reason);
+                return Err(NoFirstEvent::Interrupted(reason));
             }
             SourceStep::DeadlineExceeded => return Err(NoFirstEvent::DeadlineExceeded),
         };
         Ok(Self {
             exchange: exchange.detach(),
-            head,
+            head: source.head.clone(),
             source,
             first_step: Some(first_step),
         })
@@ -156,34 +148,30 @@
             return step;
         }
         loop {
-            let interruption = match self.source.next_step(&mut self.exchange).await {
+            let reason = match self.source.next_step(&mut self.exchange).await {
                 SourceStep::Events(events) => return Step::Events(events),
                 SourceStep::End => return Step::End,
                 SourceStep::DeadlineExceeded => return Step::Broken("deadline exceeded"),
-                SourceStep::Interrupted(interruption) => interruption,
+                SourceStep::Interrupted(reason) => reason,
             };
-            let reason = interruption.reason;
-            let upstream = interruption
-                .next_upstream
-                .or_else(|| self.exchange.next_resume_upstream());
-            if !self.exchange.can_resume() && upstream.is_none()
-                || !self.resume(reason, upstream).await
-            {
+            if !self.exchange.can_resume() || !self.resume(reason).await {
                 return Step::Broken(reason);
             }
         }
     }
 
-    /// Resumes the stream at `first` or another upstream; returns whether that succeeded.
-    async fn resume(&mut self, reason: &'static str, first: Option<Upstream>) -> bool {
+    /// Resumes an interrupted stream at another upstream; returns whether that succeeded.
+    async fn resume(&mut self, reason: &'static str) -> bool {
         self.source.record_loss(&self.exchange, reason);
         let after = self.source.events.last_id();
         let time_left = self.exchange.time_left();
-        let resumed = tokio::time::timeout(time_left, self.exchange.resume(first, after)).await;
+        let resumed = tokio::time::timeout(time_left, self.exchange.resume(after, None)).await;
         let Ok(Some((response, in_flight))) = resumed else {
             return false;
         };
         self.source.go_on_with(&self.exchange, response, in_flight);
+        let upstream = &self.source.in_flight.upstream;
+        self.exchange.set_stage(Stage::Streaming, upstream);
         true
     }
 }
@@ -199,10 +187,10 @@
         }
         let progress = Progress::new(exchange, &events);
         Self {
+            head: head_of(&response),
             response: Some(response),
             in_flight,
             events,
-            ignores_idle_timeout: false,
             progress,
         }
     }
@@ -214,13 +202,14 @@
         response: UpstreamResponse,
         in_flight: InFlightRequest,
     ) {
+        self.head = head_of(&response);
         self.response = Some(response);
         self.in_flight = in_flight;
-        self.ignores_idle_timeout = false;
         self.progress = Progress::new(exchange, &self.events);
+        exchange.log_resumed(&self.in_flight.upstream, self.events.last_id());
     }
 
-    /// Reads on to the next complete events. `exchange` chooses the upstream that takes over after
+    /// Reads on to the next complete events. `exchange` offers the stream to other upstreams after
     /// the idle timeout.
     async fn next_step(&mut self, exchange: &mut Exchange) -> SourceStep {
         loop {
@@ -242,66 +231,92 @@
             let Some(response) = self.response.as_mut() else {
                 return SourceStep::End;
             };
-            let chunk = tokio::time::timeout(wait, response.next_chunk()).await;
-            match chunk {
+            let chunk = match tokio::time::timeout(wait, response.next_chunk()).await {
+                Ok(chunk) => chunk,
                 Err(_) if wait == time_left => return SourceStep::DeadlineExceeded,
-                Err(_) => {
-                    self.ignores_idle_timeout = true;
-                    // An idle timeout alone does not end the stream: it goes on if there is no
-                    // other upstream.
-                    let next_upstream = exchange.next_resume_upstream();
-                    self.log_silence(exchange, wait, next_upstream.as_ref());
-                    if next_upstream.is_some() {
-                        return SourceStep::Interrupted(Interruption {
-                            reason: "idle timeout",
-                            next_upstream,
-                        });
-                    }
-                }
-                Ok(chunk) => match self.push_chunk(chunk) {
-                    ChunkResult::Events => {}
-                    ChunkResult::End => {
-                        self.record_progress(exchange);
-                        self.in_flight.record_success();
-                        return SourceStep::End;
-                    }
-                    ChunkResult::Broken(e) => {
-                        self.record_failure(exchange, e);
-                        self.response = None;
-                        self.events.interrupt();
-                        if !self.progress.is_recorded {
-                            let (gateway, call) = (exchange.gateway(), exchange.call());
-                            gateway.record_interruption(call, &self.in_flight).await;
-                        }
-                        return SourceStep::Interrupted(Interruption {
-                            reason: e.reason(),
-                            next_upstream: None,
-                        });
-                    }
+                Err(_) => match self.offer_elsewhere(exchange, wait).await {
+                    Some(chunk) => chunk,
+                    None => continue,
                 },
+            };
+            match self.push_chunk(chunk) {
+                ChunkResult::Events => {}
+                ChunkResult::End => {
+                    self.record_progress(exchange);
+                    self.in_flight.record_success();
+                    return SourceStep::End;
+                }
+                ChunkResult::Broken(e) => {
+                    self.record_break(exchange, e).await;
+                    return SourceStep::Interrupted(e.reason());
+                }
             }
         }
     }
 
-    /// Returns how long to wait for the next chunk before resuming elsewhere; `None` for no limit
-    /// but the deadline.
+    /// Offers the stream to other upstreams, as its own has been silent for `silence`, and goes on with
+    /// the first that responds. Its own is kept until then, because the others may refuse the stream
+    /// or be silent as well. Returns its next chunk if it goes on first.
+    async fn offer_elsewhere(
+        &mut self,
+        exchange: &mut Exchange,
+        silence: Duration,
+    ) -> Option<Chunk> {
+        self.log_silence(exchange, silence);
+        let response = self.response.as_mut()?;
+        let present = self.in_flight.upstream.clone();
+        let after = self.events.last_id();
+        let stage = exchange.stage();
+        let time_left = exchange.time_left();
+        let (chunk, taken) = {
+            let offer = exchange.resume(after, Some(present.id()));
+            let mut offer = std::pin::pin!(tokio::time::timeout(time_left, offer));
+            tokio::select! {
+                biased;
+                chunk = response.next_chunk() => {
+                    // An offer that may still succeed is all that is left of a broken stream.
+                    let is_broken = is_break(&chunk, &self.events);
+                    let taken = if is_broken { offer.await.ok() } else { None };
+                    (Some(chunk), taken)
+                }
+                taken = &mut offer => (None, taken.ok()),
+            }
+        };
+        let Some((response, in_flight)) = taken.flatten() else {
+            exchange.set_stage(stage, &present);
+            return chunk;
+        };
+        let reason = match chunk.map(|chunk| self.push_chunk(chunk)) {
+            Some(ChunkResult::Broken(e)) => {
+                self.record_break(exchange, e).await;
+                e.reason()
+            }
+            _ => "idle timeout",
+        };
+        self.record_loss(exchange, reason);
+        self.go_on_with(exchange, response, in_flight);
+        exchange.set_stage(stage, &self.in_flight.upstream);
+        None
+    }
+
+    /// Returns how long to wait for the next chunk before the stream is offered elsewhere; `None` for no
+    /// limit but the deadline.
     fn idle_timeout(&self, exchange: &Exchange) -> Option<Duration> {
-        if self.ignores_idle_timeout || !exchange.can_resume() {
+        if !exchange.can_resume() {
             return None;
         }
         timeouts::stream_event(Duration::from_millis(exchange.call().route.gap_ms))
     }
 
-    /// Logs that the upstream has been silent for `silence`. `next` is the one that takes over.
-    fn log_silence(&self, exchange: &Exchange, silence: Duration, next: Option<&Upstream>) {
+    /// Logs that the upstream has been silent for `silence`.
+    fn log_silence(&self, exchange: &Exchange, silence: Duration) {
         event!(
             Info,
             "stream_silent",
             request = exchange.call().id,
             upstream = self.in_flight.upstream.id(),
             silent_ms = silence.as_millis(),
-            events = self.events.sent(),
-            next = next.map_or("-", |upstream| upstream.id())
+            events = self.events.sent()
         );
     }
 
@@ -316,6 +331,17 @@
         }
     }
 
+    /// Records that the response has broken off, and gives it up.
+    async fn record_break(&mut self, exchange: &Exchange, e: RequestError) {
+        self.record_failure(exchange, e);
+        self.response = None;
+        self.events.interrupt();
+        if !self.progress.is_recorded {
+            let (gateway, call) = (exchange.gateway(), exchange.call());
+            gateway.record_interruption(call, &self.in_flight).await;
+        }
+    }
+
     /// Records that the response has broken off, unless that is not the upstream's fault. Comes before
     /// the next pause, in which the caller may go away.
     fn record_failure(&mut self, exchange: &Exchange, e: RequestError) {
@@ -327,7 +353,7 @@
         gateway.count_broken_response(call, &self.in_flight.upstream);
     }
 
-    fn push_chunk(&mut self, chunk: Option<Result<bytes::Bytes, RequestError>>) -> ChunkResult {
+    fn push_chunk(&mut self, chunk: Chunk) -> ChunkResult {
         match chunk {
             Some(Ok(chunk)) => match self.push_events(&chunk) {
                 Ok(()) => ChunkResult::Events,
@@ -372,6 +398,21 @@
     }
 }
 
+/// Returns whether a response ends with this chunk without being complete.
+fn is_break(chunk: &Chunk, events: &Events) -> bool {
+    match chunk {
+        Some(chunk) => chunk.is_err(),
+        None => !events.is_at_boundary(),
+    }
+}
+
+fn head_of(response: &UpstreamResponse) -> ResponseHead {
+    ResponseHead {
+        status: response.status,
+        headers: response.headers.clone(),
+    }
+}
+
 impl Progress {
     fn new(exchange: &Exchange, events: &Events) -> Self {
         Self {
--- a/tests/process/silence.rs
+++ b/tests/process/silence.rs
@@ -1,5 +1,6 @@
 //! A sound upstream that falls silent for a second and goes on.
 
+use std::io::Read;
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::sync::Arc;
@@ -55,6 +56,18 @@
 attempts = 3
 resume = true
 split = [{ service = "previews", weight = 1 }]
+
+[[routes]]
+name = "pair"
+host = "previews.example"
+prefix = "/pair/"
+repeat = "stream"
+timeout_ms = 8000
+target_ms = 3000
+gap_ms = 400
+attempts = 2
+resume = true
+split = [{ service = "previews", weight = 1 }]
 "#;
 
 const KINDS: [&str; 3] = ["lookup", "hold", "notes"];
@@ -292,3 +305,72 @@
 fn stream_begins_after_a_silence_though_other_upstreams_close_connections() {
     check_streams_without_another_upstream(0);
 }
+
+/// What a silent upstream does once its stream has been offered to another.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Then {
+    BreaksOff,
+    StaysSilent,
+}
+
+/// Checks that a stream which may run twice is whole, whose first upstream falls silent after an event
+/// and whose second one takes it.
+fn check_silent_stream_moves(then: Then) {
+    let runs: Arc<Mutex<Vec<u64>>> = Arc::default();
+    let has_ended: Arc<Mutex<bool>> = Arc::default();
+    let start = |_| {
+        let (runs, has_ended) = (runs.clone(), has_ended.clone());
+        Upstream::start(move |seen, out| {
+            let after = seen
+                .header("last-event-id")
+                .map_or(0, |id| id.parse().unwrap());
+            let run = {
+                let mut runs = runs.lock().unwrap();
+                runs.push(after);
+                runs.len()
+            };
+            if run == 1 {
+                write(out, &stream_response_head(seen));
+                write(out, &chunk(&sse_event(1)));
+                eventually("the stream is offered to another upstream", || {
+                    (runs.lock().unwrap().len() > 1).then_some(())
+                });
+                if then == Then::StaysSilent {
+                    let end = out.read(&mut [0]).unwrap_or_default();
+                    *has_ended.lock().unwrap() = end == 0;
+                }
+                return false;
+            }
+            // Long enough for the first one to break off before.
+            thread::sleep(SILENCE / 2);
+            write(out, &stream_response_head(seen))
+                && (after + 1..=EVENTS).all(|id| write(out, &chunk(&sse_event(id))))
+                && write(out, "0\r\n\r\n")
+        })
+    };
+    let upstreams: Vec<Upstream> = (0..2).map(start).collect();
+    let addresses: Vec<SocketAddr> = upstreams.iter().map(|upstream| upstream.address).collect();
+    let (_cluster, _gateway, gateway) = start_at(&addresses);
+    let (_, took, response) = call(gateway, "pair", "pair-1".to_owned()).join().unwrap();
+    let whole: String = (1..=EVENTS).map(sse_event).collect();
+    assert_eq!(response, Some((200, whole)), "after {took:?}");
+    assert_eq!(*runs.lock().unwrap(), [0, 1]);
+    if then == Then::StaysSilent {
+        eventually("the silent upstream's request is cancelled", || {
+            has_ended.lock().unwrap().then_some(())
+        });
+    }
+}
+
+/// Guards against losing a stream whose silent upstream breaks off while another one, the last that it
+/// may run at, has not responded yet.
+#[test]
+fn silent_stream_that_breaks_off_goes_on_at_the_upstream_that_it_was_offered_to() {
+    check_silent_stream_moves(Then::BreaksOff);
+}
+
+/// Guards against leaving a stream with an upstream that stays silent, and against two runs of it.
+#[test]
+fn stream_of_an_upstream_that_stays_silent_moves_and_is_cancelled_there() {
+    check_silent_stream_moves(Then::StaysSilent);
+}
