Offer a request of a silent upstream again while the others are full

A silent upstream is left for others of which none has room, and only streams that had been interrupted waited for room. Any request that may run again waits now after such a silence: the others are offered it in rounds, within its attempts, the retry budget and its deadline. It is still answered at once if the budget is exhausted or no upstream was full or unreachable.

Its own upstream is not kept meanwhile, unlike that of a stream that has begun: a request that waits for its head may be queued there, and two upstreams would prefill it under load.

request_of_a_silent_upstream_is_served_* failed before (502) and passes.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -33,7 +33,7 @@
 pub(super) const RESPONSE_BODY_LIMIT_BYTES: usize = 8 * 1024 * 1024;
 
 /// Why the gateway has given up on an upstream that seems to hang.
-const RESPONSE_TIMEOUT: &str = "response timeout";
+pub(super) const RESPONSE_TIMEOUT: &str = "response timeout";
 
 /// Result of one attempt, with the reason for the log if it has no response.
 pub(super) enum AttemptOutcome {
--- a/src/gateway/exchange/mod.rs
+++ b/src/gateway/exchange/mod.rs
@@ -24,6 +24,7 @@
 use crate::gateway::Gateway;
 use crate::gateway::attempt::AttemptOutcome;
 use crate::gateway::attempt::AttemptOverrides;
+use crate::gateway::attempt::RESPONSE_TIMEOUT;
 use crate::gateway::attempt::attempt;
 use crate::gateway::attempt::rank;
 use crate::gateway::call::Call;
@@ -56,7 +57,7 @@
 /// Number of upstreams that may be unreachable for a request before the gateway gives up.
 const MAX_UNREACHABLE: u32 = 8;
 
-/// Delays between two rounds in which a stream is offered to all upstreams.
+/// Delays between two rounds in which a request is offered to all upstreams.
 const MIN_RESUME_DELAY: Duration = Duration::from_millis(200);
 const MAX_RESUME_DELAY: Duration = Duration::from_secs(1);
 
@@ -351,7 +352,9 @@
         }
         let mut failure: Option<(ResponseHead, Bytes)> = None;
         let mut is_dispatched = false;
-        let mut is_interrupted = false;
+        // Whether an upstream that had the request fell silent or broke off, so that it may need room
+        // elsewhere before its turn.
+        let mut may_wait_for_room = false;
         let mut retry_delay = MIN_RESUME_DELAY;
         loop {
             if !is_dispatched
@@ -381,9 +384,9 @@
                 if let Some(outcome) = self.pass_on_unplaced().await {
                     return outcome;
                 }
-                // A stream is not given up for upstreams that lack room for a moment.
+                // It is not given up for upstreams that lack room for a moment.
                 let were_full = self.refusals > 0 || self.unreachable > 0;
-                if is_interrupted
+                if may_wait_for_room
                     && were_full
                     && failure.is_none()
                     && self.wait_for_next_round(&mut retry_delay).await
@@ -394,10 +397,11 @@
             };
             match self.run_attempt(&upstream, None).await {
                 AttemptOutcome::NotSent(_) | AttemptOutcome::NotRun(_) => {}
-                AttemptOutcome::Lost(_) => {
+                AttemptOutcome::Lost(reason) => {
                     if !self.call.route.is_safe_to_retry() {
                         return Err(Refusal::bad_gateway("answer_lost"));
                     }
+                    may_wait_for_room |= reason == RESPONSE_TIMEOUT;
                 }
                 AttemptOutcome::Complete(head, body) => {
                     if head.status.is_server_error() && self.call.route.is_safe_to_retry() {
@@ -431,7 +435,7 @@
                             self.open.set_stage(Stage::Queued, None);
                             self.last_failure = reason;
                             self.repeat_cause = Some(RepeatCause::Resume);
-                            is_interrupted = true;
+                            may_wait_for_room = true;
                         }
                     }
                 }
@@ -706,9 +710,10 @@
         self.open.set_stage(stage, Some(upstream.id()));
     }
 
-    /// Waits until an interrupted stream is offered to all upstreams again; returns whether it may be.
+    /// Waits until the request is offered to all upstreams again; returns whether it may be.
     async fn wait_for_next_round(&mut self, delay: &mut Duration) -> bool {
-        if !self.can_resume() || self.is_barred() {
+        let may_run = self.call.route.is_safe_to_retry() && self.runs < self.call.attempts();
+        if !may_run || self.is_barred() {
             return false;
         }
         tokio::time::sleep(*delay).await;
--- a/tests/process/gateway.rs
+++ b/tests/process/gateway.rs
@@ -23,6 +23,7 @@
 use crate::support::Upstream;
 use crate::support::chunk;
 use crate::support::eventually;
+use crate::support::full_response;
 use crate::support::ok_response;
 use crate::support::post;
 use crate::support::send;
@@ -320,14 +321,7 @@
         }
         write(out, "0\r\n\r\n")
     });
-    let full = Upstream::start(|seen, out| {
-        let response = format!(
-            "HTTP/1.1 503 Full\r\ndaisyquay-attempt: {}\r\ndaisyquay-not-run: 1\r\n\
-             content-length: 0\r\n\r\n",
-            seen.attempt_id()
-        );
-        write(out, &response)
-    });
+    let full = Upstream::start(|seen, out| write(out, &full_response(seen)));
     let setup = Setup::new(&[&silent, &full]);
     let expected: String = (1..=EVENTS).map(sse_event).collect();
     let refusals = || full.received().len();
--- a/tests/process/silence.rs
+++ b/tests/process/silence.rs
@@ -19,6 +19,7 @@
 use crate::support::Upstream;
 use crate::support::chunk;
 use crate::support::eventually;
+use crate::support::full_response;
 use crate::support::ok_response;
 use crate::support::send;
 use crate::support::sse_event;
@@ -374,3 +375,34 @@
 fn stream_of_an_upstream_that_stays_silent_moves_and_is_cancelled_there() {
     check_silent_stream_moves(Then::StaysSilent);
 }
+
+/// Guards against answering 502 for a request that may run again, because its upstream was silent and
+/// the others were full at that moment.
+#[test]
+fn request_of_a_silent_upstream_is_served_though_the_others_are_full_for_a_moment() {
+    let first: Arc<Mutex<Option<Instant>>> = Arc::default();
+    let start = |_| {
+        let first = first.clone();
+        Upstream::start(move |seen, out| {
+            let (end, is_first) = {
+                let mut first = first.lock().unwrap();
+                let is_first = first.is_none();
+                (*first.get_or_insert(Instant::now()) + SILENCE, is_first)
+            };
+            let silence = end.saturating_duration_since(Instant::now());
+            if is_first {
+                thread::sleep(silence);
+            } else if !silence.is_zero() {
+                return write(out, &full_response(seen));
+            }
+            write(out, &ok_response(seen, "tile"))
+        })
+    };
+    let upstreams: Vec<Upstream> = (0..3).map(start).collect();
+    let addresses: Vec<SocketAddr> = upstreams.iter().map(|upstream| upstream.address).collect();
+    let (_cluster, _gateway, gateway) = start_at(&addresses);
+    let (_, took, response) = call(gateway, "lookup", "lookup-1".to_owned())
+        .join()
+        .unwrap();
+    assert_eq!(response, Some((200, "tile".to_owned())), "after {took:?}");
+}
--- a/tests/process/support/mod.rs
+++ b/tests/process/support/mod.rs
@@ -41,6 +41,7 @@
 pub(crate) use self::upstream::Upstream;
 pub(crate) use self::upstream::chat_response;
 pub(crate) use self::upstream::chunk;
+pub(crate) use self::upstream::full_response;
 pub(crate) use self::upstream::ok_response;
 pub(crate) use self::upstream::read_request;
 pub(crate) use self::upstream::sse_event;
--- a/tests/process/support/upstream.rs
+++ b/tests/process/support/upstream.rs
@@ -112,6 +112,15 @@
     )
 }
 
+/// Returns the rejection of an upstream that has no room.
+pub(crate) fn full_response(request: &ReceivedRequest) -> String {
+    format!(
+        "HTTP/1.1 503 Full\r\ndaisyquay-attempt: {}\r\ndaisyquay-not-run: 1\r\n\
+         content-length: 0\r\n\r\n",
+        request.attempt_id()
+    )
+}
+
 /// Returns a complete chat response, which has the attempt's id in its body.
 pub(crate) fn chat_response(request: &ReceivedRequest) -> String {
     let body = serde_json::json!({ "id": request.attempt_id() });
