--- a/tests/process/streams.rs
+++ b/tests/process/streams.rs
@@ -1,9 +1,23 @@
 //! Responses reach the caller complete or end with an error, whatever faults the upstreams have.
 
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use serde_json::Value;
+use serde_json::json;
+
 use crate::support::Cluster;
+use crate::support::Upstream;
 use crate::support::chat_body;
+use crate::support::chunk;
 use crate::support::eventually;
+use crate::support::post;
+use crate::support::stream_response_head;
 use crate::support::stream_text;
+use crate::support::write;
 
 const SMALL: [&str; 2] = ["--versions", "notes@small"];
 const SLOW: [&str; 4] = ["--versions", "notes@small", "--token", "0.01"];
@@ -155,3 +169,59 @@
     assert!((1..400).contains(&tokens), "{bill}");
     assert_eq!(cluster.total_requests(runner, "runs"), 1);
 }
+
+/// Guards against ending a stream whose engine is only silent, because no other engine takes it.
+#[test]
+fn chat_stream_goes_on_after_a_silence_though_the_other_engine_closes_connections() {
+    /// Longer than the idle timeout of an entry.
+    const SILENCE: Duration = Duration::from_secs(7);
+    let has_stream: Arc<AtomicBool> = Arc::default();
+    let start = || {
+        let has_stream = has_stream.clone();
+        Upstream::start(move |seen, out| {
+            if has_stream.swap(true, Ordering::SeqCst) {
+                return false;
+            }
+            let event = |choice: Value| {
+                let event = json!({ "id": seen.attempt_id(), "choices": [choice] });
+                chunk(&format!("data: {event}\n\n"))
+            };
+            let token = |text| event(json!({ "index": 0, "delta": { "content": text } }));
+            write(out, &stream_response_head(seen));
+            write(out, &token("before "));
+            thread::sleep(SILENCE);
+            write(out, &token("after"));
+            let finish = json!({ "index": 0, "delta": {}, "finish_reason": "stop" });
+            write(out, &event(finish));
+            write(out, &chunk("data: [DONE]\n\n")) && write(out, "0\r\n\r\n")
+        })
+    };
+    let engines = [start(), start()];
+    let cluster = Cluster::start_with_inventory(1, 1);
+    for (i, engine) in engines.iter().enumerate() {
+        let body = json!({
+            "id": format!("u{i}"),
+            "incarnation": 1,
+            "address": engine.address.to_string(),
+            "data_centre": "dc1",
+            "serves": { "versions": ["notes@small"] },
+            "slots": 8,
+        });
+        let key = [("authorization", "Bearer dev-upstream-key")];
+        eventually("the engine is announced", || {
+            let entry = cluster.entry_addresses[0];
+            let reply = post(entry, "/upstream/announce", &key, &body.to_string())?;
+            (reply.status == 204).then_some(())
+        });
+    }
+    let reply = eventually("the entry has an engine", || {
+        let reply = cluster.chat(0, &[], &chat_body("notes@small", "p", 2, true))?;
+        (reply.status == 200).then_some(reply)
+    });
+    assert_eq!(
+        stream_text(&reply).as_deref(),
+        Some("before after"),
+        "{}",
+        reply.body
+    );
+}
