Keep a chat stream at its silent engine until another one has taken it

The stream is offered to others while its own response stays open, as in gateways; the claim names its own engine again if it stays there. At the deadline it ends with an error event, as before.

--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -25,12 +25,14 @@
 use super::sse;
 use super::sse::EventKind;
 use super::sse::EventSplitter;
+use crate::collections::Name;
+use crate::engine::AttemptError;
 use crate::entry::Worker;
 use crate::log::event;
 use crate::policy::retry::Execution;
 use crate::state::command::Ending;
 
-/// A stream that sends nothing for this long counts as broken.
+/// A stream that sends nothing for this long is offered to other upstreams.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Chunks buffered for a slow caller. Once the channel is full, back-pressure stops reading from
@@ -91,10 +93,34 @@
     Done,
     /// Before `[DONE]`, through a fault of the upstream.
     Broken(&'static str),
+    /// Not yet, but the upstream has sent nothing for [`IDLE_TIMEOUT`].
+    Stalled,
     /// Because the caller disconnected.
     CallerDisconnected,
 }
 
+/// The response of one upstream.
+struct Source {
+    active: ActiveAttempt,
+    splitter: EventSplitter,
+    /// A chunk, or the end, that was read while the stream was offered elsewhere.
+    next_chunk: Option<Option<Result<Bytes, AttemptError>>>,
+}
+
+impl Source {
+    fn new(active: ActiveAttempt) -> Self {
+        Self {
+            active,
+            splitter: EventSplitter::default(),
+            next_chunk: None,
+        }
+    }
+
+    fn upstream(&self) -> &Name {
+        &self.active.in_flight.upstream.id
+    }
+}
+
 struct StreamRelay<'a> {
     worker: &'a Worker,
     call: &'a ChatCall,
@@ -109,36 +135,76 @@
 }
 
 impl StreamRelay<'_> {
-    async fn run(mut self, mut active: ActiveAttempt) {
+    async fn run(mut self, active: ActiveAttempt) {
         let mut attempts = Attempts::new(self.worker, self.upstream_request);
+        let mut source = Source::new(active);
         loop {
-            match self.relay_attempt(&mut active).await {
+            match self.relay_attempt(&mut source).await {
                 StreamEnd::Done => return self.finish().await,
                 StreamEnd::CallerDisconnected => return self.run.claim.settle(Ending::Cancelled),
                 StreamEnd::Broken(reason) => {
-                    active.in_flight.record_failure();
-                    let upstream = active.in_flight.upstream.id.clone();
-                    event!(
-                        Warn,
-                        "stream_broken",
-                        request = self.call.request_id,
-                        upstream = upstream,
-                        reason = reason,
-                        tokens = self.run.claim.tokens_out
-                    );
+                    self.record_break(&mut source, reason);
+                    let upstream = source.upstream().clone();
                     match self.resume(&mut attempts, &upstream, reason).await {
-                        Some(next) => active = next,
+                        Some(next) => source = self.go_on_with(next),
                         None => return self.abort(reason).await,
                     }
                 }
+                StreamEnd::Stalled => {
+                    if let Some(next) = self.offer_elsewhere(&mut attempts, &mut source).await {
+                        self.record_break(&mut source, "the stream stalled");
+                        source = self.go_on_with(next);
+                    }
+                }
             }
         }
     }
 
+    fn record_break(&self, source: &mut Source, reason: &str) {
+        source.active.in_flight.record_failure();
+        event!(
+            Warn,
+            "stream_broken",
+            request = self.call.request_id,
+            upstream = source.upstream(),
+            reason = reason,
+            tokens = self.run.claim.tokens_out
+        );
+    }
+
+    /// Offers the stream to other upstreams while its own is silent, which is kept until another one
+    /// has taken the stream. Returns `None` if its own goes on first, or none takes it.
+    async fn offer_elsewhere(
+        &mut self,
+        attempts: &mut Attempts<'_>,
+        source: &mut Source,
+    ) -> Option<ActiveAttempt> {
+        let upstream = source.upstream().clone();
+        let taken = {
+            let offer = self.resume(attempts, &upstream, "the stream stalled");
+            let mut offer = std::pin::pin!(offer);
+            tokio::select! {
+                biased;
+                chunk = source.active.response.chunks.next() => {
+                    let goes_on = matches!(chunk, Some(Ok(_)));
+                    source.next_chunk = Some(chunk);
+                    // An offer that may still succeed is all that is left of a broken stream.
+                    if goes_on { None } else { offer.await }
+                }
+                taken = &mut offer => taken,
+            }
+        };
+        if taken.is_none() {
+            self.run.claim.set_upstream(&upstream);
+        }
+        taken
+    }
+
+    /// Asks another upstream than `upstream` to go on after the tokens that the caller has.
     async fn resume(
         &mut self,
         attempts: &mut Attempts<'_>,
-        upstream: &crate::collections::Name,
+        upstream: &Name,
         reason: &str,
     ) -> Option<ActiveAttempt> {
         attempts
@@ -146,7 +212,6 @@
             .ok()?;
         let next = attempts.choose_upstream().ok()?;
         let resume_at = self.run.claim.tokens_out;
-        self.finish_event = None;
         self.worker
             .shared
             .metrics
@@ -158,25 +223,37 @@
         (active.response.status == 200).then_some(active)
     }
 
-    async fn relay_attempt(&mut self, active: &mut ActiveAttempt) -> StreamEnd {
-        let mut splitter = EventSplitter::default();
+    fn go_on_with(&mut self, active: ActiveAttempt) -> Source {
+        self.finish_event = None;
+        Source::new(active)
+    }
+
+    async fn relay_attempt(&mut self, source: &mut Source) -> StreamEnd {
+        let active = &mut source.active;
         loop {
             let left = self.call.deadline.saturating_sub(self.worker.shared.now());
-            let next = tokio::time::timeout(IDLE_TIMEOUT.min(left), active.response.chunks.next());
-            let chunk = match next.await {
+            let next = match source.next_chunk.take() {
+                Some(chunk) => Ok(chunk),
+                None => {
+                    tokio::time::timeout(IDLE_TIMEOUT.min(left), active.response.chunks.next())
+                        .await
+                }
+            };
+            let chunk = match next {
                 Ok(Some(Ok(chunk))) => chunk,
                 Ok(Some(Err(_))) | Ok(None) => {
                     return StreamEnd::Broken("the connection closed early");
                 }
-                Err(_) => return StreamEnd::Broken("the stream stalled"),
+                Err(_) if left > IDLE_TIMEOUT => return StreamEnd::Stalled,
+                Err(_) => return StreamEnd::Broken("the deadline has passed"),
             };
             if self.run.claim.tokens_out == 0 {
                 self.run.claim.time_to_first_token = active.in_flight.record_success();
             }
-            if splitter.push(&chunk).is_err() {
+            if source.splitter.push(&chunk).is_err() {
                 return StreamEnd::Broken("an event exceeds the size limit");
             }
-            let (out, end) = self.process_events(&mut splitter, &active.id);
+            let (out, end) = self.process_events(&mut source.splitter, &active.id);
             if !out.is_empty() && self.tx.send(out.freeze()).await.is_err() {
                 return StreamEnd::CallerDisconnected;
             }
