Cancel a silent chat stream when its caller leaves

Since a chat stream stays with its silent engine, an entry noticed that the caller had left only at the next event or at the deadline: the engine went on with the request. The entry now watches for the end of the caller's response while it waits.

caller_that_leaves_a_silent_chat_stream_* failed without this (60 s) and passes.

--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -180,11 +180,13 @@
         source: &mut Source,
     ) -> Option<ActiveAttempt> {
         let upstream = source.upstream().clone();
+        let tx = self.tx.clone();
         let taken = {
             let offer = self.resume(attempts, &upstream, "the stream stalled");
             let mut offer = std::pin::pin!(offer);
             tokio::select! {
                 biased;
+                () = tx.closed() => None,
                 chunk = source.active.response.chunks.next() => {
                     let goes_on = matches!(chunk, Some(Ok(_)));
                     source.next_chunk = Some(chunk);
@@ -235,8 +237,12 @@
             let next = match source.next_chunk.take() {
                 Some(chunk) => Ok(chunk),
                 None => {
-                    tokio::time::timeout(IDLE_TIMEOUT.min(left), active.response.chunks.next())
-                        .await
+                    let chunk = active.response.chunks.next();
+                    tokio::select! {
+                        biased;
+                        () = self.tx.closed() => return StreamEnd::CallerDisconnected,
+                        next = tokio::time::timeout(IDLE_TIMEOUT.min(left), chunk) => next,
+                    }
                 }
             };
             let chunk = match next {
--- a/tests/process/streams.rs
+++ b/tests/process/streams.rs
@@ -1,5 +1,8 @@
 //! Responses reach the caller complete or end with an error, whatever faults the upstreams have.
 
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -9,6 +12,7 @@
 use serde_json::Value;
 use serde_json::json;
 
+use crate::support::AUTH_HEADER;
 use crate::support::Cluster;
 use crate::support::Upstream;
 use crate::support::chat_body;
@@ -170,6 +174,28 @@
     assert_eq!(cluster.total_requests(runner, "runs"), 1);
 }
 
+/// Starts a cluster with one entry and announces the engines.
+fn start_with_engines(engines: &[Upstream]) -> Cluster {
+    let cluster = Cluster::start_with_inventory(1, 1);
+    for (i, engine) in engines.iter().enumerate() {
+        let body = json!({
+            "id": format!("u{i}"),
+            "incarnation": 1,
+            "address": engine.address.to_string(),
+            "data_centre": "dc1",
+            "serves": { "versions": ["notes@small"] },
+            "slots": 8,
+        });
+        let key = [("authorization", "Bearer dev-upstream-key")];
+        eventually("the engine is announced", || {
+            let entry = cluster.entry_addresses[0];
+            let reply = post(entry, "/upstream/announce", &key, &body.to_string())?;
+            (reply.status == 204).then_some(())
+        });
+    }
+    cluster
+}
+
 /// Guards against ending a stream whose engine is only silent, because no other engine takes it.
 #[test]
 fn chat_stream_goes_on_after_a_silence_though_the_other_engine_closes_connections() {
@@ -197,23 +223,7 @@
         })
     };
     let engines = [start(), start()];
-    let cluster = Cluster::start_with_inventory(1, 1);
-    for (i, engine) in engines.iter().enumerate() {
-        let body = json!({
-            "id": format!("u{i}"),
-            "incarnation": 1,
-            "address": engine.address.to_string(),
-            "data_centre": "dc1",
-            "serves": { "versions": ["notes@small"] },
-            "slots": 8,
-        });
-        let key = [("authorization", "Bearer dev-upstream-key")];
-        eventually("the engine is announced", || {
-            let entry = cluster.entry_addresses[0];
-            let reply = post(entry, "/upstream/announce", &key, &body.to_string())?;
-            (reply.status == 204).then_some(())
-        });
-    }
+    let cluster = start_with_engines(&engines);
     let reply = eventually("the entry has an engine", || {
         let reply = cluster.chat(0, &[], &chat_body("notes@small", "p", 2, true))?;
         (reply.status == 200).then_some(reply)
@@ -225,3 +235,42 @@
         reply.body
     );
 }
+
+/// Guards against running a request whose caller has left, for as long as its engine is silent.
+#[test]
+fn caller_that_leaves_a_silent_chat_stream_cancels_it_at_the_engine() {
+    let has_ended: Arc<AtomicBool> = Arc::default();
+    let ended = has_ended.clone();
+    let engine = Upstream::start(move |seen, out| {
+        let choice = json!({ "index": 0, "delta": { "content": "first" } });
+        let event = json!({ "id": seen.attempt_id(), "choices": [choice] });
+        write(out, &stream_response_head(seen));
+        write(out, &chunk(&format!("data: {event}\n\n")));
+        ended.store(out.read(&mut [0]).is_ok_and(|n| n == 0), Ordering::SeqCst);
+        false
+    });
+    let engines = [engine];
+    let cluster = start_with_engines(&engines);
+    eventually("the stream has begun", || {
+        let mut caller = TcpStream::connect(cluster.entry_addresses[0]).ok()?;
+        let body = chat_body("notes@small", "p", 2, true);
+        let (name, key) = AUTH_HEADER;
+        let head = format!(
+            "POST /v1/chat/completions HTTP/1.1\r\nhost: entry\r\n{name}: {key}\r\n\
+             content-type: application/json\r\ncontent-length: {}\r\n\r\n",
+            body.len()
+        );
+        caller.write_all((head + &body).as_bytes()).ok()?;
+        let mut received = [0; 4096];
+        let mut length = 0;
+        while memchr::memmem::find(&received[..length], b"first").is_none() {
+            let n = caller.read(&mut received[length..]).ok()?;
+            length += n;
+            (n > 0).then_some(())?;
+        }
+        Some(())
+    });
+    eventually("the request is cancelled at the engine", || {
+        has_ended.load(Ordering::SeqCst).then_some(())
+    });
+}
