--- a/src/gateway/exchange/mod.rs
+++ b/src/gateway/exchange/mod.rs
@@ -297,7 +297,7 @@
         if let (Some(service), Some(cause)) = (service, self.repeat_cause) {
             self.gateway.count_repeat(service, cause);
         }
-        // It has been used up even if the attempt is cancelled.
+        // The charge is used up even if the attempt is cancelled.
         self.is_charged = false;
         let fail_over = || self.fail_over();
         let outcome = tokio::select! {
@@ -352,8 +352,8 @@
         }
         let mut failure: Option<(ResponseHead, Bytes)> = None;
         let mut is_dispatched = false;
-        // Whether an upstream that had the request fell silent or broke off, so that it may need room
-        // elsewhere before its turn.
+        // Whether an upstream that had the request fell silent or broke off. The request then waits
+        // until another one has room.
         let mut may_wait_for_room = false;
         let mut retry_delay = MIN_RESUME_DELAY;
         loop {
@@ -384,7 +384,7 @@
                 if let Some(outcome) = self.pass_on_unplaced().await {
                     return outcome;
                 }
-                // It is not given up for upstreams that lack room for a moment.
+                // The request is not given up for upstreams that lack room for a moment.
                 let were_full = self.refusals > 0 || self.unreachable > 0;
                 if may_wait_for_room
                     && were_full
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -57,6 +57,7 @@
 /// Response of one upstream, of which complete events are taken.
 struct Source {
     head: ResponseHead,
+    /// `None` once it has ended.
     response: Option<UpstreamResponse>,
     in_flight: InFlightRequest,
     events: Events,
