Tell gateways that the leader no longer lists which replicas there are

Callers of a VM that came back after more than a lease (2.4 s) got 503 no_configuration for as long as all VMs of its settings were down: it found no replica, its control address read nothing back, although all other VMs served.

Cause: what a process knows flows from those that have its address, and the leader and the gateways drop that address with the lease.

Change: the gateways that run remember those that left the leader's list, for 15 minutes and 512 of them at most, and tell them the replicas. Each draws for itself, with four tellers in a round of 2 s on average and 16 told by one at most, so no gateway that restarted and forgot needs to be known. The leader would be simpler but for a new one, which has never met the VM. Event replicas_told; gateways_known has absent.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -70,6 +70,7 @@
 use crate::peer::Client;
 use crate::peer::EntryInfo;
 use crate::peer::LeaderClient;
+use crate::policy::absent_gateways::AbsentGateways;
 use crate::policy::backpressure::Backpressure;
 use crate::policy::brittle::BrittleUpstreams;
 use crate::policy::crashing_requests::CrashingRequests;
@@ -209,6 +210,8 @@
     /// Gateways that have sent load updates before the first grant, the latest first. They know this one
     /// from before its restart.
     update_senders: RefCell<Vec<SocketAddr>>,
+    /// Gateways that the leader has listed and no longer lists.
+    absent_gateways: RefCell<AbsentGateways>,
     upstreams: RefCell<UpstreamTable>,
     peer_loads: RefCell<PeerLoads>,
     /// Upstreams that refuse connections, as seen by this gateway and the others.
@@ -351,6 +354,7 @@
         replicas: RefCell::default(),
         leader,
         update_senders: RefCell::default(),
+        absent_gateways: RefCell::default(),
         upstreams: RefCell::default(),
         peer_loads: RefCell::default(),
         reachability: RefCell::new(Reachability::new(run_id)),
@@ -417,6 +421,7 @@
     tokio::task::spawn_local(renewal::run(gateway.clone()));
     tokio::task::spawn_local(replica_list::serve(gateway.clone(), peers));
     tokio::task::spawn_local(replica_list::report(gateway.clone()));
+    tokio::task::spawn_local(replica_list::tell_absent_gateways(gateway.clone()));
     tokio::task::spawn_local(sweep(gateway.clone()));
     tokio::task::spawn_local(service_reachability::run(gateway.clone()));
     tokio::task::spawn_local(loads::run(gateway.clone(), loads_socket));
--- a/src/gateway/renewal.rs
+++ b/src/gateway/renewal.rs
@@ -3,6 +3,7 @@
 //! other gateways.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -95,12 +96,17 @@
 
     /// Sets the list of gateways. `is_complete` is whether the leader knows all of them.
     fn set_entries(&self, entries: Vec<EntryInfo>, is_complete: bool) {
-        let has_loads = |info: &&EntryInfo| info.loads_address.is_some();
+        let current = loads_addresses(&entries);
+        let mut former = loads_addresses(&self.routing().entries);
+        former.retain(|&address| address != self.cfg.loads_listen);
+        let mut absent = self.absent_gateways.borrow_mut();
+        absent.record_list(&former, &current, self.now());
         event!(
             Info,
             "gateways_known",
-            count = entries.iter().filter(has_loads).count(),
-            complete = is_complete
+            count = current.len(),
+            complete = is_complete,
+            absent = absent.count()
         );
         self.has_all_gateways.set(is_complete);
         self.share_retry_budgets(&entries, is_complete);
@@ -129,6 +135,12 @@
     }
 }
 
+/// Returns the addresses at which the gateways of a list receive load updates.
+fn loads_addresses(entries: &[EntryInfo]) -> Vec<SocketAddr> {
+    let addresses = entries.iter().filter_map(|info| info.loads_address);
+    addresses.collect()
+}
+
 /// What the gateway has received so far, for the next renewal to acknowledge.
 #[derive(Default)]
 struct RenewalState {
--- a/src/gateway/replica_list.rs
+++ b/src/gateway/replica_list.rs
@@ -1,5 +1,5 @@
-//! Tells the other processes which replicas the leader has listed, and asks other processes for them
-//! while no replica that is known leads to the leader.
+//! Tells the other processes which replicas the leader has listed, among them gateways that it no
+//! longer lists, and asks other processes for them while no replica that is known leads to the leader.
 //!
 //! The peer listener has the address of the UDP socket for load updates, on TCP.
 
@@ -14,12 +14,14 @@
 use super::Gateway;
 use super::LEADER_SILENCE_LIMIT;
 use crate::config::KeyHash;
+use crate::log::event;
 use crate::peer;
 use crate::peer::Caller;
 use crate::peer::Handler;
 use crate::peer::Reply;
 use crate::peer::Request;
 use crate::peer::discovery;
+use crate::policy::absent_gateways;
 use crate::policy::replica_discovery::Reports;
 use crate::policy::replica_search::merge_addresses;
 
@@ -48,6 +50,19 @@
     .await;
 }
 
+/// Tells the gateways that the leader no longer lists which replicas there are; never returns.
+pub(super) async fn tell_absent_gateways(gateway: Rc<Gateway>) {
+    loop {
+        let delay = absent_gateways::ROUND_INTERVAL.mul_f64(0.75 + fastrand::f64() / 2.0);
+        tokio::time::sleep(delay).await;
+        let replicas = gateway.current_replicas();
+        if !replicas.is_empty() {
+            let told = gateway.draw_told_gateways();
+            discovery::tell(&gateway.cfg.peer_key, told, replicas).await;
+        }
+    }
+}
+
 struct ListHandler {
     gateway: Rc<Gateway>,
 }
@@ -56,7 +71,13 @@
     fn call(&self, _: Caller, request: Request) -> Pin<Box<dyn Future<Output = Reply>>> {
         let reply = match request {
             Request::Replicas => Reply::Replicas(self.gateway.current_replicas()),
-            _ => Reply::Refused("a gateway answers only which replicas there are".into()),
+            Request::ReportReplicas(replicas) => {
+                self.gateway.add_reported(replicas);
+                Reply::Done
+            }
+            _ => {
+                Reply::Refused("a gateway only tells, and is told, which replicas there are".into())
+            }
         };
         Box::pin(async move { reply })
     }
@@ -75,6 +96,21 @@
         }
     }
 
+    /// Adds replicas that another process has named without being asked; ignored while the leader
+    /// replies.
+    fn add_reported(&self, replicas: Vec<SocketAddr>) {
+        if self.leader.leader_address().is_none() {
+            event!(Info, "replicas_told", replicas = format!("{replicas:?}"));
+        }
+        self.leader.add_reported(replicas);
+    }
+
+    fn draw_told_gateways(&self) -> Vec<SocketAddr> {
+        let listed = self.routing().entries.len();
+        let mut absent = self.absent_gateways.borrow_mut();
+        absent.draw_told(listed, self.now(), &mut self.rng.borrow_mut())
+    }
+
     /// Records the sender of a load update until the leader has granted a renewal.
     pub(super) fn record_update_sender(&self, sender: SocketAddr) {
         if self.leader_revision.get().is_none() {
--- a/src/peer/discovery.rs
+++ b/src/peer/discovery.rs
@@ -64,14 +64,18 @@
     loop {
         let replicas = current();
         let report = reports.next(&replicas, targets, fastrand::f64());
-        if !report.to.is_empty() {
-            let request = Request::ReportReplicas(replicas);
-            let _ = call_all(key, report.to, &request).await;
-        }
+        tell(key, report.to, replicas).await;
         tokio::time::sleep(report.delay).await;
     }
 }
 
+/// Tells the processes at `targets` once which replicas there are.
+pub(crate) async fn tell(key: &str, targets: Vec<SocketAddr>, replicas: Vec<SocketAddr>) {
+    if !targets.is_empty() {
+        let _ = call_all(key, targets, &Request::ReportReplicas(replicas)).await;
+    }
+}
+
 /// Calls several processes at once, on connections that close with this call. Returns the replies.
 async fn call_all(
     key: &str,
--- /dev/null
+++ b/src/policy/absent_gateways.rs
@@ -0,0 +1,81 @@
+//! Decides which gateways are told of the replicas because the leader no longer lists them.
+//!
+//! Handles VMs that start again while all VMs of their settings are down, after the leader has
+//! forgotten their former run. Only the gateways that ran meanwhile still have their addresses.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::collections::HashMap;
+use crate::collections::HashSet;
+
+/// Interval between two rounds in which a gateway tells absent ones.
+pub const ROUND_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Mean number of gateways that tell an absent one in a round. Each draws for itself, so that the ones
+/// that have restarted and remember nothing need not be known.
+const MEAN_TELLERS: f64 = 4.0;
+
+/// Most gateways that one tells in a round.
+pub const MAX_TOLD: usize = 16;
+
+/// Time for which an absent gateway is remembered. Most of those that return do so sooner; the others
+/// are VMs that were removed.
+pub const ABSENT_TTL: Duration = Duration::from_mins(15);
+
+/// Most absent gateways that are remembered. Beyond it, those absent for the longest are forgotten.
+pub const MAX_ABSENT: usize = 512;
+
+/// The gateways that were in the leader's list and no longer are.
+#[derive(Clone, Debug, Default)]
+pub struct AbsentGateways {
+    /// When the list without each of them was received.
+    absent_since: HashMap<SocketAddr, Duration>,
+}
+
+impl AbsentGateways {
+    /// Records that the leader's list `current` has replaced `former`.
+    pub fn record_list(&mut self, former: &[SocketAddr], current: &[SocketAddr], now: Duration) {
+        let listed: HashSet<&SocketAddr> = current.iter().collect();
+        for address in former {
+            self.absent_since.entry(*address).or_insert(now);
+        }
+        self.absent_since
+            .retain(|address, since| !listed.contains(address) && now < *since + ABSENT_TTL);
+        let excess = self.absent_since.len().saturating_sub(MAX_ABSENT);
+        if excess > 0 {
+            let mut by_age: Vec<(Duration, SocketAddr)> = self
+                .absent_since
+                .iter()
+                .map(|(&address, &since)| (since, address))
+                .collect();
+            by_age.sort_unstable();
+            for (_, address) in &by_age[..excess] {
+                self.absent_since.remove(address);
+            }
+        }
+    }
+
+    /// Returns how many are remembered.
+    pub fn count(&self) -> usize {
+        self.absent_since.len()
+    }
+
+    /// Returns the gateways that this one, of `listed` in the leader's list, tells in this round.
+    pub fn draw_told(
+        &mut self,
+        listed: usize,
+        now: Duration,
+        rng: &mut fastrand::Rng,
+    ) -> Vec<SocketAddr> {
+        self.absent_since
+            .retain(|_, since| now < *since + ABSENT_TTL);
+        let listed = u32::try_from(listed.max(1)).unwrap_or(u32::MAX);
+        let chance = MEAN_TELLERS / f64::from(listed);
+        let absent = self.absent_since.keys().copied();
+        let mut told: Vec<SocketAddr> = absent.filter(|_| rng.f64() < chance).collect();
+        rng.shuffle(&mut told);
+        told.truncate(MAX_TOLD);
+        told
+    }
+}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -3,6 +3,7 @@
 //! Each is a function of explicit state, the time and a random source, and does no I/O, so that
 //! tests can replay load patterns and faults without a network.
 
+pub mod absent_gateways;
 pub mod admission;
 pub mod backpressure;
 pub mod bootstrap;
--- a/tests/load/main.rs
+++ b/tests/load/main.rs
@@ -2,6 +2,7 @@
 
 #![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
 
+mod absent_gateways;
 mod backpressure;
 mod brittle;
 mod buffer_budget;
