Count requests that a crashing test upstream had not accepted as arrivals

The check counts each 502 as an arrival, and the trace showed two probes that went to one upstream in the same millisecond: it crashed under the other before it had read this one. The request had reached the upstream all the same; the stand-in closed its listener with the connection still in the backlog.

Now it reads what is in the backlog when it crashes, and records it. The check keeps its bound and gets stricter: such a request counts among the late ones.

--- a/tests/process/quarantine.rs
+++ b/tests/process/quarantine.rs
@@ -64,6 +64,21 @@
 }
 
 impl Log {
+    /// Records a request to a [`DEADLY_PATH`] on a connection that was not accepted before a crash. It
+    /// has reached the upstream as well.
+    fn record_unread(&self, stream: TcpStream) {
+        stream.set_nonblocking(false).unwrap();
+        let timeout = Some(Duration::from_millis(20));
+        stream.set_read_timeout(timeout).unwrap();
+        if let Some(request) = read_request(&mut BufReader::new(stream)) {
+            let path = request.path();
+            if path.ends_with(DEADLY_PATH) {
+                let mut arrivals = self.arrivals_by_path.lock().unwrap();
+                arrivals.push((path.to_owned(), Instant::now()));
+            }
+        }
+    }
+
     /// Returns when the path's third crash was and how many requests arrived once the gateways must
     /// know of it.
     fn late_arrivals(&self, path: &str) -> (Instant, usize) {
@@ -165,6 +180,9 @@
         let (is_crashing, log) = (is_crashing.clone(), log.clone());
         thread::spawn(move || respond(stream, &is_crashing, &log));
     }
+    while let Ok((stream, _)) = listener.accept() {
+        log.record_unread(stream);
+    }
     drop(listener);
     log.crashes.lock().unwrap().push(Instant::now());
     for connection in connections {
@@ -183,8 +201,7 @@
         if is_deadly {
             log.deadly_arrivals.lock().unwrap().push(Instant::now());
         }
-        let target = request.request_line.split(' ').nth(1).unwrap_or_default();
-        let path = target.split('?').next().unwrap_or_default();
+        let path = request.path();
         if path == DOUBTFUL_PATH {
             let mut arrivals = log.arrivals_by_path.lock().unwrap();
             arrivals.push((path.to_owned(), Instant::now()));
--- a/tests/process/support/upstream.rs
+++ b/tests/process/support/upstream.rs
@@ -29,6 +29,12 @@
         })
     }
 
+    /// Returns the path without the query.
+    pub(crate) fn path(&self) -> &str {
+        let target = self.request_line.split(' ').nth(1).unwrap_or_default();
+        target.split('?').next().unwrap_or_default()
+    }
+
     /// Returns the value of `daisyquay-attempt`, or an empty text without it.
     pub(crate) fn attempt_id(&self) -> &str {
         self.header("daisyquay-attempt").unwrap_or_default()
