--- a/src/gateway/renewal.rs
+++ b/src/gateway/renewal.rs
@@ -3,7 +3,6 @@
 //! other gateways.
 
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -96,17 +95,14 @@
 
     /// Sets the list of gateways. `is_complete` is whether the leader knows all of them.
     fn set_entries(&self, entries: Vec<EntryInfo>, is_complete: bool) {
-        let current = loads_addresses(&entries);
-        let mut former = loads_addresses(&self.routing().entries);
-        former.retain(|&address| address != self.cfg.loads_listen);
-        let mut absent = self.absent_gateways.borrow_mut();
-        absent.record_list(&former, &current, self.now());
+        let absent = self.record_absent_gateways(&entries);
+        let has_loads = |info: &&EntryInfo| info.loads_address.is_some();
         event!(
             Info,
             "gateways_known",
-            count = current.len(),
+            count = entries.iter().filter(has_loads).count(),
             complete = is_complete,
-            absent = absent.count()
+            absent = absent
         );
         self.has_all_gateways.set(is_complete);
         self.share_retry_budgets(&entries, is_complete);
@@ -135,12 +131,6 @@
     }
 }
 
-/// Returns the addresses at which the gateways of a list receive load updates.
-fn loads_addresses(entries: &[EntryInfo]) -> Vec<SocketAddr> {
-    let addresses = entries.iter().filter_map(|info| info.loads_address);
-    addresses.collect()
-}
-
 /// What the gateway has received so far, for the next renewal to acknowledge.
 #[derive(Default)]
 struct RenewalState {
--- a/src/gateway/replica_list.rs
+++ b/src/gateway/replica_list.rs
@@ -17,6 +17,7 @@
 use crate::log::event;
 use crate::peer;
 use crate::peer::Caller;
+use crate::peer::EntryInfo;
 use crate::peer::Handler;
 use crate::peer::Reply;
 use crate::peer::Request;
@@ -105,6 +106,21 @@
         self.leader.add_reported(replicas);
     }
 
+    /// Records which gateways of the present list are not in the next one. Returns the number of all
+    /// that are remembered as absent.
+    pub(super) fn record_absent_gateways(&self, next: &[EntryInfo]) -> usize {
+        let addresses = |entries: &[EntryInfo]| -> Vec<SocketAddr> {
+            let addresses = entries.iter().filter_map(|info| info.loads_address);
+            addresses.collect()
+        };
+        let mut former = addresses(&self.routing().entries);
+        former.retain(|&address| address != self.cfg.loads_listen);
+        let mut absent = self.absent_gateways.borrow_mut();
+        absent.record_list(&former, &addresses(next), self.now());
+        absent.count()
+    }
+
+    /// Draws the absent gateways that this one tells now.
     fn draw_told_gateways(&self) -> Vec<SocketAddr> {
         let listed = self.routing().entries.len();
         let mut absent = self.absent_gateways.borrow_mut();
