--- a/tests/process/soak.rs
+++ b/tests/process/soak.rs
@@ -4,11 +4,12 @@
 //!
 //! `cargo test --release --test process -- --ignored soak_by_hand` runs consecutive seeds; the
 //! environment variables `SOAK_FIRST` and `SOAK_SEEDS` set the first seed and their number. A seed
-//! that has failed stays in [`REGRESSION_SEEDS`].
+//! that has failed stays in [`REGRESSION_SEEDS`]. `SOAK_LOGS` is a folder for the logs of the seeds that fail.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::net::TcpStream;
+use std::path::Path;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
@@ -17,6 +18,7 @@
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
 
 use daisyquay::config;
 use daisyquay::config::Inventory;
@@ -267,6 +269,11 @@
 /// request unless it is killed.
 struct Unanswered {
     id: String,
+    path: String,
+    /// Status of the response, if its head has arrived.
+    status: Option<u16>,
+    /// When it ended, in milliseconds of the Unix time, as in the logs.
+    ended_ms: u128,
     gateway: usize,
     sent_at: Instant,
     ended_at: Instant,
@@ -358,9 +365,13 @@
         }
         let is_stream = path == "/notes/a";
         let is_whole = |response: &Response| is_stream || !response.is_truncated;
+        let status = response.as_ref().map(|response| response.status);
         let Some(response) = response.filter(is_whole) else {
             results.unanswered.lock().unwrap().push(Unanswered {
                 id,
+                path: path.to_owned(),
+                status,
+                ended_ms: SystemTime::UNIX_EPOCH.elapsed().unwrap().as_millis(),
                 gateway,
                 sent_at,
                 ended_at: Instant::now(),
@@ -693,9 +704,14 @@
             let open = request.ended_at.duration_since(request.sent_at);
             let waited = open.saturating_sub(request.paused);
             if !was_killed && (has_arrived || waited > CROSSING_LIMIT) {
+                let Unanswered {
+                    id, path, gateway, ..
+                } = request;
+                let (status, at) = (request.status, request.ended_ms);
                 results.add_violation(format!(
-                    "{}: no whole response of gateway {} after {waited:?}, arrived: {has_arrived}",
-                    request.id, request.gateway
+                    "{id}: no whole response of gateway {gateway} ({}) to {path} at {at} after \
+                     {waited:?}, arrived: {has_arrived}, status: {status:?}",
+                    self.gateways[*gateway].1
                 ));
             }
         }
@@ -878,7 +894,26 @@
     }
     let [periods, requests] = cold_counts;
     let counts = [periods, requests, judged_responses];
-    (results.violations.into_inner().unwrap(), counts)
+    let violations = results.violations.into_inner().unwrap();
+    if !violations.is_empty() {
+        keep_logs(&soak.cluster.folder, seed);
+    }
+    (violations, counts)
+}
+
+/// Copies the logs of all processes to the folder `SOAK_LOGS`, if that is set.
+fn keep_logs(folder: &Path, seed: u64) {
+    let Some(kept) = std::env::var_os("SOAK_LOGS") else {
+        return;
+    };
+    let kept = Path::new(&kept).join(format!("seed-{seed}"));
+    std::fs::create_dir_all(&kept).unwrap();
+    for file in std::fs::read_dir(folder).unwrap() {
+        let path = file.unwrap().path();
+        if path.extension().is_some_and(|extension| extension == "log") {
+            std::fs::copy(&path, kept.join(path.file_name().unwrap())).unwrap();
+        }
+    }
 }
 
 /// Compares the requests that upstreams ran with the responses that callers got.
