Draw the absent gateways to tell in the order of their addresses

The test absent_gateway_is_told_within_the_recovery_time has seeds, but its draws met the addresses in the order of a hash map, which is another one in each process. It had not been seen to fail.

--- a/src/policy/absent_gateways.rs
+++ b/src/policy/absent_gateways.rs
@@ -3,10 +3,10 @@
 //! Handles VMs that start again while all VMs of their settings are down, after the leader has
 //! forgotten their former run. Only the gateways that ran meanwhile still have their addresses.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::collections::HashMap;
 use crate::collections::HashSet;
 
 /// Interval between two rounds in which a gateway tells absent ones.
@@ -30,7 +30,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct AbsentGateways {
     /// When the list without each of them was received.
-    absent_since: HashMap<SocketAddr, Duration>,
+    absent_since: BTreeMap<SocketAddr, Duration>,
 }
 
 impl AbsentGateways {
