Call what absent gateways get a report

The glossary's word for a message that tells another process which replicas there are is report; the new code said told and tellers beside it.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -421,7 +421,7 @@
     tokio::task::spawn_local(renewal::run(gateway.clone()));
     tokio::task::spawn_local(replica_list::serve(gateway.clone(), peers));
     tokio::task::spawn_local(replica_list::report(gateway.clone()));
-    tokio::task::spawn_local(replica_list::tell_absent_gateways(gateway.clone()));
+    tokio::task::spawn_local(replica_list::report_to_absent_gateways(gateway.clone()));
     tokio::task::spawn_local(sweep(gateway.clone()));
     tokio::task::spawn_local(service_reachability::run(gateway.clone()));
     tokio::task::spawn_local(loads::run(gateway.clone(), loads_socket));
--- a/src/gateway/replica_list.rs
+++ b/src/gateway/replica_list.rs
@@ -1,4 +1,4 @@
-//! Tells the other processes which replicas the leader has listed, among them gateways that it no
+//! Reports the replicas that the leader has listed to other processes, among them gateways that it no
 //! longer lists, and asks other processes for them while no replica that is known leads to the leader.
 //!
 //! The peer listener has the address of the UDP socket for load updates, on TCP.
@@ -51,15 +51,15 @@
     .await;
 }
 
-/// Tells the gateways that the leader no longer lists which replicas there are; never returns.
-pub(super) async fn tell_absent_gateways(gateway: Rc<Gateway>) {
+/// Reports the replicas to gateways that the leader no longer lists; never returns.
+pub(super) async fn report_to_absent_gateways(gateway: Rc<Gateway>) {
     loop {
         let delay = absent_gateways::ROUND_INTERVAL.mul_f64(0.75 + fastrand::f64() / 2.0);
         tokio::time::sleep(delay).await;
         let replicas = gateway.current_replicas();
         if !replicas.is_empty() {
-            let told = gateway.draw_told_gateways();
-            discovery::tell(&gateway.cfg.peer_key, told, replicas).await;
+            let recipients = gateway.draw_absent_gateways();
+            discovery::report_once(&gateway.cfg.peer_key, recipients, replicas).await;
         }
     }
 }
@@ -77,7 +77,7 @@
                 Reply::Done
             }
             _ => {
-                Reply::Refused("a gateway only tells, and is told, which replicas there are".into())
+                Reply::Refused("a gateway only lists the replicas and takes reports of them".into())
             }
         };
         Box::pin(async move { reply })
@@ -97,11 +97,10 @@
         }
     }
 
-    /// Adds replicas that another process has named without being asked; ignored while the leader
-    /// replies.
+    /// Adds replicas that another process has reported; ignored while the leader replies.
     fn add_reported(&self, replicas: Vec<SocketAddr>) {
         if self.leader.leader_address().is_none() {
-            event!(Info, "replicas_told", replicas = format!("{replicas:?}"));
+            event!(Info, "report_received", replicas = format!("{replicas:?}"));
         }
         self.leader.add_reported(replicas);
     }
@@ -120,11 +119,11 @@
         absent.count()
     }
 
-    /// Draws the absent gateways that this one tells now.
-    fn draw_told_gateways(&self) -> Vec<SocketAddr> {
+    /// Draws the absent gateways that this one reports to now.
+    fn draw_absent_gateways(&self) -> Vec<SocketAddr> {
         let listed = self.routing().entries.len();
         let mut absent = self.absent_gateways.borrow_mut();
-        absent.draw_told(listed, self.now(), &mut self.rng.borrow_mut())
+        absent.draw_recipients(listed, self.now(), &mut self.rng.borrow_mut())
     }
 
     /// Records the sender of a load update until the leader has granted a renewal.
--- a/src/peer/discovery.rs
+++ b/src/peer/discovery.rs
@@ -64,13 +64,13 @@
     loop {
         let replicas = current();
         let report = reports.next(&replicas, targets, fastrand::f64());
-        tell(key, report.to, replicas).await;
+        report_once(key, report.to, replicas).await;
         tokio::time::sleep(report.delay).await;
     }
 }
 
 /// Tells the processes at `targets` once which replicas there are.
-pub(crate) async fn tell(key: &str, targets: Vec<SocketAddr>, replicas: Vec<SocketAddr>) {
+pub(crate) async fn report_once(key: &str, targets: Vec<SocketAddr>, replicas: Vec<SocketAddr>) {
     if !targets.is_empty() {
         let _ = call_all(key, targets, &Request::ReportReplicas(replicas)).await;
     }
--- a/src/policy/absent_gateways.rs
+++ b/src/policy/absent_gateways.rs
@@ -1,4 +1,4 @@
-//! Decides which gateways are told of the replicas because the leader no longer lists them.
+//! Decides which gateways get reports of the replicas because the leader no longer lists them.
 //!
 //! Handles VMs that start again while all VMs of their settings are down, after the leader has
 //! forgotten their former run. Only the gateways that ran meanwhile still have their addresses.
@@ -9,15 +9,15 @@
 
 use crate::collections::HashSet;
 
-/// Interval between two rounds in which a gateway tells absent ones.
+/// Interval between two rounds in which a gateway reports to absent ones.
 pub const ROUND_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Mean number of gateways that tell an absent one in a round. Each draws for itself, so that the ones
-/// that have restarted and remember nothing need not be known.
-const MEAN_TELLERS: f64 = 4.0;
+/// Mean number of gateways that report to an absent one in a round. Each draws for itself, because none
+/// knows which others have restarted and remember nothing.
+const MEAN_REPORTERS: f64 = 4.0;
 
-/// Most gateways that one tells in a round.
-pub const MAX_TOLD: usize = 16;
+/// Most gateways that one reports to in a round.
+pub const MAX_RECIPIENTS: usize = 16;
 
 /// Time for which an absent gateway is remembered. Most of those that return do so sooner; the others
 /// are VMs that were removed.
@@ -61,8 +61,8 @@
         self.absent_since.len()
     }
 
-    /// Returns the gateways that this one, of `listed` in the leader's list, tells in this round.
-    pub fn draw_told(
+    /// Returns the gateways that this one, of `listed` in the leader's list, reports to in this round.
+    pub fn draw_recipients(
         &mut self,
         listed: usize,
         now: Duration,
@@ -71,11 +71,11 @@
         self.absent_since
             .retain(|_, since| now < *since + ABSENT_TTL);
         let listed = u32::try_from(listed.max(1)).unwrap_or(u32::MAX);
-        let chance = MEAN_TELLERS / f64::from(listed);
+        let chance = MEAN_REPORTERS / f64::from(listed);
         let absent = self.absent_since.keys().copied();
-        let mut told: Vec<SocketAddr> = absent.filter(|_| rng.f64() < chance).collect();
-        rng.shuffle(&mut told);
-        told.truncate(MAX_TOLD);
-        told
+        let mut recipients: Vec<SocketAddr> = absent.filter(|_| rng.f64() < chance).collect();
+        rng.shuffle(&mut recipients);
+        recipients.truncate(MAX_RECIPIENTS);
+        recipients
     }
 }
--- a/tests/load/absent_gateways.rs
+++ b/tests/load/absent_gateways.rs
@@ -6,7 +6,7 @@
 use daisyquay::policy::absent_gateways::ABSENT_TTL;
 use daisyquay::policy::absent_gateways::AbsentGateways;
 use daisyquay::policy::absent_gateways::MAX_ABSENT;
-use daisyquay::policy::absent_gateways::MAX_TOLD;
+use daisyquay::policy::absent_gateways::MAX_RECIPIENTS;
 use daisyquay::policy::absent_gateways::ROUND_INTERVAL;
 
 /// The platform's limit for the recovery.
@@ -32,16 +32,16 @@
     SocketAddr::from(([10, 1, high, low], 7343))
 }
 
-/// What the gateways of a fleet have told the absent ones.
-struct Told {
-    /// How often each absent gateway was told, by round.
-    times: Vec<Vec<usize>>,
-    /// Most that one gateway told in a round.
+/// Reports of the gateways of a fleet to the absent ones.
+struct Reports {
+    /// Number to each absent gateway, by round.
+    counts: Vec<Vec<usize>>,
+    /// Most that one gateway sent in a round.
     most_by_one: usize,
 }
 
 /// Plays the rounds of [`RECOVERY`], during which all absent gateways are back.
-fn play((listed, restarted, absent): (usize, usize, usize), seed: u64) -> Told {
+fn play((listed, restarted, absent): (usize, usize, usize), seed: u64) -> Reports {
     let mut rng = fastrand::Rng::with_seed(seed);
     let former: Vec<SocketAddr> = (0..listed + absent).map(address).collect();
     let current = &former[..listed];
@@ -50,53 +50,53 @@
         gateway.record_list(&former, current, Duration::ZERO);
     }
     let rounds = RECOVERY.as_millis() / (ROUND_INTERVAL.as_millis() * 5 / 4);
-    let mut told = Told {
-        times: Vec::new(),
+    let mut reports = Reports {
+        counts: Vec::new(),
         most_by_one: 0,
     };
     for round in 0..u32::try_from(rounds).unwrap() {
-        let mut times = vec![0; absent];
+        let mut counts = vec![0; absent];
         for gateway in &mut gateways {
-            let chosen = gateway.draw_told(listed, ROUND_INTERVAL * round, &mut rng);
-            told.most_by_one = told.most_by_one.max(chosen.len());
+            let chosen = gateway.draw_recipients(listed, ROUND_INTERVAL * round, &mut rng);
+            reports.most_by_one = reports.most_by_one.max(chosen.len());
             for (i, address) in former[listed..].iter().enumerate() {
-                times[i] += usize::from(chosen.contains(address));
+                counts[i] += usize::from(chosen.contains(address));
             }
         }
-        told.times.push(times);
+        reports.counts.push(counts);
     }
-    told
+    reports
 }
 
-/// Guards against a VM that nobody tells of the replicas once the leader has forgotten its former run.
+/// Guards against a VM that gets no report of the replicas once the leader has forgotten its former run.
 #[test]
-fn absent_gateway_is_told_within_the_recovery_time() {
+fn absent_gateway_gets_a_report_within_the_recovery_time() {
     for fleet in FLEETS {
         for seed in SEEDS {
-            let told = play(fleet, seed);
+            let reports = play(fleet, seed);
             for i in 0..fleet.2 {
-                let is_told = told.times.iter().any(|times| times[i] > 0);
-                assert!(is_told, "{fleet:?}, seed {seed}: {i} was not told");
+                let is_reached = reports.counts.iter().any(|counts| counts[i] > 0);
+                assert!(is_reached, "{fleet:?}, seed {seed}: no report to {i}");
             }
         }
     }
 }
 
 #[test]
-fn telling_absent_gateways_is_cheap_for_both_sides() {
+fn reports_to_absent_gateways_are_few_at_both_sides() {
     for fleet in FLEETS {
         for seed in SEEDS {
-            let told = play(fleet, seed);
-            let most = told.times.iter().flatten().max().unwrap();
+            let reports = play(fleet, seed);
+            let most = reports.counts.iter().flatten().max().unwrap();
             let limit = MAX_CALLS_PER_S * ROUND_INTERVAL.as_secs() as usize;
-            assert!(*most <= limit, "{fleet:?}: told {most} times in a round");
-            assert!(told.most_by_one <= MAX_TOLD);
+            assert!(*most <= limit, "{fleet:?}: {most} reports in a round");
+            assert!(reports.most_by_one <= MAX_RECIPIENTS);
         }
     }
 }
 
 #[test]
-fn gateway_that_is_listed_again_or_was_away_for_long_is_not_told() {
+fn gateway_that_is_listed_again_or_was_away_for_long_gets_no_report() {
     let mut rng = fastrand::Rng::with_seed(1);
     let all: Vec<SocketAddr> = (0..3).map(address).collect();
     let mut absent = AbsentGateways::default();
@@ -104,10 +104,10 @@
     assert_eq!(absent.count(), 2);
     absent.record_list(&all[..1], &all[..2], Duration::from_secs(5));
     assert_eq!(
-        absent.draw_told(1, Duration::from_secs(5), &mut rng),
+        absent.draw_recipients(1, Duration::from_secs(5), &mut rng),
         all[2..]
     );
-    assert!(absent.draw_told(1, ABSENT_TTL, &mut rng).is_empty());
+    assert!(absent.draw_recipients(1, ABSENT_TTL, &mut rng).is_empty());
     assert_eq!(absent.count(), 0);
 }
 
