Log which gateways the leader no longer lists

gateways_unlisted has the addresses that left the list, eight of them at most, and how many are remembered as absent (that key leaves gateways_known, where no landing had it).

--- a/src/gateway/renewal.rs
+++ b/src/gateway/renewal.rs
@@ -95,14 +95,13 @@
 
     /// Sets the list of gateways. `is_complete` is whether the leader knows all of them.
     fn set_entries(&self, entries: Vec<EntryInfo>, is_complete: bool) {
-        let absent = self.record_absent_gateways(&entries);
+        self.record_absent_gateways(&entries);
         let has_loads = |info: &&EntryInfo| info.loads_address.is_some();
         event!(
             Info,
             "gateways_known",
             count = entries.iter().filter(has_loads).count(),
-            complete = is_complete,
-            absent = absent
+            complete = is_complete
         );
         self.has_all_gateways.set(is_complete);
         self.share_retry_budgets(&entries, is_complete);
--- a/src/gateway/replica_list.rs
+++ b/src/gateway/replica_list.rs
@@ -29,6 +29,9 @@
 /// Most connections of other processes that are open at a time.
 const MAX_CONNECTIONS: usize = 64;
 
+/// Most addresses of gateways in one log line.
+const MAX_LOGGED: usize = 8;
+
 /// Answers the other processes, for as long as this one runs.
 pub(super) async fn serve(gateway: Rc<Gateway>, listener: TcpListener) {
     let keys = Rc::new(peer::Keys {
@@ -105,9 +108,8 @@
         self.leader.add_reported(replicas);
     }
 
-    /// Records which gateways of the present list are not in the next one. Returns the number of all
-    /// that are remembered as absent.
-    pub(super) fn record_absent_gateways(&self, next: &[EntryInfo]) -> usize {
+    /// Records and logs which gateways of the present list are not in the next one.
+    pub(super) fn record_absent_gateways(&self, next: &[EntryInfo]) {
         let addresses = |entries: &[EntryInfo]| -> Vec<SocketAddr> {
             let addresses = entries.iter().filter_map(|info| info.loads_address);
             addresses.collect()
@@ -115,8 +117,16 @@
         let mut former = addresses(&self.routing().entries);
         former.retain(|&address| address != self.cfg.loads_listen);
         let mut absent = self.absent_gateways.borrow_mut();
-        absent.record_list(&former, &addresses(next), self.now());
-        absent.count()
+        let unlisted = absent.record_list(&former, &addresses(next), self.now());
+        if !unlisted.is_empty() {
+            event!(
+                Info,
+                "gateways_unlisted",
+                count = unlisted.len(),
+                absent = absent.count(),
+                first = format!("{:?}", &unlisted[..unlisted.len().min(MAX_LOGGED)])
+            );
+        }
     }
 
     /// Draws the absent gateways that this one reports to now.
--- a/src/policy/absent_gateways.rs
+++ b/src/policy/absent_gateways.rs
@@ -34,14 +34,22 @@
 }
 
 impl AbsentGateways {
-    /// Records that the leader's list `current` has replaced `former`.
-    pub fn record_list(&mut self, former: &[SocketAddr], current: &[SocketAddr], now: Duration) {
+    /// Records that the leader's list `current` has replaced `former`. Returns those that are only in
+    /// `former`.
+    pub fn record_list(
+        &mut self,
+        former: &[SocketAddr],
+        current: &[SocketAddr],
+        now: Duration,
+    ) -> Vec<SocketAddr> {
         let listed: HashSet<&SocketAddr> = current.iter().collect();
-        for address in former {
-            self.absent_since.entry(*address).or_insert(now);
-        }
+        let unlisted = former.iter().filter(|address| !listed.contains(address));
+        let unlisted: Vec<SocketAddr> = unlisted.copied().collect();
         self.absent_since
             .retain(|address, since| !listed.contains(address) && now < *since + ABSENT_TTL);
+        for &address in &unlisted {
+            self.absent_since.insert(address, now);
+        }
         let excess = self.absent_since.len().saturating_sub(MAX_ABSENT);
         if excess > 0 {
             let mut by_age: Vec<(Duration, SocketAddr)> = self
@@ -54,6 +62,7 @@
                 self.absent_since.remove(address);
             }
         }
+        unlisted
     }
 
     /// Returns how many are remembered.
--- a/tests/load/absent_gateways.rs
+++ b/tests/load/absent_gateways.rs
@@ -100,7 +100,8 @@
     let mut rng = fastrand::Rng::with_seed(1);
     let all: Vec<SocketAddr> = (0..3).map(address).collect();
     let mut absent = AbsentGateways::default();
-    absent.record_list(&all, &all[..1], Duration::ZERO);
+    let unlisted = absent.record_list(&all, &all[..1], Duration::ZERO);
+    assert_eq!(unlisted, all[1..]);
     assert_eq!(absent.count(), 2);
     absent.record_list(&all[..1], &all[..2], Duration::from_secs(5));
     assert_eq!(
