--- a/review/stand-ins-2/endless_lengths.rs
+++ b/review/stand-ins-2/endless_lengths.rs
@@ -79,23 +79,43 @@
             Ok(true)
         };
         let (address, controls) = (deployment.stand_in(number), deployment.controls());
-        runners.push(Runner::start(&id, "listener-app", address, 6, controls, Arc::new(serve))?);
+        runners.push(Runner::start(
+            &id,
+            "listener-app",
+            address,
+            6,
+            controls,
+            Arc::new(serve),
+        )?);
     }
     for number in 4..=6_u8 {
         let id = format!("i-b{number:07x}");
         let (arrived, own, record) = (arrived.clone(), id.clone(), record.clone());
         let serve = move |arrival: &mut Arrival| {
             lock(&arrived).push(arrival.id.clone());
-            io::copy(&mut arrival.reader.take(arrival.length as u64), &mut io::sink())?;
+            io::copy(
+                &mut arrival.reader.take(arrival.length as u64),
+                &mut io::sink(),
+            )?;
             record.line(format!("sound runner {own}: runs {}", arrival.id));
             thread::sleep(VERDICT_WORK);
             succeed(arrival, &own)?;
             Ok(true)
         };
         let (address, controls) = (deployment.stand_in(number), deployment.controls());
-        runners.push(Runner::start(&id, "daisy-llm", address, 64, controls, Arc::new(serve))?);
+        runners.push(Runner::start(
+            &id,
+            "daisy-llm",
+            address,
+            64,
+            controls,
+            Arc::new(serve),
+        )?);
     }
-    if deployment.order("POST", "/-/Config.Replace", CONFIG, record).is_none_or(|a| a.status != 200) {
+    if deployment
+        .order("POST", "/-/Config.Replace", CONFIG, record)
+        .is_none_or(|a| a.status != 200)
+    {
         return Err(io::Error::other("no acknowledgement of the configuration"));
     }
     if !deployment.wait_until_ready(Duration::from_secs(15)) {
@@ -128,10 +148,16 @@
                     due += interval;
                     number += 1;
                     let was_kept = kept.is_some();
-                    let stream = match kept.take().map_or_else(|| TcpStream::connect_timeout(&front, SECOND), Ok) {
+                    let stream = match kept
+                        .take()
+                        .map_or_else(|| TcpStream::connect_timeout(&front, SECOND), Ok)
+                    {
                         Ok(stream) => stream,
                         Err(e) => {
-                            record.line(format!("consumer: no connection to machine {}: {e}", machine + 1));
+                            record.line(format!(
+                                "consumer: no connection to machine {}: {e}",
+                                machine + 1
+                            ));
                             continue;
                         }
                     };
@@ -174,7 +200,9 @@
                 restarts.push((Instant::now() + RESTART_DELAY, index));
             }
         }
-        let (due, later): (Vec<_>, Vec<_>) = restarts.into_iter().partition(|(at, _)| *at <= Instant::now());
+        let (due, later): (Vec<_>, Vec<_>) = restarts
+            .into_iter()
+            .partition(|(at, _)| *at <= Instant::now());
         restarts = later;
         for (_, index) in due {
             deployment.start_gateway(index)?;
@@ -248,7 +276,17 @@
         ("X-Attempt-Id", id),
         ("X-Deadline-Ms", deadline.as_str()),
     ];
-    let (method, body): (_, &[u8]) = if kind == "cover" { ("GET", b"") } else { ("POST", b"verdict") };
-    write_request(&mut stream, method, &format!("/{kind}/{id}"), &headers, body)?;
+    let (method, body): (_, &[u8]) = if kind == "cover" {
+        ("GET", b"")
+    } else {
+        ("POST", b"verdict")
+    };
+    write_request(
+        &mut stream,
+        method,
+        &format!("/{kind}/{id}"),
+        &headers,
+        body,
+    )?;
     Ok(read_answer(&mut BufReader::new(stream))?.status)
 }
--- a/review/stand-ins-2/foreign_report.rs
+++ b/review/stand-ins-2/foreign_report.rs
@@ -48,12 +48,22 @@
     let runs: Arc<Mutex<Vec<Run>>> = Arc::default();
     let mut runners = Vec::new();
     for number in 1..=4_u8 {
-        let service = if number <= 2 { "listener-app" } else { "daisy-llm" };
+        let service = if number <= 2 {
+            "listener-app"
+        } else {
+            "daisy-llm"
+        };
         let id = format!("i-{number:08x}");
         let (runs, own, record) = (runs.clone(), id.clone(), record.clone());
         let serve = move |arrival: &mut Arrival| {
-            io::copy(&mut arrival.reader.take(arrival.length as u64), &mut io::sink())?;
-            record.line(format!("runner {own} of {service}: runs {} {}", arrival.id, arrival.path));
+            io::copy(
+                &mut arrival.reader.take(arrival.length as u64),
+                &mut io::sink(),
+            )?;
+            record.line(format!(
+                "runner {own} of {service}: runs {} {}",
+                arrival.id, arrival.path
+            ));
             lock(&runs).push(Run {
                 id: arrival.id.clone(),
                 path: arrival.path.clone(),
@@ -65,9 +75,19 @@
             Ok(true)
         };
         let (address, controls) = (deployment.stand_in(number), deployment.controls());
-        runners.push(Runner::start(&id, service, address, 6, controls, Arc::new(serve))?);
+        runners.push(Runner::start(
+            &id,
+            service,
+            address,
+            6,
+            controls,
+            Arc::new(serve),
+        )?);
     }
-    if deployment.order("POST", "/-/Config.Replace", CONFIG, record).is_none_or(|a| a.status != 200) {
+    if deployment
+        .order("POST", "/-/Config.Replace", CONFIG, record)
+        .is_none_or(|a| a.status != 200)
+    {
         return Err(io::Error::other("no acknowledgement of the configuration"));
     }
     if !deployment.wait_until_ready(Duration::from_secs(15)) {
@@ -89,7 +109,10 @@
             thread::sleep(at.saturating_duration_since(Instant::now()));
             let id = format!("{kind}-{index:04}");
             let deadline = LIMIT.as_millis().to_string();
-            let headers = [("X-Attempt-Id", id.as_str()), ("X-Deadline-Ms", deadline.as_str())];
+            let headers = [
+                ("X-Attempt-Id", id.as_str()),
+                ("X-Deadline-Ms", deadline.as_str()),
+            ];
             let result = send(front, &format!("/{kind}/{index}"), &headers);
             record.line(format!("consumer: {id} at {front} got {result}"));
             lock(&answers).push((kind.to_owned(), result));
@@ -105,8 +128,18 @@
         );
         let path = "/-/Instances.Heartbeat/i-00000003";
         let json = [("Content-Type", "application/json")];
-        let answer = ask(deployment.machines[0].control(), "POST", path, &json, body.as_bytes(), SECOND)?;
-        record.say(format!("another writer: POST {path} {body}: {}", answer.status));
+        let answer = ask(
+            deployment.machines[0].control(),
+            "POST",
+            path,
+            &json,
+            body.as_bytes(),
+            SECOND,
+        )?;
+        record.say(format!(
+            "another writer: POST {path} {body}: {}",
+            answer.status
+        ));
     }
     for consumer in consumers {
         let _ = consumer.join();
@@ -137,7 +170,11 @@
 
 fn judge(record: &Record, runs: &[Run], answers: &[(String, String)]) -> i32 {
     let allowed = |run: &Run| {
-        let service = if run.path.starts_with("/peek/") { "listener-app" } else { "daisy-llm" };
+        let service = if run.path.starts_with("/peek/") {
+            "listener-app"
+        } else {
+            "daisy-llm"
+        };
         service == run.service
     };
     let foreign: Vec<&Run> = runs.iter().filter(|run| !allowed(run)).collect();
@@ -149,7 +186,9 @@
     }
     let served = |kind: &str| {
         let of_kind = || answers.iter().filter(|(name, _)| name == kind);
-        let served = of_kind().filter(|(_, result)| result.starts_with("200")).count();
+        let served = of_kind()
+            .filter(|(_, result)| result.starts_with("200"))
+            .count();
         format!("{served} of {} of {kind}", of_kind().count())
     };
     record.say(format!(
--- a/review/stand-ins-2/kit.rs
+++ b/review/stand-ins-2/kit.rs
@@ -125,17 +125,25 @@
             deployment.start_replica(index)?;
             deployment.start_gateway(index)?;
         }
-        record.line(format!("started {count} machines in 127.{}.{}.0/24", net.0, net.1));
+        record.line(format!(
+            "started {count} machines in 127.{}.{}.0/24",
+            net.0, net.1
+        ));
         Ok(deployment)
     }
 
     fn command(&self, index: usize, program: &str) -> io::Result<Command> {
         let machine = &self.machines[index];
-        let seeds: Vec<String> = self.machines.iter().take(3).map(|m| m.control().to_string()).collect();
-        let log = File::options()
-            .create(true)
-            .append(true)
-            .open(self.folder.join(format!("{program}-{}.log", machine.number)))?;
+        let seeds: Vec<String> = self
+            .machines
+            .iter()
+            .take(3)
+            .map(|m| m.control().to_string())
+            .collect();
+        let log = File::options().create(true).append(true).open(
+            self.folder
+                .join(format!("{program}-{}.log", machine.number)),
+        )?;
         let zone = ZONES[index % ZONES.len()];
         let mut command = Command::new(self.programs.join(program));
         command
@@ -155,11 +163,16 @@
     }
 
     pub fn start_replica(&mut self, index: usize) -> io::Result<()> {
-        let data = self.folder.join(format!("data-{}", self.machines[index].number));
+        let data = self
+            .folder
+            .join(format!("data-{}", self.machines[index].number));
         let is_first = !data.exists();
         let mut command = self.command(index, "daisyquay-platform-replica")?;
         command
-            .env("DAISYQUAY_CONTROL", self.machines[index].control().to_string())
+            .env(
+                "DAISYQUAY_CONTROL",
+                self.machines[index].control().to_string(),
+            )
             .env("DAISYQUAY_DATA", data)
             .env("DAISYQUAY_FIRST_START", is_first.to_string())
             .env("DAISYQUAY_RESEND_MS", ACK_MS)
@@ -171,12 +184,18 @@
 
     pub fn start_gateway(&mut self, index: usize) -> io::Result<()> {
         let machine = &self.machines[index];
-        let regions: Vec<String> = ZONES.iter().map(|zone| format!("{zone}=mauritius-nord")).collect();
+        let regions: Vec<String> = ZONES
+            .iter()
+            .map(|zone| format!("{zone}=mauritius-nord"))
+            .collect();
         let mut command = self.command(index, "daisyquay-platform-gateway")?;
         command
             .env("DAISYQUAY_FRONT", machine.front().to_string())
             .env("DAISYQUAY_READY", machine.at(READY_PORT).to_string())
-            .env("DAISYQUAY_DIRECTORY", machine.at(DIRECTORY_PORT).to_string())
+            .env(
+                "DAISYQUAY_DIRECTORY",
+                machine.at(DIRECTORY_PORT).to_string(),
+            )
             .env("DAISYQUAY_GRACE_S", GRACE_S)
             .env("DAISYQUAY_REPEAT_RATIO", "0.9")
             .env("DAISYQUAY_REPEAT_SLACK", "58")
@@ -221,7 +240,10 @@
                 if let Ok(answer) = answer
                     && answer.status < 500
                 {
-                    record.line(format!("operator: {method} {path} at {control}: {}", answer.status));
+                    record.line(format!(
+                        "operator: {method} {path} at {control}: {}",
+                        answer.status
+                    ));
                     return Some(answer);
                 }
             }
@@ -248,7 +270,9 @@
 
     /// Memory of the gateway in MB; `None` if it does not run.
     pub fn gateway_memory_mb(&self) -> Option<f64> {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.gateway.as_ref()?.id())).ok()?;
+        let status =
+            std::fs::read_to_string(format!("/proc/{}/status", self.gateway.as_ref()?.id()))
+                .ok()?;
         let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
         let kb: f64 = line.split_whitespace().nth(1)?.parse().ok()?;
         Some(kb / 1024.0)
@@ -269,7 +293,10 @@
 impl Drop for Deployment {
     fn drop(&mut self) {
         for machine in &mut self.machines {
-            for mut child in [machine.gateway.take(), machine.replica.take()].into_iter().flatten() {
+            for mut child in [machine.gateway.take(), machine.replica.take()]
+                .into_iter()
+                .flatten()
+            {
                 let _ = child.kill();
                 let _ = child.wait();
             }
@@ -283,7 +310,9 @@
 fn free_network(count: u8) -> io::Result<(u8, u8)> {
     let seed = std::process::id();
     for attempt in 0..200_u32 {
-        let pick = seed.wrapping_mul(2_654_435_761).wrapping_add(attempt * 7919);
+        let pick = seed
+            .wrapping_mul(2_654_435_761)
+            .wrapping_add(attempt * 7919);
         let net = ((pick % 200 + 20) as u8, (pick / 256 % 250 + 1) as u8);
         let ports = [CONTROL_PORT, FRONT_PORT, READY_PORT, DIRECTORY_PORT]
             .into_iter()
@@ -291,7 +320,8 @@
         let is_free = ports.into_iter().all(|port| {
             (1..=count).all(|number| TcpListener::bind(address(net, number, port)).is_ok())
         });
-        let has_udp = (1..=count).all(|n| UdpSocket::bind(address(net, n, INTERNAL_PORT + 3)).is_ok());
+        let has_udp =
+            (1..=count).all(|n| UdpSocket::bind(address(net, n, INTERNAL_PORT + 3)).is_ok());
         if is_free && has_udp {
             return Ok(net);
         }
@@ -308,7 +338,9 @@
 }
 
 /// Reads lines up to an empty one; returns the first and the headers, or `None` at the end.
-pub fn read_head(reader: &mut impl BufRead) -> io::Result<Option<(String, HashMap<String, String>)>> {
+pub fn read_head(
+    reader: &mut impl BufRead,
+) -> io::Result<Option<(String, HashMap<String, String>)>> {
     let mut first = String::new();
     if reader.read_line(&mut first)? == 0 {
         return Ok(None);
@@ -334,12 +366,22 @@
     let Some((first, headers)) = read_head(reader)? else {
         return Err(io::ErrorKind::UnexpectedEof.into());
     };
-    let status = first.split(' ').nth(1).and_then(|text| text.parse().ok()).unwrap_or(0);
+    let status = first
+        .split(' ')
+        .nth(1)
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(0);
     let mut body = Vec::new();
-    if let Some(length) = headers.get("content-length").and_then(|text| text.parse().ok()) {
+    if let Some(length) = headers
+        .get("content-length")
+        .and_then(|text| text.parse().ok())
+    {
         body.resize(length, 0);
         reader.read_exact(&mut body)?;
-    } else if headers.get("transfer-encoding").is_some_and(|text| text.contains("chunked")) {
+    } else if headers
+        .get("transfer-encoding")
+        .is_some_and(|text| text.contains("chunked"))
+    {
         loop {
             let mut line = String::new();
             reader.read_line(&mut line)?;
@@ -352,7 +394,11 @@
             body.extend_from_slice(&chunk[..size]);
         }
     }
-    Ok(Answer { status, headers, body })
+    Ok(Answer {
+        status,
+        headers,
+        body,
+    })
 }
 
 /// Writes a request with a length.
@@ -449,7 +495,9 @@
 }
 
 pub fn now_ms() -> u128 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis())
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |time| time.as_millis())
 }
 
 fn beat(
@@ -486,11 +534,20 @@
         let method = words.next().unwrap_or_default().to_owned();
         let path = words.next().unwrap_or_default().to_owned();
         let attempt = headers.get("x-attempt-id").cloned().unwrap_or_default();
-        let length = headers.get("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
-        let is_other = headers.get("x-expect-instance").is_some_and(|named| named != id);
+        let length = headers
+            .get("content-length")
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0);
+        let is_other = headers
+            .get("x-expect-instance")
+            .is_some_and(|named| named != id);
         if is_other || attempt.is_empty() {
             io::copy(&mut (&mut reader).take(length as u64), &mut io::sink())?;
-            let status = if is_other { "421 Misdirected Request" } else { "400 Bad Request" };
+            let status = if is_other {
+                "421 Misdirected Request"
+            } else {
+                "400 Bad Request"
+            };
             let answer = format!(
                 "HTTP/1.1 {status}\r\nX-Not-Executed: 1\r\nX-Attempt-Id: {attempt}\r\nContent-Length: 0\r\n\r\n"
             );
--- a/review/stand-ins-2/slow_readers.rs
+++ b/review/stand-ins-2/slow_readers.rs
@@ -59,7 +59,8 @@
     let mut runners = Vec::new();
     for number in 1..=3 {
         let id = format!("i-{number:08x}");
-        let (arrived, ran, own, record) = (arrived.clone(), ran.clone(), id.clone(), record.clone());
+        let (arrived, ran, own, record) =
+            (arrived.clone(), ran.clone(), id.clone(), record.clone());
         let serve = move |arrival: &mut Arrival| {
             lock(&arrived).push(arrival.id.clone());
             let is_slow = is_disrupted && arrival.length > 64 * 1024;
@@ -70,9 +71,19 @@
             Ok(true)
         };
         let (address, controls) = (deployment.stand_in(number), deployment.controls());
-        runners.push(Runner::start(&id, "listener-app", address, 64, controls, Arc::new(serve))?);
+        runners.push(Runner::start(
+            &id,
+            "listener-app",
+            address,
+            64,
+            controls,
+            Arc::new(serve),
+        )?);
     }
-    if deployment.order("POST", "/-/Config.Replace", CONFIG, record).is_none_or(|a| a.status != 200) {
+    if deployment
+        .order("POST", "/-/Config.Replace", CONFIG, record)
+        .is_none_or(|a| a.status != 200)
+    {
         return Err(io::Error::other("no acknowledgement of the configuration"));
     }
     if !deployment.wait_until_ready(Duration::from_secs(15)) {
@@ -111,7 +122,11 @@
                 let result = send(&stream, &id, &body, Duration::from_secs(20));
                 let result = result.map_err(|e| e.to_string());
                 record.line(format!("consumer: {id} got {result:?}"));
-                lock(&outcomes).push(Outcome { id, machine, result });
+                lock(&outcomes).push(Outcome {
+                    id,
+                    machine,
+                    result,
+                });
             })
         })
         .collect();
@@ -137,7 +152,9 @@
                 restarts.push((Instant::now() + RESTART_DELAY, index));
             }
         }
-        let (due, later): (Vec<_>, Vec<_>) = restarts.into_iter().partition(|(at, _)| *at <= Instant::now());
+        let (due, later): (Vec<_>, Vec<_>) = restarts
+            .into_iter()
+            .partition(|(at, _)| *at <= Instant::now());
         restarts = later;
         for (_, index) in due {
             deployment.start_gateway(index)?;
@@ -145,7 +162,14 @@
         thread::sleep(Duration::from_millis(20));
     }
     drop(runners);
-    judge(record, &lock(&outcomes), &lock(&arrived), &lock(&ran), &kills, &peaks)
+    judge(
+        record,
+        &lock(&outcomes),
+        &lock(&arrived),
+        &lock(&ran),
+        &kills,
+        &peaks,
+    )
 }
 
 fn judge(
@@ -157,7 +181,10 @@
     peaks: &[f64],
 ) -> io::Result<i32> {
     let answered = outcomes.iter().filter(|o| o.result.is_ok()).count();
-    let cut: Vec<_> = outcomes.iter().filter(|o| o.result.is_err() && arrived.contains(&o.id)).collect();
+    let cut: Vec<_> = outcomes
+        .iter()
+        .filter(|o| o.result.is_err() && arrived.contains(&o.id))
+        .collect();
     for outcome in &cut {
         record.line(format!(
             "lost: {} at machine {}: passed on to a runner, {}; the connection ended without an answer: {:?}",
